--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,188 @@
+//! An HTTP/1.1 client that keeps idle connections by address.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::future;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use parking_lot::Mutex;
+use smol_hyper::rt::FuturesIo;
+
+use crate::Body;
+use crate::Spawner;
+
+/// Why a request got no response head.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No connection: nothing of the request was sent.
+    #[error("connection refused or failed: {0}")]
+    Connect(#[source] io::Error),
+    /// The connection broke after the request may have been sent.
+    #[error("connection lost before the response: {0}")]
+    Lost(#[source] hyper::Error),
+    /// The connection closed before anything was written.
+    #[error("connection closed before the request was sent: {0}")]
+    NotSent(#[source] hyper::Error),
+    /// No response head within the time allowed.
+    #[error("no response within {0:?}")]
+    Timeout(Duration),
+}
+
+impl ClientError {
+    /// True if the request cannot have reached the server.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::NotSent(_))
+    }
+}
+
+/// Result of a request.
+pub type Result<T> = std::result::Result<T, ClientError>;
+
+/// Settings of a client.
+#[derive(Clone, Debug)]
+pub struct ClientConfig {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Idle connections kept for each address.
+    pub max_idle: usize,
+}
+
+impl Default for ClientConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            max_idle: 32,
+        }
+    }
+}
+
+type Idle = HashMap<SocketAddr, Vec<SendRequest<Body>>>;
+
+/// A client with a pool of idle connections.
+///
+/// A connection returns to the pool only when its whole response has been
+/// read, so no response is ever delivered to another request.
+#[derive(Clone, Debug)]
+pub struct Client {
+    cfg: ClientConfig,
+    idle: Arc<Mutex<Idle>>,
+    spawner: Spawner,
+}
+
+impl Client {
+    /// Creates a client whose connections run on the given executor.
+    pub fn new(spawner: Spawner, cfg: ClientConfig) -> Self {
+        Self {
+            cfg,
+            idle: Arc::default(),
+            spawner,
+        }
+    }
+
+    /// Sends a request and returns the response head; the body streams.
+    ///
+    /// Dropping the returned body early closes the connection, which tells the
+    /// server that nobody waits. `timeout` covers connection and head only.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::is_not_sent`] tells whether the server can have seen the
+    /// request.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        req: Request<Body>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>> {
+        let limit = async {
+            Timer::after(timeout).await;
+            Err(ClientError::Timeout(timeout))
+        };
+        future::or(self.exchange(to, req), limit).await
+    }
+
+    /// Closes the idle connections of an address, when a host has gone.
+    pub fn forget(&self, to: SocketAddr) {
+        self.idle.lock().remove(&to);
+    }
+
+    async fn exchange(&self, to: SocketAddr, mut req: Request<Body>) -> Result<Response<Incoming>> {
+        while let Some(mut sender) = self.take_idle(to) {
+            match sender.try_send_request(req).await {
+                Ok(response) => return Ok(self.park(to, sender, response)),
+                Err(mut failure) => match failure.take_message() {
+                    Some(unsent) => req = unsent,
+                    None => return Err(ClientError::Lost(failure.into_error())),
+                },
+            }
+        }
+        let mut sender = self.connect(to).await?;
+        match sender.try_send_request(req).await {
+            Ok(response) => Ok(self.park(to, sender, response)),
+            Err(mut failure) => match failure.take_message() {
+                Some(_) => Err(ClientError::NotSent(failure.into_error())),
+                None => Err(ClientError::Lost(failure.into_error())),
+            },
+        }
+    }
+
+    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock();
+        let senders = idle.get_mut(&to)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() && !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Returns the connection to the pool once the response has been read.
+    fn park(
+        &self,
+        to: SocketAddr,
+        mut sender: SendRequest<Body>,
+        response: Response<Incoming>,
+    ) -> Response<Incoming> {
+        let idle = Arc::clone(&self.idle);
+        let max_idle = self.cfg.max_idle;
+        self.spawner.detach(async move {
+            if sender.ready().await.is_err() {
+                return;
+            }
+            let mut idle = idle.lock();
+            let senders = idle.entry(to).or_default();
+            if senders.len() < max_idle {
+                senders.push(sender);
+            }
+        });
+        response
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Body>> {
+        let limit = async {
+            Timer::after(self.cfg.connect_timeout).await;
+            Err(io::Error::from(io::ErrorKind::TimedOut))
+        };
+        let stream = future::or(TcpStream::connect(to), limit)
+            .await
+            .map_err(ClientError::Connect)?;
+        stream.set_nodelay(true).map_err(ClientError::Connect)?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(ClientError::NotSent)?;
+        self.spawner.detach(async move {
+            let _outcome = connection.await;
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,208 @@
+//! An HTTP/1.1 server with a graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use async_net::TcpListener;
+use async_net::TcpStream;
+use futures_lite::future;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use crate::Body;
+use crate::Spawner;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Answers the requests of a server.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request; dropping the future means the caller has gone.
+    fn handle(
+        &self,
+        req: Request<Incoming>,
+        from: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Settings of a server.
+#[derive(Clone, Debug)]
+pub struct ServerConfig {
+    /// Longest time to receive a request's headers.
+    pub header_timeout: Duration,
+    /// Largest read buffer of a connection, in bytes.
+    pub max_buf_size: usize,
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            header_timeout: Duration::from_secs(10),
+            max_buf_size: 64 * 1024,
+        }
+    }
+}
+
+/// Stops a server and counts what it still serves.
+#[derive(Clone, Debug)]
+pub struct ServerControl {
+    stop_tx: Sender<()>,
+    stop_rx: Receiver<()>,
+    requests: Arc<AtomicUsize>,
+}
+
+impl Default for ServerControl {
+    fn default() -> Self {
+        let (stop_tx, stop_rx) = async_channel::bounded(1);
+        Self {
+            stop_tx,
+            stop_rx,
+            requests: Arc::default(),
+        }
+    }
+}
+
+impl ServerControl {
+    /// Stops accepting; open connections close after their current request.
+    pub fn stop(&self) {
+        self.stop_tx.close();
+    }
+
+    /// Requests whose response has not been sent to its end.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    async fn stopped(&self) {
+        // The channel carries no items: `recv` ends only when it is closed.
+        let _closed = self.stop_rx.recv().await;
+    }
+}
+
+/// Counts one connection's open request until the response has been sent.
+struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Accepts connections until the server is stopped.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    spawner: Spawner,
+    cfg: ServerConfig,
+    control: ServerControl,
+    handler: H,
+) {
+    loop {
+        let accepted = future::or(async { Some(listener.accept().await) }, async {
+            control.stopped().await;
+            None
+        });
+        match accepted.await {
+            None => return,
+            Some(Ok((stream, from))) => {
+                let connection =
+                    connection(stream, from, cfg.clone(), control.clone(), handler.clone());
+                spawner.detach(connection);
+            }
+            Some(Err(_)) => {
+                Timer::after(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    from: SocketAddr,
+    cfg: ServerConfig,
+    control: ServerControl,
+    handler: H,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let count = Arc::clone(&control.requests);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let handler = handler.clone();
+        let open = OpenRequest::new(&count);
+        async move {
+            let response = handler.handle(req, from).await;
+            Ok::<_, Infallible>(response.map(|body| Tracked { body, _open: open }))
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(SmolTimer::new())
+        .header_read_timeout(cfg.header_timeout)
+        .max_buf_size(cfg.max_buf_size);
+    let mut serving = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let ended = future::or(async { Some(serving.as_mut().await) }, async {
+        control.stopped().await;
+        None
+    });
+    if ended.await.is_none() {
+        serving.as_mut().graceful_shutdown();
+        let _outcome = serving.await;
+    }
+}
+
+/// A response body that keeps its request counted until it has been sent.
+struct Tracked {
+    body: Body,
+    _open: OpenRequest,
+}
+
+impl http_body::Body for Tracked {
+    type Data = bytes::Bytes;
+    type Error = crate::body::BodyError;
+
+    fn poll_frame(
+        self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<crate::body::Result<http_body::Frame<Self::Data>>>> {
+        std::pin::Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Binds a listener; port 0 lets the kernel choose.
+///
+/// # Errors
+///
+/// What the operating system answered to the bind.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! The `chicoryarch-standin` command.
+
+fn main() {}
--- /dev/null
+++ b/src/configs/journal.rs
@@ -0,0 +1,1 @@
+//! Settings of the journal part.
--- /dev/null
+++ b/src/configs/limit.rs
@@ -0,0 +1,1 @@
+//! Settings of the limit part.
--- /dev/null
+++ b/src/configs/membership.rs
@@ -0,0 +1,1 @@
+//! Settings of the membership part.
--- /dev/null
+++ b/src/configs/operator.rs
@@ -0,0 +1,1 @@
+//! Settings of the operator part.
--- /dev/null
+++ b/src/configs/queue.rs
@@ -0,0 +1,1 @@
+//! Settings of the queue part.
--- /dev/null
+++ b/src/connection/peer.rs
@@ -0,0 +1,192 @@
+//! Control calls between hosts: JSON-RPC carried as HTTP POST.
+//!
+//! Each part registers its methods on an `RpcModule` and calls other hosts
+//! through [`Peers`]. Bulk data, such as a forwarded call, goes as plain HTTP
+//! and not through here.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_io::Timer;
+use chicoryarch_net::Body;
+use chicoryarch_net::Client;
+use futures_lite::future;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use jsonrpsee_types::ErrorObjectOwned;
+use jsonrpsee_types::Response;
+use jsonrpsee_types::ResponsePayload;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use crate::configs::peer::PeerConfig;
+
+/// Path of control calls on the peers' port.
+pub const RPC_PATH: &str = "/rpc";
+
+/// Why a control call gave no result.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The other host answered with an error.
+    #[error("the host refused the call: {0}")]
+    Refused(ErrorObjectOwned),
+    /// The answer cannot be read.
+    #[error("the host's answer cannot be read: {0}")]
+    Malformed(String),
+    /// No answer; the other host may have carried out the call.
+    #[error("the host cannot be reached: {0}")]
+    Unreachable(String),
+}
+
+/// Result of a control call.
+pub type Result<T> = std::result::Result<T, PeerError>;
+
+/// Sends control calls to other hosts.
+pub trait Peers: Clone + Send + Sync + 'static {
+    /// Calls a method of the host that listens for peers at `to`.
+    fn call<P, R>(
+        &self,
+        to: SocketAddr,
+        method: &'static str,
+        params: &P,
+    ) -> impl Future<Output = Result<R>> + Send
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned + Send;
+}
+
+/// Credential of this host towards its peers; replaced on rotation.
+#[derive(Clone, Debug)]
+pub struct PeerSecret(Arc<ArcSwap<Vec<String>>>);
+
+impl PeerSecret {
+    /// The first secret is sent, all are accepted.
+    pub fn new(secrets: Vec<String>) -> Self {
+        Self(Arc::new(ArcSwap::from_pointee(secrets)))
+    }
+
+    /// Puts new secrets in place of the old ones.
+    pub fn replace(&self, secrets: Vec<String>) {
+        self.0.store(Arc::new(secrets));
+    }
+
+    /// Value of the `Authorization` header that this host sends.
+    pub fn header(&self) -> String {
+        let secrets = self.0.load();
+        let first = secrets.first().map(String::as_str).unwrap_or_default();
+        format!("Peer {first}")
+    }
+
+    /// True if the header carries one of the accepted secrets.
+    pub fn accepts(&self, header: Option<&[u8]>) -> bool {
+        use subtle::ConstantTimeEq;
+
+        let Some(sent) = header.and_then(|h| h.strip_prefix(b"Peer ")) else {
+            return false;
+        };
+        let secrets = self.0.load();
+        let equal = |known: &String| !known.is_empty() && bool::from(known.as_bytes().ct_eq(sent));
+        secrets.iter().any(equal)
+    }
+}
+
+/// Sends control calls over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPeers {
+    cfg: PeerConfig,
+    client: Client,
+    secret: PeerSecret,
+}
+
+#[derive(Serialize)]
+struct Call<'a, P> {
+    jsonrpc: &'static str,
+    id: u64,
+    method: &'static str,
+    params: [&'a P; 1],
+}
+
+impl HttpPeers {
+    /// Creates a sender that shares `client`'s connections.
+    pub fn new(client: Client, secret: PeerSecret, cfg: PeerConfig) -> Self {
+        Self {
+            cfg,
+            client,
+            secret,
+        }
+    }
+
+    fn request<P: Serialize>(&self, method: &'static str, params: &P) -> Request<Body> {
+        let call = Call {
+            jsonrpc: "2.0",
+            id: 1,
+            method,
+            params: [params],
+        };
+        let body = serde_json::to_vec(&call).expect("typed parameters always encode as JSON");
+        Request::post(RPC_PATH)
+            .header(header::HOST, "peer")
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::AUTHORIZATION, self.secret.header())
+            .body(Body::from(body))
+            .expect("constant request parts are valid")
+    }
+
+    async fn exchange(&self, to: SocketAddr, req: Request<Body>) -> Result<Vec<u8>> {
+        let response = self
+            .client
+            .send(to, req, self.cfg.timeout)
+            .await
+            .map_err(unreachable)?;
+        let status = response.status();
+        let body = Body::collect(response.into_body(), self.cfg.max_message_bytes)
+            .await
+            .map_err(unreachable)?;
+        if status != StatusCode::OK {
+            return Err(PeerError::Malformed(format!("status {status}")));
+        }
+        Ok(body.to_vec())
+    }
+}
+
+impl Peers for HttpPeers {
+    async fn call<P, R>(&self, to: SocketAddr, method: &'static str, params: &P) -> Result<R>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned + Send,
+    {
+        let req = self.request(method, params);
+        let body = future::or(self.exchange(to, req), expire(self.cfg.timeout)).await?;
+        decode(&body)
+    }
+}
+
+fn unreachable(e: impl std::error::Error) -> PeerError {
+    PeerError::Unreachable(e.to_string())
+}
+
+async fn expire(timeout: Duration) -> Result<Vec<u8>> {
+    Timer::after(timeout).await;
+    Err(PeerError::Unreachable(format!(
+        "no answer within {timeout:?}"
+    )))
+}
+
+fn decode<R: DeserializeOwned>(body: &[u8]) -> Result<R> {
+    let malformed = |e: serde_json::Error| PeerError::Malformed(e.to_string());
+    let response: Response<'_, Box<RawValue>> = serde_json::from_slice(body).map_err(malformed)?;
+    match response.payload {
+        ResponsePayload::Success(value) => serde_json::from_str(value.get()).map_err(malformed),
+        ResponsePayload::Error(error) => Err(PeerError::Refused(error.into_owned())),
+    }
+}
+
+/// Parameter of a method that needs none.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NoParams {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `chicoryarch` command.
+
+fn main() {}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language and its answers.
--- /dev/null
+++ b/src/process/distribution/mod.rs
@@ -0,0 +1,1 @@
+//! Drives the spread of configuration between platform and hosts.
--- /dev/null
+++ b/src/process/journals/mod.rs
@@ -0,0 +1,1 @@
+//! Drives the journals of the partitions that this host owns.
--- /dev/null
+++ b/src/process/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Drives heartbeats, leases, takeover and hand-over of partitions.
--- /dev/null
+++ b/src/process/rates/mod.rs
@@ -0,0 +1,1 @@
+//! Drives the exchange of rate tokens between hosts.
--- /dev/null
+++ b/src/request/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Rate and burst of each customer over all hosts together.
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for one call: identify, admit, order, place, dispatch, answer.
+
+pub mod limit;
+pub mod outcome;
+pub mod place;
+pub mod queue;
+pub mod retry;
--- /dev/null
+++ b/src/request/place/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the endpoint that runs a call.
--- /dev/null
+++ b/src/request/queue/mod.rs
@@ -0,0 +1,1 @@
+//! The fair queue of calls that wait for an endpoint.
--- /dev/null
+++ b/src/request/retry.rs
@@ -0,0 +1,1 @@
+//! Which failed calls may be tried again, and how often.
--- /dev/null
+++ b/src/utils/mod.rs
@@ -0,0 +1,1 @@
+//! Small helpers without a subject of their own.
--- /dev/null
+++ b/src/version/catalogue/mod.rs
@@ -0,0 +1,1 @@
+//! The configuration a host applies, by object and version.
--- /dev/null
+++ b/src/version/history/mod.rs
@@ -0,0 +1,1 @@
+//! Conversation history of programs, carried by the caller or held.
--- /dev/null
+++ b/src/version/journal/mod.rs
@@ -0,0 +1,1 @@
+//! The journal of one partition: once-only calls, budgets and call order.
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for a version of shared state: configuration, tables, journals.
+
+pub mod catalogue;
+pub mod history;
+pub mod journal;
+pub mod objects;
+pub mod table;
--- /dev/null
+++ b/src/version/table/mod.rs
@@ -0,0 +1,1 @@
+//! The table of one data centre: hosts, leases and partition owners.
