--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -32,14 +32,90 @@
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, BodyError>;
 
-/// Sending side of a channel body; an error item aborts the message.
-pub type BodySender = Sender<Result<Bytes>>;
+/// What a producer puts into a channel body.
+#[derive(Debug)]
+enum Item {
+    Chunk(Bytes),
+    End,
+    Failure(String),
+}
+
+/// The reader of a channel body has gone away.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("nobody reads the body any more")]
+pub struct ReaderGone;
+
+/// Producer of a channel body.
+///
+/// A body whose producer is dropped before [`BodySender::finish`] ends with an
+/// error, so that a shortened body never looks whole.
+#[derive(Debug)]
+pub struct BodySender(Sender<Item>);
+
+impl BodySender {
+    /// Sends a chunk; waits while the reader is behind.
+    ///
+    /// # Errors
+    ///
+    /// [`ReaderGone`].
+    pub async fn send(&self, chunk: Bytes) -> std::result::Result<(), ReaderGone> {
+        self.0
+            .send(Item::Chunk(chunk))
+            .await
+            .map_err(|_| ReaderGone)
+    }
+
+    /// Ends the body.
+    pub async fn finish(self) {
+        // A reader that has gone does not need the end.
+        let _gone = self.0.send(Item::End).await;
+    }
+
+    /// Breaks the body off.
+    pub async fn fail(self, why: impl Into<String>) {
+        let _gone = self.0.send(Item::Failure(why.into())).await;
+    }
+
+    /// Waits until the reader has gone.
+    pub async fn reader_gone(&self) {
+        self.0.closed().await;
+    }
+}
+
+/// Reader of a channel body.
+#[derive(Debug)]
+pub struct ChannelBody {
+    rx: Pin<Box<Receiver<Item>>>,
+    ended: bool,
+}
+
+impl ChannelBody {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.rx.as_mut().poll_next(cx).map(|item| {
+            let dropped = || Item::Failure("it was dropped before the end".to_owned());
+            match item.unwrap_or_else(dropped) {
+                Item::Chunk(chunk) => Some(Ok(chunk)),
+                Item::End => {
+                    self.ended = true;
+                    None
+                }
+                Item::Failure(why) => {
+                    self.ended = true;
+                    Some(Err(BodyError::Producer(why)))
+                }
+            }
+        })
+    }
+}
 
 /// A request or response body without dynamic dispatch.
 #[derive(Debug)]
 pub enum Body {
     /// Fed by another task, chunk by chunk.
-    Channel(Pin<Box<Receiver<Result<Bytes>>>>),
+    Channel(ChannelBody),
     /// Held in memory.
     Full(Full<Bytes>),
     /// Received from a connection and passed on.
@@ -52,10 +128,19 @@
         Self::Full(Full::default())
     }
 
+    /// A body held in memory.
+    pub fn from_bytes(bytes: Bytes) -> Self {
+        Self::Full(Full::new(bytes))
+    }
+
     /// A body fed through the returned sender; `capacity` is in chunks.
     pub fn channel(capacity: usize) -> (BodySender, Self) {
         let (tx, rx) = async_channel::bounded(capacity);
-        (tx, Self::Channel(Box::pin(rx)))
+        let body = ChannelBody {
+            rx: Box::pin(rx),
+            ended: false,
+        };
+        (BodySender(tx), Self::Channel(body))
     }
 
     /// Reads a whole body of at most `limit` bytes.
@@ -79,12 +164,6 @@
     }
 }
 
-impl From<Bytes> for Body {
-    fn from(bytes: Bytes) -> Self {
-        Self::Full(Full::new(bytes))
-    }
-}
-
 impl From<Vec<u8>> for Body {
     fn from(bytes: Vec<u8>) -> Self {
         Self::Full(Full::new(bytes.into()))
@@ -118,9 +197,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>>>> {
         match self.get_mut() {
-            Self::Channel(rx) => rx
-                .as_mut()
-                .poll_next(cx)
+            Self::Channel(body) => body
+                .poll_chunk(cx)
                 .map(|item| item.map(|chunk| chunk.map(Frame::data))),
             Self::Full(full) => Pin::new(full)
                 .poll_frame(cx)
@@ -131,7 +209,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Channel(_) => false,
+            Self::Channel(body) => body.ended,
             Self::Full(full) => full.is_end_stream(),
             Self::Incoming(incoming) => incoming.is_end_stream(),
         }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -110,6 +110,24 @@
         future::or(self.exchange(to, req), limit).await
     }
 
+    /// Like [`Client::send`], on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        to: SocketAddr,
+        req: Request<Body>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>> {
+        let limit = async {
+            Timer::after(timeout).await;
+            Err(ClientError::Timeout(timeout))
+        };
+        future::or(self.exchange_fresh(to, req), limit).await
+    }
+
     /// Closes the idle connections of an address, when a host has gone.
     pub fn forget(&self, to: SocketAddr) {
         self.idle.lock().remove(&to);
@@ -125,6 +143,14 @@
                 },
             }
         }
+        self.exchange_fresh(to, req).await
+    }
+
+    async fn exchange_fresh(
+        &self,
+        to: SocketAddr,
+        req: Request<Body>,
+    ) -> Result<Response<Incoming>> {
         let mut sender = self.connect(to).await?;
         match sender.try_send_request(req).await {
             Ok(response) => Ok(self.park(to, sender, response)),
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,82 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Form in which answers are printed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Output {
+    /// JSON, for programs.
+    Json,
+    /// Aligned columns, for people.
+    #[default]
+    Table,
+}
+
+impl std::str::FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "json" => Ok(Self::Json),
+            "table" => Ok(Self::Table),
+            _ => Err(format!(
+                "`{text}` is not an output: table or json is expected"
+            )),
+        }
+    }
+}
+
+/// A subcommand with its options.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Runs a host of the scheduler until it is told to stop.
+    ///
+    /// Example: chicoryarch serve --config /etc/chicoryarch.toml
+    #[bpaf(command("serve"))]
+    Serve {
+        /// Settings file
+        #[bpaf(long("config"), argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Checks a settings file and prints what is wrong with it.
+    ///
+    /// Example: chicoryarch check /etc/chicoryarch.toml
+    #[bpaf(command("check"))]
+    Check {
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        config: PathBuf,
+    },
+    /// Runs a host with a platform, a model engine and a service of its own.
+    ///
+    /// Everything is in one process and nothing is kept. It prints a `curl`
+    /// command to try.
+    #[bpaf(command("dev"))]
+    Dev {
+        /// Port for callers; 0 lets the kernel choose
+        #[bpaf(long("port"), argument("PORT"), fallback(8080))]
+        port: u16,
+    },
+    /// Sends one query or command to a host.
+    ///
+    /// Example: chicoryarch ctl --address 127.0.0.1:8082 --secret-file ops show hosts
+    #[bpaf(command("ctl"))]
+    Ctl {
+        /// Operators' address of any host
+        #[bpaf(long("address"), argument("ADDR"))]
+        address: SocketAddr,
+        /// File that holds the operator's secret
+        #[bpaf(long("secret-file"), argument("FILE"))]
+        secret_file: PathBuf,
+        /// table or json
+        #[bpaf(long("output"), argument("FORM"), fallback(Output::Table))]
+        output: Output,
+        /// The query or command
+        #[bpaf(positional("TEXT"), some("a query or command is expected"))]
+        text: Vec<String>,
+    },
+}
--- /dev/null
+++ b/src/configs/host.rs
@@ -0,0 +1,114 @@
+//! The settings file of a host: every part's table and what the host is.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Result;
+use super::caller::CallerConfig;
+use super::peer::PeerConfig;
+use super::within;
+use crate::ids::DataCentre;
+use crate::ids::HostId;
+
+/// Settings of a host; the tables of the file are its fields.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostConfig {
+    /// This host's name, unique over all data centres.
+    pub host: HostId,
+    /// Data centre that this host is in.
+    pub data_centre: DataCentre,
+    /// Worker threads.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// Folder on a disk, if the host has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data_folder: Option<PathBuf>,
+    /// Where the host listens.
+    pub listen: ListenConfig,
+    /// Files that hold secrets.
+    pub secrets: SecretsConfig,
+    /// Log lines.
+    #[serde(default)]
+    pub log: LogConfig,
+    /// Settings of the callers' port.
+    #[serde(default)]
+    pub caller: CallerConfig,
+    /// Settings of calls between hosts.
+    #[serde(default)]
+    pub peer: PeerConfig,
+}
+
+/// Worker threads of a host whose settings do not say.
+pub const DEFAULT_THREADS: usize = 4;
+
+const fn default_threads() -> usize {
+    DEFAULT_THREADS
+}
+
+/// Addresses that a host listens on; port 0 lets the kernel choose.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenConfig {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// For operators and metrics.
+    pub operators: SocketAddr,
+}
+
+/// Files that hold secrets, readable by their owner only.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SecretsConfig {
+    /// Secrets shared by the hosts, one a line; the first is sent, all are
+    /// accepted.
+    pub peers: PathBuf,
+    /// Operators and the hashes of their secrets, one `name:sha256` a line.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators: Option<PathBuf>,
+}
+
+/// Least severe log line that is written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Only failures that need an operator.
+    Error,
+    /// Also refused changes and lost peers.
+    Warn,
+    /// Also every change of state.
+    #[default]
+    Info,
+    /// Also what helps to find a fault.
+    Debug,
+}
+
+/// Settings of log lines.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogConfig {
+    /// Least severe line that is written.
+    pub level: LogLevel,
+}
+
+/// Most worker threads that can be set.
+const MAX_THREADS: usize = 256;
+
+impl HostConfig {
+    /// Checks the bounds of every part; the text names the part's table.
+    ///
+    /// # Errors
+    ///
+    /// The table's name, empty at the top, and the setting out of range.
+    pub fn check(&self) -> std::result::Result<(), (&'static str, super::OutOfRange)> {
+        let part = |table: &'static str, result: Result<()>| result.map_err(|e| (table, e));
+        part("", within("threads", self.threads, 1, MAX_THREADS))?;
+        part("caller", self.caller.check())?;
+        part("peer", self.peer.check())
+    }
+}
--- a/src/configs/peer.rs
+++ b/src/configs/peer.rs
@@ -7,6 +7,9 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::Result;
+use super::within;
+
 /// Settings of calls between hosts.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,3 +31,25 @@
         }
     }
 }
+
+impl PeerConfig {
+    /// Checks every bound.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that is out of its range.
+    pub fn check(&self) -> Result<()> {
+        within("timeout_ms", self.timeout, MIN_TIMEOUT, MAX_TIMEOUT)?;
+        within(
+            "max_message_bytes",
+            self.max_message_bytes,
+            MIN_MESSAGE_BYTES,
+            MAX_MESSAGE_BYTES,
+        )
+    }
+}
+
+const MIN_TIMEOUT: Duration = Duration::from_millis(1);
+const MAX_TIMEOUT: Duration = Duration::from_secs(60);
+const MIN_MESSAGE_BYTES: usize = 64 * 1024;
+const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! Decision logic takes the time and events as values and does no I/O, so the
 //! same code runs under a virtual clock in tests and behind sockets in a host.
 
+pub mod cli;
 pub mod configs;
 pub mod connection;
 pub mod ids;
--- /dev/null
+++ b/src/process/logs.rs
@@ -0,0 +1,30 @@
+//! Log lines on standard error, one for each change of state.
+
+use simplelog::ColorChoice;
+use simplelog::ConfigBuilder;
+use simplelog::LevelFilter;
+use simplelog::TermLogger;
+use simplelog::TerminalMode;
+
+use crate::configs::host::LogConfig;
+use crate::configs::host::LogLevel;
+
+/// Starts logging; a second start in one process changes nothing.
+pub fn start(cfg: &LogConfig) {
+    let format = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Error)
+        .build();
+    let level = filter(cfg.level);
+    // Fails only if a logger is already in place, as in tests.
+    let _started = TermLogger::init(level, format, TerminalMode::Stderr, ColorChoice::Never);
+}
+
+const fn filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,10 @@
 
 pub mod distribution;
 pub mod journals;
+pub mod logs;
 pub mod membership;
+pub mod metrics;
 pub mod rates;
+pub mod secrets;
+pub mod settings;
 pub mod timers;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,7 @@
 //! What lives for one call: identify, admit, order, place, dispatch, answer.
 
+pub mod answer;
+pub mod call;
 pub mod limit;
 pub mod outcome;
 pub mod place;
