--- a/src/configs/caller.rs
+++ b/src/configs/caller.rs
@@ -27,6 +27,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "body_timeout_ms")]
     pub body_timeout: Duration,
+    /// Longest wait for an owner while a partition has none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "owner_wait_ms")]
+    pub owner_wait: Duration,
     /// Time after which a caller is told to come back when a host or journal
     /// is unavailable.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -45,6 +49,7 @@
             max_body_bytes: 4 * 1024 * 1024,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(20),
+            owner_wait: Duration::from_secs(5),
             retry_after: Duration::from_secs(1),
             bytes_per_token: 3,
             default_max_tokens: 1024,
--- a/src/connection/endpoint.rs
+++ b/src/connection/endpoint.rs
@@ -32,6 +32,8 @@
     pub ordinal: Ordinal,
     /// Fencing number of the dispatching owner.
     pub fence: Epoch,
+    /// Cache to use at a model engine; absent if nothing is to be kept.
+    pub cache: Option<String>,
     /// Larger runs first at a model engine.
     pub priority: u32,
 }
@@ -40,8 +42,7 @@
 ///
 /// The handle holds the customer and the owner's epoch and is never used
 /// again, so no engine can answer one program from another's cache.
-pub fn cache_handle(customer: Option<&CustomerId>, program: &ProgramId, epoch: Epoch) -> String {
-    let customer = customer.map_or("", CustomerId::as_str);
+pub fn cache_handle(customer: &CustomerId, program: &ProgramId, epoch: Epoch) -> String {
     format!("{customer}/{program}/{epoch}")
 }
 
@@ -51,14 +52,15 @@
         let mut req = Request::new(Body::from_bytes(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.path.parse().expect("the path came from a valid URI");
-        let handle = cache_handle(call.caller.customer(), self.program, self.fence);
         let fields = req.headers_mut();
         *fields = call.headers.clone();
         fields.insert(header::HOST, headers::value(to));
         fields.insert(headers::PROGRAM, headers::value(self.program));
         fields.insert(headers::CALL, headers::value(self.ordinal));
         fields.insert(headers::FENCE, headers::value(self.fence));
-        fields.insert(headers::CACHE, headers::value(handle));
+        if let Some(handle) = &self.cache {
+            fields.insert(headers::CACHE, headers::value(handle));
+        }
         fields.insert(headers::PRIORITY, headers::value(self.priority));
         if let Some(key) = &call.idempotency_key {
             fields.insert(headers::IDEMPOTENCY_KEY, headers::value(key));
--- /dev/null
+++ b/src/connection/peer_port.rs
@@ -0,0 +1,130 @@
+//! The port for other hosts: control calls and forwarded calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chicoryarch_net::Body;
+use chicoryarch_net::server::Handler;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use jsonrpsee_core::server::RpcModule;
+
+use super::forward;
+use super::forward::CALL_PREFIX;
+use super::headers;
+use super::headers::CallHeaders;
+use super::peer::RPC_PATH;
+use super::platform::Platform;
+use super::problem;
+use crate::process::context::Cx;
+use crate::request::call::Call;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::request::outcome::Result;
+use crate::request::receive;
+use crate::request::run;
+use crate::units::Moment;
+
+/// Notices that one control connection may hold; subscriptions are not used.
+const RPC_BUFFER: usize = 1;
+
+/// Answers the requests of other hosts.
+pub struct PeerPort<P: Platform> {
+    /// Context of the host.
+    pub cx: Cx<P>,
+    /// Control methods of every part.
+    pub module: Arc<RpcModule<()>>,
+}
+
+impl<P: Platform> Clone for PeerPort<P> {
+    fn clone(&self) -> Self {
+        Self {
+            cx: Cx::clone(&self.cx),
+            module: Arc::clone(&self.module),
+        }
+    }
+}
+
+impl<P: Platform> Handler for PeerPort<P> {
+    async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
+        let sent = req.headers().get(header::AUTHORIZATION);
+        if !self.cx.secret.accepts(sent.map(|value| value.as_bytes())) {
+            return status(StatusCode::UNAUTHORIZED);
+        }
+        let path = req.uri().path();
+        if req.method() == Method::POST && path == RPC_PATH {
+            return self.control(req).await;
+        }
+        if path.starts_with(CALL_PREFIX) {
+            return match forwarded(&self.cx, req).await {
+                Ok(response) => response,
+                Err(refusal) => {
+                    self.cx.metrics.refused(&refusal);
+                    problem::response(&refusal)
+                }
+            };
+        }
+        status(StatusCode::NOT_FOUND)
+    }
+}
+
+impl<P: Platform> PeerPort<P> {
+    async fn control(&self, req: Request<Incoming>) -> Response<Body> {
+        let limit = self.cx.cfg.peer.max_message_bytes;
+        let Ok(body) = Body::collect(req.into_body(), limit).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let Ok(text) = std::str::from_utf8(&body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        match self.module.raw_json_request(text, RPC_BUFFER).await {
+            Ok((answer, _notices)) => json(answer.get().to_owned()),
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        }
+    }
+}
+
+async fn forwarded<P: Platform>(cx: &Cx<P>, req: Request<Incoming>) -> Result<Response<Body>> {
+    let received = Moment::now();
+    let (head, body) = req.into_parts();
+    let target = head.uri.path_and_query().map_or("", |p| p.as_str());
+    // The prefix ends with the slash that the service's path begins with.
+    let target = &target[CALL_PREFIX.len() - 1..];
+    let (service, path) = forward::split_path(target)?;
+    let fields = CallHeaders::read(&head.headers)?;
+    let call = Call {
+        caller: forward::read_caller(&head.headers)?,
+        method: head.method,
+        service,
+        path,
+        program: fields.program,
+        ordinal: fields.ordinal,
+        idempotency_key: fields.idempotency_key,
+        deadline: received + forward::read_remaining(&head.headers)?,
+        headers: headers::passed_on(&head.headers),
+        body: receive::read_body(&cx.cfg.caller, body).await?,
+    };
+    if cx.configuration.service(&call.service).is_none() {
+        let detail = "the service is not known to the program's host";
+        return Err(Refusal::not_run(Reason::UnknownService, detail));
+    }
+    run::run(cx, call).await
+}
+
+fn json(text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, headers::value("application/json"));
+    response
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = code;
+    response
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::LazyLock;
 
 use serde_with::DeserializeFromStr;
 use serde_with::SerializeDisplay;
@@ -91,6 +92,14 @@
     ServiceId
 }
 
+impl CustomerId {
+    /// Reserved name that calls on open routes are charged to.
+    pub fn open() -> &'static Self {
+        static OPEN: LazyLock<CustomerId> = LazyLock::new(|| CustomerId("open".into()));
+        &OPEN
+    }
+}
+
 macro_rules! counter {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod placing;
 pub mod rates;
 pub mod secrets;
 pub mod settings;
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -68,6 +68,14 @@
 }
 
 impl Caller {
+    /// The customer that the call is charged to.
+    pub fn account(&self) -> &CustomerId {
+        match self {
+            Self::Customer(key) => &key.customer,
+            Self::Open => CustomerId::open(),
+        }
+    }
+
     /// The key that came with the call, unless the route is open.
     pub fn key(&self) -> Option<&KeyRef> {
         match self {
@@ -108,6 +116,11 @@
 }
 
 impl Call {
+    /// The customer that the call is charged to.
+    pub fn account(&self) -> &CustomerId {
+        self.caller.account()
+    }
+
     /// SHA-256 over method, service, path and body: what a retry must repeat.
     pub fn digest(&self) -> [u8; 32] {
         let mut hash = Sha256::new();
--- /dev/null
+++ b/src/request/entry.rs
@@ -0,0 +1,174 @@
+//! A call at the host that its caller reached.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use chicoryarch_net::Body;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+
+use super::call::Call;
+use super::call::Caller;
+use super::outcome::Reason;
+use super::outcome::Refusal;
+use super::outcome::Result;
+use super::receive;
+use super::retry::Failure;
+use super::run;
+use crate::connection::forward;
+use crate::connection::headers;
+use crate::connection::headers::CallHeaders;
+use crate::connection::platform::Platform;
+use crate::ids::DataCentre;
+use crate::ids::Partition;
+use crate::process::context::Cx;
+use crate::process::metrics::Stage;
+use crate::units::Moment;
+use crate::version::objects::Service;
+
+/// Interval at which a call looks for its program's owner again.
+const OWNER_RECHECK: Duration = Duration::from_millis(20);
+
+/// Answers a call from a caller.
+///
+/// # Errors
+///
+/// A refusal; `not-run` unless the call was handed to an endpoint or to
+/// another host.
+pub async fn serve<P: Platform>(cx: &Cx<P>, req: Request<Incoming>) -> Result<Response<Body>> {
+    let call = receive_call(cx, req).await?;
+    admit(cx, &call).await?;
+    let Some((data_centre, partition)) = home(cx, &call) else {
+        return run::run(cx, call).await;
+    };
+    hand_over(cx, call, &data_centre, partition).await
+}
+
+async fn receive_call<P: Platform>(cx: &Cx<P>, req: Request<Incoming>) -> Result<Call> {
+    let received = Moment::now();
+    let (head, body) = req.into_parts();
+    let cfg = &cx.cfg.caller;
+    receive::check_headers(cfg, &head.headers)?;
+    let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let (service_id, path) = forward::split_path(target)?;
+    let service = cx.configuration.service(&service_id);
+    let service = service.ok_or_else(|| {
+        let detail = format!("there is no service `{service_id}`");
+        Refusal::not_run(Reason::UnknownService, detail)
+    })?;
+    let caller = identify(cx, &head.headers, &service)?;
+    let fields = CallHeaders::read(&head.headers)?;
+    Ok(Call {
+        caller,
+        method: head.method,
+        service: service_id,
+        path,
+        program: fields.program,
+        ordinal: fields.ordinal,
+        idempotency_key: fields.idempotency_key,
+        headers: headers::passed_on(&head.headers),
+        body: receive::read_body(cfg, body).await?,
+        deadline: received + service.deadline,
+    })
+}
+
+fn identify<P: Platform>(
+    cx: &Cx<P>,
+    fields: &http::HeaderMap,
+    service: &Service,
+) -> Result<Caller> {
+    if service.open {
+        return Ok(Caller::Open);
+    }
+    identify_key(cx, fields).map(Caller::Customer)
+}
+
+/// The customer and key behind the `Authorization` header.
+///
+/// # Errors
+///
+/// An unauthorized refusal if it is missing, malformed, unknown or withdrawn.
+pub fn identify_key<P: Platform>(
+    cx: &Cx<P>,
+    fields: &http::HeaderMap,
+) -> Result<crate::version::objects::KeyRef> {
+    let refuse = |detail: &str| Refusal::not_run(Reason::Unauthorized, detail);
+    let secret = headers::bearer(fields)
+        .ok_or_else(|| refuse("`Authorization: Bearer` with a key is required"))?;
+    let found = cx.configuration.identify(secret.as_bytes());
+    found.ok_or_else(|| refuse("the key is unknown or withdrawn"))
+}
+
+async fn admit<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<()> {
+    let Some(customer) = call.caller.customer() else {
+        return Ok(());
+    };
+    let started = Moment::now();
+    let taken = cx.rates.take(customer).await;
+    cx.metrics
+        .observe(Stage::Rate, Moment::now().since(started));
+    taken
+}
+
+/// The partition that decides about a call; absent if any host may.
+fn home<P: Platform>(cx: &Cx<P>, call: &Call) -> Option<(DataCentre, Partition)> {
+    if let Some(program) = &call.program {
+        return Some((program.data_centre.clone(), program.partition));
+    }
+    let key = call.idempotency_key.as_ref()?;
+    let customer = call.caller.customer()?;
+    cx.membership.home_of_key(customer, key.as_str())
+}
+
+/// Runs the call here if this host owns the partition, else at the owner.
+///
+/// While there is no owner that can be reached, waits for a new one.
+async fn hand_over<P: Platform>(
+    cx: &Cx<P>,
+    call: Call,
+    data_centre: &DataCentre,
+    partition: Partition,
+) -> Result<Response<Body>> {
+    let give_up = call
+        .deadline
+        .min(Moment::now() + cx.cfg.caller.owner_wait);
+    loop {
+        match cx.membership.owner(data_centre, partition) {
+            Some(owner) if owner.is_self => return run::run(cx, call).await,
+            Some(owner) => match at_owner(cx, &call, owner.address).await {
+                Ok(response) => return Ok(response),
+                Err(Failure::NotSent) => {}
+                Err(Failure::MayHaveRun) => return Err(lost()),
+            },
+            None => {}
+        }
+        if Moment::now() >= give_up {
+            return Err(no_owner(cx));
+        }
+        Timer::after(OWNER_RECHECK).await;
+    }
+}
+
+async fn at_owner<P: Platform>(
+    cx: &Cx<P>,
+    call: &Call,
+    to: SocketAddr,
+) -> std::result::Result<Response<Body>, Failure> {
+    let started = Moment::now();
+    let response = forward::forward(&cx.client, &cx.secret, to, call).await;
+    cx.metrics
+        .observe(Stage::Forward, Moment::now().since(started));
+    response.map_err(|e| Failure::from(&e))
+}
+
+fn lost() -> Refusal {
+    let detail = "the connection to the program's host was lost; the call may have run";
+    Refusal::unknown(Reason::OwnerUnavailable, detail)
+}
+
+fn no_owner<P: Platform>(cx: &Cx<P>) -> Refusal {
+    let detail = "the host that owns the program cannot be reached";
+    Refusal::not_run(Reason::OwnerUnavailable, detail).retry_after(cx.cfg.caller.retry_after)
+}
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -9,8 +9,8 @@
 
 use crate::configs::retry::RetryConfig;
 
-/// What an attempt left behind.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What an attempt left behind; the graver one is larger.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Failure {
     /// The endpoint has not seen the call.
     NotSent,
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,446 @@
+//! Starts stand-ins and hosts as separate processes for failure tests.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses its own part of this module"
+)]
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chicoryarch::connection::platform::Expect;
+use chicoryarch::connection::platform::write_value;
+use chicoryarch::ids::CustomerId;
+use chicoryarch::version::objects::Customer;
+use chicoryarch::version::objects::Endpoint;
+use chicoryarch::version::objects::Key;
+use chicoryarch::version::objects::KeySet;
+use chicoryarch::version::objects::Record;
+use chicoryarch::version::objects::Service;
+use chicoryarch::version::objects::ServiceKind;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use tempfile::TempDir;
+
+pub mod http;
+
+pub use http::Answer;
+pub use http::Http;
+pub use http::Req;
+
+/// Longest time that anything in a test may take; only a hang reaches it.
+pub const HANG_GUARD: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// A process of the test; killed when dropped.
+pub struct Process {
+    child: Child,
+    first_line: String,
+}
+
+impl Process {
+    fn start(mut command: Command) -> Self {
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let stdout = child.stdout.take().expect("its output is piped");
+        let mut first_line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut first_line)
+            .expect("it prints its addresses");
+        Self {
+            child,
+            first_line: first_line.trim().to_owned(),
+        }
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_child(&self.child)
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(self.pid(), signal).expect("the process is there");
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Waits for the end of the process and tells whether it succeeded.
+    pub fn wait(&mut self) -> bool {
+        let mut code = None;
+        wait_until("the process ends", || {
+            code = self.child.try_wait().expect("the process can be waited for");
+            code.is_some()
+        });
+        code.is_some_and(|status| status.success())
+    }
+
+    /// True while the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Looks until a condition holds.
+///
+/// # Panics
+///
+/// After the hang guard.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < HANG_GUARD, "never: {what}");
+        std::thread::sleep(LOOK_AGAIN);
+    }
+}
+
+/// A stand-in as a process of its own.
+pub struct Standin {
+    pub process: Process,
+    pub addr: SocketAddr,
+}
+
+impl Standin {
+    /// Starts `chicoryarch-standin KIND --listen 127.0.0.1:0 ARGS`.
+    pub fn start(kind: &str, args: &[&str]) -> Self {
+        let program =
+            Path::new(env!("CARGO_BIN_EXE_chicoryarch")).with_file_name("chicoryarch-standin");
+        let mut command = Command::new(program);
+        command.arg(kind).args(["--listen", "127.0.0.1:0"]).args(args);
+        let process = Process::start(command);
+        let addr = process.first_line.parse().expect("it prints its address");
+        Self { process, addr }
+    }
+
+    /// Sets switches.
+    pub fn switch<T: Serialize>(&self, http: &Http, switches: &T) {
+        let answer = http.send(self.addr, &Req::put("/switches").json(switches));
+        assert!(answer.is_success(), "the switch was refused: {answer:?}");
+    }
+
+    /// Reads JSON from the stand-in.
+    pub fn read(&self, http: &Http, path: &str) -> serde_json::Value {
+        let answer = http.send(self.addr, &Req::get(path));
+        assert!(answer.is_success(), "{path} was refused: {answer:?}");
+        answer.json()
+    }
+}
+
+/// A host as a process of its own.
+pub struct Host {
+    pub name: String,
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Host {
+    fn start(name: &str, settings: PathBuf) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryarch"));
+        command.arg("serve").arg("--config").arg(&settings);
+        let process = Process::start(command);
+        let line = process.first_line.clone();
+        let address = |field: &str| {
+            let mut words = line.split(' ');
+            let value = words.find_map(|word| word.strip_prefix(field)?.strip_prefix('='));
+            value
+                .and_then(|text| text.parse().ok())
+                .unwrap_or_else(|| panic!("host {name} printed `{line}`"))
+        };
+        Self {
+            name: name.to_owned(),
+            callers: address("callers"),
+            peers: address("peers"),
+            operators: address("operators"),
+            process,
+            settings,
+        }
+    }
+
+    /// Starts the host again with the same settings, on new ports.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        let started = Self::start(&self.name, self.settings.clone());
+        *self = started;
+    }
+
+    /// The value of a metric, 0 if it is not there.
+    pub fn metric(&self, http: &Http, line_start: &str) -> f64 {
+        let text = http.send(self.operators, &Req::get("/metrics")).text();
+        let found = text.lines().find(|line| line.starts_with(line_start));
+        found
+            .and_then(|line| line.rsplit(' ').next()?.parse().ok())
+            .unwrap_or_default()
+    }
+}
+
+/// Secret of the customer's key in every fleet.
+pub const SECRET: &str = "chk_choir-0123456789abcdef";
+/// Secret of a second customer's key.
+pub const OTHER_SECRET: &str = "chk_brass-0123456789abcdef";
+
+/// What a fleet is made of.
+pub struct FleetSpec {
+    /// Data centres with their number of hosts.
+    pub data_centres: Vec<(&'static str, usize)>,
+    /// Arguments of the model engine stand-in.
+    pub engine: Vec<&'static str>,
+    /// More settings for each host, as TOML.
+    pub settings: String,
+    /// Rate and burst of both customers.
+    pub rate: f64,
+}
+
+impl Default for FleetSpec {
+    fn default() -> Self {
+        Self {
+            data_centres: vec![("north", 2)],
+            engine: Vec::new(),
+            settings: String::new(),
+            rate: 100_000.0,
+        }
+    }
+}
+
+/// Stand-ins and hosts that form one deployment.
+pub struct Fleet {
+    pub http: Http,
+    pub platform: Standin,
+    pub engine: Standin,
+    pub service: Standin,
+    pub hosts: Vec<Host>,
+    spec: FleetSpec,
+    dir: TempDir,
+}
+
+/// Short periods, so that a test does not wait for the usual ones.
+const QUICK_SETTINGS: &str = "
+[drain]
+notice_ms = 0
+limit_ms = 60000
+";
+
+impl Fleet {
+    /// Starts everything and waits until each host is ready.
+    pub fn start(spec: FleetSpec) -> Self {
+        let http = Http::default();
+        let platform = Standin::start("platform", &[]);
+        let engine = Standin::start("engine", &spec.engine);
+        let service = Standin::start("service", &[]);
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        let mut fleet = Self {
+            http,
+            platform,
+            engine,
+            service,
+            hosts: Vec::new(),
+            spec,
+            dir,
+        };
+        fleet.seed();
+        for (data_centre, count) in fleet.spec.data_centres.clone() {
+            for index in 0..count {
+                fleet.add_host(data_centre, &format!("{data_centre}-{index}"));
+            }
+        }
+        fleet
+    }
+
+    /// Starts one more host and waits until it is ready.
+    pub fn add_host(&mut self, data_centre: &str, name: &str) {
+        let path = self.write_settings(data_centre, name);
+        let host = Host::start(name, path);
+        self.wait_ready(&host);
+        self.hosts.push(host);
+    }
+
+    /// Waits until the host answers its readiness check with success.
+    pub fn wait_ready(&self, host: &Host) {
+        let ready = Req::get("/health/ready");
+        wait_until("the host is ready", || {
+            self.http
+                .try_send(host.callers, &ready)
+                .is_ok_and(|answer| answer.is_success())
+        });
+    }
+
+    fn write_settings(&self, data_centre: &str, name: &str) -> PathBuf {
+        let secrets = self.dir.path().join("peers.secret");
+        write_secret(&secrets, "peer-secret-0123456789abcdef\n");
+        let operators = self.dir.path().join("operators.secret");
+        let hash = hex::encode(Sha256::digest(OPERATOR_SECRET));
+        write_secret(&operators, &format!("alma:{hash}\n"));
+        let text = format!(
+            "host = \"{name}\"\n\
+             data_centre = \"{data_centre}\"\n\
+             threads = 2\n\
+             [listen]\n\
+             callers = \"127.0.0.1:0\"\n\
+             peers = \"127.0.0.1:0\"\n\
+             operators = \"127.0.0.1:0\"\n\
+             [secrets]\n\
+             peers = {secrets:?}\n\
+             operators = {operators:?}\n\
+             [platform]\n\
+             address = \"{}\"\n\
+             {QUICK_SETTINGS}{}",
+            self.platform.addr, self.spec.settings
+        );
+        let path = self.dir.path().join(format!("{name}.toml"));
+        fs::write(&path, text).expect("the settings can be written");
+        path
+    }
+
+    fn seed(&self) {
+        let customer = Customer {
+            rate: self.spec.rate,
+            burst: self.spec.rate,
+            ..Customer::default()
+        };
+        for (name, secret) in [("choir", SECRET), ("brass", OTHER_SECRET)] {
+            self.put("customer", name, &customer);
+            self.put("keys", name, &key_set(secret));
+        }
+        let model = Service {
+            kind: ServiceKind::Model,
+            repeatable: true,
+            ..Service::default()
+        };
+        self.put("service", "model", &model);
+        self.put("service", "orders", &Service::default());
+        let lookup = Service {
+            repeatable: true,
+            interactive: true,
+            ..Service::default()
+        };
+        self.put("service", "lookup", &lookup);
+        let open = Service {
+            open: true,
+            repeatable: true,
+            ..Service::default()
+        };
+        self.put("service", "status", &open);
+        self.put("endpoint", "engine-1", &self.endpoint(self.engine.addr, &["model"]));
+        let plain = ["orders", "lookup", "status"];
+        self.put("endpoint", "service-1", &self.endpoint(self.service.addr, &plain));
+    }
+
+    /// An endpoint in the first data centre.
+    pub fn endpoint(&self, address: SocketAddr, services: &[&str]) -> Endpoint {
+        let data_centre = self.spec.data_centres[0].0;
+        Endpoint {
+            address,
+            data_centre: data_centre.parse().expect("a valid name"),
+            services: services.iter().map(|s| s.parse().expect("a valid name")).collect(),
+            concurrency: 64,
+            checks_fence: false,
+            state: chicoryarch::version::objects::EndpointState::Serving,
+        }
+    }
+
+    /// Creates a configuration object at the platform.
+    pub fn put<T: Serialize + Sync>(&self, kind: &str, name: &str, value: &T) {
+        let record = Record {
+            value: Some(value),
+            changes: Vec::new(),
+        };
+        let platform = self.http.platform(self.platform.addr);
+        let written = write_value(&platform, kind, name, Expect::Absent, &record);
+        async_io::block_on(written).expect("the platform takes the object");
+    }
+
+    /// A call with the first customer's key.
+    pub fn call(&self, host: usize, path: &str, body: &str) -> Answer {
+        let req = Req::post(path).bearer(SECRET).body(body);
+        self.http.send(self.hosts[host].callers, &req)
+    }
+
+    /// Opens a program at a host and returns its id.
+    pub fn open_program(&self, host: usize, body: &str) -> String {
+        let answer = self.call(host, "/programs", body);
+        assert!(answer.is_success(), "the program was refused: {answer:?}");
+        answer.json()["id"].as_str().expect("an id").to_owned()
+    }
+}
+
+/// Secret of the operator that every fleet knows.
+pub const OPERATOR_SECRET: &str = "cho_alma-0123456789abcdef";
+
+fn write_secret(path: &Path, text: &str) {
+    fs::write(path, text).expect("the secret can be written");
+    let owner_only = fs::Permissions::from_mode(0o600);
+    fs::set_permissions(path, owner_only).expect("its mode can be set");
+}
+
+/// A key set with one key named `main`.
+pub fn key_set(secret: &str) -> KeySet {
+    let key = Key {
+        hash: Sha256::digest(secret).into(),
+        withdrawn: false,
+    };
+    KeySet {
+        keys: [("main".parse().expect("a valid name"), key)].into(),
+    }
+}
+
+/// Name of the first customer.
+pub fn customer() -> CustomerId {
+    "choir".parse().expect("a valid name")
+}
+
+/// A completion request.
+pub fn completion(text: &str) -> Bytes {
+    let body = serde_json::json!({
+        "model": "m",
+        "max_tokens": 8,
+        "stream": true,
+        "messages": [{"role": "user", "content": text}],
+    });
+    body.to_string().into()
+}
