Add the configuration catalogue and its distribution

Objects are kept by kind and name at their highest version, withdrawals as a set that only grows, both with an incremental digest in 64 buckets. A host learns from the platform, from other hosts by digest and pull, by hand-over from the host that made a change, and from a saved file; all sources are merged, so one that is behind takes nothing back.

A list of all known versions in each pull was ruled out: at 2,900 objects it is larger than the objects of a differing bucket.

--- /dev/null
+++ b/src/process/distribution/boot.rs
@@ -0,0 +1,80 @@
+//! Where a starting host gets its configuration from.
+//!
+//! Every source is merged, none replaces another: versions only rise, so a
+//! source that is behind takes nothing back.
+
+use super::Distribution;
+use super::Hosts;
+use super::file::FileError;
+use super::file::SavedFile;
+use crate::connection::peer::Peers;
+use crate::connection::platform::Platform;
+use crate::version::catalogue::Configuration;
+
+/// Best source that a starting host found.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// None: the host cannot serve yet.
+    Nothing,
+    /// Only the file under the data folder.
+    SavedFile,
+    /// Other hosts.
+    Peers,
+    /// The platform.
+    Platform,
+}
+
+impl<P: Platform, Q: Peers, H: Hosts> Distribution<P, Q, H> {
+    /// Collects the configuration before the host serves.
+    ///
+    /// To be called once the host is listed as live and before it reports
+    /// ready: a change that was reported as in force before the listing is then
+    /// found here, and a later one is also asked of this host.
+    pub async fn catch_up(&self) -> Source {
+        let saved = self.load_saved();
+        let listed = self.list_all().await;
+        // The others may know withdrawals that the platform does not.
+        let met = self.exchange_with_all().await;
+        if listed {
+            Source::Platform
+        } else if met {
+            Source::Peers
+        } else if saved {
+            Source::SavedFile
+        } else {
+            Source::Nothing
+        }
+    }
+
+    fn load_saved(&self) -> bool {
+        let Some(dir) = &self.cfg.data_dir else {
+            return false;
+        };
+        load(&SavedFile::new(dir), &self.configuration)
+    }
+}
+
+/// Applies the saved file, if there is a sound one.
+fn load(file: &SavedFile, configuration: &Configuration) -> bool {
+    match file.load() {
+        Ok(Some(bundle)) => {
+            configuration.apply(bundle);
+            true
+        }
+        Ok(None) => false,
+        Err(e) => {
+            log::error!("{e}");
+            set_aside(file, &e);
+            false
+        }
+    }
+}
+
+fn set_aside(file: &SavedFile, e: &FileError) {
+    if !matches!(e, FileError::Damaged { .. }) {
+        return;
+    }
+    if let Err(e) = file.set_aside() {
+        log::error!("{e}");
+    }
+}
--- /dev/null
+++ b/src/process/distribution/hosts.rs
@@ -0,0 +1,61 @@
+//! The other hosts, as membership knows them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::ids::DataCentre;
+use crate::ids::HostId;
+
+/// Where a host listens for its peers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostAddress {
+    /// Its name.
+    pub id: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
+/// What membership tells about the hosts.
+pub trait Hosts: Clone + Send + Sync + 'static {
+    /// This host.
+    fn own(&self) -> &HostAddress;
+
+    /// The other live hosts of all data centres.
+    fn others(&self) -> Vec<HostAddress>;
+
+    /// True if this host watches the platform for its data centre.
+    fn is_watcher(&self) -> bool;
+}
+
+/// A fixed list of hosts, each of which watches the platform.
+#[derive(Clone, Debug)]
+pub struct FixedHosts {
+    own: HostAddress,
+    others: Arc<[HostAddress]>,
+}
+
+impl FixedHosts {
+    /// A list of hosts that never changes.
+    pub fn new(own: HostAddress, others: Vec<HostAddress>) -> Self {
+        Self {
+            own,
+            others: others.into(),
+        }
+    }
+}
+
+impl Hosts for FixedHosts {
+    fn own(&self) -> &HostAddress {
+        &self.own
+    }
+
+    fn others(&self) -> Vec<HostAddress> {
+        self.others.to_vec()
+    }
+
+    fn is_watcher(&self) -> bool {
+        true
+    }
+}
--- a/src/process/distribution/mod.rs
+++ b/src/process/distribution/mod.rs
@@ -1,1 +1,24 @@
 //! Drives the spread of configuration between platform and hosts.
+//!
+//! The decisions are values without I/O: the catalogue in
+//! [`crate::version::catalogue`], [`proposal`] for conditional changes and
+//! [`in_force`] for the report of a change's spread. [`driver`] joins them to
+//! the platform, the other hosts and the saved file.
+
+pub mod boot;
+pub mod contact;
+pub mod driver;
+pub mod file;
+pub mod hosts;
+pub mod in_force;
+pub mod proposal;
+pub mod rpc;
+pub mod saver;
+pub mod submit;
+mod tasks;
+pub mod withdraw;
+
+pub use driver::Distribution;
+pub use hosts::HostAddress;
+pub use hosts::Hosts;
+pub use in_force::InForce;
--- /dev/null
+++ b/src/process/distribution/submit.rs
@@ -0,0 +1,96 @@
+//! Writes a proposal and settles a lost answer.
+
+use std::time::Duration;
+
+use async_io::Timer;
+
+use super::proposal::Proposal;
+use super::proposal::Verdict;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::connection::platform::Written;
+use crate::version::catalogue::Item;
+use crate::version::objects::Change;
+
+/// Attempts to settle a lost answer.
+const SETTLE_ATTEMPTS: u32 = 4;
+
+/// Pause before an attempt to settle a lost answer.
+const SETTLE_PAUSE: Duration = Duration::from_millis(50);
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Submitted {
+    /// It took effect; the object is now at this item.
+    Accepted(Item),
+    /// Another change was made first.
+    Conflict(Option<Change>),
+    /// It did not and will not take effect.
+    NotRun(PlatformError),
+    /// It may have taken effect.
+    Unknown,
+}
+
+/// Writes a proposal.
+///
+/// After a lost answer the object is read back. A repeated write carries the
+/// same nonce and the same condition, so at most one of them takes effect.
+pub async fn submit(platform: &impl Platform, proposal: &Proposal) -> Submitted {
+    match write(platform, proposal).await {
+        Ok(Written::Done(version)) => Submitted::Accepted(proposal.item(version)),
+        Ok(Written::Conflict) => after_conflict(platform, proposal).await,
+        Err(PlatformError::UnknownOutcome) => settle(platform, proposal).await,
+        Err(e) => Submitted::NotRun(e),
+    }
+}
+
+async fn write(platform: &impl Platform, proposal: &Proposal) -> Result<Written, PlatformError> {
+    let kind = proposal.id.kind.as_str();
+    platform
+        .write(
+            kind,
+            &proposal.id.name,
+            proposal.expect(),
+            proposal.writer,
+            proposal.encode(),
+        )
+        .await
+}
+
+async fn read_back(
+    platform: &impl Platform,
+    proposal: &Proposal,
+) -> Result<Verdict, PlatformError> {
+    let found = platform
+        .read(proposal.id.kind.as_str(), &proposal.id.name)
+        .await?;
+    Ok(proposal.judge(found.as_ref()))
+}
+
+/// The first write was refused, so the change has not run whatever is read.
+async fn after_conflict(platform: &impl Platform, proposal: &Proposal) -> Submitted {
+    match read_back(platform, proposal).await {
+        Ok(Verdict::Accepted(item)) => Submitted::Accepted(item),
+        Ok(Verdict::Conflict(by)) => Submitted::Conflict(by),
+        Ok(Verdict::Pending | Verdict::Unknown) | Err(_) => Submitted::Conflict(None),
+    }
+}
+
+async fn settle(platform: &impl Platform, proposal: &Proposal) -> Submitted {
+    for _attempt in 0..SETTLE_ATTEMPTS {
+        Timer::after(SETTLE_PAUSE).await;
+        match read_back(platform, proposal).await {
+            Ok(Verdict::Accepted(item)) => return Submitted::Accepted(item),
+            Ok(Verdict::Conflict(by)) => return Submitted::Conflict(by),
+            Ok(Verdict::Unknown) => return Submitted::Unknown,
+            // The condition still holds: the write is repeated as it was.
+            Ok(Verdict::Pending) => {
+                if let Ok(Written::Done(version)) = write(platform, proposal).await {
+                    return Submitted::Accepted(proposal.item(version));
+                }
+            }
+            Err(_) => {}
+        }
+    }
+    Submitted::Unknown
+}
--- /dev/null
+++ b/src/version/catalogue/document.rs
@@ -0,0 +1,114 @@
+//! Decoded records of every kind.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::Item;
+use crate::ids::CustomerId;
+use crate::ids::EndpointId;
+use crate::ids::HostId;
+use crate::ids::IdError;
+use crate::ids::ServiceId;
+use crate::version::objects::Bounded;
+use crate::version::objects::Change;
+use crate::version::objects::Customer;
+use crate::version::objects::Endpoint;
+use crate::version::objects::HostSetting;
+use crate::version::objects::KeySet;
+use crate::version::objects::Kind;
+use crate::version::objects::OutOfBounds;
+use crate::version::objects::Record;
+use crate::version::objects::Service;
+
+/// Why an object was not applied.
+#[derive(Debug, thiserror::Error)]
+pub enum DocumentError {
+    /// The record is not of its kind's form.
+    #[error("cannot be decoded: {0}")]
+    Form(#[from] serde_json::Error),
+    /// The object's name is not an identifier of its kind.
+    #[error("has a bad name: {0}")]
+    Name(#[from] IdError),
+    /// A field is outside its bounds.
+    #[error("is out of bounds: {0}")]
+    Bounds(#[from] OutOfBounds),
+}
+
+/// Result of decoding a record.
+type Result<T> = std::result::Result<T, DocumentError>;
+
+/// A decoded record with the name of what it describes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Document {
+    /// A customer.
+    Customer(CustomerId, Record<Arc<Customer>>),
+    /// An endpoint.
+    Endpoint(EndpointId, Record<Arc<Endpoint>>),
+    /// What operators decided about a host.
+    Host(HostId, Record<HostSetting>),
+    /// The keys of a customer.
+    Keys(CustomerId, Record<Arc<KeySet>>),
+    /// A service.
+    Service(ServiceId, Record<Arc<Service>>),
+}
+
+impl Document {
+    /// Decodes and checks an item.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with its name, form or bounds.
+    pub fn decode(item: &Item) -> Result<Self> {
+        let name = item.id.name.as_str();
+        let record = &item.record;
+        Ok(match item.id.kind {
+            Kind::Customer => Self::Customer(FromStr::from_str(name)?, shared(record)?),
+            Kind::Endpoint => Self::Endpoint(FromStr::from_str(name)?, shared(record)?),
+            Kind::Host => Self::Host(FromStr::from_str(name)?, checked(record)?),
+            Kind::Keys => Self::Keys(FromStr::from_str(name)?, shared(record)?),
+            Kind::Service => Self::Service(FromStr::from_str(name)?, shared(record)?),
+        })
+    }
+
+    /// Encodes the record.
+    pub fn encode(&self) -> Value {
+        let encoded = match self {
+            Self::Customer(_, record) => serde_json::to_value(record),
+            Self::Endpoint(_, record) => serde_json::to_value(record),
+            Self::Host(_, record) => serde_json::to_value(record),
+            Self::Keys(_, record) => serde_json::to_value(record),
+            Self::Service(_, record) => serde_json::to_value(record),
+        };
+        encoded.expect("checked records always encode as JSON")
+    }
+
+    /// The last changes of the object, oldest first.
+    pub fn changes(&self) -> &[Change] {
+        match self {
+            Self::Customer(_, record) => &record.changes,
+            Self::Endpoint(_, record) => &record.changes,
+            Self::Host(_, record) => &record.changes,
+            Self::Keys(_, record) => &record.changes,
+            Self::Service(_, record) => &record.changes,
+        }
+    }
+}
+
+fn checked<T: Bounded + DeserializeOwned>(record: &Value) -> Result<Record<T>> {
+    let record: Record<T> = serde::Deserialize::deserialize(record)?;
+    if let Some(value) = &record.value {
+        value.check()?;
+    }
+    Ok(record)
+}
+
+fn shared<T: Bounded + DeserializeOwned>(record: &Value) -> Result<Record<Arc<T>>> {
+    let record = checked::<T>(record)?;
+    Ok(Record {
+        value: record.value.map(Arc::new),
+        changes: record.changes,
+    })
+}
--- a/src/version/catalogue/mod.rs
+++ b/src/version/catalogue/mod.rs
@@ -1,1 +1,31 @@
 //! The configuration a host applies, by object and version.
+//!
+//! [`Catalogue`] is the decision code: it takes bundles of objects from any
+//! source in any order and keeps the highest version of each. [`Snapshot`] is
+//! the immutable view that calls read, and [`Configuration`] the handle that
+//! joins the two.
+
+mod bundle;
+mod configuration;
+mod digest;
+mod document;
+mod index;
+mod snapshot;
+mod state;
+
+pub use bundle::Bundle;
+pub use bundle::Item;
+pub use bundle::ObjectId;
+pub use bundle::Tombstone;
+pub use configuration::Configuration;
+pub use configuration::Counters;
+pub use digest::Digest;
+pub use digest::Summary;
+pub use document::Document;
+pub use document::DocumentError;
+pub use index::secret_hash;
+pub use snapshot::ConfiguredEndpoint;
+pub use snapshot::Snapshot;
+pub use state::Applied;
+pub use state::Catalogue;
+pub use state::Refused;
