--- /dev/null
+++ b/crates/standins/src/listen.rs
@@ -0,0 +1,49 @@
+//! Starts the HTTP server of a stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+
+use chicoryarch_net::Spawner;
+use chicoryarch_net::server;
+use chicoryarch_net::server::Handler;
+use chicoryarch_net::server::ServerConfig;
+use chicoryarch_net::server::ServerControl;
+
+/// A running server of a stand-in.
+#[derive(Clone, Debug)]
+pub struct Listening {
+    addr: SocketAddr,
+    control: ServerControl,
+}
+
+impl Listening {
+    /// Binds `address` and serves on the executor; port 0 lets the kernel choose.
+    pub(crate) async fn start<H: Handler>(
+        spawner: &Spawner,
+        address: SocketAddr,
+        handler: H,
+    ) -> io::Result<Self> {
+        let listener = server::bind(address).await?;
+        let addr = listener.local_addr()?;
+        let control = ServerControl::default();
+        let serving = server::serve(
+            listener,
+            spawner.clone(),
+            ServerConfig::default(),
+            control.clone(),
+            handler,
+        );
+        spawner.detach(serving);
+        Ok(Self { addr, control })
+    }
+
+    /// The address that the server listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops accepting connections; open ones close after their request.
+    pub fn stop(&self) {
+        self.control.stop();
+    }
+}
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -7,5 +7,6 @@
 pub mod operator;
 pub mod peer;
 pub mod place;
+pub mod platform;
 pub mod queue;
 pub mod retry;
--- /dev/null
+++ b/src/configs/platform.rs
@@ -0,0 +1,50 @@
+//! Settings of the connection to the platform.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+/// Settings of the connection to the platform.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformConfig {
+    /// Where the object API listens.
+    pub address: SocketAddr,
+    /// Longest time for one request and its whole answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "timeout_ms")]
+    pub timeout: Duration,
+    /// Longest time for a write with all that is needed to learn its outcome.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "settle_timeout_ms")]
+    pub settle_timeout: Duration,
+    /// Pause before a write or a read back is sent again.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "retry_interval_ms")]
+    pub retry_interval: Duration,
+    /// Longest time that one watch waits for a change.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "watch_wait_ms")]
+    pub watch_wait: Duration,
+    /// Largest answer to a list or a watch, in bytes.
+    pub max_list_bytes: usize,
+}
+
+impl Default for PlatformConfig {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
+            timeout: Duration::from_secs(1),
+            settle_timeout: Duration::from_secs(5),
+            retry_interval: Duration::from_millis(50),
+            watch_wait: Duration::from_secs(20),
+            max_list_bytes: 32 * 1024 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/src/connection/platform/http.rs
@@ -0,0 +1,208 @@
+//! The platform's object API over HTTP.
+//!
+//! Reads that fail for any reason report the platform as unavailable. A write
+//! is sent again only under its own condition and after a read back has shown
+//! that it had not taken effect.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryarch_net::Client;
+use http::Method;
+
+use super::Changes;
+use super::Expect;
+use super::HostStatus;
+use super::MAX_VALUE_BYTES;
+use super::Nonce;
+use super::Object;
+use super::Platform;
+use super::PlatformError;
+use super::Result;
+use super::Written;
+use crate::configs::platform::PlatformConfig;
+use crate::ids::HostId;
+use crate::ids::Version;
+
+pub mod counters;
+mod exchange;
+mod settle;
+mod wire;
+
+use counters::CallKind;
+use counters::PlatformCounters;
+use exchange::Exchange;
+use exchange::Limits;
+use settle::Change;
+use settle::ConditionalWrite;
+
+/// Header that tells the platform which host calls.
+const HOST_HEADER: &str = "chicoryarch-host";
+
+/// A client of the platform; clones share connections and counters.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    cfg: Arc<PlatformConfig>,
+    exchange: Exchange,
+}
+
+impl HttpPlatform {
+    /// Creates a client that names `host` in each request.
+    pub fn new(client: Client, host: &HostId, cfg: PlatformConfig) -> Self {
+        let exchange = Exchange::new(client, host, cfg.address);
+        Self {
+            cfg: Arc::new(cfg),
+            exchange,
+        }
+    }
+
+    /// Counters of the calls made so far.
+    pub fn counters(&self) -> &Arc<PlatformCounters> {
+        self.exchange.counters()
+    }
+
+    fn object_limits(&self) -> Limits {
+        Limits {
+            timeout: self.cfg.timeout,
+            max_bytes: MAX_VALUE_BYTES,
+        }
+    }
+
+    fn list_limits(&self, wait: Duration) -> Limits {
+        Limits {
+            timeout: self.cfg.timeout + wait,
+            max_bytes: self.cfg.max_list_bytes,
+        }
+    }
+
+    async fn read_object(&self, kind: &str, name: &str) -> Result<Option<Object>> {
+        let path = wire::object_path(kind, name)?;
+        let answer = self
+            .exchange
+            .get(CallKind::Read, &path, self.object_limits())
+            .await?;
+        wire::object(name, &answer)
+    }
+
+    async fn list_objects(&self, kind: &str, prefix: &str) -> Result<Changes> {
+        let path = wire::list_path(kind, prefix)?;
+        let limits = self.list_limits(Duration::ZERO);
+        let answer = self.exchange.get(CallKind::List, &path, limits).await?;
+        wire::changes(kind, &answer)
+    }
+
+    async fn watch_kind(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
+        let wait = wait.min(self.cfg.watch_wait);
+        let path = wire::watch_path(kind, since, wait)?;
+        let limits = self.list_limits(wait);
+        let answer = self.exchange.get(CallKind::Watch, &path, limits).await?;
+        wire::changes(kind, &answer)
+    }
+
+    async fn list_hosts(&self) -> Result<Vec<HostStatus>> {
+        let limits = self.list_limits(Duration::ZERO);
+        let answer = self
+            .exchange
+            .get(CallKind::Hosts, wire::HOSTS_PATH, limits)
+            .await?;
+        wire::hosts(&answer)
+    }
+
+    async fn store(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        nonce: Nonce,
+        value: Vec<u8>,
+    ) -> Result<Written> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(PlatformError::TooLarge(value.len()));
+        }
+        let change = Change::Store {
+            nonce,
+            value: Bytes::from(value),
+        };
+        let write = ConditionalWrite {
+            kind,
+            name,
+            expect,
+            change,
+        };
+        self.apply(&write).await
+    }
+
+    async fn delete(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
+        let write = ConditionalWrite {
+            kind,
+            name,
+            expect: Expect::At(at),
+            change: Change::Remove,
+        };
+        self.apply(&write).await
+    }
+}
+
+impl Platform for HttpPlatform {
+    async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>> {
+        let result = self.read_object(kind, name).await;
+        self.counters().record(CallKind::Read, &result);
+        result
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<Changes> {
+        let result = self.list_objects(kind, prefix).await;
+        self.counters().record(CallKind::List, &result);
+        result
+    }
+
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        nonce: Nonce,
+        value: Vec<u8>,
+    ) -> Result<Written> {
+        let result = self.store(kind, name, expect, nonce, value).await;
+        self.counters().record_write(CallKind::Write, &result);
+        result
+    }
+
+    async fn remove(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
+        let result = self.delete(kind, name, at).await;
+        self.counters().record_write(CallKind::Remove, &result);
+        result
+    }
+
+    async fn watch(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
+        let result = self.watch_kind(kind, since, wait).await;
+        self.counters().record(CallKind::Watch, &result);
+        result
+    }
+
+    async fn hosts(&self) -> Result<Vec<HostStatus>> {
+        let result = self.list_hosts().await;
+        self.counters().record(CallKind::Hosts, &result);
+        result
+    }
+}
+
+impl Change {
+    /// Method of the request that makes the change.
+    fn method(&self) -> Method {
+        match self {
+            Self::Remove => Method::DELETE,
+            Self::Store { .. } => Method::PUT,
+        }
+    }
+
+    /// Kind under which the change is counted.
+    fn call_kind(&self) -> CallKind {
+        match self {
+            Self::Remove => CallKind::Remove,
+            Self::Store { .. } => CallKind::Write,
+        }
+    }
+}
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::Version;
 
+pub mod http;
 pub mod memory;
 
 /// Largest value of an object, in bytes.
