--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -1,36 +1,32 @@
-//! A call at the host that owns its program.
+//! A call at the host that decides about it.
 
 use std::sync::Arc;
 
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodySender;
-use chicoryarch_net::client::ClientError;
 use http::Response;
+use http::response::Parts;
 use hyper::body::Incoming;
 
 use super::answer;
 use super::answer::Ended;
 use super::answer::Tail;
+use super::answer::Usage;
 use super::call::Call;
+use super::clearance::Clearance;
 use super::cost;
+use super::dispatch;
+use super::dispatch::Attempts;
+use super::dispatch::Placed;
+use super::once;
 use super::outcome::Reason;
 use super::outcome::Refusal;
 use super::outcome::Result;
-use super::retry::Failure;
-use crate::connection::endpoint;
-use crate::connection::endpoint::Dispatch;
 use crate::connection::headers;
 use crate::connection::platform::Platform;
-use crate::ids::EndpointId;
+use crate::ids::ProgramId;
 use crate::process::context::Cx;
-use crate::process::journals::Begun;
-use crate::process::journals::CallSpec;
-use crate::process::journals::Finished;
-use crate::process::journals::StoredAnswer;
-use crate::process::journals::Ticket;
-use crate::process::metrics::Stage;
-use crate::process::placing::Demand;
-use crate::process::placing::Slot;
+use crate::process::metrics::InFlight;
 use crate::process::placing::Verdict;
 use crate::units::Moment;
 use crate::units::Tokens;
@@ -39,3 +35,182 @@
 
 /// Chunks of an answer held for a caller that reads slowly.
 const ANSWER_CHUNKS: usize = 16;
+
+/// One call at the host that decides about it.
+pub struct Work<P: Platform> {
+    /// Context of the host.
+    pub cx: Cx<P>,
+    /// The call.
+    pub call: Call,
+    /// The service that it calls.
+    pub service: Arc<Service>,
+    /// When the call reached this host.
+    pub received: Moment,
+}
+
+/// Runs a call whose caller has been identified.
+///
+/// # Errors
+///
+/// A refusal; `not-run` unless an endpoint may have run the call.
+pub async fn run<P: Platform>(cx: &Cx<P>, mut call: Call) -> Result<Response<Body>> {
+    let service = service(cx, &call)?;
+    if service.kind == ServiceKind::Model {
+        call.body = cost::with_limit(&cx.cfg.caller, call.body)?;
+    }
+    let work = Work {
+        cx: Cx::clone(cx),
+        call,
+        service,
+        received: Moment::now(),
+    };
+    match once::spec(&work) {
+        Some(spec) => once::run(work, spec).await,
+        None => work.run().await,
+    }
+}
+
+fn service<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Arc<Service>> {
+    cx.configuration.service(&call.service).ok_or_else(|| {
+        let detail = format!("there is no service `{}`", call.service);
+        Refusal::not_run(Reason::UnknownService, detail)
+    })
+}
+
+impl<P: Platform> Work<P> {
+    /// Runs a call that leaves no record of its outcome; its answer streams.
+    async fn run(self) -> Result<Response<Body>> {
+        let clearance = self.clear().await?;
+        let attempts = self.attempts(&clearance);
+        let placed = match attempts.dispatch().await {
+            Ok(placed) => placed,
+            Err(refusal) => {
+                clearance.refused(&refusal).await;
+                return Err(refusal);
+            }
+        };
+        Ok(self.stream(clearance, placed))
+    }
+
+    /// The attempts to dispatch this call.
+    pub fn attempts<'a>(&'a self, clearance: &'a Clearance<P>) -> Attempts<'a, P> {
+        Attempts {
+            cx: &self.cx,
+            call: &self.call,
+            service: &self.service,
+            clearance,
+            repeatable: self.service.repeatable && self.call.idempotency_key.is_none(),
+        }
+    }
+
+    /// Waits until the call may be dispatched.
+    async fn clear(&self) -> Result<Clearance<P>> {
+        match &self.call.program {
+            Some(program) => Clearance::of_program(self, program, None).await,
+            None => Ok(Clearance::Single(self.single_program())),
+        }
+    }
+
+    /// The made-up program of a single call.
+    pub fn single_program(&self) -> ProgramId {
+        ProgramId {
+            data_centre: self.cx.cfg.data_centre.clone(),
+            partition: crate::ids::Partition(0),
+            random: rand::random(),
+        }
+    }
+
+    fn stream(self, clearance: Clearance<P>, placed: Placed) -> Response<Body> {
+        let (head, upstream) = placed.response.into_parts();
+        let (tx, body) = Body::channel(ANSWER_CHUNKS);
+        let response = answer_head(&head, &clearance, body);
+        let in_flight = self.cx.metrics.fly();
+        let spawner = self.cx.spawner.clone();
+        let relay = Relay {
+            work: self,
+            clearance,
+            slot: placed.slot,
+            _in_flight: in_flight,
+        };
+        spawner.detach(relay.run(upstream, tx));
+        response
+    }
+}
+
+/// The head of an answer as its caller sees it.
+pub fn answer_head<P: Platform>(
+    head: &Parts,
+    clearance: &Clearance<P>,
+    body: Body,
+) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers::passed_on(&head.headers);
+    if let Clearance::Journaled(_) = clearance {
+        let program = headers::value(clearance.program());
+        response.headers_mut().insert(headers::PROGRAM, program);
+    }
+    response
+}
+
+struct Relay<P: Platform> {
+    work: Work<P>,
+    clearance: Clearance<P>,
+    slot: crate::process::placing::Slot,
+    _in_flight: InFlight,
+}
+
+impl<P: Platform> Relay<P> {
+    /// Relays the answer; what it cost is recorded before its end is sent.
+    async fn run(self, upstream: Incoming, tx: BodySender) {
+        let Self {
+            work,
+            clearance,
+            slot,
+            _in_flight,
+        } = self;
+        let cx = &work.cx;
+        let key = work.call.caller.key();
+        let is_withdrawn = || key.is_some_and(|key| cx.configuration.is_withdrawn(key));
+        let mut tail = Tail::default();
+        let deadline = work.call.deadline;
+        let ended = answer::relay(upstream, &tx, deadline, is_withdrawn, &mut tail).await;
+        let cost = work.cost(ended, tail.usage());
+        slot.done(verdict(ended), cost);
+        clearance.ended(ended, cost).await;
+        match ended {
+            Ended::Whole => {
+                cx.metrics.answered(Moment::now().since(work.received));
+                tx.finish().await;
+            }
+            Ended::CallerGone => cx.metrics.cancelled(),
+            Ended::Broken | Ended::Expired | Ended::Withdrawn => {
+                cx.metrics.broken();
+                tx.fail(format!("{ended:?}")).await;
+            }
+        }
+    }
+}
+
+impl<P: Platform> Work<P> {
+    /// What the call is charged: what the engine reports, else its worst case.
+    pub fn cost(&self, ended: Ended, usage: Option<Usage>) -> Tokens {
+        let worst = cost::worst(&self.cx.cfg.caller, &self.service, &self.call.body);
+        let worst = worst.unwrap_or_default();
+        match (self.service.kind, ended, usage) {
+            (ServiceKind::Model, Ended::Whole, Some(usage)) => usage.cost(),
+            _ => worst,
+        }
+    }
+}
+
+const fn verdict(ended: Ended) -> Verdict {
+    match ended {
+        Ended::Whole => Verdict::Answered,
+        Ended::Broken | Ended::Expired => Verdict::Failed,
+        Ended::CallerGone | Ended::Withdrawn => Verdict::Cancelled,
+    }
+}
+
+/// The refusal of a call whose key was withdrawn.
+pub use dispatch::withdrawn;
