--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -1,1 +1,161 @@
 //! Settings of the membership part.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+/// Heartbeats that fit at least into one lease.
+const MIN_HEARTBEATS_PER_LEASE: u32 = 3;
+
+/// Smallest drift margin, as the lease's time to live divided by this.
+const MIN_MARGIN_DIVISOR: u32 = 100;
+
+/// Allowed heartbeat periods, in milliseconds.
+const HEARTBEAT_PERIOD_MS: RangeInclusive<u64> = 5..=60_000;
+
+/// Allowed numbers of partitions.
+const PARTITIONS: RangeInclusive<u16> = 1..=4096;
+
+/// Largest duration of any field, in milliseconds.
+const MAX_DURATION_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Settings of heartbeats, leases and partition ownership.
+///
+/// All hosts of a fleet use the same values.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MembershipConfig {
+    /// Time between two heartbeats of a host.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "heartbeat_period_ms")]
+    pub heartbeat_period: Duration,
+    /// Time for which a committed heartbeat keeps a host's lease, counted
+    /// from the moment it was sent.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "lease_ttl_ms")]
+    pub lease_ttl: Duration,
+    /// Time that other hosts wait beyond the time to live before takeover;
+    /// covers clocks that run at different rates.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drift_margin_ms")]
+    pub drift_margin: Duration,
+    /// Time after which a table that does not change is adopted by hosts of
+    /// another data centre.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "adoption_timeout_ms")]
+    pub adoption_timeout: Duration,
+    /// Time after which a lapsed host without partitions leaves the table.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "removal_timeout_ms")]
+    pub removal_timeout: Duration,
+    /// Time between two reads of the other data centres' tables.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "refresh_period_ms")]
+    pub refresh_period: Duration,
+    /// Partitions of a data centre; fixed when its table is created.
+    pub partitions: u16,
+}
+
+impl Default for MembershipConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat_period: Duration::from_secs(1),
+            lease_ttl: Duration::from_secs(5),
+            drift_margin: Duration::from_millis(250),
+            adoption_timeout: Duration::from_secs(30),
+            removal_timeout: Duration::from_secs(600),
+            refresh_period: Duration::from_secs(5),
+            partitions: 64,
+        }
+    }
+}
+
+/// A field outside its allowed range.
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("membership.{field}: {allowed}")]
+pub struct ConfigError {
+    /// Name of the field as written in the settings.
+    pub field: &'static str,
+    /// The allowed range, in words.
+    pub allowed: String,
+}
+
+/// Result of a check of settings.
+pub type Result<T> = std::result::Result<T, ConfigError>;
+
+impl MembershipConfig {
+    /// Checks every field's bounds.
+    ///
+    /// # Errors
+    ///
+    /// The first field outside its range.
+    pub fn check(&self) -> Result<()> {
+        self.check_lease()?;
+        self.check_timeouts()?;
+        let allowed = format!("{} to {}", PARTITIONS.start(), PARTITIONS.end());
+        require(
+            PARTITIONS.contains(&self.partitions),
+            "partitions",
+            &allowed,
+        )
+    }
+
+    fn check_lease(&self) -> Result<()> {
+        let period = millis(self.heartbeat_period);
+        let allowed = format!(
+            "{} to {} ms",
+            HEARTBEAT_PERIOD_MS.start(),
+            HEARTBEAT_PERIOD_MS.end()
+        );
+        require(
+            HEARTBEAT_PERIOD_MS.contains(&period),
+            "heartbeat_period_ms",
+            &allowed,
+        )?;
+        let least = self.heartbeat_period * MIN_HEARTBEATS_PER_LEASE;
+        at_least("lease_ttl_ms", self.lease_ttl, least)?;
+        let least = self.lease_ttl / MIN_MARGIN_DIVISOR;
+        at_least("drift_margin_ms", self.drift_margin, least)
+    }
+
+    fn check_timeouts(&self) -> Result<()> {
+        let lapse = self.lapse_after();
+        at_least("adoption_timeout_ms", self.adoption_timeout, lapse * 2)?;
+        at_least("removal_timeout_ms", self.removal_timeout, lapse)?;
+        at_least(
+            "refresh_period_ms",
+            self.refresh_period,
+            self.heartbeat_period,
+        )
+    }
+
+    /// Time after which other hosts treat an unchanged heartbeat as lapsed.
+    pub fn lapse_after(&self) -> Duration {
+        self.lease_ttl + self.drift_margin
+    }
+}
+
+fn at_least(field: &'static str, value: Duration, least: Duration) -> Result<()> {
+    let allowed = format!("{} to {MAX_DURATION_MS} ms", millis(least));
+    let fits = value >= least && millis(value) <= MAX_DURATION_MS;
+    require(fits, field, &allowed)
+}
+
+fn require(fits: bool, field: &'static str, allowed: &str) -> Result<()> {
+    if fits {
+        return Ok(());
+    }
+    Err(ConfigError {
+        field,
+        allowed: allowed.to_owned(),
+    })
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/process/membership/driver.rs
@@ -0,0 +1,205 @@
+//! Carries out the effects of the ownership decisions.
+
+use std::future::Future;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use chicoryarch_net::Spawner;
+use futures_lite::future;
+use log::warn;
+
+use super::counters::count;
+use super::handle::Membership;
+use super::rpc::HEARTBEAT_METHOD;
+use super::rpc::TABLES_METHOD;
+use crate::configs::membership::MembershipConfig;
+use crate::connection::peer::Peers;
+use crate::connection::platform;
+use crate::connection::platform::Object;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::connection::platform::Written;
+use crate::ids::Incarnation;
+use crate::process::timers::Timers;
+use crate::version::table::Coordinator;
+use crate::version::table::Effect;
+use crate::version::table::Identity;
+use crate::version::table::Input;
+use crate::version::table::PartitionEvent;
+use crate::version::table::PlatformFailure;
+use crate::version::table::Table;
+use crate::version::table::message::Committed;
+use crate::version::table::rows::TABLE_KIND;
+
+/// Longest platform call, as the lease's time to live divided by this.
+const CALLS_PER_LEASE: u32 = 2;
+
+/// Starts heartbeats; returns the handle and the events of this host's
+/// partitions.
+///
+/// `start` orders the starts of this host; the milliseconds since the Unix
+/// epoch will do, since an incarnation found in the table is always exceeded.
+pub fn start<P: Platform, Q: Peers>(
+    identity: Identity,
+    start: Incarnation,
+    cfg: &MembershipConfig,
+    platform: P,
+    peers: Q,
+    timers: Timers,
+    spawner: &Spawner,
+) -> (Membership, Receiver<PartitionEvent>) {
+    let (tx, rx) = async_channel::unbounded();
+    let coordinator = Coordinator::new(identity, start, cfg.clone());
+    let membership = Membership::new(coordinator, tx);
+    let driver = Driver {
+        membership: membership.clone(),
+        platform,
+        peers,
+        spawner: spawner.clone(),
+        call_timeout: cfg.lease_ttl / CALLS_PER_LEASE,
+    };
+    spawner.detach(driver.run(timers, cfg.heartbeat_period));
+    (membership, rx)
+}
+
+#[derive(Clone, Debug)]
+struct Driver<P, Q> {
+    membership: Membership,
+    platform: P,
+    peers: Q,
+    spawner: Spawner,
+    call_timeout: Duration,
+}
+
+impl<P: Platform, Q: Peers> Driver<P, Q> {
+    async fn run(self, timers: Timers, period: Duration) {
+        let ticks = timers.subscribe(period).await;
+        loop {
+            self.take(Input::Tick);
+            let ticked = async { ticks.recv().await.is_ok() };
+            let stopped = async {
+                self.membership.stopped().await;
+                false
+            };
+            if !future::or(ticked, stopped).await {
+                return;
+            }
+        }
+    }
+
+    /// Takes an input and starts to carry out each of its effects.
+    fn take(&self, input: Input) {
+        for effect in self.membership.step(input) {
+            let driver = self.clone();
+            self.spawner.detach(driver.follow(effect));
+        }
+    }
+
+    /// Carries out an effect and those that result from its outcome.
+    async fn follow(self, effect: Effect) {
+        let mut effects = vec![effect];
+        while let Some(effect) = effects.pop() {
+            let Some(input) = self.perform(effect).await else {
+                continue;
+            };
+            if self.membership.is_stopped() {
+                return;
+            }
+            effects.extend(self.membership.step(input));
+        }
+    }
+
+    async fn perform(&self, effect: Effect) -> Option<Input> {
+        match effect {
+            Effect::Read { table } => {
+                let outcome = self.read(table.as_str()).await;
+                Some(Input::Read { table, outcome })
+            }
+            Effect::Write { expect, table } => {
+                let outcome = self.write(expect, &table).await;
+                Some(Input::Written { table, outcome })
+            }
+            Effect::Send {
+                host,
+                to,
+                heartbeat,
+            } => {
+                count(&self.membership.counters().heartbeats_sent);
+                let table = heartbeat.table.clone();
+                match self.peers.call(to, HEARTBEAT_METHOD, &*heartbeat).await {
+                    Ok(reply) => Some(Input::Replied { table, host, reply }),
+                    Err(_) => {
+                        count(&self.membership.counters().heartbeats_unanswered);
+                        Some(Input::Unreachable { table, host })
+                    }
+                }
+            }
+            Effect::List => Some(Input::Listed(self.list().await)),
+            Effect::Fetch { from, request } => {
+                let reply = self.peers.call(from, TABLES_METHOD, &request).await;
+                Some(Input::Fetched(reply.ok()))
+            }
+            // Events are sent on when they are decided.
+            Effect::Notify(_) => None,
+        }
+    }
+
+    async fn read(&self, name: &str) -> Result<Option<Committed>, PlatformFailure> {
+        count(&self.membership.counters().table_reads);
+        let read = platform::read_value::<Table>(&self.platform, TABLE_KIND, name);
+        let found = self.within(read).await?;
+        Ok(found.map(|(version, table)| Committed { version, table }))
+    }
+
+    async fn write(
+        &self,
+        expect: platform::Expect,
+        table: &Table,
+    ) -> Result<Written, PlatformFailure> {
+        let counters = self.membership.counters();
+        count(&counters.table_writes);
+        let name = table.data_centre.as_str();
+        let write = platform::write_value(&self.platform, TABLE_KIND, name, expect, table);
+        let written = self.within(write).await?;
+        if written == Written::Conflict {
+            count(&counters.table_conflicts);
+        }
+        Ok(written)
+    }
+
+    async fn list(&self) -> Option<Vec<Committed>> {
+        count(&self.membership.counters().table_lists);
+        let list = self.platform.list(TABLE_KIND, "");
+        let changes = self.within(list).await.ok()?;
+        Some(changes.objects.iter().filter_map(decode).collect())
+    }
+
+    async fn within<T>(
+        &self,
+        call: impl Future<Output = platform::Result<T>>,
+    ) -> Result<T, PlatformFailure> {
+        let expire = async {
+            Timer::after(self.call_timeout).await;
+            Err(PlatformError::UnknownOutcome)
+        };
+        let failed = |_| {
+            count(&self.membership.counters().platform_failures);
+            PlatformFailure::NoAnswer
+        };
+        future::or(call, expire).await.map_err(failed)
+    }
+}
+
+fn decode(object: &Object) -> Option<Committed> {
+    match platform::decode(TABLE_KIND, object) {
+        Ok(table) => Some(Committed {
+            version: object.version,
+            table,
+        }),
+        Err(e) => {
+            warn!("membership: table {} is skipped: {e}", object.name);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/process/membership/rpc.rs
@@ -0,0 +1,49 @@
+//! Methods that other hosts call.
+
+use jsonrpsee_core::server::RpcModule;
+use jsonrpsee_types::ErrorObjectOwned;
+use jsonrpsee_types::error::INVALID_REQUEST_CODE;
+
+use super::handle::Membership;
+use crate::version::table::Heartbeat;
+use crate::version::table::message::TablesRequest;
+
+/// Takes a heartbeat.
+pub const HEARTBEAT_METHOD: &str = "membership.heartbeat";
+
+/// Gives the tables of which the caller knows an older ownership part.
+pub const TABLES_METHOD: &str = "membership.tables";
+
+/// Gives the digests heard from the hosts of the receiver's data centre.
+pub const PIGGYBACKS_METHOD: &str = "membership.piggybacks";
+
+/// The methods, to be merged into the module of the peers' port.
+///
+/// # Panics
+///
+/// If a method name is registered twice, which the constants rule out.
+pub fn rpc_module(membership: Membership) -> RpcModule<Membership> {
+    let mut module = RpcModule::new(membership);
+    register(&mut module).expect("method names are distinct");
+    module
+}
+
+fn register(module: &mut RpcModule<Membership>) -> Result<(), jsonrpsee_core::RegisterMethodError> {
+    module.register_method(HEARTBEAT_METHOD, |params, membership, _| {
+        let heartbeat: Heartbeat = params.one()?;
+        membership.on_heartbeat(heartbeat).ok_or_else(no_part)
+    })?;
+    module.register_method(TABLES_METHOD, |params, membership, _| {
+        let request: TablesRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(membership.on_tables(&request))
+    })?;
+    module.register_method(PIGGYBACKS_METHOD, |_, membership, _| {
+        Ok::<_, ErrorObjectOwned>(membership.piggybacks())
+    })?;
+    Ok(())
+}
+
+fn no_part() -> ErrorObjectOwned {
+    let message = "this host has no part in the table";
+    ErrorObjectOwned::owned(INVALID_REQUEST_CODE, message, None::<()>)
+}
--- /dev/null
+++ b/src/process/membership/status.rs
@@ -0,0 +1,59 @@
+//! Log lines for changes of this host's standing.
+
+use log::info;
+use log::warn;
+
+use super::counters::Counters;
+use super::counters::count;
+use crate::units::Moment;
+use crate::version::table::Coordinator;
+
+/// This host's standing in its own table.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Status {
+    leased: bool,
+    degraded: bool,
+    writer: bool,
+    superseded: bool,
+    draining: bool,
+}
+
+impl Status {
+    pub(super) fn of(coordinator: &Coordinator, now: Moment) -> Self {
+        let home = coordinator.home();
+        Self {
+            leased: home.lease_until().is_some_and(|until| now < until),
+            degraded: home.is_degraded(now),
+            writer: home.is_writer(),
+            superseded: home.is_superseded(),
+            draining: home.is_draining(),
+        }
+    }
+
+    /// Logs and counts what has changed.
+    pub(super) fn change_to(&mut self, next: Self, counters: &Counters) {
+        if self.leased && !next.leased {
+            count(&counters.leases_lapsed);
+            warn!("membership: the lease has lapsed");
+        }
+        if !self.leased && next.leased {
+            info!("membership: the lease is held");
+        }
+        if self.degraded != next.degraded {
+            warn!(
+                "membership: platform out, repeatable calls only: {}",
+                next.degraded
+            );
+        }
+        if self.writer != next.writer {
+            info!("membership: writes the table: {}", next.writer);
+        }
+        if self.draining != next.draining {
+            info!("membership: draining: {}", next.draining);
+        }
+        if self.superseded != next.superseded {
+            warn!("membership: another process uses this host's name; serving nothing");
+        }
+        *self = next;
+    }
+}
--- /dev/null
+++ b/src/version/table/assignment.rs
@@ -0,0 +1,143 @@
+//! Assignment of partitions to hosts, balanced and with few moves.
+
+use std::collections::BTreeMap;
+
+use super::rows::HostRow;
+use super::rows::PartitionRow;
+use super::rows::Table;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Partition;
+
+/// Hosts that may receive partitions, with the number each serves.
+struct Loads(BTreeMap<HostId, usize>);
+
+impl Loads {
+    fn of(table: &Table, targets: &BTreeMap<HostId, Incarnation>) -> Self {
+        let mut loads: BTreeMap<_, _> = targets.keys().map(|host| (host.clone(), 0)).collect();
+        for row in table.partitions.iter().filter(|row| stays(row, targets)) {
+            *loads.entry(row.owner.clone()).or_default() += 1;
+        }
+        Self(loads)
+    }
+
+    fn least(&self) -> Option<HostId> {
+        let least = self.0.iter().min_by_key(|(_, load)| **load)?;
+        Some(least.0.clone())
+    }
+
+    fn most(&self) -> Option<HostId> {
+        let most = self.0.iter().max_by_key(|(_, load)| **load)?;
+        Some(most.0.clone())
+    }
+
+    fn load(&self, host: &HostId) -> usize {
+        self.0.get(host).copied().unwrap_or_default()
+    }
+
+    fn add(&mut self, host: &HostId) {
+        *self.0.entry(host.clone()).or_default() += 1;
+    }
+
+    fn remove(&mut self, host: &HostId) {
+        let load = self.0.entry(host.clone()).or_default();
+        *load = load.saturating_sub(1);
+    }
+}
+
+/// True if the partition's owner is to keep it.
+fn stays(row: &PartitionRow, targets: &BTreeMap<HostId, Incarnation>) -> bool {
+    !row.releasing && targets.get(&row.owner) == Some(&row.incarnation)
+}
+
+/// Hosts that may receive partitions: live and not draining, of the table's
+/// own data centre if there is any such host, otherwise adopters.
+fn targets(table: &Table) -> BTreeMap<HostId, Incarnation> {
+    let able = |row: &HostRow| !row.lapsed && !row.draining;
+    let select = |guest: bool| -> BTreeMap<HostId, Incarnation> {
+        table
+            .hosts
+            .iter()
+            .filter(|(_, row)| able(row) && table.is_guest(row) == guest)
+            .map(|(host, row)| (host.clone(), row.incarnation))
+            .collect()
+    };
+    let home = select(false);
+    if home.is_empty() { select(true) } else { home }
+}
+
+/// True if some host may receive partitions that `host` gives up.
+pub fn has_successor(table: &Table, host: &HostId) -> bool {
+    targets(table).keys().any(|target| target != host)
+}
+
+/// Gives every free partition a new owner and asks owners to release what
+/// should move; `free` tells which partitions nobody can be serving.
+pub fn assign(table: &mut Table, free: impl Fn(Partition, &PartitionRow) -> bool) {
+    let targets = targets(table);
+    if targets.is_empty() {
+        return;
+    }
+    let freed: Vec<Partition> = table
+        .numbered()
+        .filter(|(partition, row)| free(*partition, row))
+        .map(|(partition, _)| partition)
+        .collect();
+    give_away(table, &targets, &freed);
+    release_from_others(table, &targets);
+    rebalance(table, &targets);
+}
+
+fn give_away(table: &mut Table, targets: &BTreeMap<HostId, Incarnation>, freed: &[Partition]) {
+    let mut loads = Loads::of(table, targets);
+    for partition in freed {
+        let row = &table.partitions[usize::from(partition.0)];
+        if stays(row, targets) {
+            loads.remove(&row.owner.clone());
+        }
+        let Some(owner) = loads.least() else {
+            return;
+        };
+        loads.add(&owner);
+        table.partitions[usize::from(partition.0)] = PartitionRow {
+            incarnation: targets[&owner],
+            epoch: row.epoch.next(),
+            releasing: false,
+            owner,
+        };
+    }
+}
+
+/// Asks live owners that are no targets, such as draining ones, to release.
+fn release_from_others(table: &mut Table, targets: &BTreeMap<HostId, Incarnation>) {
+    for row in &mut table.partitions {
+        row.releasing |= !targets.contains_key(&row.owner);
+    }
+}
+
+fn rebalance(table: &mut Table, targets: &BTreeMap<HostId, Incarnation>) {
+    let mut loads = Loads::of(table, targets);
+    let staying = table.partitions.iter().filter(|row| stays(row, targets));
+    let moving = table.partitions.len() - staying.count();
+    for _ in 0..moving {
+        let Some(host) = loads.least() else { return };
+        loads.add(&host);
+    }
+    while let Some((from, to)) = uneven(&loads) {
+        let movable = |row: &&mut PartitionRow| row.owner == from && stays(row, targets);
+        let Some(row) = table.partitions.iter_mut().find(movable) else {
+            return;
+        };
+        row.releasing = true;
+        loads.remove(&from);
+        loads.add(&to);
+    }
+}
+
+/// Two hosts between which one move makes the loads more even.
+fn uneven(loads: &Loads) -> Option<(HostId, HostId)> {
+    let from = loads.most()?;
+    let to = loads.least()?;
+    let apart = loads.load(&from) >= loads.load(&to) + 2;
+    apart.then_some((from, to))
+}
--- /dev/null
+++ b/src/version/table/coordinator.rs
@@ -0,0 +1,433 @@
+//! A host's part in every table: its own, adopted ones and the rest.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::directory::Directory;
+use super::effect::Effect;
+use super::effect::Input;
+use super::effect::PlatformFailure;
+use super::member::Identity;
+use super::member::Member;
+use super::member::Serve;
+use super::message::Committed;
+use super::message::Heartbeat;
+use super::message::HeartbeatReply;
+use super::message::HostPiggyback;
+use super::message::Piggyback;
+use super::message::TablesReply;
+use super::message::TablesRequest;
+use super::rows::Table;
+use super::successor::adopt;
+use crate::configs::membership::MembershipConfig;
+use crate::connection::platform::Expect;
+use crate::connection::platform::Written;
+use crate::ids::DataCentre;
+use crate::ids::Epoch;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Partition;
+use crate::units::Moment;
+
+/// The owner of a partition, as far as this host knows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Owner {
+    /// The owning host.
+    pub host: HostId,
+    /// Where it listens for other hosts.
+    pub peer: SocketAddr,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// Fencing number of the ownership.
+    pub epoch: Epoch,
+    /// True if the owner is this very process.
+    pub is_self: bool,
+}
+
+/// A host as listed in a table.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostInfo {
+    /// The host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it listens for other hosts.
+    pub peer: SocketAddr,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// True once it hands over its partitions.
+    pub draining: bool,
+    /// False once its lease has run out.
+    pub live: bool,
+}
+
+/// A partition that this host holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OwnPartition {
+    /// Data centre of the partition.
+    pub data_centre: DataCentre,
+    /// The partition.
+    pub partition: Partition,
+    /// Fencing number.
+    pub epoch: Epoch,
+    /// True once its journal is fenced and until it is released.
+    pub active: bool,
+}
+
+/// A host's part in every table.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    cfg: MembershipConfig,
+    identity: Identity,
+    home: Member,
+    adopted: BTreeMap<DataCentre, Member>,
+    directory: Directory,
+    listed_at: Option<Moment>,
+    adoptions: u64,
+}
+
+impl Coordinator {
+    /// A host that knows no table yet; `start` as for [`Member::new`].
+    pub fn new(identity: Identity, start: Incarnation, cfg: MembershipConfig) -> Self {
+        Self {
+            home: Member::new(identity.clone(), start, cfg.clone()),
+            adopted: BTreeMap::new(),
+            directory: Directory::default(),
+            listed_at: None,
+            adoptions: 0,
+            cfg,
+            identity,
+        }
+    }
+
+    /// The host's part in its own table.
+    pub fn home(&self) -> &Member {
+        &self.home
+    }
+
+    /// Every table in which the host takes part.
+    pub fn members(&self) -> impl Iterator<Item = (&DataCentre, &Member)> {
+        let home = std::iter::once((&self.identity.data_centre, &self.home));
+        home.chain(&self.adopted)
+    }
+
+    /// Tables adopted by this host's writes.
+    pub fn adoptions(&self) -> u64 {
+        self.adoptions
+    }
+
+    fn member(&self, table: &DataCentre) -> Option<&Member> {
+        if *table == self.identity.data_centre {
+            return Some(&self.home);
+        }
+        self.adopted.get(table)
+    }
+
+    fn member_mut(&mut self, table: &DataCentre) -> Option<&mut Member> {
+        if *table == self.identity.data_centre {
+            return Some(&mut self.home);
+        }
+        self.adopted.get_mut(table)
+    }
+
+    /// Newest known table of a data centre.
+    pub fn table(&self, data_centre: &DataCentre) -> Option<&Table> {
+        let adopted = self.member(data_centre).and_then(Member::known_table);
+        adopted.or_else(|| self.directory.get(data_centre))
+    }
+
+    /// The owner of a partition.
+    pub fn owner(&self, data_centre: &DataCentre, partition: Partition) -> Option<Owner> {
+        let table = self.table(data_centre)?;
+        let row = table.partition(partition)?;
+        let host = table.hosts.get(&row.owner)?;
+        let is_self = row.owner == self.identity.host && row.incarnation == self.home.incarnation();
+        Some(Owner {
+            host: row.owner.clone(),
+            peer: host.peer,
+            caller: host.caller,
+            epoch: row.epoch,
+            is_self,
+        })
+    }
+
+    /// What this host may do for a partition at this moment.
+    pub fn may_serve(&self, data_centre: &DataCentre, partition: Partition, now: Moment) -> Serve {
+        match self.member(data_centre) {
+            Some(member) if !self.home.is_superseded() => member.may_serve(partition, now),
+            _ => Serve::No,
+        }
+    }
+
+    /// Every partition that this host holds.
+    pub fn own_partitions(&self) -> Vec<OwnPartition> {
+        let mut own = Vec::new();
+        for (data_centre, member) in self.members() {
+            let holdings = member.holdings();
+            own.extend(holdings.iter().map(|(partition, holding)| OwnPartition {
+                data_centre: data_centre.clone(),
+                partition,
+                epoch: holding.epoch,
+                active: holdings.is_active(partition),
+            }));
+        }
+        own
+    }
+
+    /// Every known host, each from its own data centre's table.
+    pub fn hosts(&self) -> Vec<HostInfo> {
+        let others = self.directory.iter().map(|committed| &committed.table);
+        let tables = self.home.known_table().into_iter().chain(others);
+        tables.flat_map(home_hosts).collect()
+    }
+
+    /// Digests last heard from the hosts of the own data centre.
+    pub fn piggybacks(&self) -> Vec<HostPiggyback> {
+        let heard = self.home.piggybacks();
+        heard
+            .map(|(host, piggyback)| HostPiggyback {
+                host: host.clone(),
+                piggyback,
+            })
+            .collect()
+    }
+
+    /// Sets the digests that travel with this host's messages.
+    pub fn set_piggyback(&mut self, piggyback: Piggyback) {
+        self.home.set_piggyback(piggyback);
+    }
+
+    /// Starts to hand over every partition.
+    pub fn begin_drain(&mut self) {
+        self.home.begin_drain();
+        for member in self.adopted.values_mut() {
+            member.begin_drain();
+        }
+    }
+
+    /// True once a drain has nothing left that another host could take.
+    pub fn is_drained(&self) -> bool {
+        self.members().all(|(_, member)| member.is_drained())
+    }
+
+    /// Notes that a partition's journal is fenced under its epoch.
+    pub fn activated(&mut self, data_centre: &DataCentre, partition: Partition, epoch: Epoch) {
+        if let Some(member) = self.member_mut(data_centre) {
+            member.activated(partition, epoch);
+        }
+    }
+
+    /// Notes that a partition lost by hand-over is no longer served.
+    pub fn released(&mut self, data_centre: &DataCentre, partition: Partition, epoch: Epoch) {
+        if let Some(member) = self.member_mut(data_centre) {
+            member.released(partition, epoch);
+        }
+    }
+
+    /// Answers another host's heartbeat.
+    pub fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> Option<HeartbeatReply> {
+        let others = self.directory.digest();
+        let table = heartbeat.table.clone();
+        let member = self.member_mut(&table)?;
+        let reply = member.on_heartbeat(now, heartbeat);
+        Some(HeartbeatReply { others, ..reply })
+    }
+
+    /// Answers another host's request for tables.
+    pub fn on_tables(&self, request: &TablesRequest) -> TablesReply {
+        TablesReply {
+            tables: self.directory.newer(request),
+        }
+    }
+
+    /// Takes an input and returns what is to be done.
+    pub fn step(&mut self, now: Moment, input: Input) -> Vec<Effect> {
+        let effects = match input {
+            Input::Tick => self.tick(now),
+            Input::Read { table, outcome } => match self.member_mut(&table) {
+                Some(member) => member.on_read(now, outcome),
+                None => Vec::new(),
+            },
+            Input::Written { table, outcome } => self.on_written(now, *table, outcome),
+            Input::Replied { table, host, reply } => self.on_reply(now, &table, &host, *reply),
+            Input::Unreachable { table, host } => match self.member_mut(&table) {
+                Some(member) => member.on_unreachable(now, host),
+                None => Vec::new(),
+            },
+            Input::Listed(tables) => self.on_listed(now, tables),
+            Input::Fetched(reply) => self.on_fetched(now, reply),
+        };
+        self.join_and_leave(now, effects)
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<Effect> {
+        let mut effects = self.home.tick(now);
+        for member in self.adopted.values_mut() {
+            effects.extend(member.tick(now));
+        }
+        if self.is_list_due(now) {
+            self.restart_if_stale(now);
+            self.listed_at = Some(now);
+            effects.push(Effect::List);
+        }
+        effects
+    }
+
+    fn is_list_due(&self, now: Moment) -> bool {
+        let due = |at: Moment| now.since(at) >= self.cfg.refresh_period;
+        self.home.is_writer() && self.listed_at.is_none_or(due)
+    }
+
+    /// Restarts the clocks of the other tables after a pause in reading them.
+    fn restart_if_stale(&mut self, now: Moment) {
+        let paused = |at: Moment| now.since(at) >= self.cfg.refresh_period * 2;
+        if self.listed_at.is_none_or(paused) {
+            self.directory.restart(now);
+        }
+    }
+
+    fn on_written(
+        &mut self,
+        now: Moment,
+        table: Table,
+        outcome: Result<Written, PlatformFailure>,
+    ) -> Vec<Effect> {
+        let data_centre = table.data_centre.clone();
+        if let Some(member) = self.member_mut(&data_centre) {
+            return member.on_written(now, table, outcome);
+        }
+        if let Ok(Written::Done(version)) = outcome {
+            self.adoptions += 1;
+            self.directory.observe(now, Committed { version, table });
+        }
+        Vec::new()
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Moment,
+        table: &DataCentre,
+        host: &HostId,
+        reply: HeartbeatReply,
+    ) -> Vec<Effect> {
+        let others = reply.others;
+        let Some(member) = self.member_mut(table) else {
+            return Vec::new();
+        };
+        let mut effects = member.on_reply(now, host, reply);
+        if *table == self.identity.data_centre && others > self.directory.digest() {
+            effects.extend(self.fetch(host));
+        }
+        effects
+    }
+
+    fn fetch(&self, host: &HostId) -> Option<Effect> {
+        let row = self.home.known_table()?.hosts.get(host)?;
+        Some(Effect::Fetch {
+            from: row.peer,
+            request: self.directory.request(),
+        })
+    }
+
+    fn on_listed(&mut self, now: Moment, tables: Option<Vec<Committed>>) -> Vec<Effect> {
+        let Some(tables) = tables else {
+            // Without a reading, nothing is known to have stood still.
+            self.directory.restart(now);
+            return Vec::new();
+        };
+        let mut effects = self.observe(now, tables);
+        effects.extend(self.adopt_lapsed(now));
+        effects
+    }
+
+    fn on_fetched(&mut self, now: Moment, reply: Option<TablesReply>) -> Vec<Effect> {
+        match reply {
+            Some(reply) => self.observe(now, reply.tables),
+            None => Vec::new(),
+        }
+    }
+
+    fn observe(&mut self, now: Moment, tables: Vec<Committed>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for committed in tables {
+            let data_centre = committed.table.data_centre.clone();
+            if data_centre == self.identity.data_centre {
+                effects.extend(self.home.on_committed(now, committed));
+                continue;
+            }
+            if let Some(member) = self.adopted.get_mut(&data_centre) {
+                effects.extend(member.on_committed(now, committed.clone()));
+            }
+            self.directory.observe(now, committed);
+        }
+        effects
+    }
+
+    fn adopt_lapsed(&self, now: Moment) -> Vec<Effect> {
+        let Some(home) = self.home.known_table() else {
+            return Vec::new();
+        };
+        let lapsed = self.directory.lapsed(now, &self.cfg);
+        lapsed
+            .into_iter()
+            .filter_map(|committed| {
+                let table = Box::new(adopt(&committed.table, home)?);
+                let expect = Expect::At(committed.version);
+                Some(Effect::Write { expect, table })
+            })
+            .collect()
+    }
+
+    /// Takes part in tables that name this host as adopter, and in no others.
+    fn join_and_leave(&mut self, now: Moment, mut effects: Vec<Effect>) -> Vec<Effect> {
+        for committed in self.adopted.values().filter_map(Member::committed) {
+            self.directory.observe_newer(now, committed);
+        }
+        for committed in self.newly_adopted() {
+            effects.extend(self.join(now, committed));
+        }
+        let host = &self.identity.host;
+        self.adopted.retain(|_, member| {
+            let table = member.known_table();
+            table.is_none_or(|table| table.hosts.contains_key(host))
+        });
+        effects
+    }
+
+    fn newly_adopted(&self) -> Vec<Committed> {
+        let incarnation = self.home.incarnation();
+        let names_self = |committed: &&Committed| {
+            let row = committed.table.hosts.get(&self.identity.host);
+            row.is_some_and(|row| row.incarnation == incarnation)
+        };
+        self.directory
+            .iter()
+            .filter(|c| !self.adopted.contains_key(&c.table.data_centre))
+            .filter(names_self)
+            .cloned()
+            .collect()
+    }
+
+    fn join(&mut self, now: Moment, committed: Committed) -> Vec<Effect> {
+        let data_centre = committed.table.data_centre.clone();
+        let mut member = self.home.adopter(data_centre.clone());
+        let effects = member.on_committed(now, committed);
+        self.adopted.insert(data_centre, member);
+        effects
+    }
+}
+
+fn home_hosts(table: &Table) -> impl Iterator<Item = HostInfo> {
+    let home = table.hosts.iter().filter(|(_, row)| !table.is_guest(row));
+    home.map(|(host, row)| HostInfo {
+        host: host.clone(),
+        data_centre: row.data_centre.clone(),
+        peer: row.peer,
+        caller: row.caller,
+        incarnation: row.incarnation,
+        draining: row.draining,
+        live: !row.lapsed,
+    })
+}
--- /dev/null
+++ b/src/version/table/directory.rs
@@ -0,0 +1,133 @@
+//! What this host knows of the other data centres' tables.
+
+use std::collections::BTreeMap;
+
+use super::lease::Sightings;
+use super::message::Committed;
+use super::message::KnownTable;
+use super::message::TablesRequest;
+use super::rows::Table;
+use crate::configs::membership::MembershipConfig;
+use crate::ids::DataCentre;
+use crate::ids::Version;
+use crate::units::Moment;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    committed: Committed,
+    sightings: Sightings,
+    moved_at: Moment,
+}
+
+/// The other data centres' tables, as last seen.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    tables: BTreeMap<DataCentre, Entry>,
+}
+
+impl Directory {
+    /// Takes a committed table; true if its ownership part is newer.
+    pub fn observe(&mut self, now: Moment, committed: Committed) -> bool {
+        let data_centre = committed.table.data_centre.clone();
+        let Some(entry) = self.tables.get_mut(&data_centre) else {
+            self.tables.insert(data_centre, Entry::new(now, committed));
+            return true;
+        };
+        entry.observe(now, committed)
+    }
+
+    /// Takes a committed table if its version is newer.
+    pub fn observe_newer(&mut self, now: Moment, committed: &Committed) {
+        let known = self.tables.get(&committed.table.data_centre);
+        if known.is_none_or(|entry| entry.committed.version < committed.version) {
+            self.observe(now, committed.clone());
+        }
+    }
+
+    /// The table of a data centre.
+    pub fn get(&self, data_centre: &DataCentre) -> Option<&Table> {
+        let entry = self.tables.get(data_centre)?;
+        Some(&entry.committed.table)
+    }
+
+    /// Every table.
+    pub fn iter(&self) -> impl Iterator<Item = &Committed> {
+        self.tables.values().map(|entry| &entry.committed)
+    }
+
+    /// Sum of the ownership versions; differs whenever one has risen.
+    pub fn digest(&self) -> u64 {
+        let ownership = |entry: &Entry| entry.committed.table.ownership.0;
+        self.tables.values().map(ownership).sum()
+    }
+
+    /// Request for newer tables than those known here.
+    pub fn request(&self) -> TablesRequest {
+        let known = |table: &Table| KnownTable {
+            data_centre: table.data_centre.clone(),
+            ownership: table.ownership,
+        };
+        TablesRequest {
+            known: self.iter().map(|c| known(&c.table)).collect(),
+        }
+    }
+
+    /// Tables whose ownership part is newer than the request's sender knows.
+    pub fn newer(&self, request: &TablesRequest) -> Vec<Committed> {
+        let known = |table: &Table| {
+            let named = request
+                .known
+                .iter()
+                .find(|k| k.data_centre == table.data_centre);
+            named.map_or(Version(0), |k| k.ownership)
+        };
+        self.iter()
+            .filter(|c| c.table.ownership > known(&c.table))
+            .cloned()
+            .collect()
+    }
+
+    /// Tables of which no heartbeat has moved for the adoption timeout.
+    pub fn lapsed(&self, now: Moment, cfg: &MembershipConfig) -> Vec<&Committed> {
+        self.tables
+            .values()
+            .filter(|entry| now.since(entry.moved_at) >= cfg.adoption_timeout)
+            .map(|entry| &entry.committed)
+            .collect()
+    }
+
+    /// Counts every table's heartbeats as first seen now.
+    ///
+    /// For a host that has not been reading them: what it last saw may have
+    /// moved and come to rest again in between.
+    pub fn restart(&mut self, now: Moment) {
+        for entry in self.tables.values_mut() {
+            entry.moved_at = now;
+        }
+    }
+}
+
+impl Entry {
+    fn new(now: Moment, committed: Committed) -> Self {
+        let mut sightings = Sightings::default();
+        sightings.observe(now, &committed.table);
+        Self {
+            committed,
+            sightings,
+            moved_at: now,
+        }
+    }
+
+    fn observe(&mut self, now: Moment, committed: Committed) -> bool {
+        if committed.version <= self.committed.version {
+            return false;
+        }
+        committed.table.assert_follows(&self.committed.table);
+        if self.sightings.observe(now, &committed.table) {
+            self.moved_at = now;
+        }
+        let newer = committed.table.ownership > self.committed.table.ownership;
+        self.committed = committed;
+        newer
+    }
+}
--- /dev/null
+++ b/src/version/table/holdings.rs
@@ -0,0 +1,171 @@
+//! The partitions that a host holds in one table.
+
+use std::collections::BTreeMap;
+
+use super::effect::PartitionEvent;
+use super::message::Release;
+use super::rows::PartitionRow;
+use crate::ids::DataCentre;
+use crate::ids::Epoch;
+use crate::ids::Partition;
+
+/// How far a held partition has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Its journal is being fenced.
+    Activating,
+    /// Calls are served.
+    Active,
+    /// No new calls are served; what runs is being finished.
+    Releasing,
+    /// Nothing runs any more; the next owner may start.
+    Released,
+}
+
+/// One held partition.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// Fencing number.
+    pub epoch: Epoch,
+    /// How far it has come.
+    pub stage: Stage,
+}
+
+/// The partitions that a host holds in one table.
+#[derive(Clone, Debug)]
+pub struct Holdings {
+    data_centre: DataCentre,
+    partitions: BTreeMap<Partition, Holding>,
+}
+
+impl Holdings {
+    /// Holds nothing.
+    pub fn new(data_centre: DataCentre) -> Self {
+        Self {
+            data_centre,
+            partitions: BTreeMap::new(),
+        }
+    }
+
+    /// True if no partition is held.
+    pub fn is_empty(&self) -> bool {
+        self.partitions.is_empty()
+    }
+
+    /// Every held partition.
+    pub fn iter(&self) -> impl Iterator<Item = (Partition, Holding)> {
+        self.partitions.iter().map(|(p, holding)| (*p, *holding))
+    }
+
+    /// True if calls of the partition are served.
+    pub fn is_active(&self, partition: Partition) -> bool {
+        let holding = self.partitions.get(&partition);
+        holding.is_some_and(|holding| holding.stage == Stage::Active)
+    }
+
+    /// Notes that a journal is fenced.
+    pub fn activated(&mut self, partition: Partition, epoch: Epoch) {
+        self.advance(partition, epoch, Stage::Activating, Stage::Active);
+    }
+
+    /// Notes that nothing of a partition runs any more.
+    pub fn released(&mut self, partition: Partition, epoch: Epoch) {
+        self.advance(partition, epoch, Stage::Releasing, Stage::Released);
+    }
+
+    fn advance(&mut self, partition: Partition, epoch: Epoch, from: Stage, to: Stage) {
+        let Some(holding) = self.partitions.get_mut(&partition) else {
+            return;
+        };
+        if holding.epoch == epoch && holding.stage == from {
+            holding.stage = to;
+        }
+    }
+
+    /// Partitions whose next owner may start.
+    pub fn releases(&self) -> Vec<Release> {
+        self.iter()
+            .filter(|(_, holding)| holding.stage == Stage::Released)
+            .map(|(partition, holding)| Release {
+                partition,
+                epoch: holding.epoch,
+            })
+            .collect()
+    }
+
+    /// Takes the partitions that a newer table gives to this host.
+    pub fn update<'a>(
+        &mut self,
+        own: impl Iterator<Item = (Partition, &'a PartitionRow)>,
+    ) -> Vec<PartitionEvent> {
+        let own: BTreeMap<_, _> = own.collect();
+        let mut events = self.lose_absent(&own);
+        for (partition, row) in own {
+            events.extend(self.update_one(partition, row));
+        }
+        events
+    }
+
+    fn lose_absent(&mut self, own: &BTreeMap<Partition, &PartitionRow>) -> Vec<PartitionEvent> {
+        let mut lost = Vec::new();
+        self.partitions.retain(|partition, holding| {
+            let kept = own
+                .get(partition)
+                .is_some_and(|row| row.epoch == holding.epoch);
+            if !kept && !is_announced(holding.stage) {
+                lost.push((*partition, holding.epoch));
+            }
+            kept
+        });
+        lost.into_iter()
+            .map(|(partition, epoch)| self.lost(partition, epoch, false))
+            .collect()
+    }
+
+    fn update_one(&mut self, partition: Partition, row: &PartitionRow) -> Option<PartitionEvent> {
+        let epoch = row.epoch;
+        let Some(holding) = self.partitions.get_mut(&partition) else {
+            return self.gain(partition, row);
+        };
+        if !row.releasing || is_announced(holding.stage) {
+            return None;
+        }
+        holding.stage = Stage::Releasing;
+        Some(self.lost(partition, epoch, true))
+    }
+
+    fn gain(&mut self, partition: Partition, row: &PartitionRow) -> Option<PartitionEvent> {
+        let epoch = row.epoch;
+        // A partition to be released before it was ever served needs no work.
+        let stage = if row.releasing {
+            Stage::Released
+        } else {
+            Stage::Activating
+        };
+        self.partitions.insert(partition, Holding { epoch, stage });
+        (stage == Stage::Activating).then(|| PartitionEvent::Gained {
+            data_centre: self.data_centre.clone(),
+            partition,
+            epoch,
+        })
+    }
+
+    fn lost(&self, partition: Partition, epoch: Epoch, handover: bool) -> PartitionEvent {
+        PartitionEvent::Lost {
+            data_centre: self.data_centre.clone(),
+            partition,
+            epoch,
+            handover,
+        }
+    }
+
+    /// Gives up everything.
+    pub fn lose_all(&mut self) -> Vec<PartitionEvent> {
+        self.lose_absent(&BTreeMap::new())
+    }
+}
+
+/// True if the loss of a holding in this stage has been announced.
+fn is_announced(stage: Stage) -> bool {
+    matches!(stage, Stage::Releasing | Stage::Released)
+}
--- /dev/null
+++ b/src/version/table/lease.rs
@@ -0,0 +1,121 @@
+//! Lease rules: a host's own lease and what it has seen of others' heartbeats.
+//!
+//! A host counts its own lease from the moment it sent the heartbeat that a
+//! committed table shows. Others count from the moment they first saw that
+//! heartbeat unchanged, which is never earlier, and wait a drift margin on
+//! top. No two clocks are ever compared.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::rows::HostRow;
+use super::rows::Table;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::units::Moment;
+
+/// A host's own lease.
+#[derive(Clone, Debug, Default)]
+pub struct OwnLease {
+    sent: VecDeque<(Sequence, Moment)>,
+    until: Option<Moment>,
+}
+
+impl OwnLease {
+    /// Notes that a heartbeat is being sent.
+    pub fn send(&mut self, sequence: Sequence, now: Moment, ttl: Duration) {
+        while self.sent.front().is_some_and(|(_, at)| *at + ttl <= now) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((sequence, now));
+    }
+
+    /// Extends the lease by a heartbeat seen in a committed table.
+    pub fn confirm(&mut self, sequence: Sequence, ttl: Duration) {
+        let Some((_, at)) = self.sent.iter().find(|(sent, _)| *sent == sequence) else {
+            return;
+        };
+        self.until = self.until.max(Some(*at + ttl));
+    }
+
+    /// True while the lease runs.
+    pub fn is_held(&self, now: Moment) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// End of the lease, if there ever was one.
+    pub fn until(&self) -> Option<Moment> {
+        self.until
+    }
+
+    /// Gives up the lease, for a new incarnation.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Sighting {
+    incarnation: Incarnation,
+    sequence: Sequence,
+    lapsed: bool,
+    heartbeat_at: Moment,
+    incarnation_at: Moment,
+}
+
+/// When this host first saw each other host's newest heartbeat.
+#[derive(Clone, Debug, Default)]
+pub struct Sightings {
+    hosts: BTreeMap<HostId, Sighting>,
+}
+
+impl Sightings {
+    /// Notes the heartbeats of a committed table; true if any has moved.
+    pub fn observe(&mut self, now: Moment, table: &Table) -> bool {
+        self.hosts.retain(|host, _| table.hosts.contains_key(host));
+        let mut moved = false;
+        for (host, row) in &table.hosts {
+            moved |= self.observe_row(now, host, row);
+        }
+        moved
+    }
+
+    fn observe_row(&mut self, now: Moment, host: &HostId, row: &HostRow) -> bool {
+        let known = self.hosts.get(host);
+        let same_incarnation = known.filter(|s| s.incarnation == row.incarnation);
+        // A host that is adopted into the table again starts afresh.
+        let same = |s: &Sighting| s.sequence == row.sequence && s.lapsed == row.lapsed;
+        if same_incarnation.is_some_and(same) {
+            return false;
+        }
+        let sighting = Sighting {
+            incarnation: row.incarnation,
+            sequence: row.sequence,
+            lapsed: row.lapsed,
+            heartbeat_at: now,
+            incarnation_at: same_incarnation.map_or(now, |s| s.incarnation_at),
+        };
+        self.hosts.insert(host.clone(), sighting);
+        true
+    }
+
+    /// Time since a row's heartbeat was first seen; zero if it is new.
+    pub fn age(&self, now: Moment, host: &HostId, row: &HostRow) -> Duration {
+        match self.hosts.get(host) {
+            Some(s) if s.incarnation == row.incarnation && s.sequence == row.sequence => {
+                now.since(s.heartbeat_at)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Time since a row's incarnation was first seen; zero if it is new.
+    pub fn incarnation_age(&self, now: Moment, host: &HostId, row: &HostRow) -> Duration {
+        match self.hosts.get(host) {
+            Some(s) if s.incarnation == row.incarnation => now.since(s.incarnation_at),
+            _ => Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/src/version/table/rows.rs
@@ -0,0 +1,217 @@
+//! The table's rows and the invariants between its versions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::DataCentre;
+use crate::ids::Epoch;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Partition;
+use crate::ids::Sequence;
+use crate::ids::Version;
+
+/// Kind of the platform objects that hold tables; the name is the data centre.
+pub const TABLE_KIND: &str = "table";
+
+/// One host of a table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRow {
+    /// Data centre of the host; another than the table's for an adopter.
+    pub data_centre: DataCentre,
+    /// Where the host listens for other hosts.
+    pub peer: SocketAddr,
+    /// Where the host listens for callers.
+    pub caller: SocketAddr,
+    /// The process start that holds this row.
+    pub incarnation: Incarnation,
+    /// Newest committed heartbeat of this incarnation.
+    pub sequence: Sequence,
+    /// True once the host hands over its partitions.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub draining: bool,
+    /// True once the lease of the newest heartbeat has run out.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub lapsed: bool,
+}
+
+impl HostRow {
+    fn same_but_for_sequence(&self, other: &Self) -> bool {
+        let other = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
+
+/// The owner of one partition.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartitionRow {
+    /// Host that owns the partition.
+    pub owner: HostId,
+    /// Incarnation of the owner; a later one does not own the partition.
+    pub incarnation: Incarnation,
+    /// Fencing number; raised with every change of owner.
+    pub epoch: Epoch,
+    /// True while the owner is asked to release the partition.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub releasing: bool,
+}
+
+/// The table of one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Table {
+    /// Data centre whose partitions the table assigns.
+    pub data_centre: DataCentre,
+    /// Raised whenever anything but a heartbeat sequence changes.
+    pub ownership: Version,
+    /// Hosts by name.
+    pub hosts: BTreeMap<HostId, HostRow>,
+    /// Owners by partition number.
+    pub partitions: Vec<PartitionRow>,
+}
+
+impl Table {
+    /// A first table in which one host owns every partition.
+    pub fn bootstrap(host: HostId, row: HostRow, partitions: u16) -> Self {
+        let partition = PartitionRow {
+            owner: host.clone(),
+            incarnation: row.incarnation,
+            epoch: Epoch(1),
+            releasing: false,
+        };
+        Self {
+            data_centre: row.data_centre.clone(),
+            ownership: Version(1),
+            hosts: BTreeMap::from([(host, row)]),
+            partitions: vec![partition; usize::from(partitions)],
+        }
+    }
+
+    /// The row of a partition, if the table has it.
+    pub fn partition(&self, partition: Partition) -> Option<&PartitionRow> {
+        self.partitions.get(usize::from(partition.0))
+    }
+
+    /// All partitions with their numbers.
+    pub fn numbered(&self) -> impl Iterator<Item = (Partition, &PartitionRow)> {
+        (0..).map(Partition).zip(&self.partitions)
+    }
+
+    /// Partitions owned by an incarnation of a host.
+    pub fn owned_by(
+        &self,
+        host: &HostId,
+        incarnation: Incarnation,
+    ) -> impl Iterator<Item = (Partition, &PartitionRow)> {
+        let owns = move |row: &PartitionRow| row.owner == *host && row.incarnation == incarnation;
+        self.numbered().filter(move |(_, row)| owns(row))
+    }
+
+    /// True if any incarnation of the host owns a partition.
+    pub fn owns_any(&self, host: &HostId) -> bool {
+        self.partitions.iter().any(|row| row.owner == *host)
+    }
+
+    /// True if the host belongs to another data centre.
+    pub fn is_guest(&self, row: &HostRow) -> bool {
+        row.data_centre != self.data_centre
+    }
+
+    /// True if both differ in nothing but heartbeat sequences.
+    pub fn same_ownership(&self, other: &Self) -> bool {
+        let same_hosts = self.hosts.len() == other.hosts.len()
+            && self
+                .hosts
+                .iter()
+                .zip(&other.hosts)
+                .all(|((a, left), (b, right))| a == b && left.same_but_for_sequence(right));
+        same_hosts && self.partitions == other.partitions
+    }
+
+    /// Checks what holds inside every table.
+    ///
+    /// # Panics
+    ///
+    /// If a partition's owner has no row or an epoch is zero.
+    pub fn assert_sound(&self) {
+        for (partition, row) in self.numbered() {
+            assert!(
+                self.hosts.contains_key(&row.owner),
+                "partition {partition} of {} is owned by {}, which has no row",
+                self.data_centre,
+                row.owner
+            );
+            assert!(row.epoch > Epoch(0), "partition {partition} has epoch 0");
+        }
+    }
+
+    /// Checks what holds between a table and any later version of it.
+    ///
+    /// # Panics
+    ///
+    /// If an epoch falls, an owner changes within an epoch, or a release is taken
+    /// back within an epoch.
+    pub fn assert_follows(&self, earlier: &Self) {
+        assert_eq!(self.data_centre, earlier.data_centre);
+        assert_eq!(self.partitions.len(), earlier.partitions.len());
+        assert!(self.ownership >= earlier.ownership, "ownership went back");
+        for ((partition, new), old) in self.numbered().zip(&earlier.partitions) {
+            assert_partition_follows(partition, new, old);
+        }
+    }
+
+    /// Checks that no heartbeat went backwards in the very next table.
+    ///
+    /// A host that left in between may come back with any heartbeat, so this
+    /// does not hold between tables further apart.
+    ///
+    /// # Panics
+    ///
+    /// If a heartbeat went backwards.
+    pub fn assert_heartbeats_follow(&self, earlier: &Self) {
+        for (host, new) in &self.hosts {
+            let Some(old) = earlier.hosts.get(host) else {
+                continue;
+            };
+            let position = |row: &HostRow| (row.incarnation, row.sequence);
+            assert!(
+                position(new) >= position(old),
+                "the heartbeat of {host} went back"
+            );
+        }
+    }
+}
+
+fn assert_partition_follows(partition: Partition, new: &PartitionRow, old: &PartitionRow) {
+    assert!(
+        new.epoch >= old.epoch,
+        "the epoch of partition {partition} fell"
+    );
+    if new.epoch > old.epoch {
+        return;
+    }
+    let same_owner = new.owner == old.owner && new.incarnation == old.incarnation;
+    assert!(
+        same_owner,
+        "partition {partition} changed its owner within epoch {}",
+        new.epoch
+    );
+    assert!(
+        new.releasing || !old.releasing,
+        "the release of partition {partition} was taken back within epoch {}",
+        new.epoch
+    );
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_false(value: &bool) -> bool {
+    !value
+}
