--- /dev/null
+++ b/src/version/journal/begin.rs
@@ -0,0 +1,371 @@
+//! Start of calls: idempotency keys, order, budget and intent.
+
+use super::budget::Cover;
+use super::call::CallSpec;
+use super::call::Permit;
+use super::call::Reply;
+use super::call::RequestId;
+use super::call::Scope;
+use super::document::Answer;
+use super::document::OnceId;
+use super::document::OnceRecord;
+use super::document::OnceState;
+use super::machine::Call;
+use super::machine::Journal;
+use super::machine::Phase;
+use super::machine::Timer;
+use super::machine::Wait;
+use super::order::Misplaced;
+use crate::ids::Ordinal;
+use crate::ids::ProgramId;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::request::outcome::Result;
+use crate::units::Moment;
+use crate::units::Tokens;
+
+impl Journal {
+    /// Asks to start a call.
+    ///
+    /// Replies [`Reply::Run`] once it is the call's turn and what it needs is
+    /// durable, [`Reply::Replay`] if it has run before, or a refusal.
+    pub fn begin(&mut self, now: Moment, spec: CallSpec) -> RequestId {
+        let request = self.new_request();
+        if let Some(reply) = self.known(&spec) {
+            self.reply(request, reply);
+            return request;
+        }
+        if let Err(refusal) = self.enqueue(now, request, spec) {
+            self.reply(request, Reply::Refused(refusal));
+        }
+        request
+    }
+
+    /// The reply to a call whose idempotency key is known.
+    fn known(&self, spec: &CallSpec) -> Option<Reply> {
+        let once = spec.once.as_ref()?;
+        let id = spec.once_id()?;
+        if self.body_of(id)? != once.body {
+            let refusal = Refusal::not_run(
+                Reason::ConflictingKey,
+                "the key came with another body before",
+            );
+            return Some(Reply::Refused(refusal));
+        }
+        Some(self.outcome_of(id))
+    }
+
+    fn body_of(&self, id: OnceId) -> Option<super::Digest> {
+        let recorded = self.doc.once.get(&id).map(|record| record.body);
+        let waiting = || {
+            let request = self.in_flight.get(&id)?;
+            let once = self.calls.get(request)?.spec.once.as_ref()?;
+            Some(once.body)
+        };
+        recorded.or_else(waiting)
+    }
+
+    fn outcome_of(&self, id: OnceId) -> Reply {
+        if self.in_flight.contains_key(&id) {
+            let detail = "the call may be running";
+            return Reply::Refused(Refusal::unknown(Reason::StillRunning, detail));
+        }
+        let state = self.doc.once.get(&id).map(|record| &record.state);
+        let answer = match (state, self.unstored.get(&id)) {
+            (Some(OnceState::Answered(answer)), _) => answer.clone(),
+            (_, Some(answer)) => Answer::Inline(answer.clone()),
+            _ => {
+                let detail = "the call may have run; its outcome is not recorded";
+                return Reply::Refused(Refusal::unknown(Reason::EndpointFailed, detail));
+            }
+        };
+        if answer == Answer::Omitted {
+            let detail = "the call has run; its answer was too large to keep";
+            return Reply::Refused(Refusal::unknown(Reason::EndpointFailed, detail));
+        }
+        self.counters.replays.add(1);
+        Reply::Replay(answer)
+    }
+
+    fn enqueue(&mut self, now: Moment, request: RequestId, spec: CallSpec) -> Result<()> {
+        if let Some(refusal) = self.closed() {
+            return Err(refusal);
+        }
+        let program = match &spec.scope {
+            Scope::Program(program) => Some(program.clone()),
+            Scope::Single(_) => None,
+        };
+        let mut ordinal = None;
+        if let Some(program) = &program {
+            self.check_program(program, &spec.customer)?;
+            ordinal = Some(self.place(request, program, &spec)?);
+            self.count_call(now, program, 1);
+        }
+        let once = spec.once_id();
+        if let Some(id) = once {
+            self.in_flight.insert(id, request);
+        }
+        self.set_alarm(request, Some(spec.deadline));
+        let call = Call {
+            spec,
+            once,
+            ordinal,
+            phase: Phase::Turn,
+            charged: Vec::new(),
+            intent: None,
+        };
+        self.calls.insert(request, call);
+        match &program {
+            Some(program) => self.advance(now, program),
+            None => self.start(now, request),
+        }
+        Ok(())
+    }
+
+    fn place(
+        &mut self,
+        request: RequestId,
+        program: &ProgramId,
+        spec: &CallSpec,
+    ) -> Result<Ordinal> {
+        let most = self.cfg.max_waiting_calls;
+        let live = self.programs.get_mut(program).expect("the program is live");
+        if live.sequence.waiting_len() >= most {
+            let detail = "too many calls of the program are waiting";
+            return Err(Refusal::not_run(Reason::Overloaded, detail));
+        }
+        let repeats = spec.repeatable && spec.once.is_none();
+        let placed = live.sequence.place(request, spec.ordinal, repeats);
+        placed.map_err(|misplaced| self.misplaced(misplaced, spec))
+    }
+
+    fn misplaced(&self, misplaced: Misplaced, spec: &CallSpec) -> Refusal {
+        self.counters.refused_order.add(1);
+        match misplaced {
+            Misplaced::InFlight => Refusal::unknown(
+                Reason::StillRunning,
+                "a call of this ordinal is waiting or running",
+            ),
+            // A once-only call whose key is not recorded has never started.
+            Misplaced::Passed if spec.once.is_some() => Refusal::not_run(
+                Reason::OutOfOrder,
+                "a call of this or a later ordinal has started",
+            ),
+            Misplaced::Passed => Refusal::unknown(
+                Reason::OutOfOrder,
+                "a call of this or a later ordinal has started",
+            ),
+        }
+    }
+
+    /// Starts the calls of a program whose turn has come.
+    pub(super) fn advance(&mut self, now: Moment, program: &ProgramId) {
+        while let Some(request) = self.take_next(program) {
+            self.start(now, request);
+        }
+        self.watch_gap(now, program);
+        self.drop_if_gone(program);
+    }
+
+    fn take_next(&mut self, program: &ProgramId) -> Option<RequestId> {
+        self.programs.get_mut(program)?.sequence.take_next()
+    }
+
+    fn watch_gap(&mut self, now: Moment, program: &ProgramId) {
+        let Some(live) = self.programs.get_mut(program) else {
+            return;
+        };
+        if !live.sequence.has_gap() {
+            live.gap_since = None;
+            return;
+        }
+        if live.gap_since.is_none() {
+            live.gap_since = Some(now);
+            let gap = Timer::Gap(program.clone());
+            self.timers.insert((now + self.cfg.gap_wait, gap));
+        }
+    }
+
+    /// Ends the wait for missing ordinals if it has lasted long enough.
+    pub(super) fn check_gap(&mut self, now: Moment, program: &ProgramId) {
+        let Some(live) = self.programs.get_mut(program) else {
+            return;
+        };
+        let Some(since) = live.gap_since else {
+            return;
+        };
+        let until = since + self.cfg.gap_wait;
+        if until > now {
+            self.timers.insert((until, Timer::Gap(program.clone())));
+            return;
+        }
+        live.gap_since = None;
+        if !live.sequence.pass_gap() {
+            self.refuse_ahead(now, program);
+        }
+        self.advance(now, program);
+    }
+
+    fn refuse_ahead(&mut self, now: Moment, program: &ProgramId) {
+        let live = self.programs.get(program);
+        let ahead: Vec<RequestId> = live
+            .into_iter()
+            .flat_map(|l| l.sequence.waiting())
+            .collect();
+        for request in ahead {
+            self.counters.refused_order.add(1);
+            let detail = "earlier calls of the program have not come";
+            self.drop_call(now, request, Refusal::not_run(Reason::OutOfOrder, detail));
+        }
+    }
+
+    /// Makes a call ready whose turn has come, or refuses it.
+    fn start(&mut self, now: Moment, request: RequestId) {
+        match self.prepare(now, request) {
+            Ok(revision) if revision <= self.durable => self.permit(request),
+            Ok(revision) => {
+                let call = self
+                    .calls
+                    .get_mut(&request)
+                    .expect("the call has been placed");
+                call.phase = Phase::Commit;
+                let until = call.spec.deadline.min(now + self.cfg.commit_wait);
+                self.set_alarm(request, Some(until));
+                self.wait_for(request, Wait::Begin, revision);
+            }
+            Err(refusal) => self.drop_call(now, request, refusal),
+        }
+    }
+
+    /// Charges a call and records its intent; gives the revision to wait for.
+    fn prepare(&mut self, now: Moment, request: RequestId) -> Result<u64> {
+        let call = &self.calls[&request];
+        let (once, worst) = (call.once, call.spec.worst_cost);
+        if once.is_some() && self.pace.is_out() {
+            return Err(self.unavailable());
+        }
+        let mut revision = 0;
+        if let Some(program) = call.spec.scope.program().cloned() {
+            revision = self.charge(now, request, &program, worst)?;
+        }
+        if revision > self.durable && self.pace.is_out() {
+            return Err(self.unavailable());
+        }
+        if let Some(id) = once {
+            revision = self.record_intent(now, request, id)?;
+        }
+        Ok(revision)
+    }
+
+    /// Charges a program and its parents; gives the revision that covers it.
+    fn charge(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        program: &ProgramId,
+        cost: Tokens,
+    ) -> Result<u64> {
+        let chain = self.chain(program);
+        let fits = |id: &ProgramId| {
+            let account = self.programs.get(id).and_then(|live| live.account.as_ref());
+            account.is_none_or(|account| account.fits(cost))
+        };
+        if !chain.iter().all(fits) {
+            self.counters.refused_budget.add(1);
+            let detail = "the budget does not cover the call's worst case";
+            return Err(Refusal::not_run(Reason::BudgetSpent, detail));
+        }
+        let covered = chain.iter().map(|id| self.charge_one(now, id, cost)).max();
+        let call = self
+            .calls
+            .get_mut(&request)
+            .expect("the call has been placed");
+        call.charged = chain;
+        Ok(covered.unwrap_or_default())
+    }
+
+    fn charge_one(&mut self, now: Moment, program: &ProgramId, cost: Tokens) -> u64 {
+        let slice = self.slice();
+        let account = self
+            .programs
+            .get_mut(program)
+            .and_then(|l| l.account.as_mut());
+        let Some(account) = account else {
+            return 0;
+        };
+        let cover = account.charge(cost, slice);
+        let prefetch = account.prefetch(slice);
+        match (cover, prefetch) {
+            (Cover::Grow(reserved), _) => self.reserve(now, program, reserved),
+            (Cover::Revision(revision), _) => revision,
+            (Cover::Durable, Some(reserved)) => {
+                self.reserve(now, program, reserved);
+                0
+            }
+            (Cover::Durable, None) => 0,
+        }
+    }
+
+    fn reserve(&mut self, now: Moment, program: &ProgramId, reserved: Tokens) -> u64 {
+        let revision = self.changed(now);
+        let record = self
+            .doc
+            .programs
+            .get_mut(program)
+            .expect("live programs are recorded");
+        record.reserved = reserved;
+        let account = self
+            .programs
+            .get_mut(program)
+            .and_then(|l| l.account.as_mut());
+        account
+            .expect("the account was charged")
+            .grow(reserved, revision);
+        revision
+    }
+
+    fn record_intent(&mut self, now: Moment, request: RequestId, id: OnceId) -> Result<u64> {
+        let call = &self.calls[&request];
+        let once = call.spec.once.as_ref().expect("the call has a key");
+        let record = OnceRecord {
+            customer: call.spec.customer.clone(),
+            body: once.body,
+            at_ms: self.clock_ms(now),
+            state: OnceState::Open,
+        };
+        self.make_room(now, self.sizes.of_once(id, &record))?;
+        self.sizes.set_once(id, &record);
+        let old = self.doc.once.insert(id, record);
+        assert!(old.is_none(), "one-intent-per-key");
+        let revision = self.changed(now);
+        let call = self
+            .calls
+            .get_mut(&request)
+            .expect("the call has been placed");
+        call.intent = Some(revision);
+        self.counters.intents.add(1);
+        Ok(revision)
+    }
+
+    /// Lets a call go; invariant `permit-needs-durable-intent`.
+    pub(super) fn permit(&mut self, request: RequestId) {
+        let epoch = self.epoch();
+        let call = self
+            .calls
+            .get_mut(&request)
+            .expect("the call has been placed");
+        let is_durable = call.intent.is_some_and(|revision| revision <= self.durable);
+        assert!(
+            is_durable || call.once.is_none(),
+            "permit-needs-durable-intent"
+        );
+        call.phase = Phase::Permitted;
+        let permit = Permit {
+            request,
+            program: call.spec.scope.program().cloned(),
+            ordinal: call.ordinal,
+            epoch,
+        };
+        self.reply(request, Reply::Run(permit));
+    }
+}
--- /dev/null
+++ b/src/version/journal/budget.rs
@@ -0,0 +1,127 @@
+//! One budget: tokens reserved in the journal and spent from memory.
+
+use std::collections::VecDeque;
+
+use crate::units::Tokens;
+
+/// Slices that even a small budget is divided into.
+const MIN_SLICES: u64 = 8;
+
+/// A growth of the reservation that is not known to be durable.
+#[derive(Clone, Copy, Debug)]
+struct Growth {
+    revision: u64,
+    reserved: Tokens,
+}
+
+/// A budget as its owner sees it.
+///
+/// Invariant `spent-within-budget`: spent <= reserved <= budget, and what
+/// permitted calls may spend never exceeds what is durably reserved.
+#[derive(Debug)]
+pub(super) struct Account {
+    budget: Tokens,
+    reserved: Tokens,
+    durable: Tokens,
+    spent: Tokens,
+    growths: VecDeque<Growth>,
+}
+
+/// What a charge needs before its call may start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Cover {
+    /// The durable reservation covers it.
+    Durable,
+    /// The reservation of this revision covers it once durable.
+    Revision(u64),
+    /// The reservation has to grow to this many tokens.
+    Grow(Tokens),
+}
+
+impl Account {
+    /// An account found in a journal; what an earlier owner reserved counts as spent.
+    pub(super) fn recovered(budget: Tokens, reserved: Tokens) -> Self {
+        assert!(reserved <= budget, "spent-within-budget");
+        Self {
+            budget,
+            reserved,
+            durable: reserved,
+            spent: reserved,
+            growths: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn spent(&self) -> Tokens {
+        self.spent
+    }
+
+    /// Whether a charge fits the budget.
+    pub(super) fn fits(&self, cost: Tokens) -> bool {
+        self.spent
+            .0
+            .checked_add(cost.0)
+            .is_some_and(|sum| sum <= self.budget.0)
+    }
+
+    /// Charges a call at its worst case; the caller has asked [`Self::fits`].
+    pub(super) fn charge(&mut self, cost: Tokens, slice: Tokens) -> Cover {
+        assert!(self.fits(cost), "spent-within-budget");
+        self.spent = self.spent.saturating_add(cost);
+        if self.spent <= self.durable {
+            return Cover::Durable;
+        }
+        let covering = self
+            .growths
+            .iter()
+            .find(|growth| self.spent <= growth.reserved);
+        match covering {
+            Some(growth) => Cover::Revision(growth.revision),
+            None => Cover::Grow(self.ahead(slice)),
+        }
+    }
+
+    /// The reservation to ask for before calls have to wait for it, if any.
+    pub(super) fn prefetch(&self, slice: Tokens) -> Option<Tokens> {
+        let slice = self.slice(slice);
+        let left = self.reserved.saturating_sub(self.spent);
+        let low = left.0 < slice.0 / 2 && self.spent > Tokens(0);
+        (low && self.reserved < self.budget).then(|| self.ahead(slice))
+    }
+
+    /// Notes that the journal's revision holds a larger reservation.
+    pub(super) fn grow(&mut self, reserved: Tokens, revision: u64) {
+        assert!(
+            self.reserved <= reserved && reserved <= self.budget,
+            "spent-within-budget"
+        );
+        self.reserved = reserved;
+        self.growths.push_back(Growth { revision, reserved });
+    }
+
+    /// Notes that the journal is durable up to a revision.
+    pub(super) fn confirm(&mut self, durable: u64) {
+        while let Some(growth) = self.growths.front().copied() {
+            if growth.revision > durable {
+                return;
+            }
+            self.durable = growth.reserved;
+            self.growths.pop_front();
+        }
+    }
+
+    /// Replaces a charge by what the call cost, at most the charge.
+    pub(super) fn settle(&mut self, charged: Tokens, cost: Tokens) {
+        let refund = charged.saturating_sub(cost);
+        self.spent = self.spent.saturating_sub(refund);
+    }
+
+    fn slice(&self, slice: Tokens) -> Tokens {
+        let share = Tokens((self.budget.0 / MIN_SLICES).max(1));
+        slice.min(share)
+    }
+
+    fn ahead(&self, slice: Tokens) -> Tokens {
+        let wanted = self.spent.max(self.reserved);
+        wanted.saturating_add(self.slice(slice)).min(self.budget)
+    }
+}
--- /dev/null
+++ b/src/version/journal/commit.rs
@@ -0,0 +1,316 @@
+//! Group commit: when the journal is written, and how a write is settled.
+
+use super::JOURNAL_KIND;
+use super::call::Durability;
+use super::call::Reply;
+use super::call::RequestId;
+use super::document::Answer;
+use super::document::Document;
+use super::document::Header;
+use super::document::OnceId;
+use super::home::PartitionId;
+use super::machine::Journal;
+use super::machine::Phase;
+use super::machine::Status;
+use super::machine::Timer;
+use super::machine::Wait;
+use super::machine::Waiter;
+use crate::connection::platform::Nonce;
+use crate::connection::platform::Object;
+use crate::connection::platform::PlatformError;
+use crate::connection::platform::Written;
+use crate::connection::platform::decode;
+use crate::ids::Version;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::units::Moment;
+
+/// A conditional write of the journal's object.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WriteRequest {
+    /// Version that the object must have.
+    pub expected: Version,
+    /// Nonce inside the value's envelope.
+    pub nonce: Nonce,
+    /// The encoded document in its envelope.
+    pub value: Vec<u8>,
+}
+
+/// What the owner has to do next; one platform call at a time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Write the journal, then call [`Journal::written`].
+    Write(WriteRequest),
+    /// Read the journal, then call [`Journal::settled`].
+    Read,
+    /// Create an object of kind [`ANSWER_KIND`](super::ANSWER_KIND), then call
+    /// [`Journal::answer_stored`].
+    StoreAnswer {
+        /// Name of the object.
+        name: String,
+        /// The answer.
+        answer: super::StoredAnswer,
+    },
+    /// Wait for a request or until this moment.
+    Wait(Option<Moment>),
+    /// Stop; the partition is released or lost.
+    Stop,
+}
+
+/// The platform call under way; invariant `one-write-in-flight`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Io {
+    /// None.
+    Idle,
+    /// A write of this revision.
+    Writing(u64),
+    /// A write's outcome has to be read.
+    Unsettled,
+    /// A read to settle a write.
+    Settling,
+    /// An answer's object is being created.
+    Storing(OnceId, RequestId),
+}
+
+impl Journal {
+    /// Runs what is due and gives the next platform call.
+    pub fn poll(&mut self, now: Moment) -> Action {
+        self.run_timers(now);
+        self.check_release(now);
+        if matches!(self.status, Status::Deposed | Status::Released { .. }) {
+            return Action::Stop;
+        }
+        match self.io {
+            Io::Idle => self.poll_idle(now),
+            Io::Unsettled if self.pace.next_try() <= now => {
+                self.io = Io::Settling;
+                self.counters.settling_reads.add(1);
+                Action::Read
+            }
+            Io::Unsettled => self.wait(Some(self.pace.next_try())),
+            Io::Writing(_) | Io::Settling | Io::Storing(..) => self.wait(None),
+        }
+    }
+
+    fn poll_idle(&mut self, now: Moment) -> Action {
+        if let Some(large) = self.large.front() {
+            let (once, request) = (large.once, large.request);
+            if self.pace.next_try() <= now {
+                return self.store_answer(once, request);
+            }
+        }
+        let due = self.write_due();
+        match due {
+            Some(at) if at <= now => Action::Write(self.write(now)),
+            Some(at) => self.wait(Some(at)),
+            None if self.large.is_empty() => self.wait(None),
+            None => self.wait(Some(self.pace.next_try())),
+        }
+    }
+
+    fn wait(&self, until: Option<Moment>) -> Action {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        Action::Wait(until.into_iter().chain(timer).min())
+    }
+
+    fn write_due(&self) -> Option<Moment> {
+        let dirty_since = self.dirty_since?;
+        // After failures the next write also finds out whether the platform is back.
+        let is_urgent = !self.commits.is_empty() || self.is_flushing() || self.pace.is_failing();
+        let lazily = match is_urgent {
+            true => Moment::default(),
+            false => dirty_since + self.cfg.lazy_interval,
+        };
+        Some(lazily.max(self.pace.next_write()))
+    }
+
+    fn is_flushing(&self) -> bool {
+        matches!(self.status, Status::Flushing { .. })
+    }
+
+    fn write(&mut self, now: Moment) -> WriteRequest {
+        assert_eq!(self.io, Io::Idle, "one-write-in-flight");
+        self.doc.header.clock_ms = self.clock_ms(now);
+        self.io = Io::Writing(self.doc.header.revision);
+        self.dirty_since = None;
+        self.pace.started(now);
+        let (nonce, value) = self.doc.encode();
+        self.counters.writes.add(1);
+        self.counters.written_bytes.add(value.len() as u64);
+        WriteRequest {
+            expected: self.version,
+            nonce,
+            value,
+        }
+    }
+
+    fn store_answer(&mut self, once: OnceId, request: RequestId) -> Action {
+        self.io = Io::Storing(once, request);
+        Action::StoreAnswer {
+            name: answer_name(&self.id, once),
+            answer: self.unstored[&once].clone(),
+        }
+    }
+
+    /// Takes the result of a write.
+    pub fn written(&mut self, now: Moment, result: &Result<Written, PlatformError>) {
+        let Io::Writing(revision) = self.io else {
+            panic!("one-write-in-flight");
+        };
+        match result {
+            Ok(Written::Done(version)) => {
+                self.io = Io::Idle;
+                self.version = *version;
+                self.pace.succeeded(now);
+                self.confirm(now, revision);
+            }
+            // Another owner, or an earlier write of this one that came late.
+            Ok(Written::Conflict) => self.io = Io::Unsettled,
+            Err(_) => {
+                self.io = Io::Unsettled;
+                self.counters.failures.add(1);
+                self.pace.failed(now);
+            }
+        }
+    }
+
+    /// Takes the result of a read that settles a write.
+    pub fn settled(&mut self, now: Moment, result: Result<Option<Object>, PlatformError>) {
+        assert_eq!(self.io, Io::Settling, "one-write-in-flight");
+        let Ok(found) = result else {
+            self.io = Io::Unsettled;
+            self.counters.failures.add(1);
+            self.pace.failed(now);
+            return;
+        };
+        let ours = found.and_then(|object| self.own_header(&object));
+        let Some((version, header)) = ours else {
+            self.depose(now);
+            return;
+        };
+        self.io = Io::Idle;
+        self.version = version;
+        if header.revision > self.durable {
+            self.pace.reached();
+        }
+        self.confirm(now, header.revision);
+        if self.doc.header.revision > self.durable {
+            self.dirty_since.get_or_insert(now);
+        }
+    }
+
+    /// The header of a stored journal if this owner wrote it.
+    fn own_header(&self, object: &Object) -> Option<(Version, Header)> {
+        let stored: Document = decode(JOURNAL_KIND, object).ok()?;
+        let ours = self.doc.header;
+        let header = stored.header;
+        let is_ours = header.epoch == ours.epoch && header.owner == ours.owner;
+        is_ours.then_some((object.version, header))
+    }
+
+    /// Takes the result of creating an answer's object.
+    pub fn answer_stored(&mut self, now: Moment, result: &Result<(), PlatformError>) {
+        let Io::Storing(once, request) = self.io else {
+            panic!("one-write-in-flight");
+        };
+        self.io = Io::Idle;
+        if result.is_err() {
+            self.counters.failures.add(1);
+            self.pace.failed(now);
+            return;
+        }
+        self.pace.reached();
+        self.large.pop_front();
+        self.unstored.remove(&once);
+        let name = answer_name(&self.id, once);
+        let still_waits = self.waits.contains_key(&request);
+        self.record_outcome(now, request, once, Answer::Object(name));
+        if !still_waits {
+            self.stop_waiting(request);
+        }
+    }
+
+    /// Notes that the journal is durable up to a revision.
+    fn confirm(&mut self, now: Moment, revision: u64) {
+        assert!(revision <= self.doc.header.revision, "durable-is-a-prefix");
+        self.durable = self.durable.max(revision);
+        for live in self.programs.values_mut() {
+            if let Some(account) = &mut live.account {
+                account.confirm(self.durable);
+            }
+        }
+        let later = self.commits.split_off(&(self.durable + 1, RequestId(0)));
+        let done = std::mem::replace(&mut self.commits, later);
+        for (_, request) in done {
+            self.committed(now, request);
+        }
+    }
+
+    fn committed(&mut self, now: Moment, request: RequestId) {
+        let Some(Waiter { wait, .. }) = self.waits.remove(&request) else {
+            return;
+        };
+        match wait {
+            Wait::Begin => self.commit_begin(now, request),
+            Wait::Record => self.reply(request, Reply::Recorded(Durability::Durable)),
+            Wait::Open(_) | Wait::End => self.opened_or_ended(request, &wait),
+        }
+    }
+
+    fn commit_begin(&mut self, now: Moment, request: RequestId) {
+        let call = &self.calls[&request];
+        let program = call.spec.scope.program();
+        if program.is_some_and(|program| self.is_ended(program)) {
+            let refusal = Refusal::not_run(Reason::Cancelled, "the program has ended");
+            self.refuse(now, request, refusal);
+        } else {
+            self.permit(request);
+        }
+    }
+
+    fn run_timers(&mut self, now: Moment) {
+        while self.timers.first().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, timer)) = self.timers.pop_first() else {
+                return;
+            };
+            match timer {
+                Timer::Alarm(request) => self.alarm(now, request),
+                Timer::Gap(program) => self.check_gap(now, &program),
+                Timer::Idle(program) => self.check_idle(now, &program),
+                Timer::Sweep => {
+                    self.sweep(now);
+                    self.timers
+                        .insert((now + self.sweep_interval(), Timer::Sweep));
+                }
+            }
+        }
+    }
+
+    fn alarm(&mut self, now: Moment, request: RequestId) {
+        self.alarms.remove(&request);
+        let phase = self.calls.get(&request).map(|call| call.phase);
+        if phase == Some(Phase::Turn) {
+            let detail = "the call's deadline passed before its turn";
+            self.refuse(now, request, Refusal::not_run(Reason::Overloaded, detail));
+            return;
+        }
+        match self.stop_waiting(request) {
+            Some(Wait::Begin) => {
+                let refusal = self.unavailable();
+                self.refuse(now, request, refusal);
+            }
+            Some(Wait::Record) => self.reply(request, Reply::Recorded(Durability::Pending)),
+            Some(Wait::Open(program)) => {
+                self.withdraw_open(now, &program);
+                let refusal = self.unavailable();
+                self.reply(request, Reply::Refused(refusal));
+            }
+            Some(Wait::End) => self.reply(request, Reply::Ended(Durability::Pending)),
+            None => {}
+        }
+    }
+}
+
+fn answer_name(id: &PartitionId, once: OnceId) -> String {
+    format!("{id}.{once}")
+}
--- /dev/null
+++ b/src/version/journal/finish.rs
@@ -0,0 +1,264 @@
+//! Dispatch and end of calls.
+
+use super::call::Durability;
+use super::call::Finished;
+use super::call::Outcome;
+use super::call::Reply;
+use super::call::RequestId;
+use super::document::Answer;
+use super::document::OnceId;
+use super::document::OnceState;
+use super::document::StoredAnswer;
+use super::machine::Call;
+use super::machine::Journal;
+use super::machine::LargeAnswer;
+use super::machine::Phase;
+use super::machine::Status;
+use super::machine::Wait;
+use super::machine::Waiter;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::request::outcome::Result;
+use crate::units::Moment;
+use crate::units::Tokens;
+
+impl Journal {
+    /// Checks a permitted call once more, just before it is dispatched.
+    ///
+    /// # Errors
+    ///
+    /// A true `not-run`: the call must not be dispatched and its permit is void.
+    pub fn check_dispatch(&mut self, now: Moment, request: RequestId) -> Result<()> {
+        let refusal = self.dispatch_refusal(request);
+        if let Some(refusal) = refusal {
+            self.give_up(now, request);
+            return Err(refusal);
+        }
+        let call = self.calls.get_mut(&request).expect("checked above");
+        call.phase = Phase::Dispatched;
+        let program = call.spec.scope.program().cloned();
+        let live = program.and_then(|program| self.programs.get_mut(&program));
+        if let Some(live) = live {
+            live.sequence.start(request);
+        }
+        Ok(())
+    }
+
+    fn dispatch_refusal(&self, request: RequestId) -> Option<Refusal> {
+        if let Some(refusal) = self.closed() {
+            return Some(refusal);
+        }
+        let cancelled = || Refusal::not_run(Reason::Cancelled, "the call has been given up");
+        let Some(call) = self.calls.get(&request) else {
+            return Some(cancelled());
+        };
+        let program = call.spec.scope.program();
+        let is_over = program.is_some_and(|program| self.is_ended(program));
+        (is_over || call.phase != Phase::Permitted).then(cancelled)
+    }
+
+    /// Ends a call; replies [`Reply::Recorded`].
+    pub fn finish(&mut self, now: Moment, request: RequestId, finished: Finished) -> RequestId {
+        if matches!(self.status, Status::Deposed | Status::Released { .. }) {
+            self.calls.remove(&request);
+            self.reply(request, Reply::Recorded(Durability::Lost));
+            return request;
+        }
+        let Some(call) = self.take_finished(request) else {
+            self.reply(request, Reply::Recorded(Durability::Lost));
+            return request;
+        };
+        match finished.outcome {
+            Outcome::NotRun => self.finish_not_run(now, request, &call),
+            Outcome::Unknown => {
+                self.settle(&call, call.spec.worst_cost);
+                self.pass(now, request, &call);
+                self.reply(request, Reply::Recorded(Durability::Durable));
+            }
+            Outcome::Answered(answer) => {
+                self.settle(&call, finished.cost);
+                self.pass(now, request, &call);
+                self.record_answer(now, request, &call, answer);
+            }
+        }
+        self.leave_program(now, &call);
+        request
+    }
+
+    fn take_finished(&mut self, request: RequestId) -> Option<Call> {
+        let phase = self.calls.get(&request)?.phase;
+        let is_permitted = matches!(phase, Phase::Permitted | Phase::Dispatched);
+        let call = is_permitted.then(|| self.calls.remove(&request))??;
+        if let Some(id) = call.once {
+            self.in_flight.remove(&id);
+        }
+        Some(call)
+    }
+
+    fn finish_not_run(&mut self, now: Moment, request: RequestId, call: &Call) {
+        self.undo(now, request, call);
+        let durability = match call.once {
+            Some(_) => Durability::Pending,
+            None => Durability::Durable,
+        };
+        self.reply(request, Reply::Recorded(durability));
+    }
+
+    /// Takes back what a call that has not run holds.
+    fn undo(&mut self, now: Moment, request: RequestId, call: &Call) {
+        self.settle(call, Tokens(0));
+        if let (Some(id), Some(_)) = (call.once, call.intent) {
+            self.doc.once.remove(&id);
+            self.sizes.remove_once(id);
+            self.changed(now);
+        }
+        let program = call.spec.scope.program();
+        if let Some(live) = program.and_then(|program| self.programs.get_mut(program)) {
+            live.sequence.leave(request);
+        }
+    }
+
+    fn settle(&mut self, call: &Call, cost: Tokens) {
+        let worst = call.spec.worst_cost;
+        if cost > worst {
+            self.counters.overruns.add(1);
+        }
+        for program in &call.charged {
+            let account = self
+                .programs
+                .get_mut(program)
+                .and_then(|l| l.account.as_mut());
+            if let Some(account) = account {
+                account.settle(worst, cost);
+            }
+        }
+    }
+
+    /// Moves a program past a call that has, or may have, run.
+    fn pass(&mut self, now: Moment, request: RequestId, call: &Call) {
+        let Some(program) = call.spec.scope.program() else {
+            return;
+        };
+        let live = self.programs.get_mut(program);
+        let Some(ordinal) = live.and_then(|live| live.sequence.finish(request)) else {
+            return;
+        };
+        let Some(record) = self.doc.programs.get_mut(program) else {
+            return;
+        };
+        if ordinal > record.high_water {
+            record.high_water = ordinal;
+            self.changed(now);
+        }
+    }
+
+    fn record_answer(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        call: &Call,
+        answer: StoredAnswer,
+    ) {
+        let Some(id) = call.once else {
+            self.reply(request, Reply::Recorded(Durability::Durable));
+            return;
+        };
+        self.set_alarm(request, Some(now + self.cfg.commit_wait));
+        let bytes = answer.encoded_len();
+        if bytes > self.cfg.max_answer_bytes {
+            self.record_outcome(now, request, id, Answer::Omitted);
+        } else if bytes > self.cfg.inline_answer_bytes {
+            self.unstored.insert(id, answer);
+            self.large.push_back(LargeAnswer { once: id, request });
+            let waiter = Waiter {
+                wait: Wait::Record,
+                revision: None,
+            };
+            self.waits.insert(request, waiter);
+        } else {
+            self.record_outcome(now, request, id, Answer::Inline(answer));
+        }
+    }
+
+    pub(super) fn record_outcome(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        id: OnceId,
+        answer: Answer,
+    ) {
+        let record = self
+            .doc
+            .once
+            .get_mut(&id)
+            .expect("a started call is recorded");
+        record.state = OnceState::Answered(answer);
+        self.sizes.set_once(id, record);
+        let revision = self.changed(now);
+        self.wait_for(request, Wait::Record, revision);
+    }
+
+    /// Gives up a call whose caller has gone or whose permit was dropped.
+    ///
+    /// A call that was not dispatched has not run, and its key is free again;
+    /// one that was dispatched may have run.
+    pub fn abandon(&mut self, now: Moment, request: RequestId) {
+        let phase = self.calls.get(&request).map(|call| call.phase);
+        if phase == Some(Phase::Dispatched) {
+            let finished = Finished {
+                cost: Tokens(u64::MAX),
+                outcome: Outcome::Unknown,
+            };
+            self.finish(now, request, finished);
+        } else {
+            self.give_up(now, request);
+        }
+    }
+
+    /// Removes a call that was not dispatched.
+    fn give_up(&mut self, now: Moment, request: RequestId) {
+        let Some(call) = self.remove(now, request) else {
+            self.stop_waiting(request);
+            return;
+        };
+        self.leave_program(now, &call);
+    }
+
+    fn remove(&mut self, now: Moment, request: RequestId) -> Option<Call> {
+        let call = self.calls.remove(&request)?;
+        assert!(call.phase != Phase::Dispatched, "not-run-is-true");
+        self.stop_waiting(request);
+        self.set_alarm(request, None);
+        if let Some(id) = call.once {
+            self.in_flight.remove(&id);
+        }
+        self.undo(now, request, &call);
+        Some(call)
+    }
+
+    fn leave_program(&mut self, now: Moment, call: &Call) {
+        if let Some(program) = call.spec.scope.program() {
+            self.count_call(now, program, -1);
+            self.advance(now, program);
+        }
+    }
+
+    /// Refuses a call that was not dispatched and starts those behind it.
+    pub(super) fn refuse(&mut self, now: Moment, request: RequestId, refusal: Refusal) {
+        let call = self.remove(now, request);
+        self.reply(request, Reply::Refused(refusal));
+        if let Some(call) = call {
+            self.leave_program(now, &call);
+        }
+    }
+
+    /// Refuses a call that was not dispatched; the caller looks after the next.
+    pub(super) fn drop_call(&mut self, now: Moment, request: RequestId, refusal: Refusal) {
+        if let Some(call) = self.remove(now, request)
+            && let Some(program) = call.spec.scope.program()
+        {
+            self.count_call(now, program, -1);
+        }
+        self.reply(request, Reply::Refused(refusal));
+    }
+}
--- /dev/null
+++ b/src/version/journal/machine.rs
@@ -0,0 +1,391 @@
+//! The state machine of one partition's journal.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::budget::Account;
+use super::call::CallSpec;
+use super::call::Effect;
+use super::call::Reply;
+use super::call::RequestId;
+use super::commit::Io;
+use super::counters::JournalCounters;
+use super::document::Document;
+use super::document::Header;
+use super::document::OnceId;
+use super::document::StoredAnswer;
+use super::home::PartitionId;
+use super::order::Sequence;
+use super::pace::Pace;
+use super::size::Sizes;
+use crate::configs::journal::JournalConfig;
+use crate::connection::platform::Nonce;
+use crate::ids::Epoch;
+use crate::ids::Ordinal;
+use crate::ids::ProgramId;
+use crate::ids::Version;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::units::Moment;
+use crate::units::Tokens;
+
+/// Another owner holds the journal at this epoch.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("the journal is held at epoch {0}")]
+pub struct Fenced(pub Epoch);
+
+/// Whether this owner may still use the journal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Status {
+    /// Takes requests.
+    Active,
+    /// Takes no requests and waits for running once-only calls.
+    Releasing {
+        /// When it stops waiting.
+        until: Moment,
+    },
+    /// Writes its last state.
+    Flushing {
+        /// When it stops trying.
+        until: Moment,
+    },
+    /// Has written its last state, or given up.
+    Released {
+        /// True if the last state is in the platform.
+        flushed: bool,
+    },
+    /// Another owner has taken the partition over.
+    Deposed,
+}
+
+/// How far a call has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// Waits for its turn in the program.
+    Turn,
+    /// Waits for a journal write.
+    Commit,
+    /// May be dispatched.
+    Permitted,
+    /// Has passed the check before its dispatch.
+    Dispatched,
+}
+
+/// A call between its arrival and its end.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) spec: CallSpec,
+    pub(super) once: Option<OnceId>,
+    pub(super) ordinal: Option<Ordinal>,
+    pub(super) phase: Phase,
+    pub(super) charged: Vec<ProgramId>,
+    pub(super) intent: Option<u64>,
+}
+
+/// What a request waits for in the journal.
+#[derive(Clone, Debug)]
+pub(super) enum Wait {
+    /// A call waits for its intent and its reservation.
+    Begin,
+    /// A call's end waits for its outcome to be recorded.
+    Record,
+    /// A new program.
+    Open(ProgramId),
+    /// The end of a program.
+    End,
+}
+
+/// A request that waits for a revision to be durable.
+#[derive(Clone, Debug)]
+pub(super) struct Waiter {
+    pub(super) wait: Wait,
+    /// Absent while the change has not been made.
+    pub(super) revision: Option<u64>,
+}
+
+/// Events at a moment.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Timer {
+    /// A request has waited long enough.
+    Alarm(RequestId),
+    /// A program's calls have waited for missing ordinals long enough.
+    Gap(ProgramId),
+    /// A program may have been idle long enough.
+    Idle(ProgramId),
+    /// Entries past their retention are dropped.
+    Sweep,
+}
+
+/// State of a program that its owner keeps in memory.
+#[derive(Debug)]
+pub(super) struct Live {
+    pub(super) sequence: Sequence,
+    pub(super) account: Option<Account>,
+    pub(super) last_active: Moment,
+    pub(super) gap_since: Option<Moment>,
+    /// Calls of the program and of its sub-agents.
+    pub(super) calls: usize,
+    /// Sub-agents opened by it that are not gone.
+    pub(super) children: usize,
+}
+
+/// A large answer that waits for its object to be written.
+#[derive(Debug)]
+pub(super) struct LargeAnswer {
+    pub(super) once: OnceId,
+    pub(super) request: RequestId,
+}
+
+/// The journal of one partition at its owner.
+#[derive(Debug)]
+pub struct Journal {
+    pub(super) cfg: JournalConfig,
+    pub(super) id: PartitionId,
+    pub(super) counters: Arc<JournalCounters>,
+    pub(super) status: Status,
+    pub(super) doc: Document,
+    pub(super) version: Version,
+    pub(super) durable: u64,
+    pub(super) dirty_since: Option<Moment>,
+    pub(super) io: Io,
+    pub(super) pace: Pace,
+    pub(super) sizes: Sizes,
+    pub(super) programs: BTreeMap<ProgramId, Live>,
+    pub(super) calls: HashMap<RequestId, Call>,
+    pub(super) in_flight: HashMap<OnceId, RequestId>,
+    pub(super) waits: HashMap<RequestId, Waiter>,
+    pub(super) commits: BTreeSet<(u64, RequestId)>,
+    pub(super) unstored: HashMap<OnceId, StoredAnswer>,
+    pub(super) large: VecDeque<LargeAnswer>,
+    pub(super) timers: BTreeSet<(Moment, Timer)>,
+    pub(super) alarms: HashMap<RequestId, Moment>,
+    pub(super) effects: Vec<Effect>,
+    pub(super) next_request: u64,
+    clock_base_ms: u64,
+    active_since: Moment,
+}
+
+impl Journal {
+    /// The document that takes a partition over, to be written on condition
+    /// that what is stored has not changed.
+    ///
+    /// # Errors
+    ///
+    /// [`Fenced`] if the stored journal belongs to an owner of the same or a
+    /// higher epoch.
+    pub fn takeover(
+        stored: Option<Document>,
+        epoch: Epoch,
+        owner: Nonce,
+    ) -> Result<Document, Fenced> {
+        let header = Header {
+            epoch,
+            owner,
+            revision: 1,
+            clock_ms: 0,
+        };
+        let Some(stored) = stored else {
+            return Ok(Document {
+                header,
+                programs: BTreeMap::new(),
+                once: BTreeMap::new(),
+            });
+        };
+        let held = stored.header;
+        let is_ours = held.epoch == epoch && held.owner == owner;
+        if held.epoch >= epoch && !is_ours {
+            return Err(Fenced(held.epoch));
+        }
+        let revision = held.revision + 1;
+        let clock_ms = held.clock_ms;
+        let header = Header {
+            revision,
+            clock_ms,
+            ..header
+        };
+        Ok(Document { header, ..stored })
+    }
+
+    /// The journal of an owner whose takeover has been written.
+    pub fn active(
+        id: PartitionId,
+        cfg: JournalConfig,
+        counters: Arc<JournalCounters>,
+        doc: Document,
+        version: Version,
+        now: Moment,
+    ) -> Self {
+        let mut journal = Self {
+            pace: Pace::new(&cfg),
+            sizes: Sizes::new(cfg.inline_answer_bytes),
+            cfg,
+            id,
+            counters,
+            status: Status::Active,
+            version,
+            durable: doc.header.revision,
+            dirty_since: None,
+            io: Io::Idle,
+            programs: BTreeMap::new(),
+            calls: HashMap::new(),
+            in_flight: HashMap::new(),
+            waits: HashMap::new(),
+            commits: BTreeSet::new(),
+            unstored: HashMap::new(),
+            large: VecDeque::new(),
+            timers: BTreeSet::new(),
+            alarms: HashMap::new(),
+            effects: Vec::new(),
+            next_request: 0,
+            clock_base_ms: doc.header.clock_ms,
+            active_since: now,
+            doc,
+        };
+        journal.recover(now);
+        journal
+    }
+
+    /// The partition.
+    pub fn id(&self) -> &PartitionId {
+        &self.id
+    }
+
+    /// The epoch of this owner.
+    pub fn epoch(&self) -> Epoch {
+        self.doc.header.epoch
+    }
+
+    /// Whether this owner may still use the journal.
+    pub fn status(&self) -> Status {
+        self.status
+    }
+
+    /// Upper bound of the journal's encoded size, in bytes.
+    pub fn size(&self) -> usize {
+        self.sizes.total()
+    }
+
+    /// Takes the effects of the steps so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn recover(&mut self, now: Moment) {
+        for (id, record) in &self.doc.programs {
+            self.sizes.set_program(id, record);
+            if record.ended_ms.is_some() {
+                continue;
+            }
+            let recover = |budget| Account::recovered(budget, record.reserved);
+            let live = Live {
+                sequence: Sequence::recovered(record.high_water),
+                account: record.budget.map(recover),
+                last_active: now,
+                gap_since: None,
+                calls: 0,
+                children: 0,
+            };
+            let idle = Timer::Idle(id.clone());
+            self.timers.insert((now + self.cfg.idle_end, idle));
+            self.programs.insert(id.clone(), live);
+        }
+        for id in self.programs.keys().cloned().collect::<Vec<_>>() {
+            let parent = self.doc.programs[&id].parent.clone();
+            self.count_child(parent.as_ref(), 1);
+        }
+        for (id, record) in &self.doc.once {
+            self.sizes.set_once(*id, record);
+        }
+        self.timers
+            .insert((now + self.sweep_interval(), Timer::Sweep));
+    }
+
+    pub(super) fn clock_ms(&self, now: Moment) -> u64 {
+        let spent = now.since(self.active_since).as_millis();
+        let spent = u64::try_from(spent).unwrap_or(u64::MAX);
+        self.clock_base_ms.saturating_add(spent)
+    }
+
+    pub(super) fn new_request(&mut self) -> RequestId {
+        self.next_request += 1;
+        RequestId(self.next_request)
+    }
+
+    pub(super) fn reply(&mut self, request: RequestId, reply: Reply) {
+        self.set_alarm(request, None);
+        self.effects.push(Effect::Reply(request, reply));
+    }
+
+    /// Numbers a change of the document.
+    pub(super) fn changed(&mut self, now: Moment) -> u64 {
+        self.dirty_since.get_or_insert(now);
+        self.doc.header.revision += 1;
+        self.doc.header.revision
+    }
+
+    /// Makes a request wait until a revision is durable.
+    pub(super) fn wait_for(&mut self, request: RequestId, wait: Wait, revision: u64) {
+        self.counters.commit_waits.add(1);
+        let waiter = Waiter {
+            wait,
+            revision: Some(revision),
+        };
+        self.waits.insert(request, waiter);
+        self.commits.insert((revision, request));
+    }
+
+    pub(super) fn stop_waiting(&mut self, request: RequestId) -> Option<Wait> {
+        let waiter = self.waits.remove(&request)?;
+        if let Some(revision) = waiter.revision {
+            self.commits.remove(&(revision, request));
+        }
+        Some(waiter.wait)
+    }
+
+    pub(super) fn set_alarm(&mut self, request: RequestId, at: Option<Moment>) {
+        let old = match at {
+            Some(at) => self.alarms.insert(request, at),
+            None => self.alarms.remove(&request),
+        };
+        if let Some(old) = old {
+            self.timers.remove(&(old, Timer::Alarm(request)));
+        }
+        if let Some(at) = at {
+            self.timers.insert((at, Timer::Alarm(request)));
+        }
+    }
+
+    /// Why requests are refused at present, if they are.
+    pub(super) fn closed(&self) -> Option<Refusal> {
+        match self.status {
+            Status::Active => None,
+            Status::Releasing { .. } | Status::Flushing { .. } => Some(
+                Refusal::not_run(Reason::Draining, "the partition is being handed over")
+                    .retry_after(self.cfg.min_backoff),
+            ),
+            Status::Released { .. } | Status::Deposed => Some(
+                Refusal::not_run(Reason::OwnerUnavailable, "the partition has another owner")
+                    .retry_after(self.cfg.min_backoff),
+            ),
+        }
+    }
+
+    pub(super) fn unavailable(&self) -> Refusal {
+        self.counters.refused_unavailable.add(1);
+        Refusal::not_run(Reason::JournalUnavailable, "the journal cannot be written")
+            .retry_after(self.pace.backoff())
+    }
+
+    pub(super) fn full(&self) -> Refusal {
+        self.counters.refused_full.add(1);
+        Refusal::not_run(Reason::Overloaded, "the journal of the partition is full")
+            .retry_after(self.cfg.ended_retention)
+    }
+
+    pub(super) fn slice(&self) -> Tokens {
+        Tokens(self.cfg.budget_slice)
+    }
+}
--- a/src/version/journal/mod.rs
+++ b/src/version/journal/mod.rs
@@ -1,1 +1,63 @@
 //! The journal of one partition: once-only calls, budgets and call order.
+//!
+//! [`Journal`] is a state machine without I/O or clock. The partition's owner
+//! gives it requests and the results of platform calls, each with the present
+//! [`Moment`](crate::units::Moment), and carries out the [`Action`]s and
+//! [`Effect`]s that it returns. The whole state that must survive the owner is
+//! one platform object, a [`Document`], written only by conditional update.
+
+mod begin;
+mod budget;
+mod call;
+mod commit;
+mod counters;
+mod document;
+mod finish;
+mod home;
+mod machine;
+mod order;
+mod pace;
+mod programs;
+mod release;
+mod size;
+mod summary;
+
+pub use call::CallSpec;
+pub use call::Durability;
+pub use call::Effect;
+pub use call::Finished;
+pub use call::Once;
+pub use call::Outcome;
+pub use call::Permit;
+pub use call::ProgramEnd;
+pub use call::ProgramSpec;
+pub use call::Reply;
+pub use call::RequestId;
+pub use call::Scope;
+pub use commit::Action;
+pub use commit::WriteRequest;
+pub use counters::Counter;
+pub use counters::JournalCounters;
+pub use document::Answer;
+pub use document::Digest;
+pub use document::Document;
+pub use document::Header;
+pub use document::OnceId;
+pub use document::OnceRecord;
+pub use document::OnceState;
+pub use document::ProgramRecord;
+pub use document::StoredAnswer;
+pub use home::PartitionId;
+pub use home::partition_of_key;
+pub use machine::Fenced;
+pub use machine::Journal;
+pub use machine::Status;
+pub use summary::CallSummary;
+pub use summary::ProgramSummary;
+pub use summary::WaitsFor;
+
+/// Kind of the platform objects that hold journals.
+pub const JOURNAL_KIND: &str = "journal";
+
+/// Kind of the platform objects that hold large stored answers.
+pub const ANSWER_KIND: &str = "answer";
--- /dev/null
+++ b/src/version/journal/order.rs
@@ -0,0 +1,197 @@
+//! Order of the calls of one program.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::call::RequestId;
+use crate::ids::Ordinal;
+
+/// Why a call cannot take its place in the order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Misplaced {
+    /// A call of the same ordinal is waiting or running.
+    InFlight,
+    /// A call of this or a later ordinal has started.
+    Passed,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    request: RequestId,
+    ordinal: Ordinal,
+    previous: Ordinal,
+    assigned: bool,
+}
+
+/// A call whose turn has not come.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    request: RequestId,
+    assigned: bool,
+}
+
+/// Order of the calls of one program; one runs at a time.
+///
+/// Invariant `starts-in-order`: no call starts after one of a higher ordinal,
+/// and of the same ordinal only to repeat a finished call.
+#[derive(Debug, Default)]
+pub(super) struct Sequence {
+    last_started: Ordinal,
+    recovered: bool,
+    running: Option<Running>,
+    waiting: BTreeMap<Ordinal, Waiting>,
+    skipped: BTreeSet<Ordinal>,
+}
+
+impl Sequence {
+    /// The order of a program found in a journal.
+    pub(super) fn recovered(high_water: Ordinal) -> Self {
+        Self {
+            last_started: high_water,
+            recovered: true,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn running(&self) -> Option<RequestId> {
+        self.running.map(|running| running.request)
+    }
+
+    pub(super) fn waiting(&self) -> impl Iterator<Item = RequestId> {
+        self.waiting.values().map(|waiting| waiting.request)
+    }
+
+    pub(super) fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.running.is_none() && self.waiting.is_empty()
+    }
+
+    /// Gives a call its place, or says why it has none.
+    pub(super) fn place(
+        &mut self,
+        request: RequestId,
+        ordinal: Option<Ordinal>,
+        repeats: bool,
+    ) -> Result<Ordinal, Misplaced> {
+        let place = match ordinal {
+            Some(ordinal) => self.check(ordinal, repeats)?,
+            None => self.newest().next(),
+        };
+        self.skipped.remove(&place);
+        let assigned = ordinal.is_none();
+        self.waiting.insert(place, Waiting { request, assigned });
+        Ok(place)
+    }
+
+    fn check(&self, ordinal: Ordinal, repeats: bool) -> Result<Ordinal, Misplaced> {
+        let running = self.running.map(|running| running.ordinal);
+        if running == Some(ordinal) || self.waiting.contains_key(&ordinal) {
+            return Err(Misplaced::InFlight);
+        }
+        let is_repeat = repeats && ordinal == self.last_started && self.running.is_none();
+        if ordinal > self.last_started.max(running.unwrap_or_default()) || is_repeat {
+            return Ok(ordinal);
+        }
+        Err(Misplaced::Passed)
+    }
+
+    fn newest(&self) -> Ordinal {
+        let waiting = self.waiting.keys().next_back().copied().unwrap_or_default();
+        let running = self
+            .running
+            .map(|running| running.ordinal)
+            .unwrap_or_default();
+        self.last_started.max(waiting).max(running)
+    }
+
+    /// Takes the call whose turn has come, if any.
+    pub(super) fn take_next(&mut self) -> Option<RequestId> {
+        if self.running.is_some() {
+            return None;
+        }
+        self.pass_skipped();
+        let (&ordinal, &waiting) = self.waiting.first_key_value()?;
+        if ordinal > self.last_started.next() {
+            return None;
+        }
+        self.waiting.remove(&ordinal);
+        self.running = Some(Running {
+            request: waiting.request,
+            ordinal,
+            previous: self.last_started,
+            assigned: waiting.assigned,
+        });
+        Some(waiting.request)
+    }
+
+    fn pass_skipped(&mut self) {
+        while self.skipped.remove(&self.last_started.next()) {
+            self.last_started = self.last_started.next();
+        }
+    }
+
+    /// Whether calls wait for earlier ones that have not come.
+    pub(super) fn has_gap(&self) -> bool {
+        self.running.is_none() && !self.waiting.is_empty()
+    }
+
+    /// Whether the missing ordinals may have run at an earlier owner, in which
+    /// case the lowest waiting call is next from now on.
+    pub(super) fn pass_gap(&mut self) -> bool {
+        let Some(&ordinal) = self.waiting.keys().next() else {
+            return false;
+        };
+        let passes = self.recovered && self.running.is_none();
+        if passes {
+            self.last_started = Ordinal(ordinal.0.saturating_sub(1)).max(self.last_started);
+        }
+        passes
+    }
+
+    /// Notes that the running call is about to be dispatched.
+    pub(super) fn start(&mut self, request: RequestId) {
+        let running = self.running.expect("starts-in-order");
+        assert!(
+            running.request == request && running.ordinal >= self.last_started,
+            "starts-in-order"
+        );
+        self.last_started = running.ordinal;
+        self.recovered = false;
+    }
+
+    /// Notes that the running call has finished after it ran.
+    pub(super) fn finish(&mut self, request: RequestId) -> Option<Ordinal> {
+        let running = self.running.take_if(|running| running.request == request)?;
+        self.last_started = self.last_started.max(running.ordinal);
+        self.recovered = false;
+        Some(running.ordinal)
+    }
+
+    /// Takes out a call that has not run; its ordinal may come again.
+    pub(super) fn leave(&mut self, request: RequestId) {
+        if let Some(running) = self.running.take_if(|running| running.request == request) {
+            self.last_started = running.previous;
+            self.skip(running.ordinal, running.assigned);
+            return;
+        }
+        let found = self
+            .waiting
+            .iter()
+            .find(|(_, waiting)| waiting.request == request);
+        let Some((&ordinal, &waiting)) = found else {
+            return;
+        };
+        self.waiting.remove(&ordinal);
+        self.skip(ordinal, waiting.assigned);
+    }
+
+    /// An assigned ordinal does not come again, so later calls pass it.
+    fn skip(&mut self, ordinal: Ordinal, assigned: bool) {
+        if assigned {
+            self.skipped.insert(ordinal);
+        }
+    }
+}
--- /dev/null
+++ b/src/version/journal/pace.rs
@@ -0,0 +1,104 @@
+//! Pace of a journal's platform calls.
+
+use std::time::Duration;
+
+use crate::configs::journal::JournalConfig;
+use crate::units::Moment;
+
+/// Weight of the newest latency in the average, as a divisor.
+const LATENCY_WEIGHT: u32 = 4;
+
+/// Failures in a row after which the platform counts as out.
+const OUT_AFTER_FAILURES: u32 = 3;
+
+/// Decides when the next journal write or read may start.
+#[derive(Debug)]
+pub(super) struct Pace {
+    shortest: Duration,
+    longest: Duration,
+    min_backoff: Duration,
+    max_backoff: Duration,
+    latency: Duration,
+    last_start: Option<Moment>,
+    failures: u32,
+    failed_at: Moment,
+}
+
+impl Pace {
+    pub(super) fn new(cfg: &JournalConfig) -> Self {
+        let share = Duration::from_secs(1) / cfg.writes_per_second;
+        Self {
+            shortest: cfg.min_commit_interval.max(share),
+            longest: cfg.max_commit_interval.max(share),
+            min_backoff: cfg.min_backoff,
+            max_backoff: cfg.max_backoff,
+            latency: Duration::ZERO,
+            last_start: None,
+            failures: 0,
+            failed_at: Moment::default(),
+        }
+    }
+
+    /// Present time between the starts of two writes.
+    pub(super) fn interval(&self) -> Duration {
+        self.latency.clamp(self.shortest, self.longest)
+    }
+
+    /// When the next write may start.
+    pub(super) fn next_write(&self) -> Moment {
+        let paced = self
+            .last_start
+            .map(|at| at + self.interval())
+            .unwrap_or_default();
+        paced.max(self.next_try())
+    }
+
+    /// When the platform may be asked again.
+    pub(super) fn next_try(&self) -> Moment {
+        if self.failures == 0 {
+            return Moment::default();
+        }
+        self.failed_at + self.backoff()
+    }
+
+    /// Delay after the failures so far.
+    pub(super) fn backoff(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(16);
+        self.min_backoff
+            .saturating_mul(1 << doublings)
+            .min(self.max_backoff)
+    }
+
+    /// True after a failed platform call, until one succeeds.
+    pub(super) fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// True after several failed platform calls in a row.
+    pub(super) fn is_out(&self) -> bool {
+        self.failures >= OUT_AFTER_FAILURES
+    }
+
+    pub(super) fn started(&mut self, now: Moment) {
+        self.last_start = Some(now);
+    }
+
+    /// Notes a write's latency and success.
+    pub(super) fn succeeded(&mut self, now: Moment) {
+        self.failures = 0;
+        let Some(started) = self.last_start else {
+            return;
+        };
+        let rest = self.latency * (LATENCY_WEIGHT - 1);
+        self.latency = (rest + now.since(started)) / LATENCY_WEIGHT;
+    }
+
+    pub(super) fn reached(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn failed(&mut self, now: Moment) {
+        self.failures = self.failures.saturating_add(1);
+        self.failed_at = now;
+    }
+}
--- /dev/null
+++ b/tests/journal_driver.rs
@@ -0,0 +1,361 @@
+//! The journals of a host over a platform in memory.
+
+use std::time::Duration;
+
+use async_io::block_on;
+use chicoryarch::configs::journal::JournalConfig;
+use chicoryarch::connection::platform::memory::Faults;
+use chicoryarch::connection::platform::memory::MemoryPlatform;
+use chicoryarch::ids::CustomerId;
+use chicoryarch::ids::Epoch;
+use chicoryarch::ids::Ordinal;
+use chicoryarch::ids::Partition;
+use chicoryarch::ids::ProgramId;
+use chicoryarch::process::journals::AcquireError;
+use chicoryarch::process::journals::Begun;
+use chicoryarch::process::journals::JournalEvent;
+use chicoryarch::process::journals::Journals;
+use chicoryarch::process::journals::Ticket;
+use chicoryarch::request::outcome::Ran;
+use chicoryarch::request::outcome::Reason;
+use chicoryarch::request::outcome::Refusal;
+use chicoryarch::request::outcome::Result;
+use chicoryarch::units::Moment;
+use chicoryarch::units::Tokens;
+use chicoryarch::version::history::HistoryMode;
+use chicoryarch::version::journal::CallSpec;
+use chicoryarch::version::journal::Digest;
+use chicoryarch::version::journal::Durability;
+use chicoryarch::version::journal::Finished;
+use chicoryarch::version::journal::Once;
+use chicoryarch::version::journal::Outcome;
+use chicoryarch::version::journal::PartitionId;
+use chicoryarch::version::journal::ProgramSpec;
+use chicoryarch::version::journal::Scope;
+use chicoryarch::version::journal::StoredAnswer;
+use chicoryarch_net::Spawner;
+
+const HANG_GUARD: Duration = Duration::from_secs(60);
+
+fn settings() -> JournalConfig {
+    JournalConfig {
+        min_commit_interval: Duration::from_millis(1),
+        writes_per_second: 1000,
+        min_backoff: Duration::from_millis(1),
+        max_backoff: Duration::from_millis(10),
+        commit_wait: Duration::from_millis(200),
+        gap_wait: Duration::from_millis(50),
+        release_wait: Duration::from_millis(200),
+        ..JournalConfig::default()
+    }
+}
+
+fn partition() -> PartitionId {
+    PartitionId {
+        data_centre: "dc-1".parse().unwrap(),
+        partition: Partition(0),
+    }
+}
+
+fn customer(name: &str) -> CustomerId {
+    name.parse().unwrap()
+}
+
+fn host(platform: &MemoryPlatform) -> Journals<MemoryPlatform> {
+    Journals::new(platform.clone(), settings(), Spawner::start(2))
+}
+
+async fn owner(platform: &MemoryPlatform, epoch: u64) -> Journals<MemoryPlatform> {
+    let journals = host(platform);
+    journals.acquire(&partition(), Epoch(epoch)).await.unwrap();
+    journals
+}
+
+async fn open(journals: &Journals<MemoryPlatform>, budget: u64) -> ProgramId {
+    let spec = ProgramSpec {
+        customer: customer("acme"),
+        budget: Some(Tokens(budget)),
+        parent: None,
+        history: HistoryMode::Carried,
+    };
+    journals.open_program(&partition(), spec).await.unwrap()
+}
+
+fn call(scope: Scope) -> CallSpec {
+    CallSpec {
+        scope,
+        customer: customer("acme"),
+        ordinal: None,
+        worst_cost: Tokens(10),
+        once: None,
+        repeatable: true,
+        deadline: Moment::now() + HANG_GUARD,
+    }
+}
+
+fn once(key: &str) -> CallSpec {
+    CallSpec {
+        once: Some(Once {
+            key: key.to_owned(),
+            body: Digest::of(b"body"),
+        }),
+        repeatable: false,
+        ..call(Scope::Single(partition()))
+    }
+}
+
+fn answered(body: &[u8]) -> Finished {
+    let answer = StoredAnswer {
+        status: 200,
+        content_type: Some("text/plain".to_owned()),
+        body: body.to_owned(),
+    };
+    Finished {
+        cost: Tokens(5),
+        outcome: Outcome::Answered(answer),
+    }
+}
+
+fn ticket(begun: Result<Begun>) -> Ticket {
+    match begun {
+        Ok(Begun::Run(ticket)) => ticket,
+        other => panic!("a ticket was expected: {other:?}"),
+    }
+}
+
+fn refusal(begun: Result<Begun>) -> Refusal {
+    begun.expect_err("a refusal was expected")
+}
+
+/// Runs a call to its answer.
+async fn run(journals: &Journals<MemoryPlatform>, spec: CallSpec, body: &[u8]) -> Durability {
+    let ticket = ticket(journals.begin(spec).await);
+    journals.check_dispatch(&ticket).unwrap();
+    journals.finish(ticket, answered(body)).await
+}
+
+async fn replayed(journals: &Journals<MemoryPlatform>, spec: CallSpec) -> Vec<u8> {
+    match journals.begin(spec).await {
+        Ok(Begun::Replay(answer)) => answer.body,
+        other => panic!("a replay was expected: {other:?}"),
+    }
+}
+
+#[test]
+fn a_once_only_call_is_replayed_at_its_owner_and_at_the_next() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = owner(&platform, 1).await;
+        assert_eq!(run(&first, once("k"), b"done").await, Durability::Durable);
+        assert_eq!(replayed(&first, once("k")).await, b"done");
+        let second = owner(&platform, 2).await;
+        assert_eq!(replayed(&second, once("k")).await, b"done");
+    });
+}
+
+#[test]
+fn a_large_answer_is_replayed_from_its_object() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = owner(&platform, 1).await;
+        let body = vec![0xff; 100_000];
+        assert_eq!(run(&first, once("k"), &body).await, Durability::Durable);
+        let second = owner(&platform, 2).await;
+        assert_eq!(replayed(&second, once("k")).await, body);
+    });
+}
+
+#[test]
+fn a_running_key_is_refused_as_still_running_and_after_a_takeover_as_unknown() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = owner(&platform, 1).await;
+        let held = ticket(first.begin(once("k")).await);
+        first.check_dispatch(&held).unwrap();
+        let retry = refusal(first.begin(once("k")).await);
+        assert_eq!(
+            (retry.reason, retry.ran),
+            (Reason::StillRunning, Ran::Unknown)
+        );
+        let second = owner(&platform, 2).await;
+        assert_eq!(refusal(second.begin(once("k")).await).ran, Ran::Unknown);
+    });
+}
+
+#[test]
+fn a_key_with_another_body_conflicts() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        run(&journals, once("k"), b"done").await;
+        let mut other = once("k");
+        other.once.as_mut().unwrap().body = Digest::of(b"other");
+        let refused = refusal(journals.begin(other).await);
+        assert_eq!(
+            (refused.reason, refused.ran),
+            (Reason::ConflictingKey, Ran::NotRun)
+        );
+    });
+}
+
+#[test]
+fn the_same_key_of_two_customers_is_two_calls() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        run(&journals, once("k"), b"one").await;
+        let other = CallSpec {
+            customer: customer("other"),
+            ..once("k")
+        };
+        run(&journals, other.clone(), b"two").await;
+        assert_eq!(replayed(&journals, other).await, b"two");
+    });
+}
+
+#[test]
+fn a_ticket_dropped_before_its_dispatch_frees_the_key() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        drop(ticket(journals.begin(once("k")).await));
+        assert_eq!(run(&journals, once("k"), b"x").await, Durability::Durable);
+    });
+}
+
+#[test]
+fn a_ticket_dropped_after_its_dispatch_leaves_the_outcome_unknown() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        let held = ticket(journals.begin(once("k")).await);
+        journals.check_dispatch(&held).unwrap();
+        drop(held);
+        assert_eq!(refusal(journals.begin(once("k")).await).ran, Ran::Unknown);
+    });
+}
+
+#[test]
+fn without_the_platform_once_only_calls_are_refused_and_reserved_budgets_go_on() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let journals = owner(&platform, 1).await;
+        let program = open(&journals, 1000).await;
+        let in_program = || call(Scope::Program(program.clone()));
+        run(&journals, in_program(), b"").await;
+        platform.set_faults(Faults {
+            out: true,
+            ..Faults::default()
+        });
+        let refused = refusal(journals.begin(once("k")).await);
+        assert_eq!(
+            (refused.reason, refused.ran),
+            (Reason::JournalUnavailable, Ran::NotRun)
+        );
+        assert!(refused.retry_after.is_some());
+        run(&journals, in_program(), b"").await;
+        platform.set_faults(Faults::default());
+        let journals = &journals;
+        let retried = async {
+            loop {
+                if let Ok(Begun::Run(ticket)) = journals.begin(once("k")).await {
+                    return journals.check_dispatch(&ticket);
+                }
+            }
+        };
+        retried.await.unwrap();
+    });
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_settled_by_reading() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let journals = owner(&platform, 1).await;
+        platform.set_faults(Faults {
+            lost_answers: 2,
+            ..Faults::default()
+        });
+        assert_eq!(run(&journals, once("k"), b"x").await, Durability::Durable);
+        assert!(journals.counters().settling_reads.get() >= 2);
+    });
+}
+
+#[test]
+fn a_takeover_whose_answer_is_lost_is_settled_by_reading() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        platform.set_faults(Faults {
+            lost_answers: 1,
+            ..Faults::default()
+        });
+        let journals = owner(&platform, 1).await;
+        assert_eq!(journals.epoch(&partition()), Some(Epoch(1)));
+    });
+}
+
+#[test]
+fn a_deposed_owner_learns_it_at_its_next_write_and_refuses_the_dispatch() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = owner(&platform, 1).await;
+        let held = ticket(first.begin(once("k")).await);
+        let second = owner(&platform, 2).await;
+        let refused = refusal(first.begin(once("other")).await);
+        assert_eq!(
+            (refused.reason, refused.ran),
+            (Reason::OwnerUnavailable, Ran::NotRun)
+        );
+        assert_eq!(first.check_dispatch(&held).unwrap_err().ran, Ran::NotRun);
+        assert!(!first.is_active(&partition()));
+        assert_eq!(refusal(second.begin(once("k")).await).ran, Ran::Unknown);
+    });
+}
+
+#[test]
+fn an_older_epoch_cannot_take_a_partition() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let _owner = owner(&platform, 2).await;
+        let late = host(&platform).acquire(&partition(), Epoch(2)).await;
+        assert!(matches!(late, Err(AcquireError::Fenced(_))), "{late:?}");
+    });
+}
+
+#[test]
+fn a_released_partition_keeps_the_unspent_budget() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = owner(&platform, 1).await;
+        let program = open(&first, 1000).await;
+        run(&first, call(Scope::Program(program.clone())), b"").await;
+        assert!(first.release(&partition()).await);
+        let second = owner(&platform, 2).await;
+        let summary = second.program_summary(&program).unwrap();
+        assert_eq!((summary.spent, summary.high_water), (Tokens(5), Ordinal(1)));
+    });
+}
+
+#[test]
+fn an_ended_program_refuses_calls_and_is_reported() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        let program = open(&journals, 1000).await;
+        let ended = journals.end_program(&program, &customer("acme")).await;
+        assert_eq!(ended, Ok(Durability::Durable));
+        let event = journals.events().recv().await.unwrap();
+        assert!(matches!(event, JournalEvent::ProgramEnded(end) if end.program == program));
+        let refused = refusal(journals.begin(call(Scope::Program(program))).await);
+        assert_eq!(refused.reason, Reason::UnknownProgram);
+    });
+}
+
+#[test]
+fn a_program_is_unknown_to_other_customers() {
+    block_on(async {
+        let journals = owner(&MemoryPlatform::default(), 1).await;
+        let program = open(&journals, 1000).await;
+        let other = CallSpec {
+            customer: customer("other"),
+            ..call(Scope::Program(program))
+        };
+        let refused = refusal(journals.begin(other).await);
+        assert_eq!(refused.reason, Reason::UnknownProgram);
+    });
+}
