--- a/src/process/rates/mod.rs
+++ b/src/process/rates/mod.rs
@@ -1,1 +1,386 @@
-//! Drives the exchange of rate tokens between hosts.
+//! Runs the limiter: state in shards, requests to other hosts, counters.
+//!
+//! The decisions are those of [`crate::request::limit`]. Membership and
+//! configuration are given in as values, by [`Rates::set_view`] and
+//! [`Rates::apply`].
+
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use chicoryarch_net::Spawner;
+use futures_lite::future;
+use jsonrpsee_core::RegisterMethodError;
+use jsonrpsee_core::server::RpcModule;
+use jsonrpsee_types::ErrorObjectOwned;
+use parking_lot::Mutex;
+
+use crate::configs::limit::LimitConfig;
+use crate::connection::peer::PeerError;
+use crate::connection::peer::Peers;
+use crate::ids::CustomerId;
+use crate::ids::Version;
+use crate::process::timers::Timers;
+use crate::request::limit::Account;
+use crate::request::limit::Amount;
+use crate::request::limit::Answer;
+use crate::request::limit::Ask;
+use crate::request::limit::Decision;
+use crate::request::limit::Effect;
+use crate::request::limit::Env;
+use crate::request::limit::Summary;
+use crate::request::limit::Ticket;
+use crate::request::limit::View;
+use crate::request::outcome::Reason;
+use crate::request::outcome::Refusal;
+use crate::request::outcome::Result;
+use crate::units::Moment;
+use crate::version::objects::Customer;
+
+pub mod counters;
+
+use counters::RateCounters;
+
+/// JSON-RPC method by which a host asks another one for tokens.
+pub const ASK_METHOD: &str = "limit_ask";
+
+/// Shards of the customers' state.
+const SHARDS: usize = 16;
+
+/// Maintenance runs within the time after which tokens are idle.
+const MAINTENANCE_PER_IDLE_RETURN: u32 = 2;
+
+/// One customer's limit at this host, for operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Its limit.
+    pub summary: Summary,
+}
+
+#[derive(Debug)]
+struct Limit {
+    account: Account,
+    waiting: HashMap<Ticket, Sender<Result<()>>>,
+}
+
+type Shard = HashMap<CustomerId, Limit>;
+
+struct Inner<Q> {
+    cfg: LimitConfig,
+    counters: Arc<RateCounters>,
+    hasher: RandomState,
+    peers: Q,
+    shards: Vec<Mutex<Shard>>,
+    spawner: Spawner,
+    /// Held while a view is taken up, so that views keep their order.
+    view_order: Mutex<()>,
+    /// Read only under a shard's lock, so that no shard goes back to an older view.
+    view: ArcSwap<View>,
+}
+
+/// Handle to the limiter of this host.
+pub struct Rates<Q> {
+    inner: Arc<Inner<Q>>,
+}
+
+impl<Q> Clone for Rates<Q> {
+    fn clone(&self) -> Self {
+        let inner = Arc::clone(&self.inner);
+        Self { inner }
+    }
+}
+
+enum Taken {
+    Now(Result<()>),
+    Later(Receiver<Result<()>>),
+}
+
+impl<Q: Peers> Rates<Q> {
+    /// Creates a limiter without customers.
+    pub fn new(cfg: LimitConfig, view: View, peers: Q, spawner: Spawner) -> Self {
+        let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
+        let inner = Inner {
+            cfg,
+            counters: Arc::default(),
+            hasher: RandomState::new(),
+            peers,
+            shards,
+            spawner,
+            view_order: Mutex::default(),
+            view: ArcSwap::from_pointee(view),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Starts the periodic return of idle tokens.
+    pub async fn start(&self, timers: &Timers) {
+        let period = self.inner.cfg.idle_return / MAINTENANCE_PER_IDLE_RETURN;
+        let ticks = timers.subscribe(period).await;
+        let rates = self.clone();
+        self.inner.spawner.detach(async move {
+            while ticks.recv().await.is_ok() {
+                rates.maintain();
+            }
+        });
+    }
+
+    /// Counters of this host.
+    pub fn counters(&self) -> Arc<RateCounters> {
+        Arc::clone(&self.inner.counters)
+    }
+
+    /// Takes one token for a call; waits only if other hosts have to be asked.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, with the time after which a token is expected.
+    pub async fn take(&self, customer: &CustomerId) -> Result<()> {
+        let result = match self.try_take(customer) {
+            Taken::Now(result) => result,
+            Taken::Later(rx) => rx.recv().await.unwrap_or_else(|_| Err(removed())),
+        };
+        let counter = match result {
+            Ok(()) => &self.inner.counters.admitted,
+            Err(_) => &self.inner.counters.refused,
+        };
+        counter.add(1);
+        result
+    }
+
+    /// Takes up a version of a customer's object; older versions are ignored.
+    pub fn apply(&self, customer: &CustomerId, version: Version, terms: &Customer) {
+        let mut shard = self.shard(customer).lock();
+        let view = self.inner.view.load_full();
+        let env = self.env(&view);
+        if let Some(limit) = shard.get_mut(customer) {
+            limit.account.set_terms(env, version, terms.clone());
+            return;
+        }
+        let session = rand::random();
+        let account = Account::new(env, customer.clone(), session, version, terms.clone());
+        let waiting = HashMap::new();
+        shard.insert(customer.clone(), Limit { account, waiting });
+    }
+
+    /// Forgets a removed customer and refuses its waiting calls.
+    pub fn remove(&self, customer: &CustomerId) {
+        self.shard(customer).lock().remove(customer);
+    }
+
+    /// Takes up what membership knows; called for every renewal of a lease.
+    pub fn set_view(&self, view: View) {
+        let _order = self.inner.view_order.lock();
+        let view = Arc::new(view);
+        let previous = self.inner.view.swap(Arc::clone(&view));
+        let same_hosts = view.same_hosts(&previous);
+        for shard in &self.inner.shards {
+            for limit in shard.lock().values_mut() {
+                let env = self.env(&view);
+                if same_hosts {
+                    limit.account.renew(env);
+                } else {
+                    limit.account.set_view(env);
+                }
+            }
+        }
+    }
+
+    /// Limits of all customers at this host.
+    pub fn rows(&self) -> Vec<Row> {
+        let mut rows = Vec::new();
+        for shard in &self.inner.shards {
+            let mut shard = shard.lock();
+            let view = self.inner.view.load_full();
+            for (customer, limit) in shard.iter_mut() {
+                rows.push(Row {
+                    customer: customer.clone(),
+                    summary: limit.account.summary(self.env(&view)),
+                });
+            }
+        }
+        rows.sort_by(|a, b| a.customer.cmp(&b.customer));
+        rows
+    }
+
+    /// Answers a request of another host.
+    pub fn answer(&self, ask: &Ask) -> Answer {
+        let mut shard = self.shard(&ask.customer).lock();
+        let view = self.inner.view.load_full();
+        let Some(limit) = shard.get_mut(&ask.customer) else {
+            return Answer::default();
+        };
+        let answer = limit.account.asked(self.env(&view), ask);
+        self.inner.counters.answered.add(1);
+        let granted = answer.granted.micros();
+        self.inner.counters.granted_micros.add(granted);
+        answer
+    }
+
+    /// Drops expired tokens and returns idle ones.
+    pub fn maintain(&self) {
+        for shard in &self.inner.shards {
+            let mut shard = shard.lock();
+            let view = self.inner.view.load_full();
+            for limit in shard.values_mut() {
+                let env = self.env(&view);
+                let mut effects = Vec::new();
+                limit.account.maintain(env, &mut effects);
+                self.count_lost(limit, env.now);
+                self.carry_out(limit, effects);
+            }
+        }
+    }
+
+    fn try_take(&self, customer: &CustomerId) -> Taken {
+        let mut shard = self.shard(customer).lock();
+        let view = self.inner.view.load_full();
+        let Some(limit) = shard.get_mut(customer) else {
+            return Taken::Now(Err(removed()));
+        };
+        let mut effects = Vec::new();
+        let decision = limit.account.take(self.env(&view), &mut effects);
+        let taken = match decision {
+            Decision::Admit => Taken::Now(Ok(())),
+            Decision::Refuse(retry_after) => Taken::Now(Err(exceeded(retry_after))),
+            Decision::Wait(ticket) => Taken::Later(self.wait(limit, ticket)),
+        };
+        self.carry_out(limit, effects);
+        taken
+    }
+
+    fn wait(&self, limit: &mut Limit, ticket: Ticket) -> Receiver<Result<()>> {
+        let (tx, rx) = async_channel::bounded(1);
+        limit.waiting.insert(ticket, tx);
+        self.inner.counters.waited.add(1);
+        rx
+    }
+
+    fn carry_out(&self, limit: &mut Limit, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Admit { ticket, .. } => finish(limit, ticket, Ok(())),
+                Effect::Refuse {
+                    ticket,
+                    retry_after,
+                } => finish(limit, ticket, Err(exceeded(retry_after))),
+                Effect::Send { address, ask, .. } => self.send(address, ask),
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, ask: Ask) {
+        self.count_sent(&ask);
+        let rates = self.clone();
+        self.inner.spawner.detach(async move {
+            let call = rates.inner.peers.call::<Ask, Answer>(to, ASK_METHOD, &ask);
+            let timeout = expire(rates.inner.cfg.borrow_timeout);
+            let answer = future::or(call, timeout).await;
+            rates.conclude(&ask, answer.ok());
+        });
+    }
+
+    fn conclude(&self, ask: &Ask, answer: Option<Answer>) {
+        let mut shard = self.shard(&ask.customer).lock();
+        let view = self.inner.view.load_full();
+        let Some(limit) = shard.get_mut(&ask.customer) else {
+            return;
+        };
+        let env = self.env(&view);
+        let mut effects = Vec::new();
+        match answer {
+            Some(answer) => limit.account.answered(env, &ask.id, &answer, &mut effects),
+            None => {
+                self.inner.counters.unanswered.add(1);
+                limit.account.unanswered(env, &ask.id, &mut effects);
+            }
+        }
+        self.carry_out(limit, effects);
+    }
+
+    fn count_sent(&self, ask: &Ask) {
+        let counters = &self.inner.counters;
+        let counter = if ask.need > Amount::ZERO {
+            &counters.borrows
+        } else if ask.extra > Amount::ZERO {
+            &counters.prefetches
+        } else {
+            &counters.returns
+        };
+        counter.add(1);
+    }
+
+    fn count_lost(&self, limit: &mut Limit, now: Moment) {
+        let lost = limit.account.take_lost(now);
+        let counters = &self.inner.counters;
+        counters.expired_micros.add(lost.expired.micros());
+        counters.unreported_micros.add(lost.unreported.micros());
+    }
+
+    fn shard(&self, customer: &CustomerId) -> &Mutex<Shard> {
+        let hash = self.inner.hasher.hash_one(customer);
+        let index = hash % SHARDS as u64;
+        &self.inner.shards[usize::try_from(index).unwrap_or_default()]
+    }
+
+    fn env<'a>(&'a self, view: &'a View) -> Env<'a> {
+        Env {
+            now: Moment::now(),
+            cfg: &self.inner.cfg,
+            view,
+        }
+    }
+}
+
+/// Registers the methods that other hosts call.
+///
+/// # Errors
+///
+/// Fails if a method of the same name is registered already.
+pub fn register<C, Q>(
+    module: &mut RpcModule<C>,
+    rates: Rates<Q>,
+) -> std::result::Result<(), RegisterMethodError>
+where
+    C: Send + Sync + 'static,
+    Q: Peers,
+{
+    module.register_method(ASK_METHOD, move |params, _, _| {
+        let ask: Ask = params.one()?;
+        Ok::<Answer, ErrorObjectOwned>(rates.answer(&ask))
+    })?;
+    Ok(())
+}
+
+fn finish(limit: &mut Limit, ticket: Ticket, result: Result<()>) {
+    if let Some(tx) = limit.waiting.remove(&ticket) {
+        // A caller that has gone away loses the token.
+        let _gone = tx.try_send(result);
+    }
+}
+
+fn exceeded(retry_after: Duration) -> Refusal {
+    let detail = "the customer's rate and burst are used up";
+    Refusal::not_run(Reason::RateExceeded, detail).retry_after(retry_after)
+}
+
+fn removed() -> Refusal {
+    Refusal::not_run(Reason::RateExceeded, "the customer has no rate")
+}
+
+async fn expire(timeout: Duration) -> std::result::Result<Answer, PeerError> {
+    Timer::after(timeout).await;
+    Err(PeerError::Unreachable(format!(
+        "no answer within {timeout:?}"
+    )))
+}
--- /dev/null
+++ b/src/request/limit/bucket.rs
@@ -0,0 +1,215 @@
+//! A token bucket that grants part of its tokens to other hosts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::request::limit::amount::Amount;
+use crate::request::limit::message::GrantId;
+use crate::request::limit::message::Report;
+use crate::units::Moment;
+
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
+
+/// Refill and capacity of one bucket.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Allotment {
+    /// Refill a second.
+    pub refill: Amount,
+    /// Most tokens in the bucket and granted from it together.
+    pub capacity: Amount,
+}
+
+impl Allotment {
+    /// Both allotments together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            refill: self.refill + other.refill,
+            capacity: self.capacity + other.capacity,
+        }
+    }
+
+    /// The smaller refill and the smaller capacity of two allotments.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            refill: self.refill.min(other.refill),
+            capacity: self.capacity.min(other.capacity),
+        }
+    }
+}
+
+/// Tokens granted and not yet known to be spent, returned or expired.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    held: Amount,
+    expires: Moment,
+}
+
+/// A token bucket.
+///
+/// Its tokens and those granted from it never exceed its capacity together.
+/// Granted tokens count until they are reported as spent or returned, or
+/// until they have expired at their holder.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    allotment: Allotment,
+    level: Amount,
+    refilled_at: Moment,
+    /// Part of a millionth of a token refilled so far, in billionths.
+    remainder: u128,
+    grants: BTreeMap<GrantId, Grant>,
+    expired: Amount,
+}
+
+impl Bucket {
+    /// An empty bucket that refills from `start` on.
+    pub fn empty(start: Moment, allotment: Allotment) -> Self {
+        Self {
+            allotment,
+            level: Amount::ZERO,
+            refilled_at: start,
+            remainder: 0,
+            grants: BTreeMap::new(),
+            expired: Amount::ZERO,
+        }
+    }
+
+    /// Tokens in the bucket.
+    pub fn level(&self) -> Amount {
+        self.level
+    }
+
+    /// Refill and capacity.
+    pub fn allotment(&self) -> Allotment {
+        self.allotment
+    }
+
+    /// Tokens granted and not yet accounted for.
+    pub fn outstanding(&self) -> Amount {
+        self.grants.values().map(|grant| grant.held).sum()
+    }
+
+    /// Takes the number of granted tokens that expired since the last call.
+    pub fn take_expired(&mut self) -> Amount {
+        std::mem::take(&mut self.expired)
+    }
+
+    /// Replaces refill and capacity; surplus tokens are dropped.
+    pub fn set_allotment(&mut self, now: Moment, allotment: Allotment) {
+        self.refill(now);
+        self.allotment = allotment;
+        self.level = self.level.min(self.room());
+    }
+
+    /// Refills up to `now`.
+    ///
+    /// Expired grants free capacity at the moment they expire and no earlier,
+    /// so the refill stops at each on the way.
+    pub fn refill(&mut self, now: Moment) {
+        while let Some((expires, id)) = self.next_expired(now) {
+            self.refill_span(expires);
+            if let Some(grant) = self.grants.remove(&id) {
+                self.expired += grant.held;
+            }
+        }
+        self.refill_span(now);
+        assert!(
+            self.level <= self.room(),
+            "a bucket and its grants never exceed its capacity"
+        );
+    }
+
+    /// Spends tokens if there are enough.
+    pub fn spend(&mut self, now: Moment, amount: Amount) -> bool {
+        self.refill(now);
+        let enough = self.level >= amount;
+        if enough {
+            self.level.split_off(amount);
+        }
+        enough
+    }
+
+    /// Removes up to `wanted` tokens and returns how many.
+    pub fn drain(&mut self, now: Moment, wanted: Amount) -> Amount {
+        self.refill(now);
+        self.level.split_off(wanted)
+    }
+
+    /// Grants tokens for `ttl`: as many as needed, and of the rest up to half.
+    ///
+    /// A repeated request gets the grant it already has.
+    pub fn grant(
+        &mut self,
+        now: Moment,
+        id: &GrantId,
+        need: Amount,
+        extra: Amount,
+        ttl: Duration,
+    ) -> (Amount, Duration) {
+        self.refill(now);
+        if let Some(grant) = self.grants.get(id) {
+            return (grant.held, now.until(grant.expires));
+        }
+        let mut granted = self.level.split_off(need);
+        let spare = self.level.half();
+        granted += self.level.split_off(extra.min(spare));
+        if granted > Amount::ZERO {
+            let expires = now + ttl;
+            let held = granted;
+            self.grants.insert(id.clone(), Grant { held, expires });
+        }
+        (granted, ttl)
+    }
+
+    /// True if a request already has a grant.
+    pub fn has_granted(&self, id: &GrantId) -> bool {
+        self.grants.contains_key(id)
+    }
+
+    /// Takes note of what a holder did with a grant; repeats have no effect.
+    ///
+    /// Returns how many of the returned tokens were of this bucket.
+    pub fn settle(&mut self, now: Moment, holder: &GrantId, report: &Report) -> Amount {
+        self.refill(now);
+        let id = GrantId {
+            sequence: report.sequence,
+            ..holder.clone()
+        };
+        let Some(grant) = self.grants.get_mut(&id) else {
+            return Amount::ZERO;
+        };
+        let released = grant.held.saturating_sub(report.held);
+        let returned = report.returned.min(released);
+        grant.held = grant.held.min(report.held);
+        if grant.held == Amount::ZERO {
+            self.grants.remove(&id);
+        }
+        self.level = (self.level + returned).min(self.room());
+        returned
+    }
+
+    fn room(&self) -> Amount {
+        self.allotment.capacity.saturating_sub(self.outstanding())
+    }
+
+    fn next_expired(&self, now: Moment) -> Option<(Moment, GrantId)> {
+        let expired = self.grants.iter().filter(|(_, grant)| grant.expires <= now);
+        let next = expired.min_by_key(|(_, grant)| grant.expires);
+        next.map(|(id, grant)| (grant.expires, id.clone()))
+    }
+
+    fn refill_span(&mut self, until: Moment) {
+        if until <= self.refilled_at {
+            return;
+        }
+        let span = until.since(self.refilled_at).as_nanos();
+        let refill = u128::from(self.allotment.refill.micros());
+        let total = span.saturating_mul(refill).saturating_add(self.remainder);
+        let micros = u64::try_from(total / NANOS_PER_SECOND).unwrap_or(u64::MAX);
+        let full = self.level + Amount::from_micros(micros);
+        self.level = full.min(self.room());
+        self.remainder = total % NANOS_PER_SECOND;
+        self.refilled_at = until;
+    }
+}
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -1,1 +1,33 @@
 //! Rate and burst of each customer over all hosts together.
+//!
+//! Tokens are conserved: each is refilled in one bucket, is in one place at a
+//! time and is spent once. A message that is lost loses the tokens that it
+//! carries; no message, repeated or late, makes any. [`account::Account`]
+//! holds one customer's state at one host. It does no I/O and reads no clock:
+//! each step is given the time and an event, and returns typed effects.
+
+pub mod account;
+pub mod amount;
+pub mod bucket;
+pub mod candidate;
+pub mod demand;
+pub mod estimate;
+pub mod message;
+pub mod own;
+pub mod purse;
+pub mod terms;
+pub mod view;
+
+pub use account::Account;
+pub use account::Decision;
+pub use account::Effect;
+pub use account::Env;
+pub use account::Summary;
+pub use account::Ticket;
+pub use amount::Amount;
+pub use message::Answer;
+pub use message::Ask;
+pub use message::GrantId;
+pub use view::FloorLease;
+pub use view::Member;
+pub use view::View;
--- /dev/null
+++ b/src/request/limit/own.rs
@@ -0,0 +1,202 @@
+//! The buckets that this host may use itself, and until when.
+
+use std::time::Duration;
+
+use crate::configs::limit::LimitConfig;
+use crate::ids::Epoch;
+use crate::request::limit::amount::Amount;
+use crate::request::limit::bucket::Allotment;
+use crate::request::limit::bucket::Bucket;
+use crate::request::limit::message::Answer;
+use crate::request::limit::message::Ask;
+use crate::request::limit::terms::Allotments;
+use crate::request::limit::view::FloorLease;
+use crate::request::limit::view::View;
+use crate::units::Moment;
+
+const PARTS_PER_MILLION: u64 = 1_000_000;
+
+/// A bucket with the end of the permission to use it.
+#[derive(Clone, Debug)]
+struct Leased<K> {
+    key: K,
+    until: Moment,
+    bucket: Bucket,
+}
+
+impl<K> Leased<K> {
+    fn at(&mut self, now: Moment) -> Option<&mut Bucket> {
+        (now < self.until).then_some(&mut self.bucket)
+    }
+}
+
+/// The bucket of the data centre, where this host owns it, and its floor.
+#[derive(Clone, Debug)]
+pub struct OwnBuckets {
+    /// No bucket refills earlier: an earlier process of this host may have
+    /// granted tokens that are still valid.
+    not_before: Moment,
+    main: Option<Leased<Epoch>>,
+    floor: Option<Leased<u16>>,
+}
+
+impl OwnBuckets {
+    /// Starts without any bucket.
+    pub fn new(not_before: Moment) -> Self {
+        Self {
+            not_before,
+            main: None,
+            floor: None,
+        }
+    }
+
+    /// Takes up, keeps or gives up buckets by a new view.
+    ///
+    /// A bucket is kept only if its lease has not lapsed in between and no
+    /// epoch was missed; otherwise it starts empty.
+    pub fn adopt(&mut self, now: Moment, view: &View, owns: bool, allotments: Allotments) {
+        let lease = view.lease_until.filter(|until| owns && now < *until);
+        self.main = lease.map(|until| self.adopt_main(now, view, until, allotments.main));
+        let floor = view.floor.filter(|floor| now < floor.until);
+        self.floor = floor.map(|floor| self.adopt_floor(now, floor, allotments.floor));
+        self.set_allotments(now, allotments);
+    }
+
+    fn adopt_main(
+        &mut self,
+        now: Moment,
+        view: &View,
+        until: Moment,
+        allotment: Allotment,
+    ) -> Leased<Epoch> {
+        let key = view.epoch;
+        let kept = self.main.take().filter(|main| now < main.until);
+        let kept = kept.filter(|main| key == main.key || key == main.key.next());
+        let start = now.max(view.settled_at).max(self.not_before);
+        let bucket = kept.map(|main| main.bucket);
+        Leased {
+            key,
+            until,
+            bucket: bucket.unwrap_or_else(|| Bucket::empty(start, allotment)),
+        }
+    }
+
+    fn adopt_floor(&mut self, now: Moment, lease: FloorLease, allotment: Allotment) -> Leased<u16> {
+        let kept = self.floor.take().filter(|floor| now < floor.until);
+        let kept = kept.filter(|floor| floor.key == lease.slot);
+        let start = now.max(lease.from).max(self.not_before);
+        let bucket = kept.map(|floor| floor.bucket);
+        Leased {
+            key: lease.slot,
+            until: lease.until,
+            bucket: bucket.unwrap_or_else(|| Bucket::empty(start, allotment)),
+        }
+    }
+
+    /// Replaces refills and capacities.
+    pub fn set_allotments(&mut self, now: Moment, allotments: Allotments) {
+        if let Some(main) = &mut self.main {
+            main.bucket.set_allotment(now, allotments.main);
+        }
+        if let Some(floor) = &mut self.floor {
+            floor.bucket.set_allotment(now, allotments.floor);
+        }
+    }
+
+    /// Tokens that can be spent now.
+    pub fn level(&mut self, now: Moment) -> Amount {
+        let level = |bucket: &mut Bucket| {
+            bucket.refill(now);
+            bucket.level()
+        };
+        self.usable(now).map(level).sum()
+    }
+
+    /// Refill a second of the buckets that can be used now.
+    pub fn refill(&mut self, now: Moment) -> Amount {
+        let refill = |bucket: &mut Bucket| bucket.allotment().refill;
+        self.usable(now).map(refill).sum()
+    }
+
+    /// Tokens granted to other hosts and not yet accounted for.
+    pub fn outstanding(&mut self, now: Moment) -> Amount {
+        self.usable(now).map(|bucket| bucket.outstanding()).sum()
+    }
+
+    /// Granted tokens that expired unreported since the last call.
+    pub fn take_expired(&mut self, now: Moment) -> Amount {
+        self.usable(now).map(Bucket::take_expired).sum()
+    }
+
+    /// Removes up to `wanted` tokens, those of the floor first.
+    pub fn drain(&mut self, now: Moment, wanted: Amount) -> Amount {
+        let mut taken = Amount::ZERO;
+        for bucket in self.usable(now) {
+            taken += bucket.drain(now, wanted.saturating_sub(taken));
+        }
+        taken
+    }
+
+    /// Takes note of reports and grants what is asked for.
+    ///
+    /// Up to `reserve` tokens of the floor are kept for this host's own calls.
+    pub fn grant(&mut self, now: Moment, ask: &Ask, reserve: Amount, cfg: &LimitConfig) -> Answer {
+        self.settle(now, ask);
+        let mut answer = Answer {
+            ttl: cfg.token_ttl,
+            ..Answer::default()
+        };
+        let mut need = ask.need;
+        let mut extra = ask.extra;
+        let main = self.main.as_mut().map(|main| (main.until, main.at(now)));
+        let floor = self
+            .floor
+            .as_mut()
+            .map(|floor| (floor.until, floor.at(now)));
+        let kept = [Amount::ZERO, reserve];
+        for (slot, reserve) in [main, floor].into_iter().zip(kept) {
+            let Some((until, Some(bucket))) = slot else {
+                continue;
+            };
+            bucket.refill(now);
+            let spare = bucket.level().saturating_sub(reserve);
+            if bucket.has_granted(&ask.id) || spare > Amount::ZERO {
+                let ttl = cfg.token_ttl.min(shortened(now.until(until), cfg));
+                let (granted, ttl) =
+                    bucket.grant(now, &ask.id, need.min(spare), extra.min(spare), ttl);
+                let for_need = need.split_off(granted);
+                extra.split_off(granted.saturating_sub(for_need));
+                answer.granted += granted;
+                answer.ttl = answer.ttl.min(ttl);
+            }
+            answer.level += bucket.level().saturating_sub(reserve);
+            answer.refill += bucket.allotment().refill;
+            answer.capacity += bucket.allotment().capacity;
+        }
+        answer
+    }
+
+    fn settle(&mut self, now: Moment, ask: &Ask) {
+        for report in &ask.reports {
+            let mut rest = report.clone();
+            for bucket in self.usable(now) {
+                let returned = bucket.settle(now, &ask.id, &rest);
+                rest.returned = rest.returned.saturating_sub(returned);
+            }
+        }
+    }
+
+    fn usable(&mut self, now: Moment) -> impl Iterator<Item = &mut Bucket> {
+        let floor = self.floor.as_mut().and_then(|floor| floor.at(now));
+        let main = self.main.as_mut().and_then(|main| main.at(now));
+        floor.into_iter().chain(main)
+    }
+}
+
+/// A span that a clock slow by twice the largest error still measures as no
+/// longer than `span`.
+pub(crate) fn shortened(span: Duration, cfg: &LimitConfig) -> Duration {
+    let margin = u64::from(cfg.clock_drift_ppm) * 2;
+    let nanos = span.as_nanos() * u128::from(PARTS_PER_MILLION - margin.min(PARTS_PER_MILLION));
+    Duration::from_nanos(u64::try_from(nanos / u128::from(PARTS_PER_MILLION)).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/src/request/limit/terms.rs
@@ -0,0 +1,119 @@
+//! A customer's rate and burst, divided among buckets.
+
+use std::time::Duration;
+
+use crate::configs::limit::LimitConfig;
+use crate::ids::DataCentre;
+use crate::request::limit::amount::Amount;
+use crate::request::limit::bucket::Allotment;
+use crate::request::limit::view::View;
+use crate::units::Moment;
+use crate::version::objects::Customer;
+
+const PARTS_PER_MILLION: f64 = 1e6;
+
+/// Allotments of one host for one customer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Allotments {
+    /// The data centre's bucket, used by its owner under a lease.
+    pub main: Allotment,
+    /// This host's floor, used without one.
+    pub floor: Allotment,
+}
+
+impl Allotments {
+    /// Divides a customer's rate and burst.
+    ///
+    /// The refill is reduced by the clock's largest error, so that a fast
+    /// clock refills no more than the rate.
+    pub fn divide(
+        customer: &Customer,
+        data_centre: &DataCentre,
+        view: &View,
+        cfg: &LimitConfig,
+    ) -> Self {
+        let share = share(customer, data_centre, view);
+        let drift = 1.0 - f64::from(cfg.clock_drift_ppm) / PARTS_PER_MILLION;
+        let refill = Amount::from_tokens(customer.rate * share * drift);
+        let capacity = Amount::from_tokens(customer.burst * share);
+        let slots = u64::from(cfg.floor_slots);
+        let used = u64::try_from(view.used_slots(data_centre))
+            .unwrap_or(slots)
+            .min(slots);
+        let floor = Allotment {
+            refill: floor_of(refill, cfg),
+            capacity: floor_of(capacity, cfg),
+        };
+        let main = Allotment {
+            refill: without(refill, floor.refill, used),
+            capacity: without(capacity, floor.capacity, used),
+        };
+        Self { main, floor }
+    }
+
+    /// The smaller of two allotments in every part.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            main: self.main.min(other.main),
+            floor: self.floor.min(other.floor),
+        }
+    }
+}
+
+/// Fraction of the rate refilled in a data centre.
+///
+/// Configured shares that add up to more than one are scaled down.
+fn share(customer: &Customer, data_centre: &DataCentre, view: &View) -> f64 {
+    if customer.shares.is_empty() {
+        return 1.0 / view.members.len().max(1) as f64;
+    }
+    let total: f64 = customer.shares.values().map(|share| share.max(0.0)).sum();
+    let share = customer.shares.get(data_centre).copied();
+    share.unwrap_or_default().max(0.0) / total.max(1.0)
+}
+
+fn floor_of(amount: Amount, cfg: &LimitConfig) -> Amount {
+    Amount::from_tokens(amount.tokens() * cfg.floor_share / f64::from(cfg.floor_slots))
+}
+
+fn without(amount: Amount, floor: Amount, used: u64) -> Amount {
+    let floors = Amount::from_micros(floor.micros().saturating_mul(used));
+    amount.saturating_sub(floors)
+}
+
+/// Allotments in force, with those that another host may still act on.
+///
+/// A smaller allotment is in force at once, a larger one only after the
+/// spread time. So at any moment the allotments of all hosts add up to no
+/// more than the larger of the two totals, whatever is moved between them.
+#[derive(Clone, Debug, Default)]
+pub struct AllotmentLog {
+    latest: Allotments,
+    superseded: Vec<(Moment, Allotments)>,
+}
+
+impl AllotmentLog {
+    /// Starts with one entry.
+    pub fn new(allotments: Allotments) -> Self {
+        Self {
+            latest: allotments,
+            superseded: Vec::new(),
+        }
+    }
+
+    /// Records new allotments.
+    pub fn push(&mut self, now: Moment, allotments: Allotments) {
+        if allotments != self.latest {
+            self.superseded.push((now, self.latest));
+            self.latest = allotments;
+        }
+    }
+
+    /// Allotments in force now; entries older than `spread` are dropped.
+    pub fn effective(&mut self, now: Moment, spread: Duration) -> Allotments {
+        self.superseded.retain(|(at, _)| now < *at + spread);
+        let superseded = self.superseded.iter().map(|(_, entry)| *entry);
+        superseded.fold(self.latest, Allotments::min)
+    }
+}
