Add the model engine and plain service stand-ins

Both log every run with its headers and the order of starts and ends, and answer with a function of the request, so that a test can prove order, at most one run and whole answers.

--- a/crates/standins/src/headers.rs
+++ b/crates/standins/src/headers.rs
@@ -21,3 +21,8 @@
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+/// Value of a header as a number, if it is present and one.
+pub(crate) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,8 +4,13 @@
 //! what it was asked. A test starts it in its own process through this library
 //! or as a separate process through the `chicoryarch-standin` command.
 
+mod digest;
+pub mod engine;
 pub mod headers;
 mod lagging;
 pub mod listen;
 pub mod platform;
 mod reply;
+pub mod runs;
+pub mod service;
+mod switch;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,12 +1,18 @@
 //! The `chicoryarch-standin` command.
 
+use std::fs;
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 
 use bpaf::Bpaf;
 use chicoryarch_net::Spawner;
+use chicoryarch_standins::engine::EngineStandin;
+use chicoryarch_standins::engine::config::EngineConfig;
 use chicoryarch_standins::platform::PlatformStandin;
+use chicoryarch_standins::service::ServiceStandin;
 
 /// Threads that serve the requests.
 const THREADS: usize = 2;
@@ -15,6 +21,16 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 enum Command {
+    /// Runs a model engine: streamed chat completions.
+    #[bpaf(command)]
+    Engine {
+        /// Address to listen on; port 0 lets the kernel choose
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Settings in TOML
+        #[bpaf(argument("FILE"))]
+        config: Option<PathBuf>,
+    },
     /// Runs the platform: the object API.
     #[bpaf(command)]
     Platform {
@@ -22,6 +38,13 @@
         #[bpaf(argument("ADDRESS"))]
         listen: SocketAddr,
     },
+    /// Runs a plain service: any POST.
+    #[bpaf(command)]
+    Service {
+        /// Address to listen on; port 0 lets the kernel choose
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+    },
 }
 
 fn main() -> io::Result<()> {
@@ -31,15 +54,26 @@
 }
 
 async fn run(spawner: &Spawner, command: Command) -> io::Result<()> {
-    match command {
-        Command::Platform { listen } => {
-            let standin = PlatformStandin::start(spawner, listen).await?;
-            announce(standin.addr())?;
+    let addr = match command {
+        Command::Engine { listen, config } => {
+            let cfg = engine_config(config.as_deref())?;
+            EngineStandin::start(spawner, listen, cfg).await?.addr()
         }
-    }
+        Command::Platform { listen } => PlatformStandin::start(spawner, listen).await?.addr(),
+        Command::Service { listen } => ServiceStandin::start(spawner, listen).await?.addr(),
+    };
+    announce(addr)?;
     std::future::pending().await
 }
 
+fn engine_config(path: Option<&Path>) -> io::Result<EngineConfig> {
+    let Some(path) = path else {
+        return Ok(EngineConfig::default());
+    };
+    let text = fs::read_to_string(path)?;
+    toml::from_str(&text).map_err(io::Error::other)
+}
+
 /// Prints the address, which tells a waiting parent that the server is ready.
 fn announce(addr: SocketAddr) -> io::Result<()> {
     let mut out = io::stdout().lock();
--- a/crates/standins/src/platform/call.rs
+++ b/crates/standins/src/platform/call.rs
@@ -73,6 +73,7 @@
             }
             _ => return Err(Rejection::not_found("there is no such path and method")),
         };
+        check_names(&segments)?;
         Ok(Self {
             client,
             kind: kind.to_owned(),
@@ -98,6 +99,17 @@
     }
 }
 
+/// Refuses a segment that is not a name.
+fn check_names(segments: &[&str]) -> Result<()> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-._".contains(&b);
+    let valid = |name: &&str| !name.is_empty() && name.bytes().all(allowed);
+    if segments.iter().all(valid) {
+        return Ok(());
+    }
+    let detail = "a name holds letters, digits, `-`, `.` and `_`";
+    Err(Rejection::bad_request(detail))
+}
+
 fn read(name: &str) -> Action {
     Action::Read {
         name: name.to_owned(),
--- a/crates/standins/src/platform/switches.rs
+++ b/crates/standins/src/platform/switches.rs
@@ -8,6 +8,8 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::switch::spend;
+
 /// How a call fails while the platform is out.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -111,12 +113,3 @@
         client_matches && kind_matches
     }
 }
-
-/// Counts down, and tells whether anything was left.
-fn spend(left: &mut u32) -> bool {
-    if *left == 0 {
-        return false;
-    }
-    *left -= 1;
-    true
-}
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -1,5 +1,7 @@
 //! Responses of the stand-ins: JSON, problem bodies and closed connections.
 
+use std::time::Duration;
+
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodyError;
 use http::Response;
@@ -12,6 +14,9 @@
 /// Largest JSON body of a control request, in bytes.
 const MAX_CONTROL_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time for the first part of an answer to be sent before the answer is cut.
+pub(crate) const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// A request that is refused, with the status and a sentence for a person.
 #[derive(Debug, thiserror::Error)]
 #[error("{status}: {detail}")]
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -64,12 +64,9 @@
     PlatformStandin::start(&SPAWNER, address).await.unwrap()
 }
 
-fn client_of(standin: &PlatformStandin, host: &str, cfg: PlatformConfig) -> HttpPlatform {
+fn client_of(standin: &PlatformStandin, host: &str, mut cfg: PlatformConfig) -> HttpPlatform {
     let client = Client::new(SPAWNER.clone(), ClientConfig::default());
-    let cfg = PlatformConfig {
-        address: standin.addr(),
-        ..cfg
-    };
+    cfg.address = standin.addr();
     HttpPlatform::new(client, &host.parse().unwrap(), cfg)
 }
 
