--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -6,7 +6,6 @@
 use async_io::Timer;
 use chicoryarch_net::Body;
 use chicoryarch_net::Spawner;
-use chicoryarch_net::body::BodyError;
 use chicoryarch_net::body::BodySender;
 use futures_lite::future;
 use http::HeaderMap;
@@ -182,22 +181,24 @@
                 Some(())
             };
             let gone = async {
-                tx.closed().await;
+                tx.reader_gone().await;
                 None
             };
             future::or(gone, decode).await?;
             let event = self.writer.word_event(word);
-            tx.send(Ok(event.into())).await.ok()?;
+            tx.send(event.into()).await.ok()?;
         }
         if dies_midway {
             self.run.end(End::Died);
             Timer::after(reply::FLUSH_TIME).await;
-            let failure = BodyError::Producer("the answer stops on purpose".to_owned());
-            return tx.send(Err(failure)).await.ok();
+            tx.fail("the answer stops on purpose").await;
+            return None;
         }
         let end = self.writer.end_events(self.usage);
         self.complete();
-        tx.send(Ok(end.into())).await.ok()
+        tx.send(end.into()).await.ok()?;
+        tx.finish().await;
+        Some(())
     }
 
     /// Records the end of the run and holds the conversation in the cache.
--- a/crates/standins/src/service/api.rs
+++ b/crates/standins/src/service/api.rs
@@ -118,7 +118,7 @@
         let stated = bytes.len() + MISSING_BYTES;
         let (tx, body) = Body::channel(1);
         self.spawner.detach(async move {
-            let _sent = tx.send(Ok(bytes.into())).await;
+            let _sent = tx.send(bytes.into()).await;
             Timer::after(reply::FLUSH_TIME).await;
         });
         Response::builder()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -414,7 +414,7 @@
 
     /// A call with the first customer's key.
     pub fn call(&self, host: usize, path: &str, body: &str) -> Answer {
-        let req = Req::post(path).bearer(SECRET).body(body);
+        let req = Req::post(path).bearer(SECRET).body(body.to_owned());
         self.http.send(self.hosts[host].callers, &req)
     }
 
