Count bucket owners' epochs by the hosts that take part, and wait for them before ready

Cause: a fresh host admitted calls before its limiter had a lease, so the first calls of the process-level test were refused with 429. Ruled out: the table's ownership version as the epoch, since every hand-over of a partition would restart all buckets. The table now counts changes of its participants and gives each host a slot; readiness waits for the limiter.

--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -1,6 +1,5 @@
 //! Passes what one part knows on to the parts that need it.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -11,13 +10,8 @@
 use super::distribution::Hosts;
 use super::journals::AcquireError;
 use super::membership::Membership;
-use super::timers::Timers;
 use crate::connection::platform::Platform;
-use crate::ids::DataCentre;
 use crate::ids::Epoch;
-use crate::request::limit::Member;
-use crate::request::limit::View;
-use crate::units::Moment;
 use crate::version::journal::PartitionId;
 use crate::version::objects::Kind;
 use crate::version::table::PartitionEvent;
@@ -164,51 +158,3 @@
         }
     }
 }
-
-/// Passes hosts and leases on to the limiter.
-pub async fn run_rates_view<P: Platform>(cx: Cx<P>, timers: Timers) {
-    let ticks = timers.subscribe(cx.cfg.membership.heartbeat_period).await;
-    let mut epochs = Epochs::default();
-    while ticks.recv().await.is_ok() {
-        cx.rates.set_view(view(&cx, &mut epochs));
-    }
-}
-
-/// First sight of each version of the own data centre's ownership.
-#[derive(Debug, Default)]
-struct Epochs {
-    newest: Epoch,
-    settled_at: Moment,
-}
-
-fn view<P: Platform>(cx: &Cx<P>, epochs: &mut Epochs) -> View {
-    let now = Moment::now();
-    let cfg = &cx.cfg.membership;
-    let table = cx.membership.table(&cx.cfg.data_centre);
-    let epoch = Epoch(table.map_or(0, |table| table.ownership.0));
-    if epoch != epochs.newest {
-        epochs.newest = epoch;
-        epochs.settled_at = now + cfg.lapse_after();
-    }
-    let mut members: BTreeMap<DataCentre, Vec<Member>> = BTreeMap::new();
-    for data_centre in cx.cfg.all_data_centres() {
-        members.entry(data_centre.clone()).or_default();
-    }
-    for host in cx.membership.hosts() {
-        members.entry(host.data_centre).or_default().push(Member {
-            host: host.host,
-            address: host.peer,
-            alive: host.live && !host.draining,
-            slot: None,
-        });
-    }
-    View {
-        host: cx.cfg.host.clone(),
-        data_centre: cx.cfg.data_centre.clone(),
-        epoch,
-        members,
-        lease_until: cx.membership.lease_until(),
-        settled_at: epochs.settled_at,
-        floor: None,
-    }
-}
--- a/src/process/membership/handle.rs
+++ b/src/process/membership/handle.rs
@@ -12,6 +12,7 @@
 use super::status::Status;
 use crate::ids::DataCentre;
 use crate::ids::Epoch;
+use crate::ids::Incarnation;
 use crate::ids::Partition;
 use crate::units::Moment;
 use crate::version::table::Coordinator;
@@ -36,6 +37,17 @@
     status: Status,
 }
 
+/// This host's lease and the tables that it knows, read at one moment.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// Start of this host's process.
+    pub incarnation: Incarnation,
+    /// End of its lease, if there ever was one.
+    pub lease_until: Option<Moment>,
+    /// Newest known table of each data centre.
+    pub tables: Vec<Table>,
+}
+
 /// Handle to the membership part; clones share it.
 ///
 /// Every method takes a short lock and none of them waits.
@@ -92,9 +104,15 @@
         self.state.lock().coordinator.table(data_centre).cloned()
     }
 
-    /// End of this host's lease, if there ever was one.
-    pub fn lease_until(&self) -> Option<Moment> {
-        self.state.lock().coordinator.home().lease_until()
+    /// This host's lease together with the tables that it was renewed under.
+    pub fn standing(&self) -> Standing {
+        let state = self.state.lock();
+        let home = state.coordinator.home();
+        Standing {
+            incarnation: home.incarnation(),
+            lease_until: home.lease_until(),
+            tables: state.coordinator.tables().cloned().collect(),
+        }
     }
 
     /// Every known host of every data centre.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod drain;
 pub mod journals;
 pub mod layout;
+pub mod limit_view;
 pub mod links;
 pub mod logs;
 pub mod membership;
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -33,6 +33,8 @@
 use super::journals::Journals;
 use super::layout::Layout;
 use super::layout::SharedLayout;
+use super::limit_view;
+use super::limit_view::Settled;
 use super::links;
 use super::links::KnownHosts;
 use super::membership;
@@ -239,9 +241,10 @@
     let module = module(&cx, &distribution).expect("method names are distinct");
     let ports = Ports::default();
     serve_ports(&cx, listeners, &ports, module);
-    start_links(&cx, events, platform, &timers).await;
+    let settled = Settled::default();
+    start_links(&cx, events, platform, &timers, &settled).await;
     cx.spawner
-        .detach(become_ready(Cx::clone(&cx), distribution, timers));
+        .detach(become_ready(Cx::clone(&cx), distribution, timers, settled));
     Ok((cx, ports))
 }
 
@@ -332,11 +335,16 @@
     events: Receiver<PartitionEvent>,
     platform: P,
     timers: &Timers,
+    settled: &Settled,
 ) {
     let spawner = &cx.spawner;
     spawner.detach(links::run_partitions(Cx::clone(cx), events));
     spawner.detach(links::run_customers(Cx::clone(cx)));
-    spawner.detach(links::run_rates_view(Cx::clone(cx), timers.clone()));
+    spawner.detach(limit_view::run(
+        Cx::clone(cx),
+        timers.clone(),
+        settled.clone(),
+    ));
     cx.rates.start(timers).await;
     let layout = cx.layout.clone();
     let wanted = Layout {
@@ -351,11 +359,19 @@
     cx: Cx<P>,
     distribution: Distribution<P, HttpPeers, KnownHosts>,
     timers: Timers,
+    settled: Settled,
 ) {
-    while distribution.catch_up().await == Source::Nothing {
+    let mut source = distribution.catch_up().await;
+    while source == Source::Nothing {
         Timer::after(CATCH_UP_RETRY).await;
+        source = distribution.catch_up().await;
     }
     distribution.start(&timers);
+    // Without the platform there is no lease to wait for; the host then
+    // serves what it can.
+    while source == Source::Platform && !settled.is_settled() {
+        Timer::after(CATCH_UP_RETRY).await;
+    }
     cx.readiness.set(true);
     log::info!("host ready host={}", cx.cfg.host);
 }
--- a/src/version/table/coordinator.rs
+++ b/src/version/table/coordinator.rs
@@ -176,11 +176,15 @@
         own
     }
 
+    /// Newest known table of every data centre.
+    pub fn tables(&self) -> impl Iterator<Item = &Table> {
+        let others = self.directory.iter().map(|committed| &committed.table);
+        self.home.known_table().into_iter().chain(others)
+    }
+
     /// Every known host, each from its own data centre's table.
     pub fn hosts(&self) -> Vec<HostInfo> {
-        let others = self.directory.iter().map(|committed| &committed.table);
-        let tables = self.home.known_table().into_iter().chain(others);
-        tables.flat_map(home_hosts).collect()
+        self.tables().flat_map(home_hosts).collect()
     }
 
     /// Digests last heard from the hosts of the own data centre.
--- a/src/version/table/rows.rs
+++ b/src/version/table/rows.rs
@@ -1,6 +1,7 @@
 //! The table's rows and the invariants between its versions.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -37,6 +38,9 @@
     /// True once the lease of the newest heartbeat has run out.
     #[serde(default, skip_serializing_if = "is_false")]
     pub lapsed: bool,
+    /// Number that no other host of the table has; kept until the row goes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slot: Option<u16>,
 }
 
 impl HostRow {
@@ -72,6 +76,9 @@
     pub data_centre: DataCentre,
     /// Raised whenever anything but a heartbeat sequence changes.
     pub ownership: Version,
+    /// Raised by one whenever the set of hosts that take part changes.
+    #[serde(default)]
+    pub members: Epoch,
     /// Hosts by name.
     pub hosts: BTreeMap<HostId, HostRow>,
     /// Owners by partition number.
@@ -90,6 +97,7 @@
         Self {
             data_centre: row.data_centre.clone(),
             ownership: Version(1),
+            members: Epoch(1),
             hosts: BTreeMap::from([(host, row)]),
             partitions: vec![partition; usize::from(partitions)],
         }
@@ -125,6 +133,39 @@
         row.data_centre != self.data_centre
     }
 
+    /// Hosts of the table's own data centre that take part, with the starts of
+    /// their processes.
+    pub fn participants(&self) -> impl Iterator<Item = (&HostId, Incarnation)> {
+        let takes_part = |row: &HostRow| !row.lapsed && !row.draining && !self.is_guest(row);
+        self.hosts
+            .iter()
+            .filter(move |(_, row)| takes_part(row))
+            .map(|(host, row)| (host, row.incarnation))
+    }
+
+    /// Raises the counters of a table that follows `base` by what has changed.
+    pub fn raise_counters(&mut self, base: &Self) {
+        if !self.same_ownership(base) {
+            self.ownership = base.ownership.next();
+        }
+        if !self.participants().eq(base.participants()) {
+            self.members = base.members.next();
+        }
+    }
+
+    /// Gives each host of the own data centre a slot that no other row has.
+    pub fn assign_slots(&mut self) {
+        let mut free = (0..).filter({
+            let used: Vec<u16> = self.hosts.values().filter_map(|row| row.slot).collect();
+            move |slot| !used.contains(slot)
+        });
+        let home = &self.data_centre;
+        let without = |row: &&mut HostRow| row.slot.is_none() && row.data_centre == *home;
+        for row in self.hosts.values_mut().filter(without) {
+            row.slot = free.next();
+        }
+    }
+
     /// True if both differ in nothing but heartbeat sequences.
     pub fn same_ownership(&self, other: &Self) -> bool {
         let same_hosts = self.hosts.len() == other.hosts.len()
@@ -140,8 +181,12 @@
     ///
     /// # Panics
     ///
-    /// If a partition's owner has no row or an epoch is zero.
+    /// If a partition's owner has no row, an epoch is zero or a slot is taken
+    /// twice.
     pub fn assert_sound(&self) {
+        let slots: Vec<u16> = self.hosts.values().filter_map(|row| row.slot).collect();
+        let distinct: BTreeSet<u16> = slots.iter().copied().collect();
+        assert_eq!(slots.len(), distinct.len(), "two hosts have one slot");
         for (partition, row) in self.numbered() {
             assert!(
                 self.hosts.contains_key(&row.owner),
@@ -163,6 +208,7 @@
         assert_eq!(self.data_centre, earlier.data_centre);
         assert_eq!(self.partitions.len(), earlier.partitions.len());
         assert!(self.ownership >= earlier.ownership, "ownership went back");
+        assert!(self.members >= earlier.members, "members went back");
         for ((partition, new), old) in self.numbered().zip(&earlier.partitions) {
             assert_partition_follows(partition, new, old);
         }
@@ -186,6 +232,8 @@
                 position(new) >= position(old),
                 "the heartbeat of {host} went back"
             );
+            let kept = old.slot.is_none() || new.slot == old.slot;
+            assert!(kept, "the slot of {host} changed");
         }
     }
 }
--- a/src/version/table/successor.rs
+++ b/src/version/table/successor.rs
@@ -38,9 +38,8 @@
         let free = self.free_partitions(&next);
         assign(&mut next, |partition, _| free.contains(&partition));
         self.remove_hosts(&mut next);
-        if !next.same_ownership(base) {
-            next.ownership = base.ownership.next();
-        }
+        next.assign_slots();
+        next.raise_counters(base);
         next.assert_sound();
         next.assert_follows(base);
         next.assert_heartbeats_follow(base);
@@ -131,6 +130,7 @@
         known.is_some_and(|row| row.incarnation == heartbeat.incarnation && row.draining);
     let row = HostRow {
         draining: draining || heartbeat.draining,
+        slot: known.and_then(|row| row.slot),
         ..row_of(heartbeat)
     };
     table.hosts.insert(heartbeat.host.clone(), row);
@@ -146,6 +146,7 @@
         sequence: heartbeat.sequence,
         draining: heartbeat.draining,
         lapsed: false,
+        slot: None,
     }
 }
 
@@ -166,7 +167,7 @@
         }
     }
     assign(&mut next, |_, _| true);
-    next.ownership = lapsed.ownership.next();
+    next.raise_counters(lapsed);
     next.assert_sound();
     next.assert_follows(lapsed);
     next.assert_heartbeats_follow(lapsed);
@@ -183,6 +184,7 @@
     let same = earlier.filter(|known| known.incarnation == row.incarnation);
     let guest = HostRow {
         sequence: same.map_or(Sequence(0), |known| known.sequence),
+        slot: earlier.and_then(|known| known.slot),
         ..row.clone()
     };
     table.hosts.insert(host.clone(), guest);
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -60,7 +60,7 @@
     }
 
     #[must_use]
-    pub fn header(mut self, name: &str, value: impl ToString) -> Self {
+    pub fn header(mut self, name: &str, value: impl std::fmt::Display) -> Self {
         let name: HeaderName = name.parse().expect("a header name");
         let value = HeaderValue::try_from(value.to_string()).expect("a header value");
         self.headers.append(name, value);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -270,6 +270,13 @@
 [drain]
 notice_ms = 0
 limit_ms = 60000
+[membership]
+heartbeat_period_ms = 50
+lease_ttl_ms = 1000
+drift_margin_ms = 50
+adoption_timeout_ms = 3000
+refresh_period_ms = 200
+partitions = 8
 ";
 
 impl Fleet {
