--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,10 @@
 
 use chicoryarch::cli::Command;
 use chicoryarch::cli::command;
+use chicoryarch::configs::host::DEFAULT_THREADS;
 use chicoryarch::configs::host::HostConfig;
+use chicoryarch::configs::host::LogConfig;
+use chicoryarch::process::dev;
 use chicoryarch::process::drain::Drained;
 use chicoryarch::process::logs;
 use chicoryarch::process::serve;
@@ -23,7 +26,8 @@
             println!("{}: no fault found", config.display());
             Ok(ExitCode::SUCCESS)
         }
-        _ => Ok(ExitCode::SUCCESS),
+        Command::Dev { port } => run_dev(port),
+        Command::Ctl { .. } => Ok(ExitCode::SUCCESS),
     }
 }
 
@@ -35,8 +39,19 @@
     logs::start(&cfg.log);
     let spawner = Spawner::start(cfg.threads);
     let drained = async_io::block_on(serve::run(cfg, spawner))?;
-    Ok(match drained {
+    Ok(exit_code(drained))
+}
+
+fn run_dev(port: u16) -> miette::Result<ExitCode> {
+    logs::start(&LogConfig::default());
+    let spawner = Spawner::start(DEFAULT_THREADS);
+    let drained = async_io::block_on(dev::run(port, spawner))?;
+    Ok(exit_code(drained))
+}
+
+fn exit_code(drained: Drained) -> ExitCode {
+    match drained {
         Drained::Whole => ExitCode::SUCCESS,
         Drained::Cut(_) => ExitCode::from(EXIT_CUT),
-    })
+    }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for the process: start, timers, metrics, logs and shutdown.
 
 pub mod context;
+pub mod dev;
 pub mod distribution;
 pub mod drain;
 pub mod journals;
