--- a/src/request/cost.rs
+++ b/src/request/cost.rs
@@ -9,6 +9,7 @@
 use crate::request::outcome::Refusal;
 use crate::request::outcome::Result;
 use crate::units::Tokens;
+use crate::utils::json;
 use crate::version::objects::Service;
 use crate::version::objects::ServiceKind;
 
@@ -32,7 +33,7 @@
     if service.kind == ServiceKind::Plain {
         return Ok(service.cost);
     }
-    let limits: Limits = serde_json::from_slice(body).map_err(|e| not_an_object(&e))?;
+    let limits: Limits = json::object(body).map_err(|e| not_an_object(&e))?;
     let prompt = (body.len() as u64).div_ceil(cfg.bytes_per_token);
     let completion = limits.max_tokens.unwrap_or(cfg.default_max_tokens);
     Ok(Tokens(prompt.saturating_add(completion)))
@@ -46,11 +47,11 @@
 ///
 /// A bad-request refusal if the body is not a JSON object.
 pub fn with_limit(cfg: &CallerConfig, body: Bytes) -> Result<Bytes> {
-    let limits: Limits = serde_json::from_slice(&body).map_err(|e| not_an_object(&e))?;
+    let limits: Limits = json::object(&body).map_err(|e| not_an_object(&e))?;
     if limits.max_tokens.is_some() {
         return Ok(body);
     }
-    let mut value: Value = serde_json::from_slice(&body).map_err(|e| not_an_object(&e))?;
+    let mut value: Value = json::object(&body).map_err(|e| not_an_object(&e))?;
     if let Value::Object(fields) = &mut value {
         fields.insert(MAX_TOKENS.to_owned(), cfg.default_max_tokens.into());
     }
--- a/src/request/programs.rs
+++ b/src/request/programs.rs
@@ -26,6 +26,7 @@
 use crate::ids::ProgramId;
 use crate::process::context::Cx;
 use crate::units::Tokens;
+use crate::utils::json;
 use crate::version::history::HistoryMode;
 use crate::version::journal::PartitionId;
 use crate::version::journal::ProgramSpec;
@@ -98,7 +99,7 @@
     if body.is_empty() {
         return Ok(OpenBody::default());
     }
-    serde_json::from_slice(body).map_err(|e| {
+    json::object(body).map_err(|e| {
         let detail = format!("the body does not describe a program: {e}");
         Refusal::not_run(Reason::BadRequest, detail)
     })
--- a/src/utils/mod.rs
+++ b/src/utils/mod.rs
@@ -1,1 +1,3 @@
 //! Small helpers without a subject of their own.
+
+pub mod json;
