Add held history: segments chained by digest, rebuilt by a new owner

A call runs with all turns up to the one its caller has seen last, or is refused before anything runs. The chain alone cannot show that its newest segment is missing, so the caller's last turn, or the ordinal just before the call's, has to match the newest segment.

Ruled out: counting the history whole when its segments form a chain, which runs on a shortened history when an owner dies with turns waiting.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,6 +1,7 @@
 //! Settings structs, one module for each part, all with `Default`.
 
 pub mod distribution;
+pub mod history;
 pub mod journal;
 pub mod limit;
 pub mod membership;
--- a/src/process/journals/mod.rs
+++ b/src/process/journals/mod.rs
@@ -6,6 +6,7 @@
 
 mod acquire;
 mod cell;
+pub mod history;
 mod run;
 mod ticket;
 
--- /dev/null
+++ b/src/version/history/conversation.rs
@@ -0,0 +1,134 @@
+//! The owner's copy of one held conversation.
+
+use super::CacheHandle;
+use super::Gap;
+use super::Message;
+use super::Segment;
+use super::Turn;
+use super::segment::chained;
+use crate::ids::Ordinal;
+use crate::version::journal::Digest;
+
+/// A call that continues a held conversation.
+#[derive(Clone, Debug)]
+pub struct TurnRequest {
+    /// Whose conversation it is, and at which epoch it is owned.
+    pub handle: CacheHandle,
+    /// The call's position in its program.
+    pub ordinal: Ordinal,
+    /// The last turn whose answer the caller has, 0 for none.
+    ///
+    /// A caller that names none means the call just before this one.
+    pub after: Option<Ordinal>,
+    /// The messages that the call brings.
+    pub messages: Vec<Message>,
+}
+
+/// What a call has to run with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Assembled {
+    /// The whole conversation with the new messages at its end.
+    Run(Vec<Message>),
+    /// The turn is complete already; these are the messages of its answer.
+    Complete(Vec<Message>),
+}
+
+/// The owner's copy of one held conversation.
+///
+/// Invariant `whole-history`: a call runs with all turns up to the one that
+/// its caller has seen last, or it does not run.
+#[derive(Clone, Debug)]
+pub struct Conversation {
+    handle: CacheHandle,
+    segments: Vec<Segment>,
+    stored: usize,
+    bytes: usize,
+}
+
+impl Conversation {
+    /// Rebuilds a conversation from its stored segments, in any order.
+    ///
+    /// # Errors
+    ///
+    /// [`Gap`] if a segment is missing or does not fit the one before it.
+    pub fn rebuild(handle: CacheHandle, segments: Vec<Segment>) -> Result<Self, Gap> {
+        let segments = chained(segments)?;
+        let bytes = segments.iter().map(Segment::bytes).sum();
+        let stored = segments.len();
+        Ok(Self {
+            handle,
+            segments,
+            stored,
+            bytes,
+        })
+    }
+
+    /// Name of its prefix at the engines.
+    pub fn handle(&self) -> &CacheHandle {
+        &self.handle
+    }
+
+    /// Length of its messages, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Turns that wait for the platform.
+    pub fn pending(&self) -> &[Segment] {
+        &self.segments[self.stored..]
+    }
+
+    /// Ordinal of the last turn, 0 if there is none.
+    pub fn tip(&self) -> Ordinal {
+        self.segments
+            .last()
+            .map(|last| last.ordinal)
+            .unwrap_or_default()
+    }
+
+    /// Gives the messages that a call runs with.
+    ///
+    /// # Errors
+    ///
+    /// [`Gap`] if the last turn is not the one that the caller has seen last.
+    pub fn assemble(&self, req: &TurnRequest) -> Result<Assembled, Gap> {
+        if let Some(turn) = self.completed(req) {
+            return Ok(Assembled::Complete(turn.answered.clone()));
+        }
+        let before = Ordinal(req.ordinal.0.saturating_sub(1));
+        if self.tip() != req.after.unwrap_or(before) || self.tip() >= req.ordinal {
+            return Err(Gap(req.ordinal));
+        }
+        let held = self.segments.iter().flat_map(Segment::messages);
+        Ok(Assembled::Run(held.chain(&req.messages).cloned().collect()))
+    }
+
+    fn completed(&self, req: &TurnRequest) -> Option<&Turn> {
+        let last = self.segments.last()?;
+        let is_same = last.ordinal == req.ordinal && last.turn.asked == req.messages;
+        is_same.then_some(&last.turn)
+    }
+
+    /// Adds a completed turn, which then waits for the platform.
+    pub fn push(&mut self, ordinal: Ordinal, turn: Turn) {
+        assert!(ordinal > self.tip(), "whole-history");
+        let last = self.segments.last();
+        let segment = Segment {
+            ordinal,
+            epoch: self.handle.epoch,
+            previous: self.tip(),
+            previous_digest: last.map_or(Digest([0; 32]), Segment::digest),
+            turn,
+        };
+        self.bytes += segment.bytes();
+        self.segments.push(segment);
+    }
+
+    /// Notes that the oldest waiting turn is in the platform.
+    pub fn stored(&mut self, ordinal: Ordinal) {
+        let next = self.pending().first().map(|segment| segment.ordinal);
+        if next == Some(ordinal) {
+            self.stored += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/version/history/segment.rs
@@ -0,0 +1,96 @@
+//! Segments of a held history and the check of their chain.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+use super::Message;
+use crate::ids::Epoch;
+use crate::ids::Ordinal;
+use crate::ids::ProgramId;
+use crate::version::journal::Digest;
+
+/// The recorded history of a program is not whole.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("the recorded history has a gap before turn {0}")]
+pub struct Gap(pub Ordinal);
+
+/// A completed turn of a conversation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Turn {
+    /// Messages that the call brought.
+    pub asked: Vec<Message>,
+    /// Messages that the answer added.
+    pub answered: Vec<Message>,
+}
+
+/// One turn as stored, chained to the one before it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Segment {
+    /// Ordinal of the call that completed the turn.
+    pub ordinal: Ordinal,
+    /// Epoch of the owner that ran the call.
+    pub epoch: Epoch,
+    /// Ordinal of the turn before, 0 for the first.
+    pub previous: Ordinal,
+    /// Digest of the segment before, zeros for the first.
+    pub previous_digest: Digest,
+    /// The turn.
+    pub turn: Turn,
+}
+
+impl Segment {
+    /// Digest over the segment and, by its chain, all before it.
+    pub fn digest(&self) -> Digest {
+        let bytes = serde_json::to_vec(self).expect("typed values always encode as JSON");
+        Digest(Sha256::digest(bytes).into())
+    }
+
+    /// The messages of the turn.
+    pub fn messages(&self) -> impl Iterator<Item = &Message> {
+        self.turn.asked.iter().chain(&self.turn.answered)
+    }
+
+    /// Length of its messages in bytes.
+    pub fn bytes(&self) -> usize {
+        self.messages().map(|message| message.as_str().len()).sum()
+    }
+}
+
+/// Name of a segment's object.
+pub fn segment_name(program: &ProgramId, ordinal: Ordinal) -> String {
+    format!("{}{ordinal}", segment_prefix(program))
+}
+
+/// Start of the names of all segments of a program.
+pub fn segment_prefix(program: &ProgramId) -> String {
+    format!("{program}.")
+}
+
+/// Puts segments in order, back from the newest, and checks their chain.
+///
+/// A segment that the newest does not lead back to was written late by a
+/// former owner and is no part of the history.
+pub(super) fn chained(segments: Vec<Segment>) -> Result<Vec<Segment>, Gap> {
+    let by_ordinal = |segment: Segment| (segment.ordinal, segment);
+    let mut found: BTreeMap<Ordinal, Segment> = segments.into_iter().map(by_ordinal).collect();
+    let Some((_, newest)) = found.pop_last() else {
+        return Ok(Vec::new());
+    };
+    let mut chain = vec![newest];
+    while let Some(last) = chain.last()
+        && last.previous != Ordinal(0)
+    {
+        let gap = Gap(last.ordinal);
+        let previous = found.remove(&last.previous).ok_or(gap)?;
+        if previous.digest() != last.previous_digest || previous.ordinal >= last.ordinal {
+            return Err(gap);
+        }
+        chain.push(previous);
+    }
+    chain.reverse();
+    Ok(chain)
+}
--- /dev/null
+++ b/tests/history.rs
@@ -0,0 +1,260 @@
+//! Held history over a platform in memory.
+
+use async_io::block_on;
+use chicoryarch::configs::history::HistoryConfig;
+use chicoryarch::connection::platform::Platform;
+use chicoryarch::connection::platform::memory::Faults;
+use chicoryarch::connection::platform::memory::MemoryPlatform;
+use chicoryarch::ids::Epoch;
+use chicoryarch::ids::Ordinal;
+use chicoryarch::ids::ProgramId;
+use chicoryarch::process::journals::history::Appended;
+use chicoryarch::process::journals::history::History;
+use chicoryarch::request::outcome::Ran;
+use chicoryarch::request::outcome::Reason;
+use chicoryarch::request::outcome::Refusal;
+use chicoryarch::version::history::Assembled;
+use chicoryarch::version::history::CacheHandle;
+use chicoryarch::version::history::HISTORY_KIND;
+use chicoryarch::version::history::Message;
+use chicoryarch::version::history::Turn;
+use chicoryarch::version::history::TurnRequest;
+use chicoryarch::version::history::segment_name;
+
+type Held = History<MemoryPlatform>;
+
+const OUT: Faults = Faults {
+    out: true,
+    lost_answers: 0,
+};
+
+fn program() -> ProgramId {
+    "dc-1.0.00000000000000aa".parse().unwrap()
+}
+
+fn handle(epoch: u64) -> CacheHandle {
+    CacheHandle {
+        customer: "acme".parse().unwrap(),
+        program: program(),
+        epoch: Epoch(epoch),
+    }
+}
+
+fn message(role: &str, text: &str) -> Message {
+    Message::new(format!(r#"{{"role":"{role}","content":"{text}"}}"#)).unwrap()
+}
+
+fn asked(ordinal: u64) -> Vec<Message> {
+    vec![message("user", &format!("question {ordinal}"))]
+}
+
+fn answered(ordinal: u64) -> Vec<Message> {
+    vec![message("assistant", &format!("answer {ordinal}"))]
+}
+
+fn request(epoch: u64, ordinal: u64) -> TurnRequest {
+    TurnRequest {
+        handle: handle(epoch),
+        ordinal: Ordinal(ordinal),
+        after: None,
+        messages: asked(ordinal),
+    }
+}
+
+fn turn(ordinal: u64) -> Turn {
+    Turn {
+        asked: asked(ordinal),
+        answered: answered(ordinal),
+    }
+}
+
+fn held(platform: &MemoryPlatform) -> Held {
+    History::new(platform.clone(), HistoryConfig::default())
+}
+
+async fn run(history: &Held, epoch: u64, ordinal: u64) -> Appended {
+    let assembled = history.assemble(&request(epoch, ordinal)).await.unwrap();
+    assert_eq!(assembled, Assembled::Run(conversation(ordinal)));
+    let handle = handle(epoch);
+    let appended = history.append(&handle, Ordinal(ordinal), turn(ordinal));
+    appended.await.unwrap()
+}
+
+/// All messages up to the question of a turn.
+fn conversation(ordinal: u64) -> Vec<Message> {
+    let before = (1..ordinal).flat_map(|turn| [asked(turn), answered(turn)].concat());
+    before.chain(asked(ordinal)).collect()
+}
+
+async fn refused(history: &Held, req: &TurnRequest) -> Refusal {
+    let refusal = history.assemble(req).await.unwrap_err();
+    assert_eq!(refusal.ran, Ran::NotRun);
+    refusal
+}
+
+async fn remove(platform: &MemoryPlatform, ordinal: u64) {
+    let name = segment_name(&program(), Ordinal(ordinal));
+    let object = platform.read(HISTORY_KIND, &name).await.unwrap().unwrap();
+    let removed = platform.remove(HISTORY_KIND, &name, object.version);
+    removed.await.unwrap();
+}
+
+#[test]
+fn a_new_owner_rebuilds_the_whole_conversation() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = held(&platform);
+        for ordinal in 1..=12 {
+            assert_eq!(run(&first, 1, ordinal).await, Appended::Durable);
+        }
+        assert_eq!(run(&held(&platform), 2, 13).await, Appended::Durable);
+    });
+}
+
+#[test]
+fn a_missing_segment_is_refused_before_anything_runs() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = held(&platform);
+        for ordinal in 1..=3 {
+            run(&first, 1, ordinal).await;
+        }
+        remove(&platform, 2).await;
+        let refusal = refused(&held(&platform), &request(2, 4)).await;
+        assert_eq!(refusal.reason, Reason::HistoryGap);
+    });
+}
+
+#[test]
+fn a_missing_last_segment_is_refused_before_anything_runs() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = held(&platform);
+        run(&first, 1, 1).await;
+        platform.set_faults(OUT);
+        assert_eq!(run(&first, 1, 2).await, Appended::Pending);
+        platform.set_faults(Faults::default());
+        let refusal = refused(&held(&platform), &request(2, 3)).await;
+        assert_eq!(refusal.reason, Reason::HistoryGap);
+    });
+}
+
+#[test]
+fn a_waiting_turn_is_written_when_the_platform_is_back() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = held(&platform);
+        run(&first, 1, 1).await;
+        platform.set_faults(OUT);
+        assert_eq!(run(&first, 1, 2).await, Appended::Pending);
+        assert_eq!(run(&first, 1, 3).await, Appended::Pending);
+        platform.set_faults(Faults::default());
+        first.flush().await;
+        run(&held(&platform), 2, 4).await;
+    });
+}
+
+#[test]
+fn too_many_waiting_turns_refuse_the_next_call() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let history = held(&platform);
+        run(&history, 1, 1).await;
+        platform.set_faults(OUT);
+        let most = HistoryConfig::default().max_pending_turns as u64;
+        for ordinal in 2..2 + most {
+            run(&history, 1, ordinal).await;
+        }
+        let refusal = refused(&history, &request(1, 2 + most)).await;
+        assert_eq!(refusal.reason, Reason::JournalUnavailable);
+    });
+}
+
+#[test]
+fn a_segment_whose_answer_is_lost_is_settled_by_reading() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let history = held(&platform);
+        run(&history, 1, 1).await;
+        platform.set_faults(Faults {
+            out: false,
+            lost_answers: 1,
+        });
+        assert_eq!(run(&history, 1, 2).await, Appended::Durable);
+    });
+}
+
+#[test]
+fn a_former_owner_cannot_continue_a_conversation() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let first = held(&platform);
+        run(&first, 1, 1).await;
+        first.assemble(&request(1, 2)).await.unwrap();
+        run(&held(&platform), 2, 2).await;
+        let mut late = turn(2);
+        late.answered = answered(99);
+        let appended = first.append(&handle(1), Ordinal(2), late).await;
+        assert_eq!(appended, Some(Appended::Superseded));
+    });
+}
+
+#[test]
+fn a_former_owners_late_turn_that_the_caller_has_seen_is_kept() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let (first, second) = (held(&platform), held(&platform));
+        run(&first, 1, 1).await;
+        second.assemble(&request(2, 2)).await.unwrap();
+        run(&first, 1, 2).await;
+        run(&second, 2, 3).await;
+    });
+}
+
+#[test]
+fn a_repeated_call_of_a_complete_turn_gets_its_answer() {
+    block_on(async {
+        let history = held(&MemoryPlatform::default());
+        run(&history, 1, 1).await;
+        let again = history.assemble(&request(1, 1)).await;
+        assert_eq!(again, Ok(Assembled::Complete(answered(1))));
+    });
+}
+
+#[test]
+fn a_caller_that_names_its_last_turn_may_leave_out_ordinals() {
+    block_on(async {
+        let history = held(&MemoryPlatform::default());
+        run(&history, 1, 1).await;
+        let unnamed = refused(&history, &request(1, 5)).await;
+        assert_eq!(unnamed.reason, Reason::HistoryGap);
+        let named = TurnRequest {
+            after: Some(Ordinal(1)),
+            ..request(1, 5)
+        };
+        assert!(history.assemble(&named).await.is_ok());
+    });
+}
+
+#[test]
+fn erased_history_leaves_no_segment() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let history = held(&platform);
+        run(&history, 1, 1).await;
+        run(&history, 1, 2).await;
+        history.erase(&program()).await.unwrap();
+        let left = platform.list(HISTORY_KIND, "").await.unwrap();
+        assert!(left.objects.is_empty());
+    });
+}
+
+#[test]
+fn only_objects_with_a_role_and_a_content_are_messages() {
+    let texts = [r#"{"role":"user"}"#, "[]", r#"{"content":"x"}"#, "{"];
+    assert!(
+        texts
+            .iter()
+            .all(|text| Message::new((*text).to_owned()).is_err())
+    );
+}
