--- a/src/version/journal/begin.rs
+++ b/src/version/journal/begin.rs
@@ -13,6 +13,7 @@
 use super::machine::Call;
 use super::machine::Journal;
 use super::machine::Phase;
+use super::machine::Status;
 use super::machine::Timer;
 use super::machine::Wait;
 use super::order::Misplaced;
@@ -168,6 +169,10 @@
     }
 
     fn take_next(&mut self, program: &ProgramId) -> Option<RequestId> {
+        // Nothing starts once the partition is being handed over or is lost.
+        if self.status != Status::Active {
+            return None;
+        }
         self.programs.get_mut(program)?.sequence.take_next()
     }
 
--- /dev/null
+++ b/tests/journal/store.rs
@@ -0,0 +1,145 @@
+//! The journal's object as a plain versioned value, and facts that must last.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use chicoryarch::configs::journal::JournalConfig;
+use chicoryarch::connection::platform::Object;
+use chicoryarch::connection::platform::PlatformError;
+use chicoryarch::connection::platform::Written;
+use chicoryarch::connection::platform::decode;
+use chicoryarch::ids::Epoch;
+use chicoryarch::ids::ProgramId;
+use chicoryarch::ids::Version;
+use chicoryarch::version::journal::Answer;
+use chicoryarch::version::journal::Document;
+use chicoryarch::version::journal::JOURNAL_KIND;
+use chicoryarch::version::journal::OnceId;
+use chicoryarch::version::journal::OnceState;
+use chicoryarch::version::journal::StoredAnswer;
+
+use crate::steps::Fault;
+
+/// A write that was sent and has not taken effect yet.
+struct LateWrite {
+    expected: Option<Version>,
+    value: Vec<u8>,
+}
+
+/// The journal's object and the objects of large answers.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) out: bool,
+    pub(crate) object: Option<Object>,
+    pub(crate) answers: BTreeMap<String, StoredAnswer>,
+    /// Programs whose id was given out.
+    pub(crate) opened: BTreeSet<ProgramId>,
+    /// Answers that their owner reported as recorded.
+    pub(crate) recorded: BTreeMap<OnceId, StoredAnswer>,
+    /// Intents that a document has held, with its epoch.
+    pub(crate) intents: BTreeSet<(Epoch, OnceId)>,
+    late: Vec<LateWrite>,
+    newest: u64,
+}
+
+fn unavailable() -> PlatformError {
+    PlatformError::Unavailable("switched off".to_owned())
+}
+
+impl Store {
+    pub(crate) fn read(&self, fault: Fault) -> Result<Option<Object>, PlatformError> {
+        match fault {
+            Fault::None if !self.out => Ok(self.object.clone()),
+            _ => Err(unavailable()),
+        }
+    }
+
+    pub(crate) fn write(
+        &mut self,
+        expected: Option<Version>,
+        value: Vec<u8>,
+        fault: Fault,
+    ) -> Result<Written, PlatformError> {
+        let lost = Err(PlatformError::UnknownOutcome);
+        match fault {
+            _ if self.out => Err(unavailable()),
+            Fault::Fails => Err(unavailable()),
+            Fault::None => Ok(self.apply(expected, value)),
+            Fault::AnswerLost => {
+                self.apply(expected, value);
+                lost
+            }
+            Fault::Late => {
+                self.late.push(LateWrite { expected, value });
+                lost
+            }
+        }
+    }
+
+    /// Lets a late write reach the store.
+    pub(crate) fn land_late(&mut self, pick: u8) {
+        if self.late.is_empty() {
+            return;
+        }
+        let index = usize::from(pick) % self.late.len();
+        let late = self.late.swap_remove(index);
+        self.apply(late.expected, late.value);
+    }
+
+    fn apply(&mut self, expected: Option<Version>, value: Vec<u8>) -> Written {
+        let found = self.object.as_ref().map(|object| object.version);
+        if found != expected {
+            return Written::Conflict;
+        }
+        self.newest += 1;
+        let version = Version(self.newest);
+        let object = Object {
+            name: "journal".to_owned(),
+            version,
+            value,
+        };
+        self.check(&object);
+        self.object = Some(object);
+        Written::Done(version)
+    }
+
+    pub(crate) fn document(&self) -> Option<Document> {
+        let object = self.object.as_ref()?;
+        Some(decode(JOURNAL_KIND, object).expect("the journal is readable"))
+    }
+
+    /// Checks that nothing durable is lost by a write.
+    fn check(&mut self, object: &Object) {
+        let new: Document = decode(JOURNAL_KIND, object).expect("the journal is readable");
+        let most = JournalConfig::default().max_journal_bytes;
+        assert!(object.value.len() <= most, "journal-fits");
+        if let Some(old) = self.document() {
+            assert!(old.header.epoch <= new.header.epoch, "epoch-never-falls");
+            assert!(
+                old.header.clock_ms <= new.header.clock_ms,
+                "clock-never-falls"
+            );
+        }
+        for program in &self.opened {
+            assert!(new.programs.contains_key(program), "no-program-lost");
+        }
+        for (id, answer) in &self.recorded {
+            let state = new.once.get(id).map(|record| &record.state);
+            let Some(OnceState::Answered(found)) = state else {
+                panic!("no-outcome-lost: {state:?}");
+            };
+            assert_eq!(self.answer(found).as_ref(), Some(answer), "no-outcome-lost");
+        }
+        let ids = new.once.keys();
+        self.intents.extend(ids.map(|id| (new.header.epoch, *id)));
+    }
+
+    /// The answer that a journal's entry stands for.
+    pub(crate) fn answer(&self, answer: &Answer) -> Option<StoredAnswer> {
+        match answer {
+            Answer::Inline(answer) => Some(answer.clone()),
+            Answer::Object(name) => self.answers.get(name).cloned(),
+            Answer::Omitted => None,
+        }
+    }
+}
