--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod distribution;
 pub mod drain;
 pub mod host;
+pub mod history;
 pub mod journal;
 pub mod limit;
 pub mod membership;
