Prove the configuration's spread by randomised runs and focused tests

A host that is starting vouched for others that start with it, so two empty hosts could take each other for a source; a host now tells how far its configuration can be relied on. What a host confirms is saved before its answer, since a version reported as in force was lost with a crash between the answer and the next periodic save.

Hosts, operators and the platform are plain values around the real catalogue, proposals and confirmations; events are lost, late, repeated and out of order, hosts freeze, lapse, restart and catch up.

--- a/src/process/distribution/boot.rs
+++ b/src/process/distribution/boot.rs
@@ -7,43 +7,29 @@
 use super::Hosts;
 use super::file::FileError;
 use super::file::SavedFile;
+use super::standing::Standing;
 use crate::connection::peer::Peers;
 use crate::connection::platform::Platform;
 use crate::version::catalogue::Configuration;
 
-/// Best source that a starting host found.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Source {
-    /// None: the host cannot serve yet.
-    Nothing,
-    /// Only the file under the data folder.
-    SavedFile,
-    /// Other hosts.
-    Peers,
-    /// The platform.
-    Platform,
-}
-
 impl<P: Platform, Q: Peers, H: Hosts> Distribution<P, Q, H> {
     /// Collects the configuration before the host serves.
     ///
     /// To be called once the host is listed as live and before it reports
-    /// ready: a change that was reported as in force before the listing is then
-    /// found here, and a later one is also asked of this host.
-    pub async fn catch_up(&self) -> Source {
-        let saved = self.load_saved();
-        let listed = self.list_all().await;
-        // The others may know withdrawals that the platform does not.
-        let met = self.exchange_with_all().await;
-        if listed {
-            Source::Platform
-        } else if met {
-            Source::Peers
-        } else if saved {
-            Source::SavedFile
-        } else {
-            Source::Nothing
+    /// ready, also when it becomes live again after its lease had lapsed. A
+    /// change that was reported as in force before the listing is then found
+    /// here, and a later one is also asked of this host. The host may serve
+    /// from [`Standing::Saved`] on.
+    pub async fn catch_up(&self) -> Standing {
+        self.standing.reset();
+        if self.load_saved() {
+            self.standing.raise(Standing::Saved);
         }
+        self.list_all().await;
+        // Other hosts may know withdrawals that the platform does not.
+        self.exchange_with_all().await;
+        self.save().await;
+        self.standing.get()
     }
 
     fn load_saved(&self) -> bool {
--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -25,8 +25,11 @@
 use super::rpc::PULL;
 use super::rpc::PUSH;
 use super::rpc::Pull;
+use super::rpc::PullAnswer;
 use super::rpc::PushAnswer;
 use super::saver::Saver;
+use super::standing::Standing;
+use super::standing::StandingCell;
 use super::submit::Submitted;
 use super::submit::submit;
 use crate::configs::distribution::DistributionConfig;
@@ -41,7 +44,9 @@
 use crate::units::Moment;
 use crate::version::catalogue::Applied;
 use crate::version::catalogue::Bundle;
+use crate::version::catalogue::Catalogue;
 use crate::version::catalogue::Configuration;
+use crate::version::catalogue::Digest;
 use crate::version::catalogue::Item;
 use crate::version::catalogue::ObjectId;
 use crate::version::objects::Kind;
@@ -93,6 +98,7 @@
     pub(super) spawner: Spawner,
     pub(super) counters: Arc<Counters>,
     pub(super) contact: Contact,
+    pub(super) standing: StandingCell,
     peers: Q,
     saver: Option<Saver>,
     platform_out: Arc<AtomicBool>,
@@ -125,6 +131,7 @@
             spawner,
             counters: Arc::default(),
             contact: Contact::new(Moment::now()),
+            standing: StandingCell::default(),
             peers,
             saver,
             platform_out: Arc::default(),
@@ -154,23 +161,39 @@
         limit.is_none_or(|limit| self.contact.age(now) <= limit)
     }
 
+    /// How much this host's configuration can be relied on.
+    pub fn standing(&self) -> Standing {
+        self.standing.get()
+    }
+
     /// What this host answers to a digest call.
     pub fn digest_answer(&self, now: Moment) -> DigestAnswer {
         DigestAnswer {
             summary: self.configuration.digest().summary(),
             age: self.contact.age(now),
+            standing: self.standing.get(),
+        }
+    }
+
+    /// What this host answers to the holder of another digest.
+    pub fn pull_answer(&self, digest: &Digest) -> PullAnswer {
+        let lacking = |catalogue: &Catalogue| catalogue.difference(digest);
+        PullAnswer {
+            bundle: self.configuration.read(lacking),
+            standing: self.standing.get(),
         }
     }
 
-    /// Applies what another host hands over; withdrawals are saved before the
-    /// answer, so that they outlast a crash of this host.
+    /// Applies what another host hands over and saves before the answer, so
+    /// that what this host confirms outlasts its crash.
     pub async fn receive(&self, bundle: Bundle) -> PushAnswer {
         let ids: Vec<ObjectId> = bundle.items.iter().map(|item| item.id.clone()).collect();
-        let withdraws = !bundle.tombstones.is_empty();
         self.configuration.apply(bundle);
-        // Also if another call applied them: that one may not have saved yet.
-        if withdraws {
-            self.save().await;
+        // Also if another call applied it: that one may not have saved yet.
+        if !self.save().await {
+            return PushAnswer {
+                versions: vec![None; ids.len()],
+            };
         }
         let versions = ids
             .iter()
@@ -240,50 +263,48 @@
     }
 
     /// Compares with one host and takes what it has newer.
-    pub(super) async fn exchange_with(&self, host: &HostAddress) -> bool {
+    pub(super) async fn exchange_with(&self, host: &HostAddress) -> peer::Result<()> {
         count(&self.counters.exchanges);
-        let answer: peer::Result<DigestAnswer> = self.ask(host, DIGEST, &NoParams {}).await;
-        let Ok(answer) = answer else {
-            return false;
-        };
+        let answer: DigestAnswer = self.ask(host, DIGEST, &NoParams {}).await?;
         self.note_contact(host, answer.age);
         let digest = self.configuration.digest();
         if digest.summary() == answer.summary {
-            return true;
+            self.standing.raise(answer.standing);
+            return Ok(());
         }
         count(&self.counters.pulls);
-        let pulled: peer::Result<Bundle> = self.ask(host, PULL, &Pull { digest }).await;
-        let Ok(bundle) = pulled else {
-            return false;
-        };
-        self.apply_durably(bundle).await;
-        true
+        let pulled: PullAnswer = self.ask(host, PULL, &Pull { digest }).await?;
+        self.apply_durably(pulled.bundle).await;
+        self.standing.raise(pulled.standing);
+        Ok(())
     }
 
-    /// Compares with every live host; true if one answered.
-    pub(super) async fn exchange_with_all(&self) -> bool {
+    /// Compares with every live host.
+    pub(super) async fn exchange_with_all(&self) {
         let hosts = self.hosts.others();
-        let answers = self.ask_all(hosts, |this, host| async move {
+        self.ask_all(hosts, |this, host| async move {
             this.exchange_with(&host).await
-        });
-        answers.await.into_iter().any(|(_, met)| met)
+        })
+        .await;
     }
 
-    /// Lists every kind at the platform; true if all lists came.
-    pub(super) async fn list_all(&self) -> bool {
+    /// Lists every kind at the platform.
+    pub(super) async fn list_all(&self) {
         let mut complete = true;
         for kind in Kind::ALL {
             complete &= self.list(kind).await.is_ok();
         }
-        complete
+        if complete {
+            self.standing.raise(Standing::Current);
+        }
     }
 
-    async fn list(&self, kind: Kind) -> platform::Result<Version> {
+    async fn list(&self, kind: Kind) -> platform::Result<()> {
         count(&self.counters.lists);
         let listed = self.platform.list(kind.as_str(), "").await;
         let changes = self.note(listed)?;
         self.apply_durably(bundle_of(kind, &changes.objects)).await;
-        Ok(changes.upto)
+        Ok(())
     }
 
     /// Applies a bundle and, if it withdraws a key, saves before returning.
--- a/src/process/distribution/rpc.rs
+++ b/src/process/distribution/rpc.rs
@@ -12,6 +12,7 @@
 
 use super::Distribution;
 use super::Hosts;
+use super::Standing;
 use crate::connection::peer::Peers;
 use crate::connection::platform::Platform;
 use crate::ids::Version;
@@ -42,6 +43,8 @@
     /// Age of its news from outside its data centre.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// How much its configuration can be relied on.
+    pub standing: Standing,
 }
 
 /// Parameters of [`PULL`].
@@ -51,6 +54,15 @@
     pub digest: Digest,
 }
 
+/// Answer to [`PULL`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PullAnswer {
+    /// What the caller may lack.
+    pub bundle: Bundle,
+    /// How much it can be relied on.
+    pub standing: Standing,
+}
+
 /// Answer to [`PUSH`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PushAnswer {
@@ -78,11 +90,9 @@
         Ok(host.digest_answer(Moment::now()))
     })?;
     let host = distribution.clone();
-    module.register_method(PULL, move |params, _, _| -> Result<Bundle> {
+    module.register_method(PULL, move |params, _, _| -> Result<PullAnswer> {
         let pull: Pull = params.one()?;
-        let lacking =
-            |catalogue: &crate::version::catalogue::Catalogue| catalogue.difference(&pull.digest);
-        Ok(host.configuration().read(lacking))
+        Ok(host.pull_answer(&pull.digest))
     })?;
     let host = distribution.clone();
     module.register_async_method(PUSH, move |params, _, _| {
--- a/src/process/distribution/saver.rs
+++ b/src/process/distribution/saver.rs
@@ -8,6 +8,7 @@
 
 use super::file::SavedFile;
 use crate::version::catalogue::Configuration;
+use crate::version::catalogue::Summary;
 
 /// Requests waiting for the thread.
 const PENDING_SAVES: usize = 64;
@@ -46,13 +47,14 @@
 
 fn run(file: &SavedFile, configuration: &Configuration, rx: &Receiver<Reply>) {
     let mut failing = false;
+    let mut kept = None;
     while let Ok(first) = rx.recv_blocking() {
         // One save answers all requests that came before it.
         let mut replies = vec![first];
         while let Ok(reply) = rx.try_recv() {
             replies.push(reply);
         }
-        let saved = file.save(&configuration.read(|catalogue| catalogue.bundle()));
+        let saved = save(file, configuration, &mut kept);
         report(&mut failing, &saved);
         for reply in replies {
             // A requester that has gone needs no answer.
@@ -61,6 +63,24 @@
     }
 }
 
+/// Saves unless the file holds the same versions and withdrawals already.
+fn save(
+    file: &SavedFile,
+    configuration: &Configuration,
+    kept: &mut Option<Summary>,
+) -> super::file::Result<()> {
+    let unsaved = configuration.read(|catalogue| {
+        let summary = catalogue.digest().summary();
+        (*kept != Some(summary)).then(|| (summary, catalogue.bundle()))
+    });
+    let Some((summary, bundle)) = unsaved else {
+        return Ok(());
+    };
+    file.save(&bundle)?;
+    *kept = Some(summary);
+    Ok(())
+}
+
 fn report(failing: &mut bool, saved: &super::file::Result<()>) {
     match saved {
         Err(e) if !*failing => log::error!("saving the configuration failed: {e}"),
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -45,6 +45,7 @@
         deadline: Moment,
     ) -> InForce {
         let own = self.hosts.own().id.clone();
+        self.save().await;
         let mut confirmations = Confirmations::new(version, [own.clone()]);
         loop {
             let others = self.hosts.others();
@@ -128,7 +129,8 @@
             let others = self.hosts.others();
             let chosen = others.choose(&mut rand::rng()).cloned();
             if let Some(host) = chosen {
-                self.exchange_with(&host).await;
+                // A failure is counted; the next turn takes another host.
+                let _unreached = self.exchange_with(&host).await;
             }
         }
     }
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,12 @@
+//! Tests of the configuration: catalogue, conditional changes and spread.
+
+mod configuration {
+    mod catalogue;
+    mod file;
+    mod proposal;
+    mod randomised;
+    mod settings;
+    mod spread;
+    mod support;
+    mod world;
+}
--- /dev/null
+++ b/tests/configuration/randomised.rs
@@ -0,0 +1,116 @@
+//! Randomised runs over the decision code, with fixed seeds.
+//!
+//! `CHICORYARCH_CASES` and `CHICORYARCH_SEED` choose longer or other runs.
+
+use std::cell::Cell;
+use std::env;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+
+use super::world::CUSTOMERS;
+use super::world::HOSTS;
+use super::world::Intent;
+use super::world::KEYS;
+use super::world::OPERATORS;
+use super::world::Step;
+use super::world::World;
+
+const DEFAULT_CASES: u32 = 400;
+const DEFAULT_SEED: u64 = 20_261_203;
+const MAX_STEPS: usize = 160;
+
+fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
+    env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn intent() -> impl Strategy<Value = Intent> {
+    prop_oneof![
+        3 => Just(Intent::Change),
+        1 => Just(Intent::Remove),
+        3 => (0..KEYS.len()).prop_map(Intent::Grant),
+    ]
+}
+
+fn change() -> impl Strategy<Value = Step> {
+    let (op, host, name) = (0..OPERATORS, 0..HOSTS, 0..CUSTOMERS.len());
+    prop_oneof![
+        6 => (op.clone(), host.clone(), name.clone(), intent())
+            .prop_map(|(op, host, name, intent)| Step::Read(op, host, name, intent)),
+        5 => op.clone().prop_map(|op| Step::Write(op, true, true)),
+        2 => (op.clone(), any::<bool>()).prop_map(|(op, effect)| Step::Write(op, effect, false)),
+        1 => any::<usize>().prop_map(Step::LateWrite),
+        3 => op.clone().prop_map(Step::Settle),
+        6 => op.prop_map(Step::Confirm),
+        2 => (host.clone(), name, 0..KEYS.len())
+            .prop_map(|(host, name, key)| Step::Withdraw(host, name, key)),
+        2 => host.prop_map(Step::Record),
+    ]
+}
+
+fn spread() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        4 => (any::<usize>(), any::<bool>()).prop_map(|(index, again)| Step::Deliver(index, again)),
+        1 => any::<usize>().prop_map(Step::Drop),
+        3 => (host.clone(), any::<usize>()).prop_map(|(host, index)| Step::Watch(host, index)),
+        1 => host.clone().prop_map(Step::List),
+        3 => (host.clone(), host.clone()).prop_map(|(to, from)| Step::Exchange(to, from)),
+        1 => host.prop_map(Step::Save),
+    ]
+}
+
+fn fault() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        1 => host.clone().prop_map(Step::Freeze),
+        1 => host.clone().prop_map(Step::Lapse),
+        3 => host.clone().prop_map(Step::Thaw),
+        2 => host.clone().prop_map(Step::Restart),
+        4 => host.prop_map(Step::CatchUp),
+        1 => Just(Step::Platform(true)),
+        2 => Just(Step::Platform(false)),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![4 => change(), 3 => spread(), 2 => fault()];
+    vec(step, 1..MAX_STEPS)
+}
+
+#[test]
+fn no_order_of_events_takes_a_configuration_back() {
+    let seed = setting("CHICORYARCH_SEED", DEFAULT_SEED);
+    let cases = setting("CHICORYARCH_CASES", DEFAULT_CASES);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    };
+    let (done, confirmed) = (Cell::new(0), Cell::new(0));
+    let outcome = TestRunner::new(config).run(&steps(), |steps| {
+        let mut world = World::new();
+        done.set(done.get() + steps.len());
+        for step in steps {
+            world.step(step);
+        }
+        confirmed.set(confirmed.get() + world.confirmed);
+        world.finish();
+        Ok(())
+    });
+    let (done, confirmed) = (done.get(), confirmed.get());
+    println!("seed={seed} cases={cases} steps={done} in_force_reports={confirmed}");
+    if let Err(e) = outcome {
+        panic!("CHICORYARCH_SEED={seed} CHICORYARCH_CASES={cases}\n{e}");
+    }
+}
--- /dev/null
+++ b/tests/configuration/settings.rs
@@ -0,0 +1,31 @@
+//! Settings of the distribution part.
+
+use std::time::Duration;
+
+use chicoryarch::configs::distribution::DistributionConfig;
+
+#[test]
+fn the_defaults_are_within_bounds_and_round_trip() {
+    let cfg = DistributionConfig::default();
+    cfg.check().unwrap();
+    let text = toml::to_string(&cfg).unwrap();
+    assert_eq!(toml::from_str::<DistributionConfig>(&text).unwrap(), cfg);
+}
+
+#[test]
+fn a_setting_out_of_bounds_is_named_with_its_range() {
+    let cfg = DistributionConfig {
+        exchange: Duration::ZERO,
+        ..DistributionConfig::default()
+    };
+    let message = cfg.check().unwrap_err().to_string();
+    assert_eq!(
+        message,
+        "distribution.exchange_ms must be from 10 to 3600000 ms"
+    );
+}
+
+#[test]
+fn an_unknown_setting_is_refused() {
+    assert!(toml::from_str::<DistributionConfig>("exchnage_ms = 5").is_err());
+}
--- /dev/null
+++ b/tests/configuration/spread.rs
@@ -0,0 +1,247 @@
+//! The real distribution between a few hosts in one process.
+
+use std::sync::atomic::Ordering;
+
+use chicoryarch::configs::distribution::DistributionConfig;
+use chicoryarch::connection::platform::memory::Faults;
+use chicoryarch::ids::Version;
+use chicoryarch::process::distribution::Standing;
+use chicoryarch::process::distribution::submit::Submitted;
+use chicoryarch::process::distribution::withdraw::Recorded;
+use chicoryarch::process::timers::Timers;
+use chicoryarch::units::Moment;
+use chicoryarch_net::Spawner;
+use futures_lite::future::block_on;
+
+use super::support::Fleet;
+use super::support::HANG;
+use super::support::Host;
+use super::support::creation;
+use super::support::customer;
+use super::support::customer_id;
+use super::support::key;
+use super::support::key_set;
+use super::support::keys_id;
+use super::support::secret;
+use super::support::stamp;
+
+const OUT: Faults = Faults {
+    out: true,
+    lost_answers: 0,
+};
+
+fn commit(host: &Host, proposal: &chicoryarch::process::distribution::proposal::Proposal) -> u64 {
+    match block_on(host.commit(proposal)) {
+        Submitted::Accepted(item) => item.version.0,
+        other => panic!("accepted is expected, got {other:?}"),
+    }
+}
+
+fn grant(fleet: &Fleet) {
+    let host = &fleet.hosts[0];
+    commit(host, &creation(customer_id("choir"), customer(5.0)));
+    let keys = creation(keys_id("choir"), key_set("choir", &["desk"]));
+    let version = commit(host, &keys);
+    in_force(host, version);
+}
+
+fn in_force(host: &Host, version: u64) {
+    let deadline = Moment::now() + HANG;
+    let report = block_on(host.wait_in_force(&keys_id("choir"), Version(version), deadline));
+    assert!(report.is_complete(), "{report:?}");
+}
+
+fn identifies(host: &Host) -> bool {
+    let secret = secret("choir", "desk");
+    host.configuration().identify(secret.as_bytes()).is_some()
+}
+
+fn withdraw(host: &Host) -> chicoryarch::process::distribution::withdraw::Withdrawal {
+    block_on(host.withdraw(&key("choir", "desk"), stamp("withdraw key desk for choir")))
+}
+
+#[test]
+fn a_change_reported_in_force_is_applied_by_every_host() {
+    let fleet = Fleet::start(4);
+    grant(&fleet);
+    for host in &fleet.hosts {
+        assert_eq!(
+            host.configuration().applied_version(&keys_id("choir")),
+            Some(Version(2))
+        );
+    }
+}
+
+#[test]
+fn a_host_that_does_not_answer_is_named_as_missing() {
+    let fleet = Fleet::start(3);
+    fleet.peers.cut(&fleet.addresses[2]);
+    let version = commit(
+        &fleet.hosts[0],
+        &creation(customer_id("choir"), customer(5.0)),
+    );
+    let deadline = Moment::now();
+    let report =
+        block_on(fleet.hosts[0].wait_in_force(&customer_id("choir"), Version(version), deadline));
+    assert_eq!(report.missing, [fleet.addresses[2].id.clone()]);
+    assert_eq!(report.in_force.len(), 2);
+}
+
+#[test]
+fn a_withdrawn_key_stops_at_every_host_and_is_recorded_with_its_audit_entry() {
+    let fleet = Fleet::start(3);
+    grant(&fleet);
+    let withdrawal = withdraw(&fleet.hosts[1]);
+    assert_eq!(withdrawal.reached.len(), 3);
+    assert_eq!(withdrawal.recorded, Recorded::At(Version(3)));
+    assert!(fleet.hosts.iter().all(|host| !identifies(host)));
+    let audited = fleet.hosts[1].configuration().read(|catalogue| {
+        let (_, document) = catalogue.document(&keys_id("choir")).unwrap();
+        document.changes().last().unwrap().command.clone()
+    });
+    assert_eq!(audited, "withdraw key desk for choir");
+}
+
+#[test]
+fn a_withdrawal_while_the_platform_is_out_holds_and_is_recorded_later() {
+    let fleet = Fleet::start(3);
+    grant(&fleet);
+    fleet.platform.set_faults(OUT);
+    let withdrawal = withdraw(&fleet.hosts[1]);
+    assert!(matches!(withdrawal.recorded, Recorded::NotYet(_)));
+    assert!(fleet.hosts.iter().all(|host| !identifies(host)));
+    fleet.platform.set_faults(Faults::default());
+    let host = &fleet.hosts[2];
+    let changes = host.configuration().subscribe();
+    host.start(&Timers::start(&Spawner::start(1)));
+    let unrecorded = || {
+        host.configuration()
+            .read(|catalogue| catalogue.unrecorded().count())
+    };
+    while unrecorded() > 0 {
+        block_on(changes.recv()).unwrap();
+    }
+    assert!(!identifies(host));
+}
+
+#[test]
+fn a_withdrawal_learned_by_a_host_outlasts_its_restart_from_a_peer_that_is_behind() {
+    let fleet = Fleet::start(3);
+    grant(&fleet);
+    let dir = tempfile::tempdir().unwrap();
+    let cfg = DistributionConfig {
+        data_dir: Some(dir.path().to_owned()),
+        ..DistributionConfig::default()
+    };
+    let saved = fleet.host(1, cfg.clone());
+    block_on(saved.catch_up());
+    assert!(identifies(&saved));
+    fleet.platform.set_faults(OUT);
+    fleet.peers.cut(&fleet.addresses[2]);
+    let withdrawal = withdraw(&fleet.hosts[0]);
+    assert_eq!(withdrawal.missed, [fleet.addresses[2].id.clone()]);
+    fleet.peers.cut(&fleet.addresses[0]);
+    fleet.peers.join(&fleet.addresses[2]);
+    assert!(identifies(&fleet.hosts[2]));
+    let restarted = fleet.host(1, cfg);
+    block_on(restarted.catch_up());
+    assert!(!identifies(&restarted));
+}
+
+#[test]
+fn a_host_starts_from_peers_while_the_platform_is_out() {
+    let fleet = Fleet::start(3);
+    grant(&fleet);
+    for host in &fleet.hosts {
+        assert_eq!(block_on(host.catch_up()), Standing::Current);
+    }
+    fleet.platform.set_faults(OUT);
+    let restarted = fleet.host(2, DistributionConfig::default());
+    assert_eq!(block_on(restarted.catch_up()), Standing::Current);
+    assert!(identifies(&restarted));
+}
+
+#[test]
+fn hosts_that_start_together_do_not_take_each_other_for_a_source() {
+    let fleet = Fleet::start(2);
+    fleet.platform.set_faults(OUT);
+    assert_eq!(block_on(fleet.hosts[0].catch_up()), Standing::Starting);
+    assert_eq!(block_on(fleet.hosts[1].catch_up()), Standing::Starting);
+}
+
+#[test]
+fn a_host_alone_starts_from_its_saved_file_and_says_so() {
+    let fleet = Fleet::start(2);
+    grant(&fleet);
+    let dir = tempfile::tempdir().unwrap();
+    let cfg = DistributionConfig {
+        data_dir: Some(dir.path().to_owned()),
+        ..DistributionConfig::default()
+    };
+    block_on(fleet.host(1, cfg.clone()).catch_up());
+    fleet.platform.set_faults(OUT);
+    fleet.peers.cut(&fleet.addresses[0]);
+    let restarted = fleet.host(1, cfg);
+    assert_eq!(block_on(restarted.catch_up()), Standing::Saved);
+    assert!(identifies(&restarted));
+}
+
+#[test]
+fn a_damaged_saved_file_is_set_aside_and_not_used() {
+    let fleet = Fleet::start(1);
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::write(dir.path().join("configuration.json"), "rubbish").unwrap();
+    fleet.platform.set_faults(OUT);
+    let cfg = DistributionConfig {
+        data_dir: Some(dir.path().to_owned()),
+        ..DistributionConfig::default()
+    };
+    let host = fleet.host(0, cfg);
+    assert_eq!(block_on(host.catch_up()), Standing::Starting);
+    assert!(dir.path().join("configuration.json.damaged").exists());
+}
+
+#[test]
+fn a_running_host_learns_a_change_by_its_watch() {
+    let fleet = Fleet::start(2);
+    fleet.peers.cut(&fleet.addresses[1]);
+    let watching = &fleet.hosts[1];
+    let changes = watching.configuration().subscribe();
+    watching.start(&Timers::start(&Spawner::start(1)));
+    commit(
+        &fleet.hosts[0],
+        &creation(customer_id("choir"), customer(5.0)),
+    );
+    while watching
+        .configuration()
+        .applied_version(&customer_id("choir"))
+        .is_none()
+    {
+        block_on(changes.recv()).unwrap();
+    }
+}
+
+#[test]
+fn a_host_without_news_accepts_keys_only_within_the_limit() {
+    let fleet = Fleet::start(1);
+    let limit = std::time::Duration::from_secs(60);
+    let cfg = DistributionConfig {
+        max_isolation: Some(limit),
+        ..DistributionConfig::default()
+    };
+    let host = fleet.host(0, cfg);
+    let now = Moment::now();
+    assert!(host.accepts_keys(now));
+    assert!(!host.accepts_keys(now + limit + limit));
+}
+
+#[test]
+fn hosts_with_equal_digests_pull_nothing() {
+    let fleet = Fleet::start(2);
+    grant(&fleet);
+    block_on(fleet.hosts[1].catch_up());
+    let pulls = || fleet.hosts[1].counters().pulls.load(Ordering::Relaxed);
+    let before = pulls();
+    block_on(fleet.hosts[1].catch_up());
+    assert_eq!(pulls(), before);
+}
--- /dev/null
+++ b/tests/configuration/world.rs
@@ -0,0 +1,559 @@
+//! Hosts, operators and the platform as plain values, around the real
+//! decision code.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use chicoryarch::connection::platform::Nonce;
+use chicoryarch::connection::platform::Object;
+use chicoryarch::ids::HostId;
+use chicoryarch::ids::Version;
+use chicoryarch::process::distribution::Standing;
+use chicoryarch::process::distribution::driver::bundle_of;
+use chicoryarch::process::distribution::in_force::Confirmations;
+use chicoryarch::process::distribution::proposal::Base;
+use chicoryarch::process::distribution::proposal::Proposal;
+use chicoryarch::process::distribution::proposal::Verdict;
+use chicoryarch::process::distribution::proposal::base_of;
+use chicoryarch::process::distribution::proposal::item_of;
+use chicoryarch::process::distribution::withdraw::Recording;
+use chicoryarch::process::distribution::withdraw::withdrawn_in;
+use chicoryarch::version::catalogue::Bundle;
+use chicoryarch::version::catalogue::Catalogue;
+use chicoryarch::version::catalogue::Document;
+use chicoryarch::version::catalogue::Item;
+use chicoryarch::version::catalogue::ObjectId;
+use chicoryarch::version::catalogue::Snapshot;
+use chicoryarch::version::catalogue::Tombstone;
+use chicoryarch::version::objects::Customer;
+use chicoryarch::version::objects::KeyRef;
+use chicoryarch::version::objects::KeySet;
+use chicoryarch::version::objects::Record;
+
+use super::support::customer;
+use super::support::customer_id;
+use super::support::key;
+use super::support::key_set;
+use super::support::keys_id;
+use super::support::secret;
+use super::support::stamp;
+
+pub(crate) const HOSTS: usize = 4;
+pub(crate) const OPERATORS: usize = 3;
+pub(crate) const CUSTOMERS: [&str; 2] = ["choir", "band"];
+pub(crate) const KEYS: [&str; 2] = ["desk", "box"];
+
+/// What an operator wants to do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Intent {
+    Change,
+    Remove,
+    Grant(usize),
+}
+
+/// One event; indices are taken modulo what exists.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Step {
+    Read(usize, usize, usize, Intent),
+    Write(usize, bool, bool),
+    LateWrite(usize),
+    Settle(usize),
+    Confirm(usize),
+    Withdraw(usize, usize, usize),
+    Record(usize),
+    Deliver(usize, bool),
+    Drop(usize),
+    Watch(usize, usize),
+    List(usize),
+    Exchange(usize, usize),
+    Save(usize),
+    Freeze(usize),
+    Lapse(usize),
+    Thaw(usize),
+    Restart(usize),
+    CatchUp(usize),
+    Platform(bool),
+}
+
+#[derive(Default)]
+struct PlatformValue {
+    objects: BTreeMap<ObjectId, Object>,
+    history: Vec<(ObjectId, Object)>,
+    out: bool,
+}
+
+impl PlatformValue {
+    fn write(&mut self, proposal: &Proposal) -> Option<Version> {
+        let present = self.objects.get(&proposal.id).map(|object| object.version);
+        if present != proposal.old {
+            return None;
+        }
+        let version = Version(self.history.len() as u64 + 1);
+        let object = Object {
+            name: proposal.id.name.clone(),
+            version,
+            value: proposal.encode(),
+        };
+        self.objects.insert(proposal.id.clone(), object.clone());
+        self.history.push((proposal.id.clone(), object));
+        Some(version)
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    catalogue: Catalogue,
+    disk: Option<Bundle>,
+    has_disk: bool,
+    frozen: bool,
+    listed: bool,
+    standing: Standing,
+    seen: BTreeMap<ObjectId, Version>,
+    learned: BTreeSet<KeyRef>,
+}
+
+impl Host {
+    fn apply(&mut self, bundle: Bundle) {
+        let applied = self.catalogue.apply(bundle);
+        if !applied.withdrawn.is_empty() {
+            self.save();
+        }
+        self.learned.extend(applied.withdrawn);
+    }
+
+    fn save(&mut self) {
+        if self.has_disk {
+            self.disk = Some(self.catalogue.bundle());
+        }
+    }
+
+    fn restart(&mut self) {
+        if !self.has_disk {
+            self.learned.clear();
+        }
+        self.catalogue = Catalogue::default();
+        self.standing = Standing::Starting;
+        self.seen.clear();
+        self.frozen = false;
+        if let Some(bundle) = self.disk.clone() {
+            self.catalogue.apply(bundle);
+        }
+    }
+
+    fn check(&mut self) {
+        let snapshot = Snapshot::build(&self.catalogue);
+        for key in &self.learned {
+            let secret = secret(key.customer.as_str(), key.key.as_str());
+            let found = snapshot.identify(secret.as_bytes());
+            assert_eq!(found, None, "a withdrawn key identifies");
+            assert!(snapshot.is_withdrawn(key), "a withdrawal was forgotten");
+        }
+        for (id, version, _) in self.catalogue.documents() {
+            let seen = self.seen.insert(id.clone(), version);
+            assert!(seen <= Some(version), "an object's version fell");
+        }
+    }
+}
+
+enum Operator {
+    Idle,
+    Ready(usize, Proposal),
+    Lost(usize, Proposal),
+    Accepted(usize, Item),
+}
+
+pub(crate) struct World {
+    platform: PlatformValue,
+    hosts: Vec<Host>,
+    operators: Vec<Operator>,
+    network: Vec<(usize, Bundle)>,
+    late_writes: Vec<Proposal>,
+    in_force: BTreeMap<ObjectId, Version>,
+    accepted: Vec<(ObjectId, Nonce)>,
+    refused: Vec<Nonce>,
+    nonces: u64,
+    pub(crate) confirmed: u64,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let host = |index| Host {
+            has_disk: index % 2 == 0,
+            listed: true,
+            standing: Standing::Current,
+            ..Host::default()
+        };
+        Self {
+            platform: PlatformValue::default(),
+            hosts: (0..HOSTS).map(host).collect(),
+            operators: (0..OPERATORS).map(|_| Operator::Idle).collect(),
+            network: Vec::new(),
+            late_writes: Vec::new(),
+            in_force: BTreeMap::new(),
+            accepted: Vec::new(),
+            refused: Vec::new(),
+            nonces: 0,
+            confirmed: 0,
+        }
+    }
+
+    pub(crate) fn step(&mut self, step: Step) {
+        match step {
+            Step::Read(op, host, name, intent) => self.read(op, host, name, intent),
+            Step::Write(op, takes_effect, answered) => self.write(op, takes_effect, answered),
+            Step::LateWrite(index) => self.late_write(index),
+            Step::Settle(op) => self.settle(op),
+            Step::Confirm(op) => self.confirm(op),
+            Step::Withdraw(host, name, key) => self.withdraw(host, name, key),
+            Step::Record(host) => self.record(host),
+            Step::Deliver(index, again) => self.deliver(index, again),
+            Step::Drop(index) => self.drop_message(index),
+            Step::Watch(host, index) => self.watch(host, index),
+            Step::List(host) => self.list(host),
+            Step::Exchange(to, from) => self.exchange(to, from),
+            Step::Save(host) => self.hosts[host].save(),
+            Step::Freeze(host) => self.hosts[host].frozen = true,
+            Step::Lapse(host) => self.lapse(host),
+            Step::Thaw(host) => self.thaw(host),
+            Step::Restart(host) => self.hosts[host].restart(),
+            Step::CatchUp(host) => self.catch_up(host),
+            Step::Platform(out) => self.platform.out = out,
+        }
+        self.check();
+    }
+
+    /// Ends all faults, lets everything be exchanged and compares the hosts.
+    pub(crate) fn finish(&mut self) {
+        self.platform.out = false;
+        for host in 0..HOSTS {
+            self.thaw(host);
+            self.catch_up(host);
+            self.record(host);
+        }
+        for host in 0..HOSTS {
+            self.catch_up(host);
+        }
+        for host in 0..HOSTS {
+            self.catch_up(host);
+        }
+        self.check();
+        let digest = self.hosts[0].catalogue.digest().summary();
+        for host in &self.hosts {
+            assert_eq!(host.catalogue.digest().summary(), digest, "hosts differ");
+            assert_eq!(host.catalogue.unrecorded().count(), 0, "not recorded");
+        }
+    }
+
+    fn read(&mut self, op: usize, host: usize, name: usize, intent: Intent) {
+        if self.platform.out || self.hosts[host].frozen {
+            return;
+        }
+        let name = CUSTOMERS[name];
+        let id = match intent {
+            Intent::Grant(_) => keys_id(name),
+            Intent::Change | Intent::Remove => customer_id(name),
+        };
+        self.nonces += 1;
+        let writer = Nonce(self.nonces);
+        let found = self.platform.objects.get(&id);
+        let proposal = match intent {
+            Intent::Change => {
+                customer_change(&id, found, Some(customer(self.nonces as f64)), writer)
+            }
+            Intent::Remove => customer_change(&id, found, None, writer),
+            Intent::Grant(key) => grant(&id, found, name, KEYS[key], writer),
+        };
+        if let Some(proposal) = proposal {
+            self.operators[op] = Operator::Ready(host, proposal);
+        }
+    }
+
+    fn write(&mut self, op: usize, takes_effect: bool, answered: bool) {
+        let Operator::Ready(host, proposal) = self.take(op) else {
+            return;
+        };
+        if self.platform.out {
+            self.refused.push(proposal.writer);
+            return;
+        }
+        if !takes_effect {
+            self.late_writes.push(proposal.clone());
+            self.operators[op] = Operator::Lost(host, proposal);
+            return;
+        }
+        let written = self.platform.write(&proposal);
+        match written {
+            _ if !answered => self.operators[op] = Operator::Lost(host, proposal),
+            Some(version) => self.accept(op, host, proposal.writer, proposal.item(version)),
+            None => self.refused.push(proposal.writer),
+        }
+    }
+
+    fn late_write(&mut self, index: usize) {
+        if self.late_writes.is_empty() || self.platform.out {
+            return;
+        }
+        let proposal = self.late_writes.remove(index % self.late_writes.len());
+        self.platform.write(&proposal);
+    }
+
+    fn settle(&mut self, op: usize) {
+        let (Operator::Lost(host, proposal), false) = (self.take(op), self.platform.out) else {
+            return;
+        };
+        match proposal.judge(self.platform.objects.get(&proposal.id)) {
+            Verdict::Accepted(item) => self.accept(op, host, proposal.writer, item),
+            Verdict::Conflict(_) => self.refused.push(proposal.writer),
+            Verdict::Unknown => {}
+            Verdict::Pending => {
+                if let Some(version) = self.platform.write(&proposal) {
+                    self.accept(op, host, proposal.writer, proposal.item(version));
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, op: usize, host: usize, writer: Nonce, item: Item) {
+        self.accepted.push((item.id.clone(), writer));
+        let bundle = Bundle {
+            items: vec![item.clone()],
+            tombstones: Vec::new(),
+        };
+        self.hosts[host].apply(bundle.clone());
+        self.send_all(host, &bundle);
+        self.operators[op] = Operator::Accepted(host, item);
+    }
+
+    fn confirm(&mut self, op: usize) {
+        let Operator::Accepted(asking, item) = &self.operators[op] else {
+            return;
+        };
+        if self.hosts[*asking].frozen || !self.hosts[*asking].listed {
+            return;
+        }
+        let listed = |index: &usize| self.hosts[*index].listed;
+        let asked: Vec<usize> = (0..HOSTS).filter(listed).collect();
+        let mut confirmations = Confirmations::new(item.version, asked.iter().map(|i| host_id(*i)));
+        for index in asked {
+            let host = &mut self.hosts[index];
+            if host.frozen {
+                continue;
+            }
+            host.apply(Bundle {
+                items: vec![item.clone()],
+                tombstones: Vec::new(),
+            });
+            host.save();
+            confirmations.report(&host_id(index), host.catalogue.applied_version(&item.id));
+        }
+        if confirmations.summary().is_complete() {
+            let known = self.in_force.entry(item.id.clone()).or_default();
+            *known = item.version.max(*known);
+            self.confirmed += 1;
+        }
+    }
+
+    fn withdraw(&mut self, host: usize, name: usize, key_name: usize) {
+        let (name, key_name) = (CUSTOMERS[name], KEYS[key_name]);
+        let known = self.hosts[host].catalogue.document(&keys_id(name));
+        let Some((_, Document::Keys(_, record))) = known else {
+            return;
+        };
+        let has = |set: &std::sync::Arc<KeySet>| set.keys.contains_key(&key_name.parse().unwrap());
+        if self.hosts[host].frozen || !record.value.as_ref().is_some_and(has) {
+            return;
+        }
+        let bundle = Bundle {
+            items: Vec::new(),
+            tombstones: vec![Tombstone {
+                key: key(name, key_name),
+                stamp: Some(stamp("withdraw")),
+            }],
+        };
+        self.hosts[host].apply(bundle.clone());
+        self.send_all(host, &bundle);
+    }
+
+    fn record(&mut self, host: usize) {
+        if self.platform.out || self.hosts[host].frozen {
+            return;
+        }
+        let waiting: Vec<Tombstone> = self.hosts[host].catalogue.unrecorded().cloned().collect();
+        for tombstone in waiting {
+            let id = keys_id(tombstone.key.customer.as_str());
+            let base: Base<KeySet> = base_of(self.platform.objects.get(&id)).unwrap();
+            if let Recording::Write(proposal) = withdrawn_in(&id, base, &tombstone) {
+                self.platform.write(&proposal).unwrap();
+            }
+            self.list(host);
+        }
+    }
+
+    fn send_all(&mut self, from: usize, bundle: &Bundle) {
+        for to in (0..HOSTS).filter(|to| *to != from) {
+            self.network.push((to, bundle.clone()));
+        }
+    }
+
+    fn deliver(&mut self, index: usize, again: bool) {
+        if self.network.is_empty() {
+            return;
+        }
+        let index = index % self.network.len();
+        let (to, bundle) = self.network[index].clone();
+        if self.hosts[to].frozen {
+            return;
+        }
+        if !again {
+            self.network.swap_remove(index);
+        }
+        self.hosts[to].apply(bundle);
+    }
+
+    fn drop_message(&mut self, index: usize) {
+        if !self.network.is_empty() {
+            self.network.swap_remove(index % self.network.len());
+        }
+    }
+
+    /// Sends any past state of the platform, so watches are late and repeated.
+    fn watch(&mut self, host: usize, index: usize) {
+        if self.platform.out || self.platform.history.is_empty() {
+            return;
+        }
+        let (id, object) = &self.platform.history[index % self.platform.history.len()];
+        let bundle = bundle_of(id.kind, std::slice::from_ref(object));
+        self.network.push((host, bundle));
+    }
+
+    fn list(&mut self, host: usize) {
+        if self.platform.out || self.hosts[host].frozen {
+            return;
+        }
+        for (id, object) in &self.platform.objects {
+            let bundle = bundle_of(id.kind, std::slice::from_ref(object));
+            self.hosts[host].apply(bundle);
+        }
+        self.hosts[host].standing = Standing::Current;
+    }
+
+    fn exchange(&mut self, to: usize, from: usize) {
+        if to == from || self.hosts[to].frozen || self.hosts[from].frozen {
+            return;
+        }
+        let digest = self.hosts[to].catalogue.digest().clone();
+        let bundle = self.hosts[from].catalogue.difference(&digest);
+        let standing = self.hosts[from].standing;
+        let host = &mut self.hosts[to];
+        host.apply(bundle);
+        host.standing = host.standing.after_meeting(standing);
+    }
+
+    fn lapse(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        if host.frozen {
+            host.listed = false;
+        }
+    }
+
+    fn thaw(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        host.frozen = false;
+        if !host.listed {
+            host.standing = Standing::Starting;
+        }
+    }
+
+    fn catch_up(&mut self, index: usize) {
+        if self.hosts[index].frozen {
+            return;
+        }
+        let host = &mut self.hosts[index];
+        host.listed = true;
+        host.standing = Standing::Starting;
+        if host.disk.is_some() {
+            host.standing = Standing::Saved;
+        }
+        self.list(index);
+        for other in 0..HOSTS {
+            if self.hosts[other].listed {
+                self.exchange(index, other);
+            }
+        }
+        self.hosts[index].save();
+    }
+
+    fn take(&mut self, op: usize) -> Operator {
+        std::mem::replace(&mut self.operators[op], Operator::Idle)
+    }
+
+    fn check(&mut self) {
+        for host in &mut self.hosts {
+            host.check();
+        }
+        self.check_in_force();
+        self.check_audit();
+    }
+
+    fn check_in_force(&self) {
+        let live = |host: &&Host| host.listed && host.standing == Standing::Current;
+        for host in self.hosts.iter().filter(live) {
+            for (id, version) in &self.in_force {
+                let applied = host.catalogue.applied_version(id);
+                assert!(applied >= Some(*version), "a version in force is missing");
+            }
+        }
+    }
+
+    /// Every write has its audit entry, made to the version before it.
+    fn check_audit(&self) {
+        let mut last: BTreeMap<&ObjectId, Version> = BTreeMap::new();
+        let mut written = BTreeSet::new();
+        for (id, object) in &self.platform.history {
+            let item = item_of(id, object).unwrap();
+            let record: Record<serde_json::Value> = serde_json::from_value(item.record).unwrap();
+            let change = record.changes.last().expect("an audit entry");
+            assert_eq!(change.old, last.insert(id, object.version), "audit chain");
+            written.insert((id, change.writer.0));
+        }
+        for (id, writer) in &self.accepted {
+            assert!(written.contains(&(id, writer.0)), "accepted, not audited");
+        }
+        for writer in &self.refused {
+            let ran = written.iter().any(|(_, written)| *written == writer.0);
+            assert!(!ran, "a change reported as not run has run");
+        }
+    }
+}
+
+fn host_id(index: usize) -> HostId {
+    format!("h{index}").parse().unwrap()
+}
+
+fn customer_change(
+    id: &ObjectId,
+    found: Option<&Object>,
+    value: Option<Customer>,
+    writer: Nonce,
+) -> Option<Proposal> {
+    let base: Base<Customer> = base_of(found).unwrap();
+    let stamp = stamp("change");
+    Some(Proposal::new(id.clone(), base, value, &stamp, writer))
+}
+
+fn grant(
+    id: &ObjectId,
+    found: Option<&Object>,
+    customer: &str,
+    name: &str,
+    writer: Nonce,
+) -> Option<Proposal> {
+    let base: Base<KeySet> = base_of(found).unwrap();
+    let mut set = base.record.value.clone().unwrap_or_default();
+    if set.keys.contains_key(&name.parse().unwrap()) {
+        return None;
+    }
+    set.keys.extend(key_set(customer, &[name]).keys);
+    let stamp = stamp("grant");
+    Some(Proposal::new(id.clone(), base, Some(set), &stamp, writer))
+}
