Assert rate and burst over all hosts in randomised runs

Cause: the bound is a property of all hosts together, so it is checked over their sum. Hosts are plain values under a virtual clock around the real decision code; an ideal bucket that may not run below zero stands for every window at once. Tokens in existence are checked after each step.

Seen and mended: a refused call was told to come back before a token was there, because tokens reported earlier by other hosts had been taken since; only tokens of fresh answers count now.

Ruled out: checking windows of chosen lengths, which misses the others.

--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -519,15 +519,17 @@
     }
 
     /// Time until the tokens here and at the other hosts add up to one.
+    ///
+    /// Tokens elsewhere count only if an answer has just reported them: with
+    /// several hosts short of tokens, older ones have been taken since.
     fn retry_after(&mut self, env: Env<'_>) -> Duration {
         let now = env.now;
         let mut level = self.local(now);
         let mut refill = self.own.refill(now);
-        for candidate in &self.candidates {
-            level += self
-                .estimates
-                .level(now, &candidate.host, candidate.assumed);
-            refill += self.estimates.refill(&candidate.host, candidate.assumed);
+        for Candidate { host, assumed, .. } in &self.candidates {
+            let recent = env.cfg.dry_interval;
+            level += self.estimates.recent_level(now, host, recent);
+            refill += self.estimates.refill(host, *assumed);
         }
         let missing = Amount::ONE.saturating_sub(level);
         let seconds = missing.tokens() / refill.tokens().max(f64::MIN_POSITIVE);
--- /dev/null
+++ b/tests/limit.rs
@@ -0,0 +1,215 @@
+//! Properties of the limiter over all hosts together.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use chicoryarch::configs::limit::LimitConfig;
+
+#[path = "limit/fleet.rs"]
+mod fleet;
+
+use fleet::Fault;
+use fleet::Fleet;
+use fleet::MS;
+use fleet::Net;
+use fleet::Outcome;
+use fleet::Plan;
+use fleet::Report;
+use fleet::SECOND;
+use fleet::poisson;
+
+const DEFAULT_CASES: u32 = 16;
+const DEFAULT_SEED: u64 = 0x0c41_c042;
+
+fn variable<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let set = std::env::var(name).ok();
+    set.map_or(default, |text| text.parse().ok().expect("a number"))
+}
+
+fn runner() -> TestRunner {
+    let seed = variable("CHICORYARCH_SEED", DEFAULT_SEED);
+    let cases = variable("CHICORYARCH_CASES", DEFAULT_CASES);
+    println!("CHICORYARCH_SEED={seed} CHICORYARCH_CASES={cases}");
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, rng)
+}
+
+fn fault(hosts: usize, centres: usize) -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        2 => (0..hosts).prop_map(Fault::Kill),
+        2 => (0..hosts).prop_map(Fault::Restart),
+        3 => (0..hosts).prop_map(Fault::Freeze),
+        3 => (0..hosts).prop_map(Fault::Resume),
+        1 => (0..centres).prop_map(Fault::Cut),
+        2 => (0..centres).prop_map(Fault::Heal),
+        1 => (1.0..300.0, 2.0..200.0, 0.0..1.0)
+            .prop_map(|(rate, burst, first)| Fault::Change { rate, burst, first }),
+    ]
+}
+
+fn plans(net: Net) -> impl Strategy<Value = Plan> {
+    let shape = (2..5_usize, 2..4_usize);
+    shape.prop_flat_map(move |(centres, hosts)| {
+        let all = centres * hosts;
+        let faults = prop::collection::vec((0..20 * SECOND, fault(all, centres)), 0..14);
+        let weights = prop::collection::vec(0.0..4.0_f64, all);
+        let terms = (2.0..300.0_f64, 2.0..200.0_f64, 0.3..4.0_f64);
+        (any::<u64>(), terms, weights, faults).prop_map(
+            move |(seed, (rate, burst, load), mut weights, faults)| {
+                weights[0] += 0.1;
+                let end = 22 * SECOND;
+                Plan {
+                    seed,
+                    data_centres: centres,
+                    hosts,
+                    rate,
+                    burst,
+                    cfg: LimitConfig::default(),
+                    net,
+                    drift_ppm: 500,
+                    calls: poisson(seed, rate * load, 0, end, &weights),
+                    faults,
+                    end,
+                }
+            },
+        )
+    })
+}
+
+fn check(net: Net) {
+    let steps = Cell::new(0);
+    let result = runner().run(&plans(net), |plan| {
+        steps.set(steps.get() + Fleet::run(plan).steps);
+        Ok(())
+    });
+    println!("{} steps", steps.get());
+    result.expect("the bound holds in every run");
+}
+
+fn plan(seed: u64, rate: f64, burst: f64, load: f64, weights: &[f64]) -> Plan {
+    let end = 20 * SECOND;
+    Plan {
+        seed,
+        data_centres: 3,
+        hosts: weights.len() / 3,
+        rate,
+        burst,
+        cfg: LimitConfig::default(),
+        net: Net::GOOD,
+        drift_ppm: 100,
+        calls: poisson(seed, rate * load, 0, end, weights),
+        faults: Vec::new(),
+        end,
+    }
+}
+
+fn count(report: &Report, from: u64, to: u64, is: impl Fn(&Outcome) -> bool) -> usize {
+    let within = report
+        .outcomes
+        .iter()
+        .filter(|(at, ..)| (from..to).contains(at));
+    within
+        .filter(|(_, _, outcome)| outcome.as_ref().is_some_and(&is))
+        .count()
+}
+
+fn admitted(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Admitted { .. })
+}
+
+fn refused(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Refused { .. })
+}
+
+#[test]
+fn rate_and_burst_hold_over_all_hosts_under_failures() {
+    check(Net::GOOD);
+}
+
+#[test]
+fn rate_and_burst_hold_when_messages_are_lost_repeated_and_late() {
+    check(Net::BAD);
+}
+
+#[test]
+fn steady_skewed_calls_within_the_rate_are_not_refused() {
+    let plan = plan(7, 200.0, 100.0, 0.7, &[8.0, 1.0, 0.0, 1.0, 0.0, 0.0]);
+    let report = Fleet::run(plan);
+    assert_eq!(count(&report, 5 * SECOND, 20 * SECOND, refused), 0);
+}
+
+#[test]
+fn a_cut_data_centre_admits_at_its_floor() {
+    let mut plan = plan(11, 120.0, 120.0, 1.0, &[1.0; 6]);
+    plan.faults = vec![(5 * SECOND, Fault::Cut(0))];
+    let report = Fleet::run(plan);
+    let here = |(at, host, outcome): &&(u64, usize, Option<Outcome>)| {
+        *at > 10 * SECOND && *host < 2 && outcome.as_ref().is_some_and(admitted)
+    };
+    let count = report.outcomes.iter().filter(here).count();
+    // Share of a third, floor of 0.3, two of four slots in use, ten seconds.
+    let floor = 120.0 / 3.0 * 0.3 * 2.0 / 4.0 * 10.0;
+    assert!(count as f64 >= floor * 0.9, "{count} of {floor}");
+}
+
+#[test]
+fn a_customer_at_five_times_its_rate_gets_its_rate() {
+    let report = Fleet::run(plan(13, 100.0, 50.0, 5.0, &[3.0, 1.0, 1.0, 1.0, 0.0, 0.0]));
+    let count = count(&report, 5 * SECOND, 20 * SECOND, admitted);
+    assert!(count >= 1_350, "{count} of 1500");
+}
+
+/// Repeats the last refused call after the time it was told to wait.
+fn retry(seed: u64) -> (Option<Outcome>, Duration) {
+    let mut plan = plan(seed, 20.0, 10.0, 3.0, &[1.0, 0.0, 1.0, 0.0, 1.0, 0.0]);
+    plan.calls.retain(|(at, _)| *at < 10 * SECOND);
+    let first = Fleet::run(plan.clone());
+    let refusal = |(at, host, outcome): &(u64, usize, Option<Outcome>)| match outcome {
+        Some(Outcome::Refused { retry_after }) => Some((*at, *host, *retry_after)),
+        _ => None,
+    };
+    let refusal = first.outcomes.iter().rev().find_map(refusal);
+    let (at, host, retry_after) = refusal.expect("a refusal");
+    plan.calls.retain(|(call, _)| *call <= at);
+    let back = at + retry_after.as_nanos() as u64 + 5 * MS;
+    plan.calls.push((back, host));
+    plan.end = back + SECOND;
+    let second = Fleet::run(plan);
+    let last = second.outcomes.last().and_then(|(_, _, outcome)| *outcome);
+    (last, retry_after)
+}
+
+#[test]
+fn a_token_is_there_when_a_refused_call_comes_back() {
+    for seed in 0..20 {
+        let (last, retry_after) = retry(seed);
+        assert!(
+            last.as_ref().is_some_and(admitted),
+            "seed {seed}: {last:?} after {retry_after:?}"
+        );
+    }
+}
+
+#[test]
+fn settings_out_of_range_are_refused_by_name() {
+    assert_eq!(LimitConfig::default().check(), Ok(()));
+    let cfg = LimitConfig {
+        idle_return: Duration::from_secs(90),
+        ..LimitConfig::default()
+    };
+    let error = cfg.check().expect_err("out of range");
+    assert_eq!(error.field, "idle_return_ms");
+}
