--- a/crates/standins/src/engine/admission.rs
+++ b/crates/standins/src/engine/admission.rs
@@ -49,15 +49,28 @@
     }
 }
 
-/// A call that waits; dropping it gives up its place.
-struct Ticket<'a> {
-    admission: &'a Admission,
+/// A call's place in the queue; dropping it gives the place up.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    admission: Admission,
     rank: Rank,
     granted: Receiver<()>,
     taken: bool,
 }
 
-impl Drop for Ticket<'_> {
+impl Ticket {
+    /// Waits for permission to run.
+    pub(crate) async fn wait(mut self) -> Slot {
+        // The sender is kept in the queue until it has sent.
+        let _granted = self.granted.recv().await;
+        self.taken = true;
+        Slot {
+            admission: self.admission.clone(),
+        }
+    }
+}
+
+impl Drop for Ticket {
     fn drop(&mut self) {
         if self.taken {
             return;
@@ -83,15 +96,23 @@
         }
     }
 
-    /// Waits for permission to run.
-    pub(crate) async fn admit(&self, priority: i64) -> Slot {
-        let ticket = self.enqueue(priority);
-        if let Some(mut ticket) = ticket {
-            let _granted = ticket.granted.recv().await;
-            ticket.taken = true;
+    /// Enters the queue, which a free place lets through at once.
+    pub(crate) fn enter(&self, priority: i64) -> Ticket {
+        let mut queue = self.queue.lock();
+        queue.arrivals += 1;
+        let rank = (Reverse(priority), queue.arrivals);
+        let (tx, granted) = async_channel::bounded(1);
+        if queue.running < queue.concurrency {
+            queue.running += 1;
+            let _granted = tx.try_send(());
+        } else {
+            queue.waiting.insert(rank, tx);
         }
-        Slot {
+        Ticket {
             admission: self.clone(),
+            rank,
+            granted,
+            taken: false,
         }
     }
 
@@ -100,23 +121,4 @@
         let queue = self.queue.lock();
         (queue.running, queue.waiting.len())
     }
-
-    /// Takes a free place, or a ticket if there is none.
-    fn enqueue(&self, priority: i64) -> Option<Ticket<'_>> {
-        let mut queue = self.queue.lock();
-        if queue.running < queue.concurrency {
-            queue.running += 1;
-            return None;
-        }
-        queue.arrivals += 1;
-        let rank = (Reverse(priority), queue.arrivals);
-        let (tx, granted) = async_channel::bounded(1);
-        queue.waiting.insert(rank, tx);
-        Some(Ticket {
-            admission: self,
-            rank,
-            granted,
-            taken: false,
-        })
-    }
 }
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -77,14 +77,14 @@
         }
         running.prefill().await;
         match fate {
-            Fate::Late(delay) => Ok(running.answer_late(stream, delay).await),
+            Fate::Late(delay) => Ok(running.answer_whole(stream, delay).await),
             Fate::DieAfter => {
                 running.generate().await;
                 Ok(reply::closed())
             }
             Fate::DieMidway => Ok(running.stream(spawner, true)),
             _ if stream => Ok(running.stream(spawner, false)),
-            _ => Ok(running.answer_late(false, Duration::ZERO).await),
+            _ => Ok(running.answer_whole(false, Duration::ZERO).await),
         }
     }
 
@@ -149,8 +149,8 @@
         self.complete()
     }
 
-    /// Generates the whole text, then answers after a delay.
-    async fn answer_late(self, stream: bool, delay: Duration) -> Response<Body> {
+    /// Generates the whole text, then answers in one piece after a delay.
+    async fn answer_whole(self, stream: bool, delay: Duration) -> Response<Body> {
         let generated = self.generate().await;
         pause(delay).await;
         if stream {
--- a/crates/standins/src/engine/shared.rs
+++ b/crates/standins/src/engine/shared.rs
@@ -110,7 +110,9 @@
             shared: self,
             admitted: false,
         };
-        let slot = self.admission.admit(priority).await;
+        let ticket = self.admission.enter(priority);
+        self.report_load();
+        let slot = ticket.wait().await;
         queued.admitted = true;
         self.report_load();
         Working {
@@ -239,8 +241,9 @@
     }
 
     fn report_load(&self) {
-        let present = self.present_load();
-        self.load.lock().set(present, self.cfg.load_lag);
+        // The lock is taken first, so that an older state never replaces a newer one.
+        let mut load = self.load.lock();
+        load.set(self.present_load(), self.cfg.load_lag);
     }
 
     fn present_load(&self) -> Load {
--- a/crates/standins/src/platform/hosts.rs
+++ b/crates/standins/src/platform/hosts.rs
@@ -1,4 +1,4 @@
-//! The lagging list of endpoint hosts.
+//! The delayed list of endpoint hosts.
 
 use std::time::Duration;
 
--- a/src/configs/platform.rs
+++ b/src/configs/platform.rs
@@ -24,7 +24,8 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "settle_timeout_ms")]
     pub settle_timeout: Duration,
-    /// Pause before a write or a read back is sent again.
+    /// First pause before a read back or a write is sent again; it doubles each
+    /// time up to `timeout_ms`.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_interval_ms")]
     pub retry_interval: Duration,
--- a/src/connection/platform/http/settle.rs
+++ b/src/connection/platform/http/settle.rs
@@ -23,6 +23,7 @@
 use super::exchange::Failure;
 use super::exchange::Limits;
 use super::wire;
+use crate::configs::platform::PlatformConfig;
 use crate::connection::platform::Expect;
 use crate::connection::platform::Nonce;
 use crate::connection::platform::Object;
@@ -33,6 +34,9 @@
 use crate::ids::Version;
 use crate::units::Moment;
 
+/// Smallest part of a pause that is waited; hosts then do not return together.
+const MIN_JITTER: f64 = 0.5;
+
 /// What a conditional write does to its object.
 #[derive(Debug)]
 pub(super) enum Change {
@@ -62,24 +66,54 @@
     Unchanged,
 }
 
+/// Time left to settle one write, and the pauses between its requests.
+struct Patience {
+    deadline: Moment,
+    pause: Duration,
+    max_pause: Duration,
+}
+
+impl Patience {
+    fn new(cfg: &PlatformConfig) -> Self {
+        Self {
+            deadline: Moment::now() + cfg.settle_timeout,
+            pause: cfg.retry_interval,
+            max_pause: cfg.timeout,
+        }
+    }
+
+    /// Waits before the next request, or gives up at the deadline.
+    async fn pause(&mut self) -> Result<()> {
+        let jitter = rand::random_range(MIN_JITTER..=1.0);
+        let left = Moment::now().until(self.deadline);
+        Timer::after(self.pause.mul_f64(jitter).min(left)).await;
+        self.pause = (self.pause * 2).min(self.max_pause);
+        if Moment::now() < self.deadline {
+            Ok(())
+        } else {
+            Err(PlatformError::UnknownOutcome)
+        }
+    }
+}
+
 impl HttpPlatform {
     /// Carries out a conditional write and learns its outcome.
     pub(super) async fn apply(&self, write: &ConditionalWrite<'_>) -> Result<Written> {
-        let deadline = Moment::now() + self.cfg.settle_timeout;
-        match self.attempt(write, deadline).await? {
+        let mut patience = Patience::new(&self.cfg);
+        match self.attempt(write, patience.deadline).await? {
             Ok(written) => return Ok(written),
             Err(Failure::NotApplied(detail)) => return Err(PlatformError::Unavailable(detail)),
             Err(Failure::Uncertain(_)) => (),
         }
         loop {
-            match self.read_back(write, deadline).await? {
+            match self.read_back(write, &mut patience).await? {
                 Finding::Applied(version) => return Ok(Written::Done(version)),
                 Finding::Replaced => return Ok(Written::Conflict),
-                Finding::Unchanged => self.pause(deadline).await?,
+                Finding::Unchanged => patience.pause().await?,
             }
             self.counters().add_resend();
             // A conflict may be caused by the earlier request, so it is read back too.
-            if let Ok(Written::Done(version)) = self.attempt(write, deadline).await? {
+            if let Ok(Written::Done(version)) = self.attempt(write, patience.deadline).await? {
                 return Ok(Written::Done(version));
             }
         }
@@ -108,13 +142,17 @@
     }
 
     /// Reads the object until there is an answer or the deadline has passed.
-    async fn read_back(&self, write: &ConditionalWrite<'_>, deadline: Moment) -> Result<Finding> {
+    async fn read_back(
+        &self,
+        write: &ConditionalWrite<'_>,
+        patience: &mut Patience,
+    ) -> Result<Finding> {
         loop {
             self.counters().add_read_back();
-            if let Ok(finding) = self.find(write, deadline).await {
+            if let Ok(finding) = self.find(write, patience.deadline).await {
                 return Ok(finding);
             }
-            self.pause(deadline).await?;
+            patience.pause().await?;
         }
     }
 
@@ -137,16 +175,6 @@
         }
     }
 
-    /// Waits before the next request, or gives up at the deadline.
-    async fn pause(&self, deadline: Moment) -> Result<()> {
-        Timer::after(self.cfg.retry_interval).await;
-        if Moment::now() < deadline {
-            Ok(())
-        } else {
-            Err(PlatformError::UnknownOutcome)
-        }
-    }
-
     fn limits_until(&self, deadline: Moment) -> Limits {
         let limits = self.object_limits();
         let left = Moment::now().until(deadline).max(Duration::from_millis(1));
