--- a/src/configs/distribution.rs
+++ b/src/configs/distribution.rs
@@ -31,6 +31,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct DistributionConfig {
     /// Folder for the saved configuration; none on hosts without a disk.
+    #[serde(skip)]
     pub data_dir: Option<PathBuf>,
     /// Period at which a host compares digests with another host.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -25,7 +25,7 @@
 use super::distribution;
 use super::distribution::Distribution;
 use super::distribution::HostAddress;
-use super::distribution::boot::Source;
+use super::distribution::Standing;
 use super::drain;
 use super::drain::Drained;
 use super::drain::Ports;
@@ -44,6 +44,7 @@
 use super::rates::Rates;
 use super::secrets;
 use super::timers::Timers;
+use crate::configs::distribution::DistributionConfig;
 use crate::configs::host::HostConfig;
 use crate::connection::caller::CallerPort;
 use crate::connection::operator_port::OperatorPort;
@@ -209,7 +210,10 @@
     );
     let configuration = Configuration::default();
     let distribution = Distribution::new(
-        cfg.distribution.clone(),
+        DistributionConfig {
+            data_dir: cfg.data_folder.clone(),
+            ..cfg.distribution.clone()
+        },
         configuration.clone(),
         platform.clone(),
         peers.clone(),
@@ -361,17 +365,32 @@
     timers: Timers,
     settled: Settled,
 ) {
-    let mut source = distribution.catch_up().await;
-    while source == Source::Nothing {
+    until_listed(&cx).await;
+    let mut standing = distribution.catch_up().await;
+    while standing == Standing::Starting {
         Timer::after(CATCH_UP_RETRY).await;
-        source = distribution.catch_up().await;
+        standing = distribution.catch_up().await;
     }
     distribution.start(&timers);
     // Without the platform there is no lease to wait for; the host then
     // serves what it can.
-    while source == Source::Platform && !settled.is_settled() {
+    while standing == Standing::Current && has_lease(&cx) && !settled.is_settled() {
         Timer::after(CATCH_UP_RETRY).await;
     }
     cx.readiness.set(true);
-    log::info!("host ready host={}", cx.cfg.host);
+    log::info!("host ready host={} configuration={standing:?}", cx.cfg.host);
+}
+
+/// Waits until the other hosts can know this one, as long as a lease may take
+/// if the platform answers.
+async fn until_listed<P: Platform>(cx: &Cx<P>) {
+    let give_up = Moment::now() + cx.cfg.membership.lapse_after();
+    while !has_lease(cx) && Moment::now() < give_up {
+        Timer::after(CATCH_UP_RETRY).await;
+    }
+}
+
+fn has_lease<P: Platform>(cx: &Cx<P>) -> bool {
+    let until = cx.membership.standing().lease_until;
+    until.is_some_and(|until| Moment::now() < until)
 }
