--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -241,6 +241,10 @@
     pub settings: String,
     /// Rate and burst of both customers.
     pub rate: f64,
+    /// Worker threads of each host.
+    pub threads: usize,
+    /// Least severe log line of each host.
+    pub log: &'static str,
 }
 
 impl Default for FleetSpec {
@@ -250,6 +254,8 @@
             engine: Vec::new(),
             settings: String::new(),
             rate: 100_000.0,
+            threads: 2,
+            log: "info",
         }
     }
 }
@@ -329,10 +335,11 @@
         let operators = self.dir.path().join("operators.secret");
         let hash = hex::encode(Sha256::digest(OPERATOR_SECRET));
         write_secret(&operators, &format!("alma:{hash}\n"));
+        let FleetSpec { threads, log, .. } = &self.spec;
         let text = format!(
             "host = \"{name}\"\n\
              data_centre = \"{data_centre}\"\n\
-             threads = 2\n\
+             threads = {threads}\n\
              [listen]\n\
              callers = \"127.0.0.1:0\"\n\
              peers = \"127.0.0.1:0\"\n\
@@ -342,6 +349,8 @@
              operators = {operators:?}\n\
              [platform]\n\
              address = \"{}\"\n\
+             [log]\n\
+             level = \"{log}\"\n\
              {QUICK_SETTINGS}{}",
             self.platform.addr, self.spec.settings
         );
