--- a/crates/standins/src/platform/api.rs
+++ b/crates/standins/src/platform/api.rs
@@ -61,9 +61,17 @@
             let detail = "more calls a second than the limit";
             return Rejection::new(StatusCode::TOO_MANY_REQUESTS, detail).into();
         }
-        match self.shared.decide(&call) {
+        let fate = self.shared.decide(&call);
+        if call.is_write() {
+            self.carry_out_held().await;
+        }
+        match fate {
             Fate::Answer(delay) => self.carry_out(call, delay).await,
             Fate::Hang => reply::hang().await,
+            Fate::Hold => {
+                self.shared.hold(call);
+                reply::hang().await
+            }
             Fate::Late(delay) => self.carry_out_late(call, delay).await,
             Fate::LoseAnswer => {
                 self.carry_out(call, Duration::ZERO).await;
@@ -82,6 +90,13 @@
         answer(&self.shared, call).await
     }
 
+    /// Carries out the writes that were held back for the next one.
+    async fn carry_out_held(&self) {
+        for call in self.shared.take_held() {
+            answer(&self.shared, call).await;
+        }
+    }
+
     /// Carries out a call even if its caller goes away.
     async fn carry_out_late(&self, call: Call, delay: Duration) -> Response<Body> {
         let shared = Arc::clone(&self.shared);
--- a/crates/standins/src/platform/shared.rs
+++ b/crates/standins/src/platform/shared.rs
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     counters: Mutex<Counters>,
+    held: Mutex<Vec<Call>>,
     hosts: Mutex<Lagging<Vec<HostStatus>>>,
     limit: Mutex<Option<RateLimit>>,
     store: Mutex<Store>,
@@ -34,6 +35,7 @@
     fn default() -> Self {
         Self {
             counters: Mutex::default(),
+            held: Mutex::default(),
             hosts: Mutex::new(Lagging::new(Vec::new())),
             limit: Mutex::default(),
             store: Mutex::default(),
@@ -106,6 +108,16 @@
         Waiting(&self.counters)
     }
 
+    /// Holds a write back until the next one.
+    pub(crate) fn hold(&self, call: Call) {
+        self.held.lock().push(call);
+    }
+
+    /// The writes that were held back, in order.
+    pub(crate) fn take_held(&self) -> Vec<Call> {
+        std::mem::take(&mut self.held.lock())
+    }
+
     /// Counts a late write until the result is dropped.
     pub(crate) fn count_late(self: &Arc<Self>) -> Late {
         self.counters.lock().late_pending += 1;
--- a/crates/standins/src/platform/switches.rs
+++ b/crates/standins/src/platform/switches.rs
@@ -44,6 +44,9 @@
     pub lose_answers: u32,
     /// Next writes that are dropped before they take effect.
     pub lose_requests: u32,
+    /// Next writes that take effect just before the write that follows them,
+    /// and get no answer.
+    pub hold_requests: u32,
     /// Next writes that take effect late, even if their caller has gone.
     pub late_requests: u32,
     /// Delay of a late write.
@@ -59,6 +62,8 @@
 pub(crate) enum Fate {
     /// It takes effect and is answered, after a delay.
     Answer(Duration),
+    /// It takes effect just before the next write and is never answered.
+    Hold,
     /// It never takes effect and is never answered.
     Hang,
     /// It takes effect after a delay, even if its caller has gone.
@@ -89,6 +94,9 @@
         if spend(&mut self.lose_answers) {
             return Fate::LoseAnswer;
         }
+        if spend(&mut self.hold_requests) {
+            return Fate::Hold;
+        }
         if spend(&mut self.late_requests) {
             return Fate::Late(self.late);
         }
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -484,6 +484,23 @@
     });
 }
 
+#[test]
+fn a_request_that_arrives_just_before_its_repetition_counts_as_done() {
+    run(async {
+        let standin = standin().await;
+        let platform = hasty(&standin);
+        let first = create(&platform, "a").await;
+        standin.set_switches(Switches {
+            hold_requests: 1,
+            ..Switches::default()
+        });
+        let second = write(&platform, Expect::At(first), "b").await;
+        assert_eq!(second, Ok(Written::Done(first.next())));
+        assert_eq!(standin.counts().effects, 2);
+        assert!(platform.counters().resends() > 0);
+    });
+}
+
 #[test]
 fn a_late_request_does_not_undo_a_newer_write() {
     run(async {
