Randomised run of ownership under faults

Hosts of two data centres, a platform and a network as plain values in virtual time run the real decision code; two processes holding one partition fail it. Found and mended: two processes started together under one host name took the same incarnation (a random part now keeps them apart), and a superseded process went on answering heartbeats that it never wrote (it refuses them, and a writer that commits nothing in three replies is passed over). Ruled out: proptest-state-machine, since the faults need no abstract state and a vector of them shrinks as well.

--- a/src/process/membership/driver.rs
+++ b/src/process/membership/driver.rs
@@ -2,6 +2,8 @@
 
 use std::future::Future;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -29,6 +31,7 @@
 use crate::version::table::PartitionEvent;
 use crate::version::table::PlatformFailure;
 use crate::version::table::Table;
+use crate::version::table::member::incarnation;
 use crate::version::table::message::Committed;
 use crate::version::table::rows::TABLE_KIND;
 
@@ -37,12 +40,8 @@
 
 /// Starts heartbeats; returns the handle and the events of this host's
 /// partitions.
-///
-/// `start` orders the starts of this host; the milliseconds since the Unix
-/// epoch will do, since an incarnation found in the table is always exceeded.
 pub fn start<P: Platform, Q: Peers>(
     identity: Identity,
-    start: Incarnation,
     cfg: &MembershipConfig,
     platform: P,
     peers: Q,
@@ -50,7 +49,7 @@
     spawner: &Spawner,
 ) -> (Membership, Receiver<PartitionEvent>) {
     let (tx, rx) = async_channel::unbounded();
-    let coordinator = Coordinator::new(identity, start, cfg.clone());
+    let coordinator = Coordinator::new(identity, fresh_incarnation(), cfg.clone());
     let membership = Membership::new(coordinator, tx);
     let driver = Driver {
         membership: membership.clone(),
@@ -63,6 +62,11 @@
     (membership, rx)
 }
 
+fn fresh_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    incarnation(since_epoch.unwrap_or_default(), rand::random())
+}
+
 #[derive(Clone, Debug)]
 struct Driver<P, Q> {
     membership: Membership,
--- a/src/version/table/coordinator.rs
+++ b/src/version/table/coordinator.rs
@@ -89,7 +89,8 @@
 }
 
 impl Coordinator {
-    /// A host that knows no table yet; `start` as for [`Member::new`].
+    /// A host that knows no table yet; `start` is made by
+    /// [`incarnation`](super::member::incarnation).
     pub fn new(identity: Identity, start: Incarnation, cfg: MembershipConfig) -> Self {
         Self {
             home: Member::new(identity.clone(), start, cfg.clone()),
@@ -231,7 +232,7 @@
         let others = self.directory.digest();
         let table = heartbeat.table.clone();
         let member = self.member_mut(&table)?;
-        let reply = member.on_heartbeat(now, heartbeat);
+        let reply = member.on_heartbeat(now, heartbeat)?;
         Some(HeartbeatReply { others, ..reply })
     }
 
--- a/src/version/table/member.rs
+++ b/src/version/table/member.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::assignment::has_successor;
 use super::effect::Effect;
@@ -36,6 +37,24 @@
 /// Hosts tried in one period before this host writes by itself.
 const MAX_WRITERS_TRIED: u32 = 3;
 
+/// Replies without a newly committed heartbeat after which another writer is tried.
+const MAX_STALLED_REPLIES: u32 = 3;
+
+/// Random bits at the low end of an incarnation.
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
+const INCARNATION_RANDOM_MASK: u64 = (1 << INCARNATION_RANDOM_BITS) - 1;
+
+/// An incarnation from the wall clock and a random number.
+///
+/// The clock orders the starts of a host as a rule; one that has stepped back
+/// does no harm, since an incarnation found in the table is always exceeded.
+pub fn incarnation(since_unix_epoch: Duration, random: u64) -> Incarnation {
+    let millis = u64::try_from(since_unix_epoch.as_millis()).unwrap_or_default();
+    let ordered = millis << INCARNATION_RANDOM_BITS;
+    Incarnation(ordered | random & INCARNATION_RANDOM_MASK)
+}
+
 /// Name, place and addresses of a host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Identity {
@@ -104,6 +123,8 @@
     reading: Option<ReadPurpose>,
     retried: bool,
     tried: u32,
+    replied: Sequence,
+    stalled: u32,
     writes: bool,
     piggyback: Piggyback,
 }
@@ -111,8 +132,7 @@
 impl Member {
     /// A host's part in its own data centre's table.
     ///
-    /// `start` orders the starts of this host; a wall-clock time will do,
-    /// since an incarnation found in the table is always exceeded.
+    /// `start` is made by [`incarnation`].
     pub fn new(identity: Identity, start: Incarnation, cfg: MembershipConfig) -> Self {
         Self {
             table: identity.data_centre.clone(),
@@ -138,6 +158,8 @@
             reading: None,
             retried: false,
             tried: 0,
+            replied: Sequence(0),
+            stalled: 0,
             writes: false,
             piggyback: Piggyback::default(),
         }
@@ -513,8 +535,12 @@
         });
     }
 
-    /// Answers a heartbeat of another host.
-    pub fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> HeartbeatReply {
+    /// Answers a heartbeat of another host; absent if this process no longer
+    /// writes.
+    pub fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> Option<HeartbeatReply> {
+        if self.superseded {
+            return None;
+        }
         self.reports.hear(now, &heartbeat);
         let reply = self.reply(now, &heartbeat);
         let known = self.heartbeats.get(&heartbeat.host);
@@ -522,7 +548,7 @@
         if known.is_none_or(|known| position(known) < position(&heartbeat)) {
             self.heartbeats.insert(heartbeat.host.clone(), heartbeat);
         }
-        reply
+        Some(reply)
     }
 
     fn reply(&self, now: Moment, heartbeat: &Heartbeat) -> HeartbeatReply {
@@ -550,6 +576,13 @@
             effects = self.on_committed(now, committed);
         }
         let same_start = reply.incarnation == self.incarnation;
+        let advanced = same_start && reply.sequence > self.replied;
+        if advanced {
+            self.replied = reply.sequence;
+            self.stalled = 0;
+        } else {
+            self.stalled += 1;
+        }
         // A heartbeat committed beside a newer ownership part may belong to a
         // table in which this host has lost partitions.
         if same_start && reply.ownership <= self.ownership() {
@@ -559,13 +592,20 @@
         self.is_newest &= reply.version <= known;
         let tally = reply.tally;
         self.heard_tally = Some(HeardTally { at: now, tally });
-        match reply.platform {
-            PlatformView::Out if !self.writes => {
-                effects.extend(self.read(ReadPurpose::Probe(from.clone())));
-            }
-            PlatformView::Out => {}
-            PlatformView::Reachable if !self.writes => self.platform = PlatformView::Unknown,
-            PlatformView::Reachable | PlatformView::Unknown => {}
+        if self.writes {
+            return effects;
+        }
+        if reply.platform == PlatformView::Out {
+            effects.extend(self.read(ReadPurpose::Probe(from.clone())));
+            return effects;
+        }
+        if reply.platform == PlatformView::Reachable {
+            self.platform = PlatformView::Unknown;
+        }
+        if self.stalled >= MAX_STALLED_REPLIES {
+            self.stalled = 0;
+            self.suspect(now, from.clone());
+            effects.extend(self.route(now));
         }
         effects
     }
@@ -623,14 +663,18 @@
         } else if self.incarnation_committed {
             self.superseded |= row.incarnation >= self.incarnation;
         } else if row.incarnation >= self.incarnation {
-            self.start_again(now, row.incarnation.next());
+            self.start_again(now, row.incarnation);
         }
     }
 
     /// Takes an incarnation above one that a former start has used.
-    fn start_again(&mut self, now: Moment, incarnation: Incarnation) {
-        self.incarnation = incarnation;
+    fn start_again(&mut self, now: Moment, used: Incarnation) {
+        // The random part keeps apart two processes that start together under
+        // one host name.
+        let random = self.incarnation.0 & INCARNATION_RANDOM_MASK;
+        self.incarnation = Incarnation(used.0 + 1 + random);
         self.sequence = Sequence(1);
+        self.replied = Sequence(0);
         self.lease.reset();
         self.lease.send(self.sequence, now, self.cfg.lease_ttl);
     }
--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,4 @@
+//! Tests of tables, leases and ownership.
+
+mod randomised;
+mod world;
