--- a/src/process/journals/run.rs
+++ b/src/process/journals/run.rs
@@ -1,7 +1,10 @@
 //! The task of one partition: carries out its journal's platform calls.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future;
 
@@ -10,7 +13,7 @@
 use super::cell::Cell;
 use crate::connection::platform::Expect;
 use crate::connection::platform::Platform;
-use crate::connection::platform::PlatformError;
+use crate::connection::platform::Result;
 use crate::connection::platform::write_value;
 use crate::units::Moment;
 use crate::version::journal::ANSWER_KIND;
@@ -26,43 +29,94 @@
     partition: PartitionId,
     cell: Arc<Cell>,
 ) {
-    let name = partition.to_string();
-    let (platform, events) = (&inner.platform, &inner.events_tx);
+    let events = &inner.events_tx;
     loop {
-        match cell.poll(events) {
-            Action::Write(write) => {
-                let expect = Expect::At(write.expected);
-                let written = platform
-                    .write(JOURNAL_KIND, &name, expect, write.nonce, write.value)
-                    .await;
-                cell.step(events, |journal, now| journal.written(now, &written));
-            }
-            Action::Read => {
-                let found = platform.read(JOURNAL_KIND, &name).await;
-                cell.step(events, |journal, now| journal.settled(now, found));
+        let next = match cell.poll(events) {
+            Action::Stop => None,
+            Action::Wait(until) => {
+                wait(&cell, until).await;
+                continue;
             }
-            Action::StoreAnswer { name, answer } => {
-                let stored = store(platform, &name, &answer).await;
-                cell.step(events, |journal, now| journal.answer_stored(now, &stored));
-            }
-            Action::Wait(until) => wait(&cell, until).await,
-            Action::Stop => break,
+            action => call(&inner, &partition, &cell, action).await,
+        };
+        if next.is_none() {
+            break;
         }
     }
     stop(&inner, &partition, &cell);
 }
 
+/// Carries out one platform call; gives nothing if the journal stopped first.
+async fn call<P: Platform>(
+    inner: &Inner<P>,
+    partition: &PartitionId,
+    cell: &Cell,
+    action: Action,
+) -> Option<()> {
+    let (platform, events) = (&inner.platform, &inner.events_tx);
+    let name = partition.to_string();
+    match action {
+        Action::Write(write) => {
+            let expect = Expect::At(write.expected);
+            let written = platform.write(JOURNAL_KIND, &name, expect, write.nonce, write.value);
+            let written = attend(cell, events, written).await?;
+            cell.step(events, |journal, now| journal.written(now, &written));
+        }
+        Action::Read => {
+            let found = attend(cell, events, platform.read(JOURNAL_KIND, &name)).await?;
+            cell.step(events, |journal, now| journal.settled(now, found));
+        }
+        Action::StoreAnswer { name, answer } => {
+            let stored = attend(cell, events, store(platform, &name, &answer)).await?;
+            cell.step(events, |journal, now| journal.answer_stored(now, &stored));
+        }
+        Action::RemoveAnswer(name) => {
+            let removed = attend(cell, events, remove(platform, &name)).await?;
+            cell.step(events, |journal, now| journal.answer_removed(now, &removed));
+        }
+        Action::Wait(_) | Action::Stop => {}
+    }
+    Some(())
+}
+
+/// Waits for a platform call and meanwhile keeps the journal's timers, so that
+/// a call that hangs holds up no refusal.
+async fn attend<T>(
+    cell: &Cell,
+    events: &Sender<JournalEvent>,
+    call: impl Future<Output = T>,
+) -> Option<T> {
+    let mut call = pin!(call);
+    loop {
+        let Action::Wait(until) = cell.poll(events) else {
+            return None;
+        };
+        let done = async { Some(call.as_mut().await) };
+        let due = async {
+            wait(cell, until).await;
+            None
+        };
+        let done = future::or(done, due).await;
+        if done.is_some() {
+            return done;
+        }
+    }
+}
+
 /// Creates an answer's object. One that exists is from a lost answer to an
 /// earlier attempt, since a once-only call runs at most once.
-async fn store(
-    platform: &impl Platform,
-    name: &str,
-    answer: &StoredAnswer,
-) -> Result<(), PlatformError> {
+async fn store(platform: &impl Platform, name: &str, answer: &StoredAnswer) -> Result<()> {
     let written = write_value(platform, ANSWER_KIND, name, Expect::Absent, answer).await;
     written.map(|_| ())
 }
 
+async fn remove(platform: &impl Platform, name: &str) -> Result<()> {
+    if let Some(object) = platform.read(ANSWER_KIND, name).await? {
+        platform.remove(ANSWER_KIND, name, object.version).await?;
+    }
+    Ok(())
+}
+
 async fn wait(cell: &Cell, until: Option<Moment>) {
     let due = async {
         match until {
@@ -79,10 +133,8 @@
         (state.journal.status(), state.journal.epoch())
     };
     let mut cells = inner.cells.write();
-    if cells
-        .get(partition)
-        .is_some_and(|held| Arc::ptr_eq(held, cell))
-    {
+    let held = cells.get(partition);
+    if held.is_some_and(|held| Arc::ptr_eq(held, cell)) {
         cells.remove(partition);
     }
     drop(cells);
--- a/src/version/journal/commit.rs
+++ b/src/version/journal/commit.rs
@@ -51,6 +51,9 @@
         /// The answer.
         answer: super::StoredAnswer,
     },
+    /// Remove the object of an answer that the journal no longer names, then
+    /// call [`Journal::answer_removed`].
+    RemoveAnswer(String),
     /// Wait for a request or until this moment.
     Wait(Option<Moment>),
     /// Stop; the partition is released or lost.
@@ -70,6 +73,8 @@
     Settling,
     /// An answer's object is being created.
     Storing(OnceId, RequestId),
+    /// An answer's object is being removed.
+    Removing,
 }
 
 impl Journal {
@@ -88,7 +93,7 @@
                 Action::Read
             }
             Io::Unsettled => self.wait(Some(self.pace.next_try())),
-            Io::Writing(_) | Io::Settling | Io::Storing(..) => self.wait(None),
+            Io::Writing(_) | Io::Settling | Io::Storing(..) | Io::Removing => self.wait(None),
         }
     }
 
@@ -99,12 +104,26 @@
                 return self.store_answer(once, request);
             }
         }
-        let due = self.write_due();
-        match due {
+        match self.write_due() {
             Some(at) if at <= now => Action::Write(self.write(now)),
             Some(at) => self.wait(Some(at)),
-            None if self.large.is_empty() => self.wait(None),
-            None => self.wait(Some(self.pace.next_try())),
+            None => self.poll_clean(now),
+        }
+    }
+
+    /// Gives the next platform call of a journal that needs no write.
+    fn poll_clean(&mut self, now: Moment) -> Action {
+        let is_behind = !self.large.is_empty() || !self.dropped_answers.is_empty();
+        if !is_behind {
+            return self.wait(None);
+        }
+        let next_try = self.pace.next_try();
+        match self.dropped_answers.front() {
+            Some(name) if next_try <= now => {
+                self.io = Io::Removing;
+                Action::RemoveAnswer(name.clone())
+            }
+            _ => self.wait(Some(next_try)),
         }
     }
 
@@ -230,6 +249,19 @@
         }
     }
 
+    /// Takes the result of removing an answer's object.
+    pub fn answer_removed(&mut self, now: Moment, result: &Result<(), PlatformError>) {
+        assert_eq!(self.io, Io::Removing, "one-write-in-flight");
+        self.io = Io::Idle;
+        if result.is_err() {
+            self.counters.failures.add(1);
+            self.pace.failed(now);
+            return;
+        }
+        self.pace.reached();
+        self.dropped_answers.pop_front();
+    }
+
     /// Notes that the journal is durable up to a revision.
     fn confirm(&mut self, now: Moment, revision: u64) {
         assert!(revision <= self.doc.header.revision, "durable-is-a-prefix");
--- a/src/version/journal/machine.rs
+++ b/src/version/journal/machine.rs
@@ -160,6 +160,8 @@
     pub(super) commits: BTreeSet<(u64, RequestId)>,
     pub(super) unstored: HashMap<OnceId, StoredAnswer>,
     pub(super) large: VecDeque<LargeAnswer>,
+    /// Objects of answers that the journal no longer names.
+    pub(super) dropped_answers: VecDeque<String>,
     pub(super) timers: BTreeSet<(Moment, Timer)>,
     pub(super) alarms: HashMap<RequestId, Moment>,
     pub(super) effects: Vec<Effect>,
@@ -236,6 +238,7 @@
             commits: BTreeSet::new(),
             unstored: HashMap::new(),
             large: VecDeque::new(),
+            dropped_answers: VecDeque::new(),
             timers: BTreeSet::new(),
             alarms: HashMap::new(),
             effects: Vec::new(),
--- a/src/version/journal/programs.rs
+++ b/src/version/journal/programs.rs
@@ -9,8 +9,10 @@
 use super::call::ProgramSpec;
 use super::call::Reply;
 use super::call::RequestId;
+use super::document::Answer;
 use super::document::OnceId;
 use super::document::OnceRecord;
+use super::document::OnceState;
 use super::document::ProgramRecord;
 use super::machine::Journal;
 use super::machine::Live;
@@ -278,8 +280,7 @@
             return;
         }
         for id in once {
-            self.doc.once.remove(&id);
-            self.sizes.remove_once(id);
+            self.drop_once(id);
         }
         for id in programs {
             self.doc.programs.remove(&id);
@@ -288,6 +289,15 @@
         self.changed(now);
     }
 
+    /// Drops a once-only call and, once that is durable, its answer's object.
+    fn drop_once(&mut self, id: OnceId) {
+        let record = self.doc.once.remove(&id);
+        self.sizes.remove_once(id);
+        if let Some(OnceState::Answered(Answer::Object(name))) = record.map(|r| r.state) {
+            self.dropped_answers.push_back(name);
+        }
+    }
+
     /// Checks that an entry fits, after a sweep if need be.
     pub(super) fn make_room(&mut self, now: Moment, bytes: usize) -> Result<()> {
         let fits = |journal: &Self| journal.size() + bytes <= journal.cfg.max_journal_bytes;
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,581 @@
+//! Decisions of one journal, step by step in virtual time.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryarch::configs::journal::JournalConfig;
+use chicoryarch::connection::platform::Nonce;
+use chicoryarch::connection::platform::Object;
+use chicoryarch::connection::platform::PlatformError;
+use chicoryarch::connection::platform::Written;
+use chicoryarch::connection::platform::decode;
+use chicoryarch::ids::DataCentre;
+use chicoryarch::ids::Epoch;
+use chicoryarch::ids::Ordinal;
+use chicoryarch::ids::Partition;
+use chicoryarch::ids::ProgramId;
+use chicoryarch::ids::Version;
+use chicoryarch::request::outcome::Ran;
+use chicoryarch::request::outcome::Reason;
+use chicoryarch::units::Moment;
+use chicoryarch::units::Tokens;
+use chicoryarch::version::history::HistoryMode;
+use chicoryarch::version::journal::Action;
+use chicoryarch::version::journal::CallSpec;
+use chicoryarch::version::journal::Digest;
+use chicoryarch::version::journal::Document;
+use chicoryarch::version::journal::Effect;
+use chicoryarch::version::journal::Finished;
+use chicoryarch::version::journal::JOURNAL_KIND;
+use chicoryarch::version::journal::Journal;
+use chicoryarch::version::journal::Once;
+use chicoryarch::version::journal::Outcome;
+use chicoryarch::version::journal::PartitionId;
+use chicoryarch::version::journal::ProgramSpec;
+use chicoryarch::version::journal::Reply;
+use chicoryarch::version::journal::RequestId;
+use chicoryarch::version::journal::Scope;
+use chicoryarch::version::journal::StoredAnswer;
+use chicoryarch::version::journal::WaitsFor;
+use chicoryarch::version::journal::partition_of_key;
+
+fn partition() -> PartitionId {
+    PartitionId {
+        data_centre: "dc-1".parse().unwrap(),
+        partition: Partition(3),
+    }
+}
+
+/// An owner whose platform is a document held here.
+struct Owner {
+    journal: Journal,
+    now: Moment,
+    stored: Document,
+    writes: u64,
+    is_out: bool,
+    replies: HashMap<RequestId, Reply>,
+    ended: Vec<ProgramId>,
+    programs: u64,
+    answers: usize,
+}
+
+impl Owner {
+    fn new(cfg: JournalConfig) -> Self {
+        Self::taking_over(cfg, None, 1)
+    }
+
+    fn taking_over(cfg: JournalConfig, stored: Option<Document>, epoch: u64) -> Self {
+        let now = Moment::from_start(Duration::from_secs(epoch));
+        let stored = Journal::takeover(stored, Epoch(epoch), Nonce(epoch)).unwrap();
+        let doc = stored.clone();
+        let counters = Arc::default();
+        let journal = Journal::active(partition(), cfg, counters, doc, Version(1), now);
+        Self {
+            journal,
+            now,
+            stored,
+            writes: 0,
+            is_out: false,
+            replies: HashMap::new(),
+            ended: Vec::new(),
+            programs: epoch * 1000,
+            answers: 0,
+        }
+    }
+
+    /// Carries out platform calls until the journal waits.
+    fn pump(&mut self) {
+        loop {
+            match self.journal.poll(self.now) {
+                Action::Write(write) => {
+                    let written = self.write(write.value);
+                    self.journal.written(self.now, &written);
+                }
+                Action::Read => {
+                    let failed = Err(PlatformError::UnknownOutcome);
+                    self.journal.settled(self.now, failed);
+                }
+                Action::StoreAnswer { .. } => {
+                    self.answers += 1;
+                    self.journal.answer_stored(self.now, &Ok(()));
+                }
+                Action::RemoveAnswer(_) => {
+                    self.answers -= 1;
+                    self.journal.answer_removed(self.now, &Ok(()));
+                }
+                Action::Wait(_) | Action::Stop => return self.collect(),
+            }
+        }
+    }
+
+    fn write(&mut self, value: Vec<u8>) -> Result<Written, PlatformError> {
+        if self.is_out {
+            return Err(PlatformError::UnknownOutcome);
+        }
+        self.writes += 1;
+        let object = Object {
+            name: partition().to_string(),
+            version: Version(self.writes + 1),
+            value,
+        };
+        self.stored = decode(JOURNAL_KIND, &object).unwrap();
+        Ok(Written::Done(object.version))
+    }
+
+    fn collect(&mut self) {
+        for effect in self.journal.take_effects() {
+            match effect {
+                Effect::Reply(request, reply) => {
+                    self.replies.insert(request, reply);
+                }
+                Effect::ProgramEnded(end) => self.ended.push(end.program),
+            }
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.pump();
+    }
+
+    fn open(&mut self, budget: Option<u64>, parent: Option<&ProgramId>) -> Reply {
+        let spec = ProgramSpec {
+            customer: "acme".parse().unwrap(),
+            budget: budget.map(Tokens),
+            parent: parent.cloned(),
+            history: HistoryMode::Carried,
+        };
+        self.programs += 1;
+        let request = self.journal.open(self.now, self.programs, spec);
+        self.advance(1000);
+        self.replies[&request].clone()
+    }
+
+    fn opened(&mut self, budget: u64) -> ProgramId {
+        opened(self.open(Some(budget), None))
+    }
+
+    fn begin(&mut self, spec: CallSpec) -> RequestId {
+        let request = self.journal.begin(self.now, spec);
+        self.pump();
+        request
+    }
+
+    fn runs(&self, request: RequestId) -> bool {
+        matches!(self.replies.get(&request), Some(Reply::Run(_)))
+    }
+
+    fn refused(&self, request: RequestId) -> (Reason, Ran) {
+        match self.replies.get(&request) {
+            Some(Reply::Refused(refusal)) => (refusal.reason, refusal.ran),
+            other => panic!("a refusal was expected: {other:?}"),
+        }
+    }
+
+    fn end(&mut self, request: RequestId, outcome: Outcome) {
+        assert!(self.runs(request));
+        self.journal.check_dispatch(self.now, request).unwrap();
+        let finished = Finished {
+            cost: Tokens(5),
+            outcome,
+        };
+        self.journal.finish(self.now, request, finished);
+        self.collect();
+    }
+
+    /// Runs a call to its answer.
+    fn run(&mut self, spec: CallSpec) {
+        let request = self.begin(spec);
+        self.advance(1000);
+        self.end(request, answered());
+        self.advance(1000);
+    }
+}
+
+fn opened(reply: Reply) -> ProgramId {
+    match reply {
+        Reply::Opened(program) => program,
+        other => panic!("a program was expected: {other:?}"),
+    }
+}
+
+fn answered() -> Outcome {
+    Outcome::Answered(StoredAnswer {
+        status: 200,
+        content_type: None,
+        body: b"done".to_vec(),
+    })
+}
+
+fn call(program: &ProgramId, ordinal: Option<u64>) -> CallSpec {
+    CallSpec {
+        scope: Scope::Program(program.clone()),
+        customer: "acme".parse().unwrap(),
+        ordinal: ordinal.map(Ordinal),
+        worst_cost: Tokens(10),
+        once: None,
+        repeatable: true,
+        deadline: Moment::from_start(Duration::from_secs(100_000)),
+    }
+}
+
+fn once(key: &str) -> CallSpec {
+    let once = Once {
+        key: key.to_owned(),
+        body: Digest::of(b"body"),
+    };
+    CallSpec {
+        scope: Scope::Single(partition()),
+        once: Some(once),
+        repeatable: false,
+        ..call(&"dc-1.3.0000000000000000".parse().unwrap(), None)
+    }
+}
+
+fn owner_with_program() -> (Owner, ProgramId) {
+    let mut owner = Owner::new(JournalConfig::default());
+    let program = owner.opened(10_000);
+    owner.run(call(&program, None));
+    (owner, program)
+}
+
+const OUT_OF_ORDER: (Reason, Ran) = (Reason::OutOfOrder, Ran::NotRun);
+
+#[test]
+fn a_call_waits_for_the_one_before_it() {
+    let (mut owner, program) = owner_with_program();
+    let second = owner.begin(call(&program, Some(2)));
+    let third = owner.begin(call(&program, Some(3)));
+    assert!(owner.runs(second) && !owner.runs(third));
+    let summary = owner.journal.program(&program).unwrap();
+    assert_eq!(summary.calls[1].waits_for, WaitsFor::Turn);
+    owner.end(second, answered());
+    assert!(owner.runs(third));
+}
+
+#[test]
+fn calls_that_arrive_out_of_order_start_in_order() {
+    let (mut owner, program) = owner_with_program();
+    let third = owner.begin(call(&program, Some(3)));
+    let second = owner.begin(call(&program, Some(2)));
+    assert!(owner.runs(second) && !owner.runs(third));
+    owner.end(second, answered());
+    assert!(owner.runs(third));
+}
+
+#[test]
+fn a_call_ahead_of_a_gap_is_refused_after_a_wait() {
+    let (mut owner, program) = owner_with_program();
+    let ahead = owner.begin(call(&program, Some(3)));
+    owner.advance(2000);
+    assert_eq!(owner.refused(ahead), OUT_OF_ORDER);
+    let next = owner.begin(call(&program, Some(2)));
+    assert!(owner.runs(next));
+}
+
+#[test]
+fn after_a_takeover_the_first_ordinal_above_the_mark_runs_after_the_wait() {
+    let (owner, program) = owner_with_program();
+    let mut next = Owner::taking_over(JournalConfig::default(), Some(owner.stored), 2);
+    let ahead = next.begin(call(&program, Some(7)));
+    assert!(!next.runs(ahead));
+    next.advance(2000);
+    next.advance(1000);
+    assert!(next.runs(ahead));
+}
+
+#[test]
+fn the_same_ordinal_in_flight_is_still_running() {
+    let (mut owner, program) = owner_with_program();
+    owner.begin(call(&program, Some(2)));
+    let again = owner.begin(call(&program, Some(2)));
+    let expected = (Reason::StillRunning, Ran::Unknown);
+    assert_eq!(owner.refused(again), expected);
+}
+
+#[test]
+fn the_last_repeatable_call_may_run_again_and_earlier_ones_may_not() {
+    let (mut owner, program) = owner_with_program();
+    owner.run(call(&program, Some(2)));
+    owner.run(call(&program, Some(2)));
+    let passed = owner.begin(call(&program, Some(1)));
+    let expected = (Reason::OutOfOrder, Ran::Unknown);
+    assert_eq!(owner.refused(passed), expected);
+}
+
+#[test]
+fn a_once_only_call_of_a_passed_ordinal_and_a_fresh_key_has_not_run() {
+    let (mut owner, program) = owner_with_program();
+    let late = CallSpec {
+        scope: Scope::Program(program),
+        ordinal: Some(Ordinal(1)),
+        ..once("fresh")
+    };
+    let late = owner.begin(late);
+    assert_eq!(owner.refused(late), OUT_OF_ORDER);
+}
+
+#[test]
+fn a_call_without_an_ordinal_that_is_given_up_does_not_hold_up_the_next() {
+    let (mut owner, program) = owner_with_program();
+    let running = owner.begin(call(&program, None));
+    let given_up = owner.begin(call(&program, None));
+    let last = owner.begin(call(&program, None));
+    owner.journal.abandon(owner.now, given_up);
+    owner.end(running, answered());
+    assert!(owner.runs(last));
+}
+
+#[test]
+fn a_call_that_did_not_run_leaves_its_ordinal_free() {
+    let (mut owner, program) = owner_with_program();
+    let second = owner.begin(call(&program, Some(2)));
+    owner.end(second, Outcome::NotRun);
+    owner.run(call(&program, Some(2)));
+}
+
+#[test]
+fn a_sub_agent_spends_the_budget_of_its_root() {
+    let mut owner = Owner::new(JournalConfig::default());
+    let root = owner.opened(25);
+    let sub = opened(owner.open(None, Some(&root)));
+    let first = owner.begin(call(&sub, None));
+    let second = owner.begin(call(&root, None));
+    owner.advance(1000);
+    assert!(owner.runs(first) && owner.runs(second));
+    let third = opened(owner.open(None, Some(&sub)));
+    let third = owner.begin(call(&third, None));
+    let expected = (Reason::BudgetSpent, Ran::NotRun);
+    assert_eq!(owner.refused(third), expected);
+}
+
+#[test]
+fn a_sub_agent_stops_at_its_own_cap() {
+    let mut owner = Owner::new(JournalConfig::default());
+    let root = owner.opened(1000);
+    let sub = opened(owner.open(Some(9), Some(&root)));
+    let refused = owner.begin(call(&sub, None));
+    assert_eq!(owner.refused(refused).0, Reason::BudgetSpent);
+}
+
+#[test]
+fn a_takeover_gives_up_at_most_a_slice_and_what_was_running() {
+    let cfg = JournalConfig {
+        budget_slice: 100,
+        ..JournalConfig::default()
+    };
+    let mut owner = Owner::new(cfg.clone());
+    let program = owner.opened(10_000);
+    for _ in 0..30 {
+        owner.run(call(&program, None));
+    }
+    let before = owner.journal.program(&program).unwrap().spent;
+    let next = Owner::taking_over(cfg, Some(owner.stored), 2);
+    let after = next.journal.program(&program).unwrap().spent;
+    assert_eq!(before, Tokens(150));
+    assert!(
+        after >= before && after <= Tokens(150 + 100 + 10),
+        "{after:?}"
+    );
+}
+
+#[test]
+fn one_write_serves_all_calls_that_wait() {
+    let mut owner = Owner::new(JournalConfig::default());
+    owner.run(once("first"));
+    let before = owner.writes;
+    let begin = |index| {
+        owner
+            .journal
+            .begin(owner.now, once(&format!("key-{index}")))
+    };
+    let requests: Vec<RequestId> = (0..50).map(begin).collect();
+    owner.advance(1000);
+    assert!(requests.iter().all(|request| owner.runs(*request)));
+    assert_eq!(owner.writes, before + 1);
+}
+
+#[test]
+fn a_call_that_did_not_run_leaves_its_key_free_at_the_next_owner() {
+    let mut owner = Owner::new(JournalConfig::default());
+    let request = owner.begin(once("key"));
+    owner.advance(1000);
+    owner.end(request, Outcome::NotRun);
+    owner.advance(10_000);
+    let mut next = Owner::taking_over(JournalConfig::default(), Some(owner.stored), 2);
+    next.run(once("key"));
+}
+
+#[test]
+fn a_once_only_call_is_refused_at_once_while_the_platform_is_out() {
+    let mut owner = Owner::new(JournalConfig::default());
+    owner.is_out = true;
+    owner.begin(once("first"));
+    (0..100).for_each(|_| owner.advance(100));
+    let refused = owner.begin(once("second"));
+    let expected = (Reason::JournalUnavailable, Ran::NotRun);
+    assert_eq!(owner.refused(refused), expected);
+}
+
+#[test]
+fn a_full_journal_refuses_new_programs_and_loses_no_live_one() {
+    let cfg = JournalConfig {
+        max_journal_bytes: 8 * 1024,
+        ..JournalConfig::default()
+    };
+    let mut owner = Owner::new(cfg);
+    let mut programs = Vec::new();
+    let refused = loop {
+        match owner.open(Some(100), None) {
+            Reply::Opened(program) => programs.push(program),
+            other => break other,
+        }
+    };
+    let reason = |reply| match reply {
+        Reply::Refused(refusal) => refusal.reason,
+        other => panic!("a refusal was expected: {other:?}"),
+    };
+    assert_eq!(reason(refused), Reason::Overloaded);
+    let ended = programs.pop().unwrap();
+    owner
+        .journal
+        .end(owner.now, &ended, &"acme".parse().unwrap());
+    owner.advance(1000);
+    assert_eq!(reason(owner.open(Some(100), None)), Reason::Overloaded);
+    let retention = JournalConfig::default().ended_retention;
+    owner.now += retention;
+    opened(owner.open(Some(100), None));
+    assert!(
+        programs
+            .iter()
+            .all(|program| owner.stored.programs.contains_key(program))
+    );
+}
+
+#[test]
+fn an_outcome_past_its_retention_is_dropped() {
+    let mut owner = Owner::new(JournalConfig::default());
+    owner.run(once("key"));
+    assert_eq!(owner.stored.once.len(), 1);
+    owner.now += JournalConfig::default().once_retention;
+    owner.advance(1000);
+    owner.advance(10_000);
+    assert!(owner.stored.once.is_empty());
+}
+
+#[test]
+fn the_object_of_a_large_answer_is_removed_after_its_retention() {
+    let mut owner = Owner::new(JournalConfig::default());
+    let request = owner.begin(once("key"));
+    owner.advance(1000);
+    let answer = StoredAnswer {
+        status: 200,
+        content_type: None,
+        body: vec![b'x'; 100_000],
+    };
+    owner.end(request, Outcome::Answered(answer));
+    owner.advance(1000);
+    assert_eq!(owner.answers, 1);
+    owner.now += JournalConfig::default().once_retention;
+    owner.advance(1000);
+    owner.advance(10_000);
+    assert_eq!(owner.answers, 0);
+}
+
+#[test]
+fn an_idle_program_ends_and_a_busy_one_does_not() {
+    let (mut owner, idle) = owner_with_program();
+    let busy = owner.opened(1000);
+    owner.begin(call(&busy, None));
+    owner.now += JournalConfig::default().idle_end;
+    owner.advance(1000);
+    assert_eq!(owner.ended, [idle]);
+}
+
+#[test]
+fn an_ended_program_is_reported_after_its_last_call() {
+    let (mut owner, program) = owner_with_program();
+    let running = owner.begin(call(&program, None));
+    let waiting = owner.begin(call(&program, None));
+    owner.journal.check_dispatch(owner.now, running).unwrap();
+    owner
+        .journal
+        .end(owner.now, &program, &"acme".parse().unwrap());
+    owner.pump();
+    assert_eq!(owner.refused(waiting), (Reason::Cancelled, Ran::NotRun));
+    assert!(owner.ended.is_empty());
+    owner.journal.abandon(owner.now, running);
+    owner.pump();
+    assert_eq!(owner.ended, [program]);
+}
+
+#[test]
+fn the_end_of_a_root_ends_its_sub_agents() {
+    let mut owner = Owner::new(JournalConfig::default());
+    let root = owner.opened(100);
+    let sub = opened(owner.open(None, Some(&root)));
+    owner
+        .journal
+        .end(owner.now, &root, &"acme".parse().unwrap());
+    owner.advance(1000);
+    assert_eq!(owner.ended, [sub, root]);
+}
+
+#[test]
+fn a_release_refuses_each_waiting_call_once() {
+    let (mut owner, program) = owner_with_program();
+    let running = owner.begin(call(&program, None));
+    let waiting: Vec<RequestId> = (0..3).map(|_| owner.begin(call(&program, None))).collect();
+    owner.journal.release(owner.now);
+    let effects = owner.journal.take_effects();
+    assert_eq!(effects.len(), waiting.len());
+    let refused = owner
+        .journal
+        .check_dispatch(owner.now, running)
+        .unwrap_err();
+    assert_eq!(
+        (refused.reason, refused.ran),
+        (Reason::Draining, Ran::NotRun)
+    );
+}
+
+#[test]
+fn the_partition_of_a_key_does_not_depend_on_the_order_of_data_centres() {
+    let names = ["dc-1", "dc-2", "dc-3", "dc-4"];
+    let mut data_centres: Vec<DataCentre> = names.iter().map(|n| n.parse().unwrap()).collect();
+    let customer = "acme".parse().unwrap();
+    let home = |data_centres: &[DataCentre], key| partition_of_key(&customer, key, data_centres, 8);
+    let keys: Vec<String> = (0..100).map(|index| format!("key-{index}")).collect();
+    let before: Vec<_> = keys.iter().map(|key| home(&data_centres, key)).collect();
+    data_centres.reverse();
+    let after: Vec<_> = keys.iter().map(|key| home(&data_centres, key)).collect();
+    assert_eq!(before, after);
+    let gone = data_centres.pop();
+    let moved = keys
+        .iter()
+        .zip(&before)
+        .filter(|(key, old)| home(&data_centres, key) != **old);
+    let of_gone = before
+        .iter()
+        .flatten()
+        .filter(|home| Some(&home.data_centre) == gone.as_ref());
+    assert_eq!(moved.count(), of_gone.count());
+}
+
+#[test]
+fn the_partition_of_a_key_is_the_same_in_every_release() {
+    let data_centres = ["dc-1", "dc-2"].map(|name| name.parse().unwrap());
+    let home = partition_of_key(&"acme".parse().unwrap(), "invoice-1", &data_centres, 8);
+    assert_eq!(home.unwrap().to_string(), "dc-1.1");
+}
+
+#[test]
+fn settings_outside_of_their_range_are_named() {
+    let cfg = JournalConfig {
+        writes_per_second: 0,
+        ..JournalConfig::default()
+    };
+    assert_eq!(cfg.check().unwrap_err().field, "writes_per_second");
+    assert_eq!(JournalConfig::default().check(), Ok(()));
+}
--- a/tests/journal/world.rs
+++ b/tests/journal/world.rs
@@ -38,6 +38,7 @@
 use chicoryarch::version::journal::Reply;
 use chicoryarch::version::journal::RequestId;
 use chicoryarch::version::journal::Scope;
+use chicoryarch::version::journal::Status;
 use chicoryarch::version::journal::StoredAnswer;
 
 use crate::steps::BeginStep;
@@ -352,6 +353,11 @@
                 }
                 owner.journal.answer_stored(now, &stored);
             }
+            Some(Action::RemoveAnswer(name)) => {
+                let removed = self.store.read(fault).map(|_| ());
+                self.store.answers.remove(&name);
+                owner.journal.answer_removed(now, &removed);
+            }
             _ => {}
         }
         self.deliver(host);
@@ -521,6 +527,8 @@
             self.totals.not_run += 1;
         } else {
             attempt.stage = Stage::Checked;
+            let status = owner.journal.status();
+            assert_eq!(status, Status::Active, "no-dispatch-after-loss");
         }
         self.deliver(host);
     }
@@ -566,13 +574,16 @@
 
     /// Counts a run's cost against its program and those above it.
     fn spend(&mut self, mut program: Option<ProgramId>, cost: u64) {
+        let stored = self.store.document().expect("an owner has written it");
         while let Some(id) = program {
             let found = self.programs.iter().find(|(known, _)| *known == id);
             let (_, spec) = found.expect("calls run in known programs");
-            let spent = self.spent.entry(id).or_default();
+            let spent = self.spent.entry(id.clone()).or_default();
             *spent += cost;
             let budget = spec.budget.expect("all have a budget here");
             assert!(*spent <= budget.0, "spent-within-budget");
+            let reserved = stored.programs[&id].reserved;
+            assert!(*spent <= reserved.0, "spent-within-reservation");
             program = spec.parent.clone();
         }
     }
--- a/tests/journal_driver.rs
+++ b/tests/journal_driver.rs
@@ -1,9 +1,20 @@
 //! The journals of a host over a platform in memory.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::block_on;
 use chicoryarch::configs::journal::JournalConfig;
+use chicoryarch::connection::platform;
+use chicoryarch::connection::platform::Changes;
+use chicoryarch::connection::platform::Expect;
+use chicoryarch::connection::platform::HostStatus;
+use chicoryarch::connection::platform::Nonce;
+use chicoryarch::connection::platform::Object;
+use chicoryarch::connection::platform::Platform;
+use chicoryarch::connection::platform::Written;
 use chicoryarch::connection::platform::memory::Faults;
 use chicoryarch::connection::platform::memory::MemoryPlatform;
 use chicoryarch::ids::CustomerId;
@@ -11,6 +22,7 @@
 use chicoryarch::ids::Ordinal;
 use chicoryarch::ids::Partition;
 use chicoryarch::ids::ProgramId;
+use chicoryarch::ids::Version;
 use chicoryarch::process::journals::AcquireError;
 use chicoryarch::process::journals::Begun;
 use chicoryarch::process::journals::JournalEvent;
@@ -34,6 +46,7 @@
 use chicoryarch::version::journal::Scope;
 use chicoryarch::version::journal::StoredAnswer;
 use chicoryarch_net::Spawner;
+use futures_lite::future;
 
 const HANG_GUARD: Duration = Duration::from_secs(60);
 
@@ -141,6 +154,65 @@
     }
 }
 
+/// A platform whose writes hang while its switch is on.
+#[derive(Clone, Default)]
+struct Hanging {
+    memory: MemoryPlatform,
+    hangs: Arc<AtomicBool>,
+}
+
+impl Platform for Hanging {
+    async fn read(&self, kind: &str, name: &str) -> platform::Result<Option<Object>> {
+        self.memory.read(kind, name).await
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> platform::Result<Changes> {
+        self.memory.list(kind, prefix).await
+    }
+
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        nonce: Nonce,
+        value: Vec<u8>,
+    ) -> platform::Result<Written> {
+        if self.hangs.load(Ordering::Relaxed) {
+            future::pending::<()>().await;
+        }
+        self.memory.write(kind, name, expect, nonce, value).await
+    }
+
+    async fn remove(&self, kind: &str, name: &str, at: Version) -> platform::Result<Written> {
+        self.memory.remove(kind, name, at).await
+    }
+
+    async fn watch(&self, kind: &str, since: Version, wait: Duration) -> platform::Result<Changes> {
+        self.memory.watch(kind, since, wait).await
+    }
+
+    async fn hosts(&self) -> platform::Result<Vec<HostStatus>> {
+        self.memory.hosts().await
+    }
+}
+
+#[test]
+fn a_write_that_hangs_holds_up_no_refusal_and_no_release() {
+    block_on(async {
+        let platform = Hanging::default();
+        let journals = Journals::new(platform.clone(), settings(), Spawner::start(1));
+        journals.acquire(&partition(), Epoch(1)).await.unwrap();
+        platform.hangs.store(true, Ordering::Relaxed);
+        let refused = refusal(journals.begin(once("k")).await);
+        assert_eq!(
+            (refused.reason, refused.ran),
+            (Reason::JournalUnavailable, Ran::NotRun)
+        );
+        assert!(!journals.release(&partition()).await);
+    });
+}
+
 #[test]
 fn a_once_only_call_is_replayed_at_its_owner_and_at_the_next() {
     block_on(async {
