Add the operators' language, answers, commands and credentials

Changes are conditional on the version read. A host's retirement is a configuration object, so it has a version and an audit entry like any other change. Not yet tested beyond compiling.

--- /dev/null
+++ b/src/operator/commands.rs
@@ -0,0 +1,462 @@
+//! Carries out commands.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::answer::Accepted;
+use super::answer::Answer;
+use super::answer::Withdrawn;
+use super::configured::serving;
+use super::credentials::new_caller_secret;
+use super::edit;
+use super::edit::Editable;
+use super::execute::Operator;
+use super::language::Action;
+use super::language::Assignment;
+use super::language::Command;
+use super::language::Options;
+use super::language::Retirable;
+use super::language::Target;
+use super::language::Wait;
+use super::report::Failure;
+use super::report::Report;
+use super::report::Result;
+use super::rows::Cancel;
+use super::rows::CancelError;
+use super::rows::Rows;
+use crate::connection::peer::Peers;
+use crate::connection::platform::Nonce;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::ids::CustomerId;
+use crate::ids::EndpointId;
+use crate::ids::HostId;
+use crate::ids::ProgramId;
+use crate::ids::ServiceId;
+use crate::ids::Version;
+use crate::process::distribution::Hosts;
+use crate::process::distribution::InForce;
+use crate::process::distribution::proposal::Base;
+use crate::process::distribution::proposal::Proposal;
+use crate::process::distribution::submit::Submitted;
+use crate::process::distribution::withdraw::Recorded;
+use crate::units::Moment;
+use crate::version::catalogue::ObjectId;
+use crate::version::catalogue::secret_hash;
+use crate::version::objects::Change;
+use crate::version::objects::Customer;
+use crate::version::objects::Endpoint;
+use crate::version::objects::EndpointState;
+use crate::version::objects::HostSetting;
+use crate::version::objects::Key;
+use crate::version::objects::KeyRef;
+use crate::version::objects::KeySet;
+use crate::version::objects::Kind;
+use crate::version::objects::Service;
+use crate::version::objects::Stamp;
+
+/// What is common to all changes of one command.
+struct Request<'a> {
+    id: ObjectId,
+    options: &'a Options,
+    stamp: &'a Stamp,
+}
+
+impl<P: Platform, Q: Peers, H: Hosts, B: Cancel + Rows> Operator<P, Q, H, B> {
+    /// Carries out a command.
+    pub(super) async fn run(&self, command: &Command, stamp: &Stamp) -> Result<Answer> {
+        let options = &command.options;
+        let request = |id: ObjectId| Request { id, options, stamp };
+        let accepted = match &command.action {
+            Action::Cancel(program) => return self.cancel(program, stamp).await,
+            Action::Withdraw(key) => return self.withdraw(key, options, stamp).await,
+            Action::Create(target, fields) => {
+                self.create(target, request(id_of(target)), fields).await
+            }
+            Action::Change(target, fields) => {
+                self.edit(target, request(id_of(target)), fields).await
+            }
+            Action::Remove(target) => self.remove(target, request(id_of(target))).await,
+            Action::Grant(key) => self.grant(key, request(keys_id(&key.customer))).await,
+            Action::Retire(what) => self.retire(what, request(retirable_id(what)), true).await,
+            Action::Restore(what) => self.retire(what, request(retirable_id(what)), false).await,
+        };
+        accepted.map(Answer::Accepted)
+    }
+
+    async fn create(
+        &self,
+        target: &Target,
+        request: Request<'_>,
+        fields: &[Assignment],
+    ) -> Result<Accepted> {
+        match target {
+            Target::Customer(_) => self.create_as::<Customer>(request, fields).await,
+            Target::Service(_) => self.create_as::<Service>(request, fields).await,
+            Target::Endpoint(_) => {
+                self.check_services(fields)?;
+                self.create_as::<Endpoint>(request, fields).await
+            }
+        }
+    }
+
+    async fn create_as<T>(&self, request: Request<'_>, fields: &[Assignment]) -> Result<Accepted>
+    where
+        T: DeserializeOwned + Editable + Serialize,
+    {
+        let value = edit::create::<T>(fields)?;
+        self.write(request, |id, present: Option<T>| match present {
+            Some(_) => Err(exists(id)),
+            None => Ok(Some(value)),
+        })
+        .await
+    }
+
+    async fn edit(
+        &self,
+        target: &Target,
+        request: Request<'_>,
+        fields: &[Assignment],
+    ) -> Result<Accepted> {
+        match target {
+            Target::Customer(_) => self.edit_as::<Customer>(request, fields).await,
+            Target::Service(_) => self.edit_as::<Service>(request, fields).await,
+            Target::Endpoint(_) => {
+                self.check_services(fields)?;
+                self.edit_as::<Endpoint>(request, fields).await
+            }
+        }
+    }
+
+    async fn edit_as<T>(&self, request: Request<'_>, fields: &[Assignment]) -> Result<Accepted>
+    where
+        T: DeserializeOwned + Editable + Serialize,
+    {
+        self.write(request, |id, present: Option<T>| {
+            let present = present.ok_or_else(|| missing(id))?;
+            edit::change(present, fields).map(Some)
+        })
+        .await
+    }
+
+    async fn remove(&self, target: &Target, request: Request<'_>) -> Result<Accepted> {
+        match target {
+            Target::Customer(customer) => {
+                self.check_no_live_keys(customer).await?;
+                self.remove_as::<Customer>(request).await
+            }
+            Target::Service(service) => {
+                self.check_unserved(service)?;
+                self.remove_as::<Service>(request).await
+            }
+            Target::Endpoint(_) => self.remove_as::<Endpoint>(request).await,
+        }
+    }
+
+    async fn remove_as<T>(&self, request: Request<'_>) -> Result<Accepted>
+    where
+        T: Clone + DeserializeOwned + Serialize,
+    {
+        self.write(request, |id, present: Option<T>| match present {
+            Some(_) => Ok(None),
+            None => Err(missing(id)),
+        })
+        .await
+    }
+
+    async fn retire(
+        &self,
+        what: &Retirable,
+        request: Request<'_>,
+        retired: bool,
+    ) -> Result<Accepted> {
+        match what {
+            Retirable::Endpoint(_) => self.retire_endpoint(request, retired).await,
+            Retirable::Host(host) => self.retire_host(host, request, retired).await,
+        }
+    }
+
+    async fn retire_endpoint(&self, request: Request<'_>, retired: bool) -> Result<Accepted> {
+        self.write(request, |id, present: Option<Endpoint>| {
+            let mut endpoint = present.ok_or_else(|| missing(id))?;
+            endpoint.state = match retired {
+                true => EndpointState::Leaving,
+                false => EndpointState::Serving,
+            };
+            Ok(Some(endpoint))
+        })
+        .await
+    }
+
+    async fn retire_host(
+        &self,
+        host: &HostId,
+        request: Request<'_>,
+        retired: bool,
+    ) -> Result<Accepted> {
+        let live = self.is_live(host);
+        self.write(request, |id, present: Option<HostSetting>| {
+            if present.is_none() && !live {
+                return Err(missing(id));
+            }
+            Ok(Some(HostSetting { retired }))
+        })
+        .await
+    }
+
+    async fn grant(&self, key: &KeyRef, request: Request<'_>) -> Result<Accepted> {
+        let customer = ObjectId::new(Kind::Customer, key.customer.as_str());
+        let present = self.read::<Customer>(&customer).await?;
+        if present.record.value.is_none() {
+            return Err(missing(&customer));
+        }
+        let configuration = self.distribution.configuration();
+        if configuration.is_withdrawn(key) {
+            return Err(name_taken(key));
+        }
+        let secret = new_caller_secret();
+        let hash = secret_hash(secret.0.as_bytes());
+        let granted = self.write(request, |_, present: Option<KeySet>| {
+            let mut set = present.unwrap_or_default();
+            let withdrawn = false;
+            match set.keys.insert(key.key.clone(), Key { hash, withdrawn }) {
+                Some(_) => Err(name_taken(key)),
+                None => Ok(Some(set)),
+            }
+        });
+        Ok(Accepted {
+            secret: Some(secret),
+            ..granted.await?
+        })
+    }
+
+    async fn withdraw(&self, key: &KeyRef, options: &Options, stamp: &Stamp) -> Result<Answer> {
+        self.check_known(key).await?;
+        let withdrawal = self.distribution.withdraw(key, stamp.clone()).await;
+        let in_force = match withdrawal.recorded {
+            Recorded::At(version) => {
+                let id = keys_id(&key.customer);
+                self.wait(options, &id, version).await
+            }
+            Recorded::NotYet(_) => None,
+        };
+        Ok(Answer::Withdrawn(Withdrawn {
+            key: key.clone(),
+            withdrawal,
+            in_force,
+        }))
+    }
+
+    async fn cancel(&self, program: &ProgramId, stamp: &Stamp) -> Result<Answer> {
+        let done = self.backend.cancel(program, stamp.clone()).await;
+        let failure = |e: CancelError| {
+            let failure = match e {
+                CancelError::NotRun(_) => Failure::NotRun,
+                CancelError::Unknown(_) => Failure::Unknown,
+                CancelError::UnknownProgram => Failure::NotFound,
+            };
+            Report::new(failure, e.to_string())
+        };
+        done.map(|()| Answer::Cancelled(program.clone()))
+            .map_err(failure)
+    }
+
+    /// Reads, edits and writes one object, on the condition that it is still
+    /// at the version read.
+    async fn write<T>(
+        &self,
+        request: Request<'_>,
+        edit: impl FnOnce(&ObjectId, Option<T>) -> Result<Option<T>>,
+    ) -> Result<Accepted>
+    where
+        T: Clone + DeserializeOwned + Serialize,
+    {
+        let Request { id, options, stamp } = request;
+        let base = self.read::<T>(&id).await?;
+        check_version(&id, &base, options)?;
+        let value = edit(&id, base.record.value.clone())?;
+        let proposal = Proposal::new(id, base, value, stamp, Nonce::random());
+        let version = accepted(&proposal, self.distribution.commit(&proposal).await)?;
+        let in_force = self.wait(options, &proposal.id, version).await;
+        Ok(Accepted {
+            object: proposal.id,
+            version,
+            secret: None,
+            in_force,
+        })
+    }
+
+    async fn read<T: DeserializeOwned>(&self, id: &ObjectId) -> Result<Base<T>> {
+        self.distribution
+            .read_base(id)
+            .await
+            .map_err(|e| not_run(&e))
+    }
+
+    async fn wait(&self, options: &Options, id: &ObjectId, version: Version) -> Option<InForce> {
+        let longest: Duration = match options.wait? {
+            Wait::Default => self.cfg.wait,
+            Wait::For(longest) => longest,
+        };
+        let deadline = Moment::now() + longest;
+        let report = self.distribution.wait_in_force(id, version, deadline);
+        Some(report.await)
+    }
+
+    fn is_live(&self, host: &HostId) -> bool {
+        let hosts = self.distribution.hosts();
+        hosts.own().id == *host || hosts.others().iter().any(|other| other.id == *host)
+    }
+
+    /// A key may be withdrawn if this host or the platform knows it.
+    async fn check_known(&self, key: &KeyRef) -> Result<()> {
+        let id = keys_id(&key.customer);
+        let configuration = self.distribution.configuration();
+        if configuration.is_withdrawn(key) || configuration.snapshot().has_key(key) {
+            return Ok(());
+        }
+        let base = self.read::<KeySet>(&id).await?;
+        let known = base.record.value.unwrap_or_default().keys;
+        if known.contains_key(&key.key) {
+            return Ok(());
+        }
+        let message = format!("customer `{}` has no key `{}`", key.customer, key.key);
+        Err(Report::new(Failure::NotFound, message))
+    }
+
+    async fn check_no_live_keys(&self, customer: &CustomerId) -> Result<()> {
+        let base = self.read::<KeySet>(&keys_id(customer)).await?;
+        let keys = base.record.value.unwrap_or_default().keys;
+        let live: Vec<&str> = keys
+            .iter()
+            .filter(|(_, key)| !key.withdrawn)
+            .map(|(name, _)| name.as_str())
+            .collect();
+        if live.is_empty() {
+            return Ok(());
+        }
+        let message = format!("customer `{customer}` has keys that are not withdrawn");
+        let help = format!("withdraw first: {}", live.join(", "));
+        Err(Report::new(Failure::Invalid, message).with_help(help))
+    }
+
+    fn check_unserved(&self, service: &ServiceId) -> Result<()> {
+        let configuration = self.distribution.configuration();
+        let serving = configuration.read(|catalogue| serving(catalogue, service));
+        if serving.is_empty() {
+            return Ok(());
+        }
+        let names: Vec<&str> = serving.iter().map(EndpointId::as_str).collect();
+        let message = format!("service `{service}` has endpoints");
+        let help = format!("remove or change first: {}", names.join(", "));
+        Err(Report::new(Failure::Invalid, message).with_help(help))
+    }
+
+    /// Points at a service of an endpoint that does not exist.
+    fn check_services(&self, fields: &[Assignment]) -> Result<()> {
+        let snapshot = self.distribution.configuration().snapshot();
+        let lists = fields
+            .iter()
+            .filter(|field| field.field.value == "services");
+        for list in lists {
+            for name in list.value.value.split(',').filter(|name| !name.is_empty()) {
+                let known = name
+                    .parse()
+                    .is_ok_and(|id: ServiceId| snapshot.service(&id).is_some());
+                if !known {
+                    let message = format!("there is no service `{name}`");
+                    let expected = "expected names of services, separated by commas";
+                    return Err(Report::invalid(list.value.span, message, expected));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn id_of(target: &Target) -> ObjectId {
+    match target {
+        Target::Customer(id) => ObjectId::new(Kind::Customer, id.as_str()),
+        Target::Endpoint(id) => ObjectId::new(Kind::Endpoint, id.as_str()),
+        Target::Service(id) => ObjectId::new(Kind::Service, id.as_str()),
+    }
+}
+
+fn retirable_id(what: &Retirable) -> ObjectId {
+    match what {
+        Retirable::Endpoint(id) => ObjectId::new(Kind::Endpoint, id.as_str()),
+        Retirable::Host(id) => ObjectId::new(Kind::Host, id.as_str()),
+    }
+}
+
+fn keys_id(customer: &CustomerId) -> ObjectId {
+    ObjectId::new(Kind::Keys, customer.as_str())
+}
+
+fn check_version<T>(id: &ObjectId, base: &Base<T>, options: &Options) -> Result<()> {
+    if options.version.is_none() || options.version == base.version {
+        return Ok(());
+    }
+    let found = base.version.map_or_else(
+        || "absent".to_owned(),
+        |version| format!("at version {version}"),
+    );
+    let message = format!("{} `{}` is {found}", id.kind.as_str(), id.name);
+    Err(conflict(message, base.record.changes.last().cloned()))
+}
+
+fn accepted(proposal: &Proposal, submitted: Submitted) -> Result<Version> {
+    let id = &proposal.id;
+    let (kind, name) = (id.kind.as_str(), &id.name);
+    match submitted {
+        Submitted::Accepted(item) => Ok(item.version),
+        Submitted::Conflict(other) => {
+            let message = format!("{kind} `{name}` was changed by another operator first");
+            Err(conflict(message, other))
+        }
+        Submitted::NotRun(e) => Err(not_run(&e)),
+        Submitted::Unknown => {
+            let message = format!("whether the change of {kind} `{name}` was made is not known");
+            let help = format!("look for it with: show audit where name = {name}");
+            Err(Report::new(Failure::Unknown, message).with_help(help))
+        }
+    }
+}
+
+fn conflict(message: String, other: Option<Change>) -> Report {
+    let report = Report::new(Failure::Conflict, message);
+    let Some(change) = other else {
+        return report;
+    };
+    let help = format!(
+        "{} made the last change at {}: {}",
+        change.actor, change.at_ms, change.command
+    );
+    Report {
+        other: Some(Box::new(change)),
+        ..report.with_help(help)
+    }
+}
+
+fn not_run(e: &PlatformError) -> Report {
+    let message = format!("the command has not run: {e}");
+    Report::new(Failure::NotRun, message)
+}
+
+fn exists(id: &ObjectId) -> Report {
+    let message = format!("{} `{}` exists already", id.kind.as_str(), id.name);
+    Report::new(Failure::Exists, message)
+}
+
+fn missing(id: &ObjectId) -> Report {
+    let message = format!("there is no {} `{}`", id.kind.as_str(), id.name);
+    Report::new(Failure::NotFound, message)
+}
+
+fn name_taken(key: &KeyRef) -> Report {
+    let message = format!("customer `{}` has had a key `{}`", key.customer, key.key);
+    let help = "a key's name is never used again, also after its withdrawal";
+    Report::new(Failure::Exists, message).with_help(help)
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,1 +1,22 @@
 //! The operators' query and command language and its answers.
+
+pub mod answer;
+mod commands;
+mod configured;
+pub mod credentials;
+mod edit;
+pub mod execute;
+mod filter;
+pub mod fleet;
+pub mod language;
+pub mod render;
+pub mod report;
+pub mod rows;
+pub mod subject;
+pub mod table;
+
+pub use answer::Answer;
+pub use credentials::OperatorSecrets;
+pub use credentials::Scope;
+pub use execute::Operator;
+pub use report::Report;
--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -144,6 +144,11 @@
         &self.configuration
     }
 
+    /// The other hosts, as membership knows them.
+    pub fn hosts(&self) -> &H {
+        &self.hosts
+    }
+
     /// Counts of the spread of configuration.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -347,7 +352,7 @@
     }
 
     /// Runs a call to each host at once, within the limit of the fan-out.
-    pub(super) async fn ask_all<R, F, A>(
+    pub(crate) async fn ask_all<R, F, A>(
         &self,
         hosts: Vec<HostAddress>,
         ask: F,
@@ -387,7 +392,8 @@
         self.ask(host, PUSH, bundle).await
     }
 
-    async fn ask<A, R>(
+    /// Calls a method of one host.
+    pub(crate) async fn ask<A, R>(
         &self,
         host: &HostAddress,
         method: &'static str,
--- a/src/version/catalogue/index.rs
+++ b/src/version/catalogue/index.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// True if the key is in the index.
+    pub(super) fn contains(&self, key: &KeyRef) -> bool {
+        let mut indexed = self.buckets.values().flatten();
+        indexed.any(|indexed| indexed.key == *key)
+    }
+
     /// Finds the one valid key of a secret.
     ///
     /// A secret under several names identifies nobody, and neither does one
--- a/src/version/catalogue/snapshot.rs
+++ b/src/version/catalogue/snapshot.rs
@@ -66,6 +66,11 @@
         self.keys.find(secret, valid).cloned()
     }
 
+    /// True if the key was ever granted, as far as this host knows.
+    pub fn has_key(&self, key: &KeyRef) -> bool {
+        self.keys.contains(key)
+    }
+
     /// True if the key is withdrawn.
     pub fn is_withdrawn(&self, key: &KeyRef) -> bool {
         self.withdrawn.contains(key)
