--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -5,8 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -53,7 +51,6 @@
 use crate::connection::peer_port::PeerPort;
 use crate::connection::platform::Platform;
 use crate::connection::platform::http::HttpPlatform;
-use crate::ids::Incarnation;
 use crate::request::limit::View;
 use crate::request::programs;
 use crate::request::retry::RetryBudget;
@@ -201,7 +198,6 @@
             peer: addresses.peers,
             caller: addresses.callers,
         },
-        incarnation(),
         &cfg.membership,
         platform.clone(),
         peers.clone(),
@@ -252,14 +248,6 @@
     Ok((cx, ports))
 }
 
-/// Orders the starts of this host; a start found in the table is always
-/// exceeded, so a clock that was set back does no harm.
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.unwrap_or_default().as_millis();
-    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
-}
-
 fn own_address(cfg: &HostConfig, addresses: &Addresses) -> HostAddress {
     HostAddress {
         id: cfg.host.clone(),
