Prove the operators' language, and let a key in force work at once

An object is now handed over with those that it refers to. Errors at the end of a statement pointed nowhere; a blank is added to point at.

--- a/src/operator/language/parse.rs
+++ b/src/operator/language/parse.rs
@@ -118,7 +118,14 @@
 
 fn rest_expected(statement: &Statement) -> &'static str {
     match statement {
-        Statement::Command(_) => "`field=value`, `if version`, `wait` or the end",
+        Statement::Command(command) => match command.action {
+            Action::Cancel(_) => "the end",
+            Action::Withdraw(_) => "`wait` or the end",
+            Action::Change(..) | Action::Create(..) => {
+                "`field=value`, `if version`, `wait` or the end"
+            }
+            _ => "`if version`, `wait` or the end",
+        },
         Statement::Show(_) => "`where`, `and`, `order by`, `limit` or the end",
     }
 }
--- a/src/operator/report.rs
+++ b/src/operator/report.rs
@@ -120,11 +120,16 @@
 
     /// The same report about a text.
     #[must_use]
-    pub fn about(self, text: &str) -> Self {
-        Self {
-            text: text.to_owned(),
-            ..self
+    pub fn about(mut self, text: &str) -> Self {
+        self.text = text.to_owned();
+        if let Some(span) = &mut self.span
+            && span.start == text.len()
+        {
+            // A blank, so that there is a place to point at.
+            self.text.push(' ');
+            span.end = self.text.len();
         }
+        self
     }
 }
 
--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -230,10 +230,11 @@
     pub async fn commit(&self, proposal: &Proposal) -> Submitted {
         let submitted = self.write(proposal).await;
         if let Submitted::Accepted(item) = &submitted {
-            self.spread_later(Bundle {
-                items: vec![item.clone()],
-                tombstones: Vec::new(),
-            });
+            let id = &item.id;
+            let bundle = self
+                .configuration
+                .read(|catalogue| catalogue.with_references(id));
+            self.spread_later(bundle);
         }
         submitted
     }
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -17,7 +17,6 @@
 use crate::ids::Version;
 use crate::process::timers::Timers;
 use crate::units::Moment;
-use crate::version::catalogue::Bundle;
 use crate::version::catalogue::ObjectId;
 use crate::version::objects::Kind;
 
@@ -71,15 +70,9 @@
     ) {
         let open = |host: &HostAddress| !confirmations.has(&host.id);
         let hosts: Vec<HostAddress> = others.into_iter().filter(open).collect();
-        let items = self
+        let bundle = self
             .configuration
-            .read(|catalogue| catalogue.item(id))
-            .into_iter()
-            .collect();
-        let bundle = Bundle {
-            items,
-            tombstones: Vec::new(),
-        };
+            .read(|catalogue| catalogue.with_references(id));
         let reach = self.spread(&bundle, hosts).await;
         for (host, versions) in reach.reached {
             confirmations.report(&host.id, versions.first().copied().flatten());
--- a/src/version/catalogue/document.rs
+++ b/src/version/catalogue/document.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use super::Item;
+use super::ObjectId;
 use crate::ids::CustomerId;
 use crate::ids::EndpointId;
 use crate::ids::HostId;
@@ -85,6 +86,20 @@
         encoded.expect("checked records always encode as JSON")
     }
 
+    /// Objects without which this one has no effect.
+    pub fn references(&self) -> Vec<ObjectId> {
+        match self {
+            Self::Keys(customer, _) => vec![ObjectId::new(Kind::Customer, customer.as_str())],
+            Self::Endpoint(_, record) => {
+                let services = record.value.iter().flat_map(|value| &value.services);
+                services
+                    .map(|service| ObjectId::new(Kind::Service, service.as_str()))
+                    .collect()
+            }
+            Self::Customer(..) | Self::Host(..) | Self::Service(..) => Vec::new(),
+        }
+    }
+
     /// The last changes of the object, oldest first.
     pub fn changes(&self) -> &[Change] {
         match self {
--- a/src/version/catalogue/state.rs
+++ b/src/version/catalogue/state.rs
@@ -94,6 +94,21 @@
         self.objects.get_key_value(id).map(item)
     }
 
+    /// One object with those it refers to, itself first.
+    ///
+    /// A key works only with its customer and an endpoint with its services,
+    /// so a host that confirms the object has to hold these too.
+    pub fn with_references(&self, id: &ObjectId) -> Bundle {
+        let references = self
+            .document(id)
+            .map_or_else(Vec::new, |(_, document)| document.references());
+        let ids = std::iter::once(id).chain(&references);
+        Bundle {
+            items: ids.filter_map(|id| self.item(id)).collect(),
+            tombstones: Vec::new(),
+        }
+    }
+
     /// All objects with their versions, by kind and name.
     pub fn documents(&self) -> impl Iterator<Item = (&ObjectId, Version, &Document)> {
         self.objects
--- a/tests/configuration/spread.rs
+++ b/tests/configuration/spread.rs
@@ -87,6 +87,21 @@
     assert_eq!(report.in_force.len(), 2);
 }
 
+#[test]
+fn a_key_in_force_works_at_a_host_that_missed_its_customer() {
+    let fleet = Fleet::start(2);
+    fleet.peers.cut(&fleet.addresses[1]);
+    commit(
+        &fleet.hosts[0],
+        &creation(customer_id("choir"), customer(5.0)),
+    );
+    let keys = creation(keys_id("choir"), key_set("choir", &["desk"]));
+    let version = commit(&fleet.hosts[0], &keys);
+    fleet.peers.join(&fleet.addresses[1]);
+    in_force(&fleet.hosts[0], version);
+    assert!(identifies(&fleet.hosts[1]));
+}
+
 #[test]
 fn a_withdrawn_key_stops_at_every_host_and_is_recorded_with_its_audit_entry() {
     let fleet = Fleet::start(3);
--- a/tests/configuration/support.rs
+++ b/tests/configuration/support.rs
@@ -118,6 +118,10 @@
     pub(crate) fn serve(&self, at: &HostAddress, host: &Host) {
         let mut module = RpcModule::new(());
         rpc::register(&mut module, host).unwrap();
+        self.serve_module(at, module);
+    }
+
+    pub(crate) fn serve_module(&self, at: &HostAddress, module: RpcModule<()>) {
         self.modules.lock().insert(at.address, module);
     }
 }
--- /dev/null
+++ b/tests/operator/commands.rs
@@ -0,0 +1,321 @@
+//! Commands on the real configuration of a small fleet.
+
+use chicoryarch::configs::operator::OperatorConfig;
+use chicoryarch::connection::platform::memory::Faults;
+use chicoryarch::operator::Answer;
+use chicoryarch::operator::Scope;
+use chicoryarch::operator::answer::Accepted;
+use chicoryarch::operator::render;
+use chicoryarch::operator::report::Failure;
+use chicoryarch::process::distribution::withdraw::Recorded;
+use futures_lite::future::block_on;
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::sample::select;
+
+use super::support::Operated;
+
+const OUT: Faults = Faults {
+    out: true,
+    lost_answers: 0,
+};
+
+fn start(hosts: u16) -> Operated {
+    Operated::start(hosts, &OperatorConfig::default())
+}
+
+fn accepted(answer: Answer) -> Accepted {
+    match answer {
+        Answer::Accepted(accepted) => accepted,
+        other => panic!("accepted is expected, got {other:?}"),
+    }
+}
+
+/// Runs a statement that fails, checks that it changed nothing and shows it.
+fn refused(operated: &Operated, text: &str) -> (Failure, String) {
+    let before = operated.stored();
+    let report = operated.run(text).expect_err(text);
+    assert_eq!(operated.stored(), before, "{text}");
+    (report.failure, render::report(&report))
+}
+
+fn audit(operated: &Operated) -> String {
+    render::text(&operated.ok("show audit"))
+}
+
+#[test]
+fn a_created_customer_is_in_force_everywhere_once_the_wait_ends() {
+    let operated = start(3);
+    let answer = operated.ok("create customer choir rate=5 burst=10 wait");
+    assert_eq!(answer.exit_code(), 0);
+    assert_eq!(accepted(answer).in_force.unwrap().in_force.len(), 3);
+    for host in &operated.fleet.hosts {
+        let customer = host.configuration().customer(&"choir".parse().unwrap());
+        assert_eq!(customer.unwrap().rate, 5.0);
+    }
+}
+
+#[test]
+fn an_accepted_change_is_told_apart_from_one_in_force() {
+    let operated = start(2);
+    operated.fleet.peers.cut(&operated.fleet.addresses[1]);
+    let answer = operated.ok("create customer choir wait 0");
+    assert_eq!(answer.exit_code(), 9);
+    let text = render::text(&answer);
+    assert_eq!(
+        text,
+        "accepted: customer choir at version 1\nin force at 1 hosts; not confirmed by h1\n"
+    );
+}
+
+#[test]
+fn every_accepted_change_is_in_the_audit_with_its_versions() {
+    let operated = start(1);
+    for command in [
+        "create customer choir rate=5",
+        "change customer choir rate=6 if version 1",
+        "create service invoices kind=plain",
+        "create endpoint press-1 address=127.0.0.1:80 data_centre=dc1 services=invoices",
+        "retire endpoint press-1",
+        "restore endpoint press-1",
+        "grant key desk for choir",
+        "withdraw key desk for choir",
+        "retire host h0",
+        "remove endpoint press-1",
+        "remove service invoices",
+        "remove customer choir",
+    ] {
+        operated.ok(command);
+    }
+    let rows = audit(&operated);
+    let untimed: Vec<&str> = rows
+        .lines()
+        .skip(1)
+        .map(|line| line.trim_start().split_once(' ').unwrap().1.trim_start())
+        .collect();
+    let mut sorted = untimed;
+    sorted.sort_unstable();
+    insta::assert_snapshot!(sorted.join("\n"));
+}
+
+#[test]
+fn the_secret_of_a_key_is_shown_once_and_stored_nowhere() {
+    let operated = start(2);
+    operated.ok("create customer choir");
+    let granted = accepted(operated.ok("grant key desk for choir wait"));
+    let secret = granted.secret.as_ref().unwrap().0.clone();
+    assert!(secret.starts_with("chk_"));
+    for host in &operated.fleet.hosts {
+        assert!(host.configuration().identify(secret.as_bytes()).is_some());
+    }
+    let stored = operated.stored().concat();
+    assert!(!String::from_utf8(stored).unwrap().contains(&secret));
+    assert!(!format!("{granted:?}").contains(&secret));
+    let shown = render::json(&operated.ok("show keys")) + &audit(&operated);
+    assert!(!shown.contains(&secret) && !shown.contains("hash"));
+}
+
+#[test]
+fn a_withdrawal_while_the_platform_is_out_holds_and_says_that_it_is_not_recorded() {
+    let operated = start(2);
+    operated.ok("create customer choir");
+    let granted = accepted(operated.ok("grant key desk for choir wait"));
+    let secret = granted.secret.unwrap().0;
+    operated.fleet.platform.set_faults(OUT);
+    let answer = operated.ok("withdraw key desk for choir");
+    assert_eq!(answer.exit_code(), 9);
+    insta::assert_snapshot!(render::text(&answer), @r"
+    withdrawn: key desk of choir at 2 hosts
+    not yet recorded, and offered again until it is: the platform is unavailable: switched off
+    ");
+    for host in &operated.fleet.hosts {
+        assert_eq!(host.configuration().identify(secret.as_bytes()), None);
+    }
+    let rows = audit(&operated);
+    assert!(rows.contains("withdraw key desk for choir"), "{rows}");
+}
+
+#[test]
+fn other_changes_while_the_platform_is_out_have_not_run() {
+    let operated = start(1);
+    operated.fleet.platform.set_faults(OUT);
+    let report = operated.run("create customer choir").unwrap_err();
+    assert_eq!(report.failure, Failure::NotRun);
+    operated.fleet.platform.set_faults(Faults::default());
+    assert!(operated.stored().is_empty());
+}
+
+#[test]
+fn a_lost_answer_is_settled_and_the_change_made_once() {
+    let operated = start(1);
+    operated.fleet.platform.set_faults(Faults {
+        lost_answers: 1,
+        ..Faults::default()
+    });
+    let created = accepted(operated.ok("create customer choir"));
+    assert_eq!(created.version.0, 1);
+    assert_eq!(audit(&operated).matches("create customer").count(), 1);
+}
+
+#[test]
+fn a_lost_race_is_reported_with_the_other_change() {
+    let operated = start(2);
+    operated.ok("create customer choir");
+    operated.ok("change customer choir rate=7");
+    let report = operated
+        .run("change customer choir rate=8 if version 1")
+        .unwrap_err();
+    assert_eq!(report.failure, Failure::Conflict);
+    let other = report.other.unwrap();
+    assert_eq!(other.command, "change customer choir rate=7");
+    assert_eq!(other.actor, "ana");
+}
+
+#[test]
+fn a_removed_customer_can_be_created_again_and_its_versions_go_on() {
+    let operated = start(1);
+    operated.ok("create customer choir");
+    operated.ok("remove customer choir");
+    let again = accepted(operated.ok("create customer choir rate=3"));
+    assert_eq!(again.version.0, 3);
+}
+
+#[test]
+fn the_name_of_a_withdrawn_key_is_never_granted_again() {
+    let operated = start(1);
+    operated.ok("create customer choir");
+    operated.ok("grant key desk for choir");
+    operated.ok("withdraw key desk for choir");
+    let (failure, _) = refused(&operated, "grant key desk for choir");
+    assert_eq!(failure, Failure::Exists);
+}
+
+#[test]
+fn a_withdrawal_may_be_repeated() {
+    let operated = start(1);
+    operated.ok("create customer choir");
+    operated.ok("grant key desk for choir");
+    for _ in 0..2 {
+        let Answer::Withdrawn(withdrawn) = operated.ok("withdraw key desk for choir") else {
+            panic!("withdrawn is expected");
+        };
+        assert!(matches!(withdrawn.withdrawal.recorded, Recorded::At(_)));
+    }
+    assert_eq!(audit(&operated).matches("withdraw key").count(), 1);
+}
+
+#[test]
+fn cancelling_reaches_the_owner_with_the_command_for_its_audit() {
+    let operated = start(1);
+    let command = "cancel program dc1.0.00000000000000ff";
+    operated.ok(command);
+    let cancelled = operated.backends[0].cancelled.lock().clone();
+    let expected = ("dc1.0.00000000000000ff".to_owned(), command.to_owned());
+    assert_eq!(cancelled, [expected]);
+}
+
+#[test]
+fn an_operator_who_may_only_ask_changes_nothing() {
+    let operated = start(1);
+    let operator = &operated.operators[0];
+    let command = operator.execute("create customer choir", "ben", &Scope::Ask);
+    assert_eq!(block_on(command).unwrap_err().failure, Failure::Forbidden);
+    assert!(operated.stored().is_empty());
+    let query = operator.execute("show customers", "ben", &Scope::Ask);
+    assert!(block_on(query).is_ok());
+}
+
+#[test]
+fn a_refused_command_says_why_and_changes_nothing() {
+    let operated = start(1);
+    operated.ok("create customer choir");
+    operated.ok("create service invoices kind=plain");
+    operated.ok("create endpoint press-1 address=127.0.0.1:80 data_centre=dc1 services=invoices");
+    operated.ok("grant key desk for choir");
+    let reports: Vec<String> = [
+        "create customer choir",
+        "create customer band rate=-1",
+        "create customer band rate=fast",
+        "create customer band shares=dc1:0.9,dc2:0.9",
+        "create customer band shares=dc1",
+        "create customer band colour=red",
+        "create customer band rate=1 rate=2",
+        "create service orders",
+        "create service orders kind=printer",
+        "create endpoint press-2 address=127.0.0.1:80 data_centre=dc1",
+        "create endpoint press-2 address=nowhere data_centre=dc1 services=invoices",
+        "create endpoint press-2 address=127.0.0.1:80 data_centre=dc1 services=orders",
+        "change endpoint press-1 concurrency=0",
+        "change customer band rate=1",
+        "remove customer band",
+        "remove customer choir",
+        "remove service invoices",
+        "grant key desk for band",
+        "grant key desk for choir",
+        "withdraw key box for choir",
+        "retire endpoint press-2",
+        "retire host nobody",
+    ]
+    .iter()
+    .map(|text| refused(&operated, text).1)
+    .collect();
+    insta::assert_snapshot!(reports.join("\n"));
+}
+
+/// Commands that may or may not fit what is configured.
+fn command() -> impl Strategy<Value = String> {
+    let heads = [
+        "create customer N rate=5",
+        "create customer N rate=fast",
+        "create service N kind=plain",
+        "create endpoint N address=127.0.0.1:1 data_centre=dc1 services=M",
+        "change customer N rate=7",
+        "change customer N weight=0",
+        "change service N open=true",
+        "change endpoint N services=M",
+        "remove customer N",
+        "remove service N",
+        "remove endpoint N",
+        "grant key M for N",
+        "withdraw key M for N",
+        "retire endpoint N",
+        "retire host N",
+        "restore host h0",
+    ];
+    let tails = ["", "", " if version 1", " if version 2", " wait 0", " now"];
+    let names = ["choir", "band"];
+    (
+        select(heads.to_vec()),
+        select(names.to_vec()),
+        select(names.to_vec()),
+        select(tails.to_vec()),
+    )
+        .prop_map(|(head, name, other, tail)| head.replace('N', name).replace('M', other) + tail)
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 48,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn whatever_is_refused_has_changed_nothing(commands in vec((command(), any::<bool>()), 1..20)) {
+        let operated = start(1);
+        operated.ok("create customer choir");
+        operated.ok("grant key desk for choir");
+        for (text, lost) in commands {
+            let lost_answers = u32::from(lost);
+            operated.fleet.platform.set_faults(Faults { lost_answers, out: false });
+            let before = operated.stored();
+            let done = operated.run(&text);
+            let changed = operated.stored() != before;
+            prop_assert!(done.is_ok() || !changed, "{}", text);
+        }
+    }
+}
