Bound the cost of the configuration at the target's size

An empty host pulled everything from every peer at once; it asks one first, then the others, whose digests then agree.

--- a/src/configs/distribution.rs
+++ b/src/configs/distribution.rs
@@ -40,11 +40,16 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "watch_wait_ms")]
     pub watch_wait: Duration,
-    /// Period at which a watching host lists all objects, in case a watch
-    /// missed some.
+    /// Period at which a host that had no news since asks the platform itself,
+    /// though it does not watch.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "poll_ms")]
     pub poll: Duration,
+    /// Period at which a watching host lists all objects, in case its watch
+    /// and the other hosts all missed a change.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "relist_ms")]
+    pub relist: Duration,
     /// Pause after a failed platform call, and between recording attempts.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "retry_ms")]
@@ -67,6 +72,7 @@
             exchange: Duration::from_secs(2),
             watch_wait: Duration::from_secs(30),
             poll: Duration::from_secs(60),
+            relist: Duration::from_secs(3600),
             retry: Duration::from_secs(1),
             save: Duration::from_secs(5),
             max_isolation: None,
@@ -85,6 +91,7 @@
         check_period("exchange_ms", self.exchange)?;
         check_period("watch_wait_ms", self.watch_wait)?;
         check_period("poll_ms", self.poll)?;
+        check_period("relist_ms", self.relist)?;
         check_period("retry_ms", self.retry)?;
         check_period("save_ms", self.save)?;
         check_period("max_isolation_ms", isolation)
--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -9,6 +9,7 @@
 
 use async_lock::Semaphore;
 use chicoryarch_net::Spawner;
+use rand::seq::SliceRandom;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -286,8 +287,17 @@
     }
 
     /// Compares with every live host.
+    ///
+    /// The first that answers is asked alone, so that an empty host does not
+    /// pull everything from each of them.
     pub(super) async fn exchange_with_all(&self) {
-        let hosts = self.hosts.others();
+        let mut hosts = self.hosts.others();
+        hosts.shuffle(&mut rand::rng());
+        while let Some(host) = hosts.pop() {
+            if self.exchange_with(&host).await.is_ok() {
+                break;
+            }
+        }
         self.ask_all(hosts, |this, host| async move {
             this.exchange_with(&host).await
         })
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -30,6 +30,7 @@
             self.spawner.detach(self.clone().watch(kind));
         }
         self.spawner.detach(self.clone().poll(timers.clone()));
+        self.spawner.detach(self.clone().relist(timers.clone()));
         self.spawner.detach(self.clone().exchange(timers.clone()));
         self.spawner.detach(self.clone().offer(timers.clone()));
         self.spawner.detach(self.clone().keep_saved());
@@ -103,13 +104,21 @@
         Ok(())
     }
 
-    /// Lists everything now and then, in case a watch missed a change, and at
-    /// hosts that do not watch if no news reached them otherwise.
+    /// Lists everything if no news reached this host otherwise.
     async fn poll(self, timers: Timers) {
         let ticks = timers.subscribe(self.cfg.poll).await;
         while let Ok(now) = ticks.recv().await {
-            let without_news = self.contact.age(now) > self.cfg.poll;
-            if self.hosts.is_watcher() || without_news {
+            if self.contact.age(now) > self.cfg.poll {
+                self.list_all().await;
+            }
+        }
+    }
+
+    /// Lists everything now and then, in case a watch missed a change.
+    async fn relist(self, timers: Timers) {
+        let ticks = timers.subscribe(self.cfg.relist).await;
+        while ticks.recv().await.is_ok() {
+            if self.hosts.is_watcher() {
                 self.list_all().await;
             }
         }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -2,6 +2,7 @@
 
 mod configuration {
     mod catalogue;
+    mod cost;
     mod file;
     mod proposal;
     mod randomised;
--- a/tests/configuration/spread.rs
+++ b/tests/configuration/spread.rs
@@ -176,6 +176,17 @@
     assert!(identifies(&restarted));
 }
 
+#[test]
+fn an_empty_host_pulls_everything_from_one_peer_only() {
+    let fleet = Fleet::start(4);
+    grant(&fleet);
+    fleet.platform.set_faults(OUT);
+    let restarted = fleet.host(3, DistributionConfig::default());
+    block_on(restarted.catch_up());
+    assert_eq!(restarted.counters().pulls.load(Ordering::Relaxed), 1);
+    assert_eq!(restarted.counters().exchanges.load(Ordering::Relaxed), 3);
+}
+
 #[test]
 fn hosts_that_start_together_do_not_take_each_other_for_a_source() {
     let fleet = Fleet::start(2);
