Count a host's configuration as current only within its listed term

Standing is now bound to the term in which the host is listed, and an in-force report needs a list of hosts that was read after the last confirmation, so that a host listed meanwhile is asked as well. Ruled out: a wait for the list's longest lag, since that rests on clocks of several hosts.

--- a/src/operator/render.rs
+++ b/src/operator/render.rs
@@ -186,6 +186,13 @@
         push(text, format_args!("in force at all {confirmed} hosts"));
         return;
     }
+    if report.missing.is_empty() {
+        push(
+            text,
+            format_args!("in force at {confirmed} hosts; the list of hosts is not up to date"),
+        );
+        return;
+    }
     let missing = names(&report.missing);
     push(
         text,
--- a/src/process/distribution/boot.rs
+++ b/src/process/distribution/boot.rs
@@ -19,17 +19,18 @@
     /// ready, also when it becomes live again after its lease had lapsed. A
     /// change that was reported as in force before the listing is then found
     /// here, and a later one is also asked of this host. The host may serve
-    /// from [`Standing::Saved`] on.
+    /// from [`Standing::Saved`] on; until it is [`Standing::Current`], changes
+    /// that were in force may be missing.
     pub async fn catch_up(&self) -> Standing {
-        self.standing.reset();
         if self.load_saved() {
-            self.standing.raise(Standing::Saved);
+            let term = self.hosts.term();
+            self.standing.gain(Standing::Saved, term, term);
         }
         self.list_all().await;
         // Other hosts may know withdrawals that the platform does not.
         self.exchange_with_all().await;
         self.save().await;
-        self.standing.get()
+        self.standing()
     }
 
     fn load_saved(&self) -> bool {
--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -31,6 +31,7 @@
 use super::saver::Saver;
 use super::standing::Standing;
 use super::standing::StandingCell;
+use super::standing::Term;
 use super::submit::Submitted;
 use super::submit::submit;
 use crate::configs::distribution::DistributionConfig;
@@ -169,7 +170,7 @@
 
     /// How much this host's configuration can be relied on.
     pub fn standing(&self) -> Standing {
-        self.standing.get()
+        self.standing.present(self.hosts.term())
     }
 
     /// What this host answers to a digest call.
@@ -177,7 +178,7 @@
         DigestAnswer {
             summary: self.configuration.digest().summary(),
             age: self.contact.age(now),
-            standing: self.standing.get(),
+            standing: self.standing(),
         }
     }
 
@@ -186,7 +187,7 @@
         let lacking = |catalogue: &Catalogue| catalogue.difference(digest);
         PullAnswer {
             bundle: self.configuration.read(lacking),
-            standing: self.standing.get(),
+            standing: self.standing(),
         }
     }
 
@@ -272,17 +273,18 @@
     /// Compares with one host and takes what it has newer.
     pub(super) async fn exchange_with(&self, host: &HostAddress) -> peer::Result<()> {
         count(&self.counters.exchanges);
+        let term = self.hosts.term();
         let answer: DigestAnswer = self.ask(host, DIGEST, &NoParams {}).await?;
         self.note_contact(host, answer.age);
         let digest = self.configuration.digest();
         if digest.summary() == answer.summary {
-            self.standing.raise(answer.standing);
+            self.gain(answer.standing, term);
             return Ok(());
         }
         count(&self.counters.pulls);
         let pulled: PullAnswer = self.ask(host, PULL, &Pull { digest }).await?;
         self.apply_durably(pulled.bundle).await;
-        self.standing.raise(pulled.standing);
+        self.gain(pulled.standing, term);
         Ok(())
     }
 
@@ -306,12 +308,13 @@
 
     /// Lists every kind at the platform.
     pub(super) async fn list_all(&self) {
+        let term = self.hosts.term();
         let mut complete = true;
         for kind in Kind::ALL {
             complete &= self.list(kind).await.is_ok();
         }
         if complete {
-            self.standing.raise(Standing::Current);
+            self.gain(Standing::Current, term);
         }
     }
 
@@ -390,6 +393,10 @@
         answers
     }
 
+    fn gain(&self, source: Standing, asked: Option<Term>) {
+        self.standing.gain(source, asked, self.hosts.term());
+    }
+
     fn spread_later(&self, bundle: Bundle) {
         let this = self.clone();
         self.spawner.detach(async move {
--- a/src/process/distribution/hosts.rs
+++ b/src/process/distribution/hosts.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::standing::Term;
 use crate::ids::DataCentre;
 use crate::ids::HostId;
+use crate::units::Moment;
 
 /// Where a host listens for its peers.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +27,14 @@
     /// The other live hosts of all data centres.
     fn others(&self) -> Vec<HostAddress>;
 
+    /// The present period during which this host is listed as live; none
+    /// while its lease has lapsed by its own clock.
+    fn term(&self) -> Option<Term>;
+
+    /// When the present list of live hosts was asked for; the oldest moment
+    /// where it is put together from several answers.
+    fn listed_at(&self) -> Moment;
+
     /// True if this host watches the platform for its data centre.
     fn is_watcher(&self) -> bool;
 }
@@ -55,6 +65,14 @@
         self.others.to_vec()
     }
 
+    fn term(&self) -> Option<Term> {
+        Some(Term::default())
+    }
+
+    fn listed_at(&self) -> Moment {
+        Moment::now()
+    }
+
     fn is_watcher(&self) -> bool {
         true
     }
--- a/src/process/distribution/in_force.rs
+++ b/src/process/distribution/in_force.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::HostId;
 use crate::ids::Version;
+use crate::units::Moment;
 
 /// Report on the spread of one version.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -15,43 +16,63 @@
     pub in_force: Vec<HostId>,
     /// Hosts that have not confirmed it.
     pub missing: Vec<HostId>,
+    /// True if the list of live hosts is newer than the last confirmation;
+    /// otherwise a host that has just started may be left out.
+    pub hosts_known: bool,
 }
 
 impl InForce {
     /// True if every live host confirmed.
     pub fn is_complete(&self) -> bool {
-        self.missing.is_empty()
+        self.missing.is_empty() && self.hosts_known
     }
 }
 
 /// Collects the versions that hosts report.
+///
+/// A host that starts is listed first and then catches up. One that was listed
+/// before the last confirmation is in any list read after it, and is asked; a
+/// later one catches up from a platform or host that has the version. So a
+/// report is complete only with a list read after the last confirmation.
 #[derive(Clone, Debug)]
 pub struct Confirmations {
     wanted: Version,
     reported: BTreeMap<HostId, Option<Version>>,
+    listed_at: Moment,
+    last_confirmed_at: Moment,
 }
 
 impl Confirmations {
-    /// Waits for `wanted` at each of the hosts.
-    pub fn new(wanted: Version, hosts: impl IntoIterator<Item = HostId>) -> Self {
+    /// Waits for a version.
+    pub fn new(wanted: Version) -> Self {
         Self {
             wanted,
-            reported: hosts.into_iter().map(|host| (host, None)).collect(),
+            reported: BTreeMap::new(),
+            listed_at: Moment::default(),
+            last_confirmed_at: Moment::default(),
         }
     }
 
-    /// Adds hosts that have become live since.
-    pub fn expect(&mut self, hosts: impl IntoIterator<Item = HostId>) {
-        for host in hosts {
-            self.reported.entry(host).or_default();
-        }
+    /// Takes the list of live hosts, with the moment when it was asked for.
+    pub fn list(&mut self, hosts: impl IntoIterator<Item = HostId>, at: Moment) {
+        let mut before = std::mem::take(&mut self.reported);
+        let kept = |host: HostId| {
+            let reported = before.remove(&host).flatten();
+            (host, reported)
+        };
+        self.reported = hosts.into_iter().map(kept).collect();
+        self.listed_at = at;
     }
 
     /// Takes a host's report of the version that it applies.
-    pub fn report(&mut self, host: &HostId, applied: Option<Version>) {
+    pub fn report(&mut self, host: &HostId, applied: Option<Version>, now: Moment) {
+        let confirmed_before = self.has(host);
         if let Some(known) = self.reported.get_mut(host) {
             *known = applied.max(*known);
         }
+        if !confirmed_before && self.has(host) {
+            self.last_confirmed_at = now;
+        }
     }
 
     /// True if the host confirmed.
@@ -67,6 +88,10 @@
             .keys()
             .cloned()
             .partition(|host| self.has(host));
-        InForce { in_force, missing }
+        InForce {
+            in_force,
+            missing,
+            hosts_known: self.listed_at > self.last_confirmed_at,
+        }
     }
 }
--- a/src/process/distribution/standing.rs
+++ b/src/process/distribution/standing.rs
@@ -6,6 +6,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Number of an uninterrupted period during which a host is listed as live.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Term(pub u64);
+
 /// How much a host's configuration can be relied on.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -13,42 +17,64 @@
     /// Nothing yet: the host cannot serve.
     #[default]
     Starting,
-    /// From a saved file, its own or another host's: sound, but changes that
-    /// were in force before the host started may be missing.
+    /// From a saved file, its own or another host's, or from before the host's
+    /// lease lapsed: sound, but changes in force may be missing.
     Saved,
     /// From the platform, or from a host that is current itself.
     Current,
 }
 
-impl Standing {
-    /// What a host gains from another host's answer.
+/// The standing that a host gained, and in which term.
+///
+/// A host that is not listed is not asked whether it applies a change. What it
+/// learned before therefore does not count as current in a later term.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gained {
+    standing: Standing,
+    term: Option<Term>,
+}
+
+impl Gained {
+    /// The standing in the present term, if the host is listed.
+    pub fn present(self, term: Option<Term>) -> Standing {
+        if term.is_some() && term == self.term {
+            return self.standing;
+        }
+        self.standing.min(Standing::Saved)
+    }
+
+    /// Takes what a source gives that was asked in `asked` and has answered in
+    /// the present term.
     ///
-    /// A host that is starting itself vouches for nothing, so two hosts that
-    /// start together do not take each other for a source.
+    /// A host that is starting vouches for nothing, so two hosts that start
+    /// together do not take each other for a source.
     #[must_use]
-    pub fn after_meeting(self, other: Self) -> Self {
-        self.max(other)
+    pub fn after(self, source: Standing, asked: Option<Term>, present: Option<Term>) -> Self {
+        let listed = asked.is_some() && asked == present;
+        let gained = match listed {
+            true => source,
+            false => source.min(Standing::Saved),
+        };
+        Self {
+            standing: self.present(present).max(gained),
+            term: present,
+        }
     }
 }
 
-/// A host's standing, which only rises while it is live.
+/// A host's standing, shared by its tasks.
 #[derive(Clone, Debug, Default)]
-pub struct StandingCell(Arc<Mutex<Standing>>);
+pub(super) struct StandingCell(Arc<Mutex<Gained>>);
 
 impl StandingCell {
-    /// The present standing.
-    pub fn get(&self) -> Standing {
-        *self.0.lock()
-    }
-
-    /// Raises the standing.
-    pub fn raise(&self, to: Standing) {
-        let mut standing = self.0.lock();
-        *standing = standing.after_meeting(to);
+    /// The standing in the present term.
+    pub(super) fn present(&self, term: Option<Term>) -> Standing {
+        self.0.lock().present(term)
     }
 
-    /// Starts over, before a host that had lapsed becomes live again.
-    pub fn reset(&self) {
-        *self.0.lock() = Standing::Starting;
+    /// Takes what a source gives.
+    pub(super) fn gain(&self, source: Standing, asked: Option<Term>, present: Option<Term>) {
+        let mut gained = self.0.lock();
+        *gained = gained.after(source, asked, present);
     }
 }
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -36,8 +36,8 @@
         self.spawner.detach(self.clone().keep_saved());
     }
 
-    /// Waits until hosts apply at least this version of an object, or until
-    /// the deadline; hosts that become live meanwhile are asked too.
+    /// Waits until every live host applies at least this version of an object,
+    /// or until the deadline; hosts that become live meanwhile are asked too.
     pub async fn wait_in_force(
         &self,
         id: &ObjectId,
@@ -46,11 +46,14 @@
     ) -> InForce {
         let own = self.hosts.own().id.clone();
         self.save().await;
-        let mut confirmations = Confirmations::new(version, [own.clone()]);
+        let mut confirmations = Confirmations::new(version);
         loop {
+            let listed_at = self.hosts.listed_at();
             let others = self.hosts.others();
-            confirmations.expect(others.iter().map(|host| host.id.clone()));
-            confirmations.report(&own, self.configuration.applied_version(id));
+            let ids = others.iter().map(|host| host.id.clone());
+            confirmations.list(ids.chain([own.clone()]), listed_at);
+            let applied = self.configuration.applied_version(id);
+            confirmations.report(&own, applied, Moment::now());
             self.ask_versions(id, others, &mut confirmations).await;
             let summary = confirmations.summary();
             if summary.is_complete() || Moment::now() >= deadline {
@@ -76,7 +79,8 @@
             .read(|catalogue| catalogue.with_references(id));
         let reach = self.spread(&bundle, hosts).await;
         for (host, versions) in reach.reached {
-            confirmations.report(&host.id, versions.first().copied().flatten());
+            let applied = versions.first().copied().flatten();
+            confirmations.report(&host.id, applied, Moment::now());
         }
     }
 
--- a/tests/configuration/randomised.rs
+++ b/tests/configuration/randomised.rs
@@ -25,7 +25,7 @@
 
 const DEFAULT_CASES: u32 = 2_000;
 const DEFAULT_SEED: u64 = 20_261_203;
-const MAX_STEPS: usize = 160;
+const MAX_STEPS: usize = 200;
 
 fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
     env::var(name)
@@ -45,13 +45,15 @@
 fn change() -> impl Strategy<Value = Step> {
     let (op, host, name) = (0..OPERATORS, 0..HOSTS, 0..CUSTOMERS.len());
     prop_oneof![
-        6 => (op.clone(), host.clone(), name.clone(), intent())
+        9 => (op.clone(), host.clone(), name.clone(), intent())
             .prop_map(|(op, host, name, intent)| Step::Read(op, host, name, intent)),
-        6 => op.clone().prop_map(|op| Step::Write(op, true, true)),
+        9 => op.clone().prop_map(|op| Step::Write(op, true, true)),
         2 => (op.clone(), any::<bool>()).prop_map(|(op, effect)| Step::Write(op, effect, false)),
         2 => any::<usize>().prop_map(Step::LateWrite),
-        3 => op.clone().prop_map(Step::Settle),
-        9 => op.prop_map(Step::Confirm),
+        4 => op.clone().prop_map(Step::Settle),
+        16 => (op.clone(), any::<bool>()).prop_map(|(op, again)| Step::Confirm(op, again)),
+        1 => op.prop_map(Step::StopWaiting),
+        4 => (0..=EVERY_HOST).prop_map(Step::View),
         2 => (host.clone(), name, 0..KEYS.len())
             .prop_map(|(host, name, key)| Step::Withdraw(host, name, key)),
         2 => host.prop_map(Step::Record),
@@ -84,7 +86,7 @@
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let step = prop_oneof![5 => change(), 3 => spread(), 3 => fault()];
+    let step = prop_oneof![8 => change(), 3 => spread(), 3 => fault()];
     vec(step, 1..MAX_STEPS)
 }
 
--- a/tests/configuration/world.rs
+++ b/tests/configuration/world.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use chicoryarch::connection::platform::Nonce;
 use chicoryarch::connection::platform::Object;
@@ -16,8 +17,11 @@
 use chicoryarch::process::distribution::proposal::Verdict;
 use chicoryarch::process::distribution::proposal::base_of;
 use chicoryarch::process::distribution::proposal::item_of;
+use chicoryarch::process::distribution::standing::Gained;
+use chicoryarch::process::distribution::standing::Term;
 use chicoryarch::process::distribution::withdraw::Recording;
 use chicoryarch::process::distribution::withdraw::withdrawn_in;
+use chicoryarch::units::Moment;
 use chicoryarch::version::catalogue::Bundle;
 use chicoryarch::version::catalogue::Catalogue;
 use chicoryarch::version::catalogue::Document;
@@ -59,7 +63,8 @@
     Write(usize, bool, bool),
     LateWrite(usize),
     Settle(usize),
-    Confirm(usize),
+    Confirm(usize, bool),
+    StopWaiting(usize),
     Withdraw(usize, usize, usize),
     Record(usize),
     Deliver(usize, bool),
@@ -70,6 +75,7 @@
     Save(usize),
     Freeze(usize),
     Lapse(usize),
+    View(usize),
     Thaw(usize),
     Restart(usize),
     CatchUp(usize, usize),
@@ -108,7 +114,11 @@
     has_disk: bool,
     frozen: bool,
     listed: bool,
-    standing: Standing,
+    term: u64,
+    gained: Gained,
+    /// The live hosts that this host knows of, and when it asked for them.
+    view: Vec<usize>,
+    viewed_at: u64,
     seen: BTreeMap<ObjectId, Version>,
     learned: BTreeSet<KeyRef>,
 }
@@ -133,14 +143,27 @@
             self.learned.clear();
         }
         self.catalogue = Catalogue::default();
-        self.standing = Standing::Starting;
+        self.gained = Gained::default();
         self.seen.clear();
         self.frozen = false;
         if let Some(bundle) = self.disk.clone() {
             self.catalogue.apply(bundle);
+            self.gain(Standing::Saved);
         }
     }
 
+    fn term(&self) -> Option<Term> {
+        self.listed.then_some(Term(self.term))
+    }
+
+    fn standing(&self) -> Standing {
+        self.gained.present(self.term())
+    }
+
+    fn gain(&mut self, source: Standing) {
+        self.gained = self.gained.after(source, self.term(), self.term());
+    }
+
     fn check(&mut self) {
         let snapshot = Snapshot::build(&self.catalogue);
         for key in &self.learned {
@@ -160,7 +183,7 @@
     Idle,
     Ready(usize, Proposal),
     Lost(usize, Proposal),
-    Accepted(usize, Item),
+    Accepted(usize, Item, Confirmations),
 }
 
 pub(crate) struct World {
@@ -177,17 +200,18 @@
     written: BTreeSet<(ObjectId, u64)>,
     nonces: u64,
     pub(crate) confirmed: u64,
+    now: u64,
 }
 
 impl World {
     pub(crate) fn new() -> Self {
         let host = |index| Host {
             has_disk: index % 2 == 0,
+            view: (0..HOSTS).collect(),
             listed: true,
-            standing: Standing::Current,
             ..Host::default()
         };
-        Self {
+        let mut world = Self {
             platform: PlatformValue::default(),
             hosts: (0..HOSTS).map(host).collect(),
             operators: (0..OPERATORS).map(|_| Operator::Idle).collect(),
@@ -201,16 +225,23 @@
             written: BTreeSet::new(),
             nonces: 0,
             confirmed: 0,
+            now: 0,
+        };
+        for host in &mut world.hosts {
+            host.gain(Standing::Current);
         }
+        world
     }
 
     pub(crate) fn step(&mut self, step: Step) {
+        self.now += 1;
         match step {
             Step::Read(op, host, name, intent) => self.read(op, host, name, intent),
             Step::Write(op, takes_effect, answered) => self.write(op, takes_effect, answered),
             Step::LateWrite(index) => self.late_write(index),
             Step::Settle(op) => self.settle(op),
-            Step::Confirm(op) => self.confirm(op),
+            Step::Confirm(op, list_again) => self.confirm(op, list_again),
+            Step::StopWaiting(op) => self.stop_waiting(op),
             Step::Withdraw(host, name, key) => self.withdraw(host, name, key),
             Step::Record(host) => self.record(host),
             Step::Deliver(index, again) => self.deliver(index, again),
@@ -221,6 +252,7 @@
             Step::Save(host) => self.hosts[host].save(),
             Step::Freeze(host) => self.hosts[host].frozen = true,
             Step::Lapse(host) => self.lapse(host),
+            Step::View(hosts) => self.view(hosts),
             Step::Thaw(host) => self.thaw(host),
             Step::Restart(host) => self.hosts[host].restart(),
             Step::CatchUp(host, reached) => self.catch_up(host, reached),
@@ -259,8 +291,8 @@
     }
 
     fn read(&mut self, op: usize, host: usize, name: usize, intent: Intent) {
-        let busy = matches!(self.operators[op], Operator::Ready(..) | Operator::Lost(..));
-        if busy || self.platform.out || self.hosts[host].frozen {
+        let idle = matches!(self.operators[op], Operator::Idle);
+        if !idle || self.platform.out || self.hosts[host].frozen {
             return;
         }
         let name = CUSTOMERS[name];
@@ -336,20 +368,26 @@
         };
         self.hosts[host].apply(bundle.clone());
         self.send_all(host, &bundle);
-        self.operators[op] = Operator::Accepted(host, item);
+        let confirmations = Confirmations::new(item.version);
+        self.operators[op] = Operator::Accepted(host, item, confirmations);
     }
 
-    fn confirm(&mut self, op: usize) {
-        let Operator::Accepted(asking, item) = &self.operators[op] else {
+    /// One round of asking, by the list of hosts that the asking host has.
+    fn confirm(&mut self, op: usize, list_again: bool) {
+        if let (Operator::Accepted(asking, ..), true) = (&self.operators[op], list_again) {
+            self.view(1 << asking);
+        }
+        let Operator::Accepted(asking, item, confirmations) = &mut self.operators[op] else {
             return;
         };
-        if self.hosts[*asking].frozen || !self.hosts[*asking].listed {
+        let asking = &self.hosts[*asking];
+        if asking.frozen || !asking.listed {
             return;
         }
-        let listed = |index: &usize| self.hosts[*index].listed;
-        let asked: Vec<usize> = (0..HOSTS).filter(listed).collect();
-        let mut confirmations = Confirmations::new(item.version, asked.iter().map(|i| host_id(*i)));
-        for index in asked {
+        let view = asking.view.clone();
+        let viewed_at = Moment::from_start(Duration::from_secs(asking.viewed_at));
+        confirmations.list(view.iter().map(|index| host_id(*index)), viewed_at);
+        for index in view {
             let host = &mut self.hosts[index];
             if host.frozen {
                 continue;
@@ -359,12 +397,32 @@
                 tombstones: Vec::new(),
             });
             host.save();
-            confirmations.report(&host_id(index), host.catalogue.applied_version(&item.id));
+            let applied = host.catalogue.applied_version(&item.id);
+            let now = Moment::from_start(Duration::from_secs(self.now));
+            confirmations.report(&host_id(index), applied, now);
         }
         if confirmations.summary().is_complete() {
             let known = self.in_force.entry(item.id.clone()).or_default();
             *known = item.version.max(*known);
             self.confirmed += 1;
+            self.operators[op] = Operator::Idle;
+        }
+    }
+
+    fn stop_waiting(&mut self, op: usize) {
+        if let Operator::Accepted(..) = self.operators[op] {
+            self.operators[op] = Operator::Idle;
+        }
+    }
+
+    fn view(&mut self, hosts: usize) {
+        let listed = |index: &usize| self.hosts[*index].listed;
+        let view: Vec<usize> = (0..HOSTS).filter(listed).collect();
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            if hosts & (1 << index) != 0 && !host.frozen {
+                host.view = view.clone();
+                host.viewed_at = self.now;
+            }
         }
     }
 
@@ -449,7 +507,7 @@
             let bundle = bundle_of(id.kind, std::slice::from_ref(object));
             self.hosts[host].apply(bundle);
         }
-        self.hosts[host].standing = Standing::Current;
+        self.hosts[host].gain(Standing::Current);
     }
 
     fn exchange(&mut self, to: usize, from: usize) {
@@ -458,40 +516,32 @@
         }
         let digest = self.hosts[to].catalogue.digest().clone();
         let bundle = self.hosts[from].catalogue.difference(&digest);
-        let standing = self.hosts[from].standing;
+        let standing = self.hosts[from].standing();
         let host = &mut self.hosts[to];
         host.apply(bundle);
-        host.standing = host.standing.after_meeting(standing);
+        host.gain(standing);
     }
 
     fn lapse(&mut self, host: usize) {
         let host = &mut self.hosts[host];
         if host.frozen {
             host.listed = false;
+            host.term += 1;
         }
     }
 
     fn thaw(&mut self, host: usize) {
-        let host = &mut self.hosts[host];
-        host.frozen = false;
-        if !host.listed {
-            host.standing = Standing::Starting;
-        }
+        self.hosts[host].frozen = false;
     }
 
     fn catch_up(&mut self, index: usize, reached: usize) {
         if self.hosts[index].frozen {
             return;
         }
-        let host = &mut self.hosts[index];
-        host.listed = true;
-        host.standing = Standing::Starting;
-        if host.disk.is_some() {
-            host.standing = Standing::Saved;
-        }
+        self.hosts[index].listed = true;
         self.list(index);
         for other in 0..HOSTS {
-            if self.hosts[other].listed && reached & (1 << other) != 0 {
+            if reached & (1 << other) != 0 {
                 self.exchange(index, other);
             }
         }
@@ -511,7 +561,7 @@
     }
 
     fn check_in_force(&self) {
-        let live = |host: &&Host| host.listed && host.standing == Standing::Current;
+        let live = |host: &&Host| host.standing() == Standing::Current;
         for host in self.hosts.iter().filter(live) {
             for (id, version) in &self.in_force {
                 let applied = host.catalogue.applied_version(id);
