--- a/src/process/distribution/driver.rs
+++ b/src/process/distribution/driver.rs
@@ -9,6 +9,7 @@
 
 use async_lock::Semaphore;
 use chicoryarch_net::Spawner;
+use rand::seq::SliceRandom;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -30,6 +31,7 @@
 use super::saver::Saver;
 use super::standing::Standing;
 use super::standing::StandingCell;
+use super::standing::Term;
 use super::submit::Submitted;
 use super::submit::submit;
 use crate::configs::distribution::DistributionConfig;
@@ -168,7 +170,7 @@
 
     /// How much this host's configuration can be relied on.
     pub fn standing(&self) -> Standing {
-        self.standing.get()
+        self.standing.present(self.hosts.term())
     }
 
     /// What this host answers to a digest call.
@@ -176,7 +178,7 @@
         DigestAnswer {
             summary: self.configuration.digest().summary(),
             age: self.contact.age(now),
-            standing: self.standing.get(),
+            standing: self.standing(),
         }
     }
 
@@ -185,7 +187,7 @@
         let lacking = |catalogue: &Catalogue| catalogue.difference(digest);
         PullAnswer {
             bundle: self.configuration.read(lacking),
-            standing: self.standing.get(),
+            standing: self.standing(),
         }
     }
 
@@ -230,10 +232,11 @@
     pub async fn commit(&self, proposal: &Proposal) -> Submitted {
         let submitted = self.write(proposal).await;
         if let Submitted::Accepted(item) = &submitted {
-            self.spread_later(Bundle {
-                items: vec![item.clone()],
-                tombstones: Vec::new(),
-            });
+            let id = &item.id;
+            let bundle = self
+                .configuration
+                .read(|catalogue| catalogue.with_references(id));
+            self.spread_later(bundle);
         }
         submitted
     }
@@ -270,23 +273,33 @@
     /// Compares with one host and takes what it has newer.
     pub(super) async fn exchange_with(&self, host: &HostAddress) -> peer::Result<()> {
         count(&self.counters.exchanges);
+        let term = self.hosts.term();
         let answer: DigestAnswer = self.ask(host, DIGEST, &NoParams {}).await?;
         self.note_contact(host, answer.age);
         let digest = self.configuration.digest();
         if digest.summary() == answer.summary {
-            self.standing.raise(answer.standing);
+            self.gain(answer.standing, term);
             return Ok(());
         }
         count(&self.counters.pulls);
         let pulled: PullAnswer = self.ask(host, PULL, &Pull { digest }).await?;
         self.apply_durably(pulled.bundle).await;
-        self.standing.raise(pulled.standing);
+        self.gain(pulled.standing, term);
         Ok(())
     }
 
     /// Compares with every live host.
+    ///
+    /// The first that answers is asked alone, so that an empty host does not
+    /// pull everything from each of them.
     pub(super) async fn exchange_with_all(&self) {
-        let hosts = self.hosts.others();
+        let mut hosts = self.hosts.others();
+        hosts.shuffle(&mut rand::rng());
+        while let Some(host) = hosts.pop() {
+            if self.exchange_with(&host).await.is_ok() {
+                break;
+            }
+        }
         self.ask_all(hosts, |this, host| async move {
             this.exchange_with(&host).await
         })
@@ -295,12 +308,13 @@
 
     /// Lists every kind at the platform.
     pub(super) async fn list_all(&self) {
+        let term = self.hosts.term();
         let mut complete = true;
         for kind in Kind::ALL {
             complete &= self.list(kind).await.is_ok();
         }
         if complete {
-            self.standing.raise(Standing::Current);
+            self.gain(Standing::Current, term);
         }
     }
 
@@ -379,6 +393,10 @@
         answers
     }
 
+    fn gain(&self, source: Standing, asked: Option<Term>) {
+        self.standing.gain(source, asked, self.hosts.term());
+    }
+
     fn spread_later(&self, bundle: Bundle) {
         let this = self.clone();
         self.spawner.detach(async move {
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -17,7 +17,6 @@
 use crate::ids::Version;
 use crate::process::timers::Timers;
 use crate::units::Moment;
-use crate::version::catalogue::Bundle;
 use crate::version::catalogue::ObjectId;
 use crate::version::objects::Kind;
 
@@ -31,13 +30,14 @@
             self.spawner.detach(self.clone().watch(kind));
         }
         self.spawner.detach(self.clone().poll(timers.clone()));
+        self.spawner.detach(self.clone().relist(timers.clone()));
         self.spawner.detach(self.clone().exchange(timers.clone()));
         self.spawner.detach(self.clone().offer(timers.clone()));
         self.spawner.detach(self.clone().keep_saved());
     }
 
-    /// Waits until hosts apply at least this version of an object, or until
-    /// the deadline; hosts that become live meanwhile are asked too.
+    /// Waits until every live host applies at least this version of an object,
+    /// or until the deadline; hosts that become live meanwhile are asked too.
     pub async fn wait_in_force(
         &self,
         id: &ObjectId,
@@ -46,11 +46,14 @@
     ) -> InForce {
         let own = self.hosts.own().id.clone();
         self.save().await;
-        let mut confirmations = Confirmations::new(version, [own.clone()]);
+        let mut confirmations = Confirmations::new(version);
         loop {
+            let listed_at = self.hosts.listed_at();
             let others = self.hosts.others();
-            confirmations.expect(others.iter().map(|host| host.id.clone()));
-            confirmations.report(&own, self.configuration.applied_version(id));
+            let ids = others.iter().map(|host| host.id.clone());
+            confirmations.list(ids.chain([own.clone()]), listed_at);
+            let applied = self.configuration.applied_version(id);
+            confirmations.report(&own, applied, Moment::now());
             self.ask_versions(id, others, &mut confirmations).await;
             let summary = confirmations.summary();
             if summary.is_complete() || Moment::now() >= deadline {
@@ -71,18 +74,13 @@
     ) {
         let open = |host: &HostAddress| !confirmations.has(&host.id);
         let hosts: Vec<HostAddress> = others.into_iter().filter(open).collect();
-        let items = self
+        let bundle = self
             .configuration
-            .read(|catalogue| catalogue.item(id))
-            .into_iter()
-            .collect();
-        let bundle = Bundle {
-            items,
-            tombstones: Vec::new(),
-        };
+            .read(|catalogue| catalogue.with_references(id));
         let reach = self.spread(&bundle, hosts).await;
         for (host, versions) in reach.reached {
-            confirmations.report(&host.id, versions.first().copied().flatten());
+            let applied = versions.first().copied().flatten();
+            confirmations.report(&host.id, applied, Moment::now());
         }
     }
 
@@ -110,13 +108,21 @@
         Ok(())
     }
 
-    /// Lists everything now and then, in case a watch missed a change, and at
-    /// hosts that do not watch if no news reached them otherwise.
+    /// Lists everything if no news reached this host otherwise.
     async fn poll(self, timers: Timers) {
         let ticks = timers.subscribe(self.cfg.poll).await;
         while let Ok(now) = ticks.recv().await {
-            let without_news = self.contact.age(now) > self.cfg.poll;
-            if self.hosts.is_watcher() || without_news {
+            if self.contact.age(now) > self.cfg.poll {
+                self.list_all().await;
+            }
+        }
+    }
+
+    /// Lists everything now and then, in case a watch missed a change.
+    async fn relist(self, timers: Timers) {
+        let ticks = timers.subscribe(self.cfg.relist).await;
+        while ticks.recv().await.is_ok() {
+            if self.hosts.is_watcher() {
                 self.list_all().await;
             }
         }
--- a/tests/configuration/spread.rs
+++ b/tests/configuration/spread.rs
@@ -87,6 +87,21 @@
     assert_eq!(report.in_force.len(), 2);
 }
 
+#[test]
+fn a_key_in_force_works_at_a_host_that_missed_its_customer() {
+    let fleet = Fleet::start(2);
+    fleet.peers.cut(&fleet.addresses[1]);
+    commit(
+        &fleet.hosts[0],
+        &creation(customer_id("choir"), customer(5.0)),
+    );
+    let keys = creation(keys_id("choir"), key_set("choir", &["desk"]));
+    let version = commit(&fleet.hosts[0], &keys);
+    fleet.peers.join(&fleet.addresses[1]);
+    in_force(&fleet.hosts[0], version);
+    assert!(identifies(&fleet.hosts[1]));
+}
+
 #[test]
 fn a_withdrawn_key_stops_at_every_host_and_is_recorded_with_its_audit_entry() {
     let fleet = Fleet::start(3);
@@ -161,6 +176,17 @@
     assert!(identifies(&restarted));
 }
 
+#[test]
+fn an_empty_host_pulls_everything_from_one_peer_only() {
+    let fleet = Fleet::start(4);
+    grant(&fleet);
+    fleet.platform.set_faults(OUT);
+    let restarted = fleet.host(3, DistributionConfig::default());
+    block_on(restarted.catch_up());
+    assert_eq!(restarted.counters().pulls.load(Ordering::Relaxed), 1);
+    assert_eq!(restarted.counters().exchanges.load(Ordering::Relaxed), 3);
+}
+
 #[test]
 fn hosts_that_start_together_do_not_take_each_other_for_a_source() {
     let fleet = Fleet::start(2);
