Ownership: driver tests, rules, compact stored tables and counted cost

Cause: a table of 64 partitions took 3286 bytes with 2 hosts, mostly repeated owners; grouped by owner it takes 804. The randomised run now lets clocks drift by 15 % with a margin to match, so that a missing margin shows.

--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -69,7 +69,7 @@
             drift_margin: Duration::from_millis(250),
             adoption_timeout: Duration::from_secs(30),
             removal_timeout: Duration::from_secs(600),
-            refresh_period: Duration::from_secs(5),
+            refresh_period: Duration::from_secs(15),
             partitions: 64,
         }
     }
--- a/src/version/table/mod.rs
+++ b/src/version/table/mod.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod outage;
 pub mod rows;
+pub mod stored;
 pub mod successor;
 
 pub use coordinator::Coordinator;
--- a/src/version/table/rows.rs
+++ b/src/version/table/rows.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::stored::StoredTable;
 use crate::ids::DataCentre;
 use crate::ids::Epoch;
 use crate::ids::HostId;
@@ -50,8 +51,7 @@
 }
 
 /// The owner of one partition.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PartitionRow {
     /// Host that owns the partition.
     pub owner: HostId,
@@ -60,13 +60,12 @@
     /// Fencing number; raised with every change of owner.
     pub epoch: Epoch,
     /// True while the owner is asked to release the partition.
-    #[serde(default, skip_serializing_if = "is_false")]
     pub releasing: bool,
 }
 
 /// The table of one data centre.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(into = "StoredTable", try_from = "StoredTable")]
 pub struct Table {
     /// Data centre whose partitions the table assigns.
     pub data_centre: DataCentre,
--- /dev/null
+++ b/tests/membership/cost.rs
@@ -0,0 +1,53 @@
+//! Platform calls and bytes by number of hosts, counted in virtual time.
+
+use std::time::Duration;
+
+use chicoryarch::configs::membership::MembershipConfig;
+
+use super::world::Stats;
+use super::world::World;
+
+const HOSTS: [u32; 5] = [2, 4, 8, 16, 36];
+const WARM_UP: Duration = Duration::from_secs(60);
+const SECONDS: u32 = 60;
+
+/// Bytes of an HTTP request head and a response head around one message, as
+/// written out in the design note.
+const HEAD_BYTES: f64 = 250.0;
+
+/// Control bytes a second that one host may spend, sent and received.
+const MAX_HOST_BYTES: f64 = 2_000.0;
+
+#[test]
+fn platform_calls_do_not_grow_with_hosts_and_bytes_stay_within_bounds() {
+    for hosts in HOSTS {
+        let stats = count(hosts);
+        let seconds = f64::from(SECONDS);
+        let calls = per(stats.platform_calls, seconds);
+        let messages = per(stats.messages, seconds);
+        let bytes = per(stats.message_bytes, seconds) + messages * HEAD_BYTES;
+        let written = per(stats.platform_bytes, seconds);
+        // Each message is sent by one host and received by another.
+        let host_bytes = (2.0 * bytes + written) / f64::from(hosts);
+        println!(
+            "{hosts} hosts: {calls:.2} platform calls/s, {messages:.1} messages/s, \
+             {written:.0} table bytes/s, {host_bytes:.0} bytes/s per host on average"
+        );
+        assert!(calls < 1.25, "platform calls grow with hosts");
+        assert!(host_bytes < MAX_HOST_BYTES, "too many bytes per host");
+    }
+}
+
+fn count(hosts: u32) -> Stats {
+    let hosts = usize::try_from(hosts).expect("few hosts");
+    let mut world = World::new(MembershipConfig::default(), 1, &[("east", hosts)]);
+    world.run(WARM_UP);
+    world.stats = Stats::default();
+    world.run(Duration::from_secs(u64::from(SECONDS)));
+    std::mem::take(&mut world.stats)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn per(count: u64, seconds: f64) -> f64 {
+    count as f64 / seconds
+}
--- a/tests/membership/randomised.rs
+++ b/tests/membership/randomised.rs
@@ -13,6 +13,7 @@
 
 use super::world::Fault;
 use super::world::World;
+use super::world::config;
 
 const DEFAULT_CASES: u32 = 48;
 const DEFAULT_SEED: u64 = 20_261_203;
@@ -105,7 +106,7 @@
 }
 
 fn run(seed: u64, faults: &[(u64, Fault)]) -> World {
-    let mut world = World::new(seed, &[("east", 3), ("west", HOSTS - 3)]);
+    let mut world = World::new(config(), seed, &[("east", 3), ("west", HOSTS - 3)]);
     world.run(Duration::from_secs(3));
     for (wait_ms, fault) in faults {
         world.run(Duration::from_millis(*wait_ms));
--- a/tests/membership/world.rs
+++ b/tests/membership/world.rs
@@ -29,18 +29,18 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
 
 /// Largest deviation of a host's clock rate, in parts per million.
-const MAX_DRIFT_PPM: i64 = 20_000;
+const MAX_DRIFT_PPM: i64 = 150_000;
 const MAX_LATENCY_US: u64 = 20_000;
 const MAX_SLOW_WRITE_US: u64 = 900_000;
-const PERIOD_US: u64 = 100_000;
 
 pub(crate) fn config() -> MembershipConfig {
     MembershipConfig {
         heartbeat_period: Duration::from_millis(100),
         lease_ttl: Duration::from_millis(500),
-        drift_margin: Duration::from_millis(25),
+        drift_margin: Duration::from_millis(180),
         adoption_timeout: Duration::from_millis(2_000),
         removal_timeout: Duration::from_millis(3_000),
         refresh_period: Duration::from_millis(300),
@@ -99,11 +99,16 @@
     pub(crate) takeovers: u64,
     pub(crate) handovers: u64,
     pub(crate) adoptions: u64,
+    pub(crate) platform_calls: u64,
+    pub(crate) platform_bytes: u64,
+    pub(crate) messages: u64,
+    pub(crate) message_bytes: u64,
     pub(crate) full: u64,
     pub(crate) repeatable_only: u64,
 }
 
 pub(crate) struct World {
+    cfg: MembershipConfig,
     now: u64,
     rng: ChaCha8Rng,
     slots: Vec<Identity>,
@@ -132,12 +137,13 @@
 }
 
 impl World {
-    pub(crate) fn new(seed: u64, data_centres: &[(&str, usize)]) -> Self {
+    pub(crate) fn new(cfg: MembershipConfig, seed: u64, data_centres: &[(&str, usize)]) -> Self {
         let places = data_centres
             .iter()
             .flat_map(|(name, hosts)| std::iter::repeat_n(*name, *hosts));
         let slots: Vec<_> = places.enumerate().map(|(i, dc)| identity(i, dc)).collect();
         let mut world = Self {
+            cfg,
             now: 1_000_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             processes: Vec::new(),
@@ -164,7 +170,7 @@
         // The start number may well fall back, as a stepped wall clock would.
         let wall = Duration::from_millis(self.rng.random_range(0..3));
         let start = incarnation(wall, self.rng.random());
-        let coordinator = Coordinator::new(self.slots[slot].clone(), start, config());
+        let coordinator = Coordinator::new(self.slots[slot].clone(), start, self.cfg.clone());
         self.processes.push(Process {
             slot,
             coordinator: Some(coordinator),
@@ -228,7 +234,8 @@
         match job {
             Job::Tick => {
                 self.step(process, Input::Tick);
-                let at = self.now + PERIOD_US - MAX_LATENCY_US / 2;
+                let period = self.cfg.heartbeat_period.as_micros();
+                let at = self.now + u64::try_from(period).expect("short period");
                 self.next_job += 1;
                 self.jobs.insert((at, self.next_job), (process, Job::Tick));
             }
@@ -270,6 +277,7 @@
         let table = heartbeat.table.clone();
         let host = self.slots[self.processes[process].slot].host.clone();
         let reply = self.coordinator(process).on_heartbeat(now, heartbeat);
+        self.stats.message_bytes += json_bytes(&reply);
         let cut = self.is_cut(self.processes[process].slot, self.processes[from].slot);
         let input = match reply.map(Box::new) {
             Some(reply) if !cut => Input::Replied { table, host, reply },
@@ -369,7 +377,8 @@
         }
     }
 
-    fn platform_call(&self, process: usize) -> Result<(), PlatformFailure> {
+    fn platform_call(&mut self, process: usize) -> Result<(), PlatformFailure> {
+        self.stats.platform_calls += 1;
         let cut = self.cut_platform.contains(&self.processes[process].slot);
         if self.platform_out || cut {
             return Err(PlatformFailure::NoAnswer);
@@ -384,6 +393,7 @@
         table: &Table,
     ) -> Result<Written, PlatformFailure> {
         self.platform_call(process)?;
+        self.stats.platform_bytes += json_bytes(table);
         let known = self.platform.get(&table.data_centre);
         let fits = match expect {
             Expect::Absent => known.is_none(),
@@ -437,6 +447,8 @@
         if reached.is_none() || frozen {
             self.deliver(process, Input::Unreachable { table, host });
         }
+        self.stats.messages += 1;
+        self.stats.message_bytes += json_bytes(&heartbeat);
         if let Some(to) = reached {
             let from = process;
             self.schedule(to, Job::Heartbeat { from, heartbeat }, MAX_LATENCY_US);
@@ -529,8 +541,8 @@
         let Some(at) = self.processes[process].frozen_at.take() else {
             return;
         };
-        let longest = Duration::from_micros(self.now - at).mul_f64(0.95);
-        if longest > config().lease_ttl {
+        let longest = Duration::from_micros(self.now - at).mul_f64(0.85);
+        if longest > self.cfg.lease_ttl {
             self.assert_serves_nothing(process);
         }
         for job in std::mem::take(&mut self.processes[process].backlog) {
@@ -600,7 +612,7 @@
             }
         }
         let served: usize = loads.values().sum();
-        let expected = self.platform.len() * usize::from(config().partitions);
+        let expected = self.platform.len() * usize::from(self.cfg.partitions);
         assert_eq!(served, expected, "not every partition is served");
         for (slot, load) in &loads {
             let data_centre = &self.slots[*slot].data_centre;
@@ -612,3 +624,8 @@
         }
     }
 }
+
+fn json_bytes(value: &impl Serialize) -> u64 {
+    let encoded = serde_json::to_vec(value).expect("typed values encode");
+    u64::try_from(encoded.len()).expect("small")
+}
