--- a/src/process/membership/driver.rs
+++ b/src/process/membership/driver.rs
@@ -31,7 +31,7 @@
 use crate::version::table::PartitionEvent;
 use crate::version::table::PlatformFailure;
 use crate::version::table::Table;
-use crate::version::table::member::incarnation;
+use crate::version::table::incarnation;
 use crate::version::table::message::Committed;
 use crate::version::table::rows::TABLE_KIND;
 
--- a/src/version/table/coordinator.rs
+++ b/src/version/table/coordinator.rs
@@ -7,7 +7,7 @@
 use super::effect::Effect;
 use super::effect::Input;
 use super::effect::PlatformFailure;
-use super::member::Identity;
+use super::identity::Identity;
 use super::member::Member;
 use super::member::Serve;
 use super::message::Committed;
@@ -90,7 +90,7 @@
 
 impl Coordinator {
     /// A host that knows no table yet; `start` is made by
-    /// [`incarnation`](super::member::incarnation).
+    /// [`incarnation`](super::identity::incarnation).
     pub fn new(identity: Identity, start: Incarnation, cfg: MembershipConfig) -> Self {
         Self {
             home: Member::new(identity.clone(), start, cfg.clone()),
--- /dev/null
+++ b/src/version/table/member/committed.rs
@@ -0,0 +1,62 @@
+//! What a newer committed table changes for this host.
+
+use super::Member;
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::units::Moment;
+use crate::version::table::effect::Effect;
+use crate::version::table::effect::PartitionEvent;
+use crate::version::table::identity::exceeding;
+use crate::version::table::message::Committed;
+use crate::version::table::rows::Table;
+
+impl Member {
+    /// Takes a committed table; older ones are ignored.
+    pub fn on_committed(&mut self, now: Moment, committed: Committed) -> Vec<Effect> {
+        if let Some(known) = &self.committed {
+            if committed.version <= known.version {
+                return Vec::new();
+            }
+            committed.table.assert_follows(&known.table);
+        }
+        self.sightings.observe(now, &committed.table);
+        self.check_incarnation(now, &committed.table);
+        let events = self.hold(&committed.table);
+        self.committed = Some(committed);
+        events.into_iter().map(Effect::Notify).collect()
+    }
+
+    fn hold(&mut self, table: &Table) -> Vec<PartitionEvent> {
+        if self.superseded {
+            return self.holdings.lose_all();
+        }
+        let own = table.owned_by(&self.identity.host, self.incarnation);
+        self.holdings.update(own)
+    }
+
+    fn check_incarnation(&mut self, now: Moment, table: &Table) {
+        let Some(row) = table.hosts.get(&self.identity.host) else {
+            return;
+        };
+        // In the first table that a host learns, no row can be its own.
+        let may_be_own = self.incarnation_committed || self.committed.is_some();
+        let is_sent = row.incarnation == self.incarnation && row.sequence <= self.sequence;
+        if may_be_own && is_sent {
+            self.incarnation_committed = true;
+            self.lease.confirm(row.sequence, self.cfg.lease_ttl);
+        } else if self.incarnation_committed {
+            self.superseded |= row.incarnation >= self.incarnation;
+        } else if row.incarnation >= self.incarnation {
+            self.start_again(now, row.incarnation);
+        }
+    }
+
+    /// Takes an incarnation above one that a former start has used.
+    fn start_again(&mut self, now: Moment, used: Incarnation) {
+        self.incarnation = exceeding(used, self.incarnation);
+        self.turn.reset();
+        self.sequence = Sequence(1);
+        self.lease.reset();
+        self.lease.send(self.sequence, now, self.cfg.lease_ttl);
+    }
+}
--- /dev/null
+++ b/src/version/table/member/heartbeats.rs
@@ -0,0 +1,169 @@
+//! Heartbeats of this host and its answers to others'.
+
+use std::net::SocketAddr;
+
+use super::HeardTally;
+use super::Member;
+use super::ReadPurpose;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::ids::Version;
+use crate::units::Moment;
+use crate::version::table::effect::Effect;
+use crate::version::table::message::Committed;
+use crate::version::table::message::Heartbeat;
+use crate::version::table::message::HeartbeatReply;
+use crate::version::table::outage::PlatformView;
+
+impl Member {
+    /// Begins a heartbeat period.
+    pub fn tick(&mut self, now: Moment) -> Vec<Effect> {
+        if self.superseded {
+            return Vec::new();
+        }
+        self.retried = false;
+        self.writes = false;
+        self.turn.tick(now);
+        self.reports.expire(now, self.cfg.lease_ttl);
+        self.sequence = self.sequence.next();
+        self.lease.send(self.sequence, now, self.cfg.lease_ttl);
+        if self.committed.is_none() {
+            return self.read(ReadPurpose::Join);
+        }
+        let mut effects = self.route(now);
+        if !self.writes && !self.heartbeats.is_empty() {
+            effects.extend(self.write(now));
+        }
+        effects
+    }
+
+    /// Sends the present heartbeat to the writer, or writes if that is this host.
+    pub(super) fn route(&mut self, now: Moment) -> Vec<Effect> {
+        let Some((host, to)) = self.writer() else {
+            let mut effects = self.write(now);
+            if self.platform == PlatformView::Out {
+                effects.extend(self.other().map(|(host, to)| self.send(host, to)));
+            }
+            return effects;
+        };
+        vec![self.send(host, to)]
+    }
+
+    fn writer(&self) -> Option<(HostId, SocketAddr)> {
+        self.turn.writer(self.known_table(), &self.identity.host)
+    }
+
+    fn other(&self) -> Option<(HostId, SocketAddr)> {
+        self.turn.other(self.known_table(), &self.identity.host)
+    }
+
+    fn send(&self, host: HostId, to: SocketAddr) -> Effect {
+        Effect::Send {
+            host,
+            to,
+            heartbeat: Box::new(self.heartbeat()),
+        }
+    }
+
+    pub(super) fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            table: self.table.clone(),
+            host: self.identity.host.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            peer: self.identity.peer,
+            caller: self.identity.caller,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            draining: self.draining,
+            released: self.holdings.releases(),
+            ownership: self.ownership(),
+            platform: self.platform,
+            piggyback: self.piggyback,
+        }
+    }
+
+    /// Answers a heartbeat of another host; absent if this process no longer
+    /// writes.
+    pub fn on_heartbeat(&mut self, now: Moment, heartbeat: Heartbeat) -> Option<HeartbeatReply> {
+        if self.superseded {
+            return None;
+        }
+        self.reports.hear(now, &heartbeat);
+        let reply = self.reply(now, &heartbeat);
+        let known = self.heartbeats.get(&heartbeat.host);
+        let position = |h: &Heartbeat| (h.incarnation, h.sequence);
+        if known.is_none_or(|known| position(known) < position(&heartbeat)) {
+            self.heartbeats.insert(heartbeat.host.clone(), heartbeat);
+        }
+        Some(reply)
+    }
+
+    fn reply(&self, now: Moment, heartbeat: &Heartbeat) -> HeartbeatReply {
+        let row = self
+            .known_table()
+            .and_then(|table| table.hosts.get(&heartbeat.host));
+        let newer = |committed: &&Committed| committed.table.ownership > heartbeat.ownership;
+        HeartbeatReply {
+            version: self.committed.as_ref().map_or(Version(0), |c| c.version),
+            ownership: self.ownership(),
+            incarnation: row.map_or(Incarnation(0), |row| row.incarnation),
+            sequence: row.map_or(Sequence(0), |row| row.sequence),
+            committed: self.committed.as_ref().filter(newer).cloned(),
+            platform: self.platform,
+            tally: self.tally(now),
+            others: 0,
+            piggyback: self.piggyback,
+        }
+    }
+
+    /// Takes the answer to this host's heartbeat.
+    pub fn on_reply(&mut self, now: Moment, from: &HostId, reply: HeartbeatReply) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(committed) = reply.committed {
+            effects = self.on_committed(now, committed);
+        }
+        let same_start = reply.incarnation == self.incarnation;
+        let is_stalled = self.turn.is_stalled(same_start.then_some(reply.sequence));
+        // A heartbeat committed beside a newer ownership part may belong to a
+        // table in which this host has lost partitions.
+        if same_start && reply.ownership <= self.ownership() {
+            self.lease.confirm(reply.sequence, self.cfg.lease_ttl);
+        }
+        let known = self.committed.as_ref().map_or(Version(0), |c| c.version);
+        self.is_newest &= reply.version <= known;
+        let tally = reply.tally;
+        self.heard_tally = Some(HeardTally { at: now, tally });
+        if self.writes {
+            return effects;
+        }
+        if reply.platform == PlatformView::Out {
+            effects.extend(self.read(ReadPurpose::Probe(from.clone())));
+            return effects;
+        }
+        if reply.platform == PlatformView::Reachable {
+            self.platform = PlatformView::Unknown;
+        }
+        if is_stalled {
+            self.suspect(now, from.clone());
+            effects.extend(self.route(now));
+        }
+        effects
+    }
+
+    /// Takes note that a host did not answer a heartbeat.
+    pub fn on_unreachable(&mut self, now: Moment, host: HostId) -> Vec<Effect> {
+        let writes_itself = self.turn.fail(host, now + self.cfg.lease_ttl);
+        if self.writes {
+            return Vec::new();
+        }
+        if writes_itself {
+            return self.write(now);
+        }
+        self.route(now)
+    }
+
+    pub(super) fn suspect(&mut self, now: Moment, host: HostId) {
+        self.turn.suspect(host, now + self.cfg.lease_ttl);
+    }
+}
--- /dev/null
+++ b/src/version/table/member/mod.rs
@@ -0,0 +1,260 @@
+//! One host's part in one table: heartbeats, its lease, and writing in turn.
+
+mod committed;
+mod heartbeats;
+mod platform;
+
+use std::collections::BTreeMap;
+
+use crate::configs::membership::MembershipConfig;
+use crate::ids::DataCentre;
+use crate::ids::Epoch;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Partition;
+use crate::ids::Sequence;
+use crate::ids::Version;
+use crate::units::Moment;
+use crate::version::table::assignment::has_successor;
+use crate::version::table::holdings::Holdings;
+use crate::version::table::identity::Identity;
+use crate::version::table::lease::OwnLease;
+use crate::version::table::lease::Sightings;
+use crate::version::table::message::Committed;
+use crate::version::table::message::Heartbeat;
+use crate::version::table::message::Piggyback;
+use crate::version::table::outage::PlatformView;
+use crate::version::table::outage::Reports;
+use crate::version::table::outage::Tally;
+use crate::version::table::rows::Table;
+use crate::version::table::turn::Turn;
+
+/// What a host may do for a partition's programs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Serve {
+    /// Everything; the lease is held and the journal is fenced.
+    Full,
+    /// Repeatable calls only; the platform is out and another host may own
+    /// the partition by now.
+    RepeatableOnly,
+    /// Nothing.
+    No,
+}
+
+/// Why a table is being read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum ReadPurpose {
+    /// To learn the table at start.
+    Join,
+    /// To write its successor.
+    Write,
+    /// To tell whether only this writer is without the platform.
+    Probe(HostId),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardTally {
+    at: Moment,
+    tally: Tally,
+}
+
+/// One host's part in one table.
+#[derive(Clone, Debug)]
+pub struct Member {
+    cfg: MembershipConfig,
+    identity: Identity,
+    table: DataCentre,
+    incarnation: Incarnation,
+    incarnation_committed: bool,
+    superseded: bool,
+    draining: bool,
+    sequence: Sequence,
+    lease: OwnLease,
+    sightings: Sightings,
+    committed: Option<Committed>,
+    is_newest: bool,
+    holdings: Holdings,
+    heartbeats: BTreeMap<HostId, Heartbeat>,
+    reports: Reports,
+    turn: Turn,
+    platform: PlatformView,
+    platform_at: Moment,
+    calling: bool,
+    heard_tally: Option<HeardTally>,
+    reading: Option<ReadPurpose>,
+    retried: bool,
+    writes: bool,
+    piggyback: Piggyback,
+}
+
+impl Member {
+    /// A host's part in its own data centre's table.
+    ///
+    /// `start` is made by [`incarnation`](super::identity::incarnation).
+    pub fn new(identity: Identity, start: Incarnation, cfg: MembershipConfig) -> Self {
+        Self {
+            table: identity.data_centre.clone(),
+            holdings: Holdings::new(identity.data_centre.clone()),
+            cfg,
+            identity,
+            incarnation: start,
+            incarnation_committed: false,
+            superseded: false,
+            draining: false,
+            sequence: Sequence(0),
+            lease: OwnLease::default(),
+            sightings: Sightings::default(),
+            committed: None,
+            is_newest: false,
+            heartbeats: BTreeMap::new(),
+            reports: Reports::default(),
+            turn: Turn::default(),
+            platform: PlatformView::Unknown,
+            platform_at: Moment::default(),
+            calling: false,
+            heard_tally: None,
+            reading: None,
+            retried: false,
+            writes: false,
+            piggyback: Piggyback::default(),
+        }
+    }
+
+    /// This host's part in a table of another data centre that it adopted.
+    ///
+    /// Heartbeat sequences go on from those of the host's own table, so that
+    /// none is used twice when the same table is adopted again.
+    #[must_use]
+    pub fn adopter(&self, table: DataCentre) -> Self {
+        Self {
+            holdings: Holdings::new(table.clone()),
+            table,
+            incarnation_committed: true,
+            draining: self.draining,
+            sequence: self.sequence,
+            piggyback: self.piggyback,
+            ..Self::new(self.identity.clone(), self.incarnation, self.cfg.clone())
+        }
+    }
+
+    /// Newest committed table that this host knows.
+    pub fn committed(&self) -> Option<&Committed> {
+        self.committed.as_ref()
+    }
+
+    /// Content of the newest committed table that this host knows.
+    pub fn known_table(&self) -> Option<&Table> {
+        self.committed.as_ref().map(|committed| &committed.table)
+    }
+
+    /// The present incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// True if this host wrote, or tried to, in the last period.
+    pub fn is_writer(&self) -> bool {
+        self.writes
+    }
+
+    /// Whether the platform answered this host's last call.
+    pub fn platform(&self) -> PlatformView {
+        self.platform
+    }
+
+    /// End of the lease, if there ever was one.
+    pub fn lease_until(&self) -> Option<Moment> {
+        self.lease.until()
+    }
+
+    /// Partitions that the newest known table gives to this incarnation.
+    pub fn holdings(&self) -> &Holdings {
+        &self.holdings
+    }
+
+    /// True if another process of the same host name has taken over.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Digests last heard from other hosts.
+    pub fn piggybacks(&self) -> impl Iterator<Item = (&HostId, Piggyback)> {
+        self.reports.piggybacks()
+    }
+
+    /// Sets the digests that travel with this host's messages.
+    pub fn set_piggyback(&mut self, piggyback: Piggyback) {
+        self.piggyback = piggyback;
+    }
+
+    /// What this host may do for a partition at this moment.
+    pub fn may_serve(&self, partition: Partition, now: Moment) -> Serve {
+        if self.superseded || !self.holdings.is_active(partition) {
+            Serve::No
+        } else if self.lease.is_held(now) {
+            Serve::Full
+        } else if self.is_degraded(now) {
+            Serve::RepeatableOnly
+        } else {
+            Serve::No
+        }
+    }
+
+    /// True while the table's hosts agree that the platform is out.
+    pub fn is_degraded(&self, now: Moment) -> bool {
+        let Some(table) = self.known_table() else {
+            return false;
+        };
+        let is_recent = now.since(self.platform_at) < self.cfg.lease_ttl;
+        if self.platform != PlatformView::Out || !is_recent {
+            return false;
+        }
+        let live = table.hosts.values().filter(|row| !row.lapsed).count();
+        let agrees = |tally: Tally| tally.agrees(live, table.ownership);
+        let heard = self
+            .heard_tally
+            .filter(|heard| now.since(heard.at) < self.cfg.lease_ttl);
+        let own = self.tally(now);
+        own.reachable == 0 && (agrees(own) || heard.is_some_and(|heard| agrees(heard.tally)))
+    }
+
+    fn tally(&self, now: Moment) -> Tally {
+        let mut tally = self.reports.tally(now, self.cfg.lease_ttl);
+        tally.add(self.platform, self.ownership());
+        tally
+    }
+
+    fn ownership(&self) -> Version {
+        self.known_table()
+            .map_or(Version(0), |table| table.ownership)
+    }
+
+    /// Starts to hand over every partition.
+    pub fn begin_drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// True once a drain has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// True once a drain has nothing left that another host could take.
+    pub fn is_drained(&self) -> bool {
+        let Some(table) = self.known_table() else {
+            return self.draining;
+        };
+        let stuck = !has_successor(table, &self.identity.host);
+        self.draining && (self.holdings.is_empty() || stuck)
+    }
+
+    /// Notes that a partition's journal is fenced under its epoch.
+    pub fn activated(&mut self, partition: Partition, epoch: Epoch) {
+        self.holdings.activated(partition, epoch);
+    }
+
+    /// Notes that a partition lost by hand-over is no longer served.
+    pub fn released(&mut self, partition: Partition, epoch: Epoch) {
+        self.holdings.released(partition, epoch);
+    }
+}
--- a/tests/membership/world.rs
+++ b/tests/membership/world.rs
@@ -22,7 +22,7 @@
 use chicoryarch::version::table::PlatformFailure;
 use chicoryarch::version::table::Serve;
 use chicoryarch::version::table::Table;
-use chicoryarch::version::table::member::incarnation;
+use chicoryarch::version::table::incarnation;
 use chicoryarch::version::table::message::Committed;
 use chicoryarch::version::table::message::Heartbeat;
 use chicoryarch::version::table::message::TablesRequest;
