--- a/tests/membership/cluster.rs
+++ b/tests/membership/cluster.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// Leases that outlast any test, so that only hand-over moves partitions.
+pub(crate) fn lasting() -> MembershipConfig {
+    MembershipConfig {
+        lease_ttl: Duration::from_secs(300),
+        drift_margin: Duration::from_secs(10),
+        adoption_timeout: Duration::from_secs(1_000),
+        removal_timeout: Duration::from_secs(1_000),
+        ..fast()
+    }
+}
+
 impl Cluster {
     pub(crate) fn new(cfg: MembershipConfig) -> Self {
         cfg.check().expect("settings within bounds");
