--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,8 @@
 
 use bpaf::Bpaf;
 
+pub mod ctl;
+
 /// Form in which answers are printed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Output {
--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -13,6 +13,7 @@
 use super::journal::JournalConfig;
 use super::limit::LimitConfig;
 use super::membership::MembershipConfig;
+use super::operator::OperatorConfig;
 use super::peer::PeerConfig;
 use super::platform::PlatformConfig;
 use super::retry::RetryConfig;
@@ -63,6 +64,9 @@
     /// Heartbeats, leases and partitions.
     #[serde(default)]
     pub membership: MembershipConfig,
+    /// Operators' queries and commands.
+    #[serde(default)]
+    pub operator: OperatorConfig,
     /// Settings of calls between hosts.
     #[serde(default)]
     pub peer: PeerConfig,
@@ -141,17 +145,52 @@
         all
     }
 
-    /// Checks the bounds of every part; the text names the part's table.
+    /// Checks the bounds of every part.
     ///
     /// # Errors
     ///
-    /// The table's name, empty at the top, and the setting out of range.
-    pub fn check(&self) -> std::result::Result<(), (&'static str, super::OutOfRange)> {
-        let part = |table: &'static str, result: Result<()>| result.map_err(|e| (table, e));
-        part("", within("threads", self.threads, 1, MAX_THREADS))?;
-        part("caller", self.caller.check())?;
-        part("drain", self.drain.check())?;
-        part("peer", self.peer.check())?;
-        part("retry", self.retry.check())
+    /// The first setting that is out of its range, with its table.
+    pub fn check(&self) -> std::result::Result<(), Fault> {
+        let own = within("threads", self.threads, 1, MAX_THREADS);
+        own.map_err(|e| Fault::new("", e.field, &e))?;
+        let caller = self.caller.check();
+        caller.map_err(|e| Fault::new("caller", e.field, &e))?;
+        let distribution = self.distribution.check();
+        distribution.map_err(|e| Fault::new("distribution", e.field, &e))?;
+        let drain = self.drain.check();
+        drain.map_err(|e| Fault::new("drain", e.field, &e))?;
+        let journal = self.journal.check();
+        journal.map_err(|e| Fault::new("journal", e.field, &e))?;
+        let limit = self.limit.check();
+        limit.map_err(|e| Fault::new("limit", e.field, &e))?;
+        let membership = self.membership.check();
+        membership.map_err(|e| Fault::new("membership", e.field, &e))?;
+        let operator = self.operator.check();
+        operator.map_err(|e| Fault::new("operator", e.field, &e))?;
+        let peer = self.peer.check();
+        peer.map_err(|e| Fault::new("peer", e.field, &e))?;
+        let retry = self.retry.check();
+        retry.map_err(|e| Fault::new("retry", e.field, &e))
+    }
+}
+
+/// A setting that is out of its range, with the table that it stands in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Name of the table; empty at the top of the file.
+    pub table: &'static str,
+    /// Name of the setting.
+    pub field: &'static str,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+impl Fault {
+    fn new(table: &'static str, field: &'static str, e: &impl std::fmt::Display) -> Self {
+        Self {
+            table,
+            field,
+            message: e.to_string(),
+        }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 
 use chicoryarch::cli::Command;
 use chicoryarch::cli::command;
+use chicoryarch::cli::ctl;
 use chicoryarch::configs::host::DEFAULT_THREADS;
 use chicoryarch::configs::host::HostConfig;
 use chicoryarch::configs::host::LogConfig;
@@ -27,7 +28,12 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Dev { port } => run_dev(port),
-        Command::Ctl { .. } => Ok(ExitCode::SUCCESS),
+        Command::Ctl {
+            address,
+            secret_file,
+            output,
+            text,
+        } => Ok(ctl::run(address, &secret_file, output, &text.join(" "))?),
     }
 }
 
--- /dev/null
+++ b/src/process/backend.rs
@@ -0,0 +1,201 @@
+//! What this host tells operators of itself, and the cancel of programs.
+
+use super::context::Cx;
+use super::journals::PartitionSummary;
+use crate::connection::platform::Platform;
+use crate::ids::ProgramId;
+use crate::operator::rows::Cancel;
+use crate::operator::rows::CancelError;
+use crate::operator::rows::Rows;
+use crate::operator::subject::BudgetRow;
+use crate::operator::subject::CallRow;
+use crate::operator::subject::DataCentreRow;
+use crate::operator::subject::HostRow;
+use crate::operator::subject::ProgramRow;
+use crate::operator::subject::RateRow;
+use crate::operator::subject::Subject;
+use crate::operator::subject::WaitingRow;
+use crate::operator::table::Row;
+use crate::request::outcome::Ran;
+use crate::request::outcome::Reason;
+use crate::request::programs;
+use crate::units::Moment;
+use crate::version::journal::ProgramSummary;
+use crate::version::journal::Status;
+use crate::version::journal::WaitsFor;
+use crate::version::objects::Stamp;
+
+/// This host's rows and commands.
+pub struct Backend<P: Platform>(pub Cx<P>);
+
+impl<P: Platform> Clone for Backend<P> {
+    fn clone(&self) -> Self {
+        Self(Cx::clone(&self.0))
+    }
+}
+
+impl<P: Platform> Rows for Backend<P> {
+    fn rows(&self, subject: Subject) -> Vec<Row> {
+        match subject {
+            Subject::Budgets => self.of_programs(|p| Some(self.budget_row(p))),
+            Subject::Calls => self.calls(),
+            Subject::DataCentres => self.data_centres(),
+            Subject::Hosts => vec![self.host_row().into()],
+            Subject::Programs => self.of_programs(|p| Some(self.program_row(p))),
+            Subject::Rates => self.rates(),
+            Subject::Waiting => self.waiting(),
+            Subject::Audit
+            | Subject::Customers
+            | Subject::Endpoints
+            | Subject::Keys
+            | Subject::Services
+            | Subject::Versions => Vec::new(),
+        }
+    }
+}
+
+impl<P: Platform> Cancel for Backend<P> {
+    async fn cancel(&self, program: &ProgramId, stamp: Stamp) -> Result<(), CancelError> {
+        log::info!("program cancelled program={program} actor={}", stamp.actor);
+        let ended = programs::cancel(&self.0, program).await;
+        ended.map_err(|refusal| match (refusal.reason, refusal.ran) {
+            (Reason::UnknownProgram, _) => CancelError::UnknownProgram,
+            (_, Ran::NotRun) => CancelError::NotRun(refusal.detail),
+            (_, Ran::Unknown) => CancelError::Unknown(refusal.detail),
+        })
+    }
+}
+
+impl<P: Platform> Backend<P> {
+    fn host(&self) -> String {
+        self.0.cfg.host.to_string()
+    }
+
+    fn of_programs<R: Into<Row>>(&self, row: impl Fn(&ProgramSummary) -> Option<R>) -> Vec<Row> {
+        let programs = self.0.journals.programs();
+        programs.iter().filter_map(row).map(Into::into).collect()
+    }
+
+    fn budget_row(&self, program: &ProgramSummary) -> BudgetRow {
+        BudgetRow {
+            program: program.program.to_string(),
+            customer: program.customer.to_string(),
+            budget: program.budget.unwrap_or_default().0,
+            reserved: program.reserved.0,
+            spent: program.spent.0,
+            host: self.host(),
+        }
+    }
+
+    fn program_row(&self, program: &ProgramSummary) -> ProgramRow {
+        ProgramRow {
+            program: program.program.to_string(),
+            customer: program.customer.to_string(),
+            calls: program.high_water.0,
+            open_calls: program.calls.len() as u64,
+            spent: program.spent.0,
+            age_ms: 0,
+            host: self.host(),
+        }
+    }
+
+    fn calls(&self) -> Vec<Row> {
+        let programs = self.0.journals.programs();
+        let running = programs.iter().flat_map(|program| {
+            let calls = program.calls.iter();
+            let running = calls.filter(|call| call.waits_for == WaitsFor::Answer);
+            running.map(|call| CallRow {
+                program: program.program.to_string(),
+                call: call.ordinal.0,
+                customer: program.customer.to_string(),
+                host: self.host(),
+                ..CallRow::default()
+            })
+        });
+        running.map(Into::into).collect()
+    }
+
+    fn waiting(&self) -> Vec<Row> {
+        let programs = self.0.journals.programs();
+        let waiting = programs.iter().flat_map(|program| {
+            let calls = program.calls.iter();
+            let waiting = calls.filter(|call| call.waits_for != WaitsFor::Answer);
+            waiting.map(|call| WaitingRow {
+                program: program.program.to_string(),
+                call: call.ordinal.0,
+                customer: program.customer.to_string(),
+                reason: reason(call.waits_for).to_owned(),
+                host: self.host(),
+                ..WaitingRow::default()
+            })
+        });
+        waiting.map(Into::into).collect()
+    }
+
+    fn rates(&self) -> Vec<Row> {
+        let rows = self.0.rates.rows().into_iter();
+        let rows = rows.map(|row| RateRow {
+            customer: row.customer.to_string(),
+            data_centre: self.0.cfg.data_centre.to_string(),
+            rate: row.summary.rate,
+            tokens: row.summary.tokens,
+            host: self.host(),
+        });
+        rows.map(Into::into).collect()
+    }
+
+    fn data_centres(&self) -> Vec<Row> {
+        let now = Moment::now();
+        let standing = self.0.membership.standing();
+        let rows = standing.tables.iter().map(|table| {
+            let live = table.hosts.values().filter(|row| !row.lapsed).count();
+            let owned = |owner| table.hosts.get(owner).is_some_and(|row| !row.lapsed);
+            let owned = table.partitions.iter().filter(|row| owned(&row.owner));
+            let own = table.data_centre == self.0.cfg.data_centre;
+            DataCentreRow {
+                data_centre: table.data_centre.to_string(),
+                live: live as u64,
+                owned: owned.count() as u64,
+                partitions: table.partitions.len() as u64,
+                reachable: if own {
+                    standing.lease_until.is_some_and(|until| now < until)
+                } else {
+                    live > 0
+                },
+                host: self.host(),
+            }
+        });
+        rows.map(Into::into).collect()
+    }
+
+    fn host_row(&self) -> HostRow {
+        let cx = &self.0;
+        let standing = cx.membership.standing();
+        let table = cx.membership.table(&cx.cfg.data_centre);
+        let own = table.and_then(|table| table.hosts.get(&cx.cfg.host).cloned());
+        let state = match &own {
+            Some(row) if row.draining => "draining",
+            _ if cx.readiness.is_ready() => "serving",
+            _ => "starting",
+        };
+        let active = |p: &&PartitionSummary| p.status == Status::Active;
+        HostRow {
+            host: self.host(),
+            data_centre: cx.cfg.data_centre.to_string(),
+            address: own.map(|row| row.peer.to_string()).unwrap_or_default(),
+            state: state.to_owned(),
+            incarnation: standing.incarnation.0,
+            partitions: cx.journals.partitions().iter().filter(active).count() as u64,
+            programs: cx.journals.programs().len() as u64,
+        }
+    }
+}
+
+const fn reason(waits_for: WaitsFor) -> &'static str {
+    match waits_for {
+        WaitsFor::Turn => "turn",
+        WaitsFor::Commit => "journal",
+        WaitsFor::Dispatch => "endpoint",
+        WaitsFor::Answer => "answer",
+    }
+}
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -33,6 +33,7 @@
 use crate::configs::journal::JournalConfig;
 use crate::configs::limit::LimitConfig;
 use crate::configs::membership::MembershipConfig;
+use crate::configs::operator::OperatorConfig;
 use crate::configs::peer::PeerConfig;
 use crate::configs::platform::PlatformConfig;
 use crate::configs::retry::RetryConfig;
@@ -103,7 +104,7 @@
     let listeners = Listeners::open(&cfg).await?;
     let addresses = listeners.addresses()?;
     let peer_secret = PeerSecret::new(vec![random_secret("")]);
-    let (cx, ports) = serve::start(cfg, listeners, peer_secret, client, api, spawner).await?;
+    let (cx, ports) = serve::start(cfg, listeners, peer_secret, None, client, api, spawner).await?;
     while !cx.readiness.is_ready() {
         Timer::after(LOOK_AGAIN).await;
     }
@@ -154,6 +155,7 @@
         },
         journal: JournalConfig::default(),
         limit: LimitConfig::default(),
+        operator: OperatorConfig::default(),
         membership: MembershipConfig {
             heartbeat_period: Duration::from_millis(100),
             lease_ttl: Duration::from_secs(1),
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -1,5 +1,6 @@
 //! Passes what one part knows on to the parts that need it.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -8,10 +9,13 @@
 use super::context::Cx;
 use super::distribution::HostAddress;
 use super::distribution::Hosts;
+use super::distribution::standing::Term;
 use super::journals::AcquireError;
 use super::membership::Membership;
+use crate::configs::membership::MembershipConfig;
 use crate::connection::platform::Platform;
 use crate::ids::Epoch;
+use crate::units::Moment;
 use crate::version::journal::PartitionId;
 use crate::version::objects::Kind;
 use crate::version::table::PartitionEvent;
@@ -22,14 +26,19 @@
 /// The other hosts as membership knows them, for the spread of configuration.
 #[derive(Clone, Debug)]
 pub struct KnownHosts {
+    cfg: MembershipConfig,
     own: HostAddress,
     membership: Membership,
 }
 
 impl KnownHosts {
     /// Hosts known to a membership part.
-    pub fn new(own: HostAddress, membership: Membership) -> Self {
-        Self { own, membership }
+    pub fn new(own: HostAddress, membership: Membership, cfg: MembershipConfig) -> Self {
+        Self {
+            cfg,
+            own,
+            membership,
+        }
     }
 }
 
@@ -50,6 +59,26 @@
             .collect()
     }
 
+    fn term(&self) -> Option<Term> {
+        let until = self.membership.standing().lease_until?;
+        let lapsed = &self.membership.counters().leases_lapsed;
+        let term = Term(lapsed.load(Ordering::Relaxed));
+        (Moment::now() < until).then_some(term)
+    }
+
+    fn listed_at(&self) -> Moment {
+        let standing = self.membership.standing();
+        let until = standing.lease_until.unwrap_or_default();
+        // The lease counts from the moment at which its heartbeat was sent;
+        // tables of other data centres are older by their refresh.
+        let age = if standing.tables.len() > 1 {
+            self.cfg.lease_ttl + self.cfg.refresh_period + self.cfg.heartbeat_period
+        } else {
+            self.cfg.lease_ttl
+        };
+        Moment::from_start(until.since_start().saturating_sub(age))
+    }
+
     fn is_watcher(&self) -> bool {
         let hosts = self.membership.hosts();
         let near = |host: &&crate::version::table::coordinator::HostInfo| {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the process: start, timers, metrics, logs and shutdown.
 
+pub mod backend;
 pub mod context;
 pub mod dev;
 pub mod distribution;
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -18,6 +18,7 @@
 use jsonrpsee_core::server::RpcModule;
 use parking_lot::Mutex;
 
+use super::backend::Backend;
 use super::context::Context;
 use super::context::Cx;
 use super::distribution;
@@ -45,12 +46,17 @@
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::host::HostConfig;
 use crate::connection::caller::CallerPort;
+use crate::connection::operator_port::HostOperator;
 use crate::connection::operator_port::OperatorPort;
 use crate::connection::peer::HttpPeers;
 use crate::connection::peer::PeerSecret;
 use crate::connection::peer_port::PeerPort;
 use crate::connection::platform::Platform;
 use crate::connection::platform::http::HttpPlatform;
+use crate::operator;
+use crate::operator::Operator;
+use crate::operator::OperatorSecrets;
+use crate::operator::credentials::CredentialsError;
 use crate::request::limit::View;
 use crate::request::programs;
 use crate::request::retry::RetryBudget;
@@ -78,6 +84,9 @@
     /// The system refused something else.
     #[error(transparent)]
     Io(#[from] io::Error),
+    /// The operators' file is refused.
+    #[error(transparent)]
+    Operators(#[from] CredentialsError),
     /// A secrets file is refused.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -154,8 +163,12 @@
     let addresses = listeners.addresses()?;
     let secret = PeerSecret::new(secrets::read_lines(&cfg.secrets.peers)?);
     let client = Client::new(spawner.clone(), ClientConfig::default());
+    let operators = match &cfg.secrets.operators {
+        Some(path) => Some(OperatorSecrets::load(path)?),
+        None => None,
+    };
     let platform = HttpPlatform::new(client.clone(), &cfg.host, cfg.platform.clone());
-    let (cx, ports) = start(cfg, listeners, secret, client, platform, spawner).await?;
+    let (cx, ports) = start(cfg, listeners, secret, operators, client, platform, spawner).await?;
     announce(&addresses)?;
     Ok(drain::until_drained(&cx, &ports).await?)
 }
@@ -184,6 +197,7 @@
     cfg: HostConfig,
     listeners: Listeners,
     secret: PeerSecret,
+    operators: Option<OperatorSecrets>,
     client: Client,
     platform: P,
     spawner: Spawner,
@@ -213,7 +227,11 @@
         configuration.clone(),
         platform.clone(),
         peers.clone(),
-        KnownHosts::new(own_address(&cfg, &addresses), membership.clone()),
+        KnownHosts::new(
+            own_address(&cfg, &addresses),
+            membership.clone(),
+            cfg.membership.clone(),
+        ),
         spawner.clone(),
     )?;
     let rates = Rates::new(
@@ -238,9 +256,19 @@
         spawner,
         cfg,
     });
-    let module = module(&cx, &distribution).expect("method names are distinct");
+    let operator = Operator::new(
+        cx.cfg.operator.clone(),
+        distribution.clone(),
+        Backend(Cx::clone(&cx)),
+    );
+    let module = module(&cx, &distribution, &operator).expect("method names are distinct");
     let ports = Ports::default();
-    serve_ports(&cx, listeners, &ports, module);
+    let operator_port = OperatorPort {
+        cx: Cx::clone(&cx),
+        operator: Arc::new(operator),
+        secrets: operators,
+    };
+    serve_ports(&cx, listeners, &ports, module, operator_port);
     let settled = Settled::default();
     start_links(&cx, events, platform, &timers, &settled).await;
     cx.spawner
@@ -275,12 +303,14 @@
 fn module<P: Platform>(
     cx: &Cx<P>,
     distribution: &Distribution<P, HttpPeers, KnownHosts>,
+    operator: &HostOperator<P>,
 ) -> std::result::Result<RpcModule<()>, RegisterMethodError> {
     let mut module = RpcModule::new(());
     module.merge(membership::rpc_module(cx.membership.clone()))?;
     distribution::rpc::register(&mut module, distribution)?;
     rates::register(&mut module, cx.rates.clone())?;
     programs::register(&mut module, cx)?;
+    operator::fleet::register(&mut module, operator)?;
     Ok(module)
 }
 
@@ -289,6 +319,7 @@
     listeners: Listeners,
     ports: &Ports,
     module: RpcModule<()>,
+    operator_port: OperatorPort<P>,
 ) {
     let spawner = &cx.spawner;
     let caller_cfg = ServerConfig {
@@ -318,7 +349,7 @@
         spawner.clone(),
         ServerConfig::default(),
         ports.operators.clone(),
-        OperatorPort(Cx::clone(cx)),
+        operator_port,
     ));
 }
 
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -9,7 +9,7 @@
 use miette::SourceSpan;
 use toml::de::DeTable;
 
-use crate::configs::OutOfRange;
+use crate::configs::host::Fault;
 use crate::configs::host::HostConfig;
 
 /// Why a settings file is refused.
@@ -71,18 +71,18 @@
         toml::from_str(text).map_err(|e| wrong(e.message().to_owned(), e.span()))?;
     match cfg.check() {
         Ok(()) => Ok(cfg),
-        Err((table, error)) => Err(wrong(
-            describe(table, &error),
-            find(text, table, error.field),
-        )),
+        Err(fault) => {
+            let at = find(text, fault.table, fault.field);
+            Err(wrong(describe(&fault), at))
+        }
     }
 }
 
-fn describe(table: &str, error: &OutOfRange) -> String {
-    if table.is_empty() {
-        error.to_string()
+fn describe(fault: &Fault) -> String {
+    if fault.table.is_empty() {
+        fault.message.clone()
     } else {
-        format!("in [{table}]: {error}")
+        format!("in [{}]: {}", fault.table, fault.message)
     }
 }
 
--- a/src/request/programs.rs
+++ b/src/request/programs.rs
@@ -36,6 +36,9 @@
 /// Control call that ends a program at its partition's owner.
 const END_METHOD: &str = "program.end";
 
+/// Control call that cancels a program for an operator at its partition's owner.
+const CANCEL_METHOD: &str = "program.cancel";
+
 /// Body of a request to open a program.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -215,6 +218,33 @@
     cx.journals.end_program(program, customer).await.map(|_| ())
 }
 
+/// Cancels a program for an operator, whoever its customer is.
+///
+/// # Errors
+///
+/// A refusal; `unknown` if the owner's answer was lost.
+pub async fn cancel<P: Platform>(cx: &Cx<P>, program: &ProgramId) -> Result<()> {
+    let owner = owner(cx, &PartitionId::of(program))?;
+    if owner.is_self {
+        return cancel_here(cx, program).await;
+    }
+    let cancelled: crate::connection::peer::Result<Result<()>> =
+        cx.peers.call(owner.peer, CANCEL_METHOD, program).await;
+    cancelled.unwrap_or_else(|e| {
+        let detail = format!("the program's host did not answer: {e}");
+        Err(Refusal::unknown(Reason::OwnerUnavailable, detail))
+    })
+}
+
+async fn cancel_here<P: Platform>(cx: &Cx<P>, program: &ProgramId) -> Result<()> {
+    let summary = cx.journals.program_summary(program).ok_or_else(|| {
+        let detail = "there is no such program";
+        Refusal::not_run(Reason::UnknownProgram, detail)
+    })?;
+    let ended = cx.journals.end_program(program, &summary.customer).await;
+    ended.map(|_| ())
+}
+
 fn owner<P: Platform>(
     cx: &Cx<P>,
     partition: &PartitionId,
@@ -266,5 +296,13 @@
             Ok::<_, ErrorObjectOwned>(end_here(&cx, &params).await)
         }
     })?;
+    let host = Cx::clone(cx);
+    module.register_async_method(CANCEL_METHOD, move |params, _, _| {
+        let cx = Cx::clone(&host);
+        async move {
+            let program: ProgramId = params.one()?;
+            Ok::<_, ErrorObjectOwned>(cancel_here(&cx, &program).await)
+        }
+    })?;
     Ok(())
 }
--- a/src/version/table/stored.rs
+++ b/src/version/table/stored.rs
@@ -36,6 +36,8 @@
 pub(super) struct StoredTable {
     data_centre: DataCentre,
     ownership: Version,
+    #[serde(default)]
+    members: Epoch,
     hosts: BTreeMap<HostId, HostRow>,
     owners: Vec<Owned>,
 }
@@ -57,6 +59,7 @@
             owners: group(&table),
             data_centre: table.data_centre,
             ownership: table.ownership,
+            members: table.members,
             hosts: table.hosts,
         }
     }
@@ -104,6 +107,7 @@
         Ok(Self {
             data_centre: stored.data_centre,
             ownership: stored.ownership,
+            members: stored.members,
             hosts: stored.hosts,
             partitions: rows.into_values().collect(),
         })
