--- /dev/null
+++ b/examples/journal.rs
@@ -0,0 +1,115 @@
+//! A journal without sockets: a once-only call, its retry and a takeover.
+//!
+//! `cargo run --example journal`
+
+use std::time::Duration;
+
+use async_io::block_on;
+use chicoryarch::configs::journal::JournalConfig;
+use chicoryarch::connection::platform::memory::MemoryPlatform;
+use chicoryarch::ids::CustomerId;
+use chicoryarch::ids::DataCentre;
+use chicoryarch::ids::Epoch;
+use chicoryarch::process::journals::Begun;
+use chicoryarch::process::journals::Journals;
+use chicoryarch::request::outcome::Refusal;
+use chicoryarch::units::Moment;
+use chicoryarch::units::Tokens;
+use chicoryarch::version::journal::CallSpec;
+use chicoryarch::version::journal::Digest;
+use chicoryarch::version::journal::Finished;
+use chicoryarch::version::journal::Once;
+use chicoryarch::version::journal::Outcome;
+use chicoryarch::version::journal::PartitionId;
+use chicoryarch::version::journal::Scope;
+use chicoryarch::version::journal::StoredAnswer;
+use chicoryarch::version::journal::partition_of_key;
+use chicoryarch_net::Spawner;
+
+/// Partitions of each data centre.
+const PARTITIONS: u16 = 8;
+
+fn main() {
+    block_on(run());
+}
+
+async fn run() {
+    let customer: CustomerId = "acme".parse().expect("a name");
+    let data_centres: [DataCentre; 1] = ["dc-1".parse().expect("a name")];
+    let partition = partition_of_key(&customer, "invoice-17", &data_centres, PARTITIONS)
+        .expect("there is a data centre");
+
+    let platform = MemoryPlatform::default();
+    let first = host(&platform, &partition, Epoch(1)).await;
+    show(invoice(&first, &customer, &partition).await);
+    show(invoice(&first, &customer, &partition).await);
+
+    let second = host(&platform, &partition, Epoch(2)).await;
+    show(invoice(&second, &customer, &partition).await);
+}
+
+/// A host that has taken the partition over.
+async fn host(
+    platform: &MemoryPlatform,
+    partition: &PartitionId,
+    epoch: Epoch,
+) -> Journals<MemoryPlatform> {
+    let journals = Journals::new(
+        platform.clone(),
+        JournalConfig::default(),
+        Spawner::start(1),
+    );
+    let acquired = journals.acquire(partition, epoch).await;
+    acquired.expect("the epoch is the highest");
+    journals
+}
+
+/// Creates an invoice at most once, however often it is called.
+async fn invoice(
+    journals: &Journals<MemoryPlatform>,
+    customer: &CustomerId,
+    partition: &PartitionId,
+) -> Result<String, Refusal> {
+    let once = Once {
+        key: "invoice-17".to_owned(),
+        body: Digest::of(b"17 crates"),
+    };
+    let spec = CallSpec {
+        scope: Scope::Single(partition.clone()),
+        customer: customer.clone(),
+        ordinal: None,
+        worst_cost: Tokens(1),
+        once: Some(once),
+        repeatable: false,
+        deadline: Moment::now() + Duration::from_secs(5),
+    };
+    let ticket = match journals.begin(spec).await? {
+        Begun::Replay(answer) => return Ok(format!("replayed: {}", text(&answer))),
+        Begun::Run(ticket) => ticket,
+    };
+    journals.check_dispatch(&ticket)?;
+    // The endpoint would be called here, with the ticket's epoch.
+    let answer = StoredAnswer {
+        status: 201,
+        content_type: None,
+        body: format!("invoice at epoch {}", ticket.epoch()).into_bytes(),
+    };
+    let line = format!("ran: {}", text(&answer));
+    let finished = Finished {
+        cost: Tokens(1),
+        outcome: Outcome::Answered(answer),
+    };
+    let durability = journals.finish(ticket, finished).await;
+    Ok(format!("{line} ({durability:?})"))
+}
+
+fn text(answer: &StoredAnswer) -> String {
+    String::from_utf8_lossy(&answer.body).into_owned()
+}
+
+fn show(result: Result<String, Refusal>) {
+    match result {
+        Ok(line) => println!("{line}"),
+        Err(refusal) => println!("refused, {}: {}", refusal.ran.as_str(), refusal.detail),
+    }
+}
