--- a/benches/journal.rs
+++ b/benches/journal.rs
@@ -57,6 +57,7 @@
 const ARRIVALS: Duration = Duration::from_millis(5);
 const CALLS: usize = 4000;
 
+#[derive(Clone, Copy)]
 enum Event {
     Arrival(usize),
     Answer(RequestId),
@@ -163,6 +164,10 @@
                 let version = Version(self.writes + 1);
                 self.schedule(self.latency, Event::Written(version));
             }
+            Action::StoreArchive { .. } => {
+                self.journal.archive_stored(self.now, &Ok(()));
+                self.wake = Some(self.now);
+            }
             Action::Wait(at) => self.wake = at,
             _ => {}
         }
@@ -323,7 +328,7 @@
         );
     }
     println!("once_only_calls bound_bytes/call (answers of {ANSWER_BYTES} bytes)");
-    for calls in [500, 2000] {
+    for calls in [500, 2000, 8000, 16_000] {
         let mut sim = Sim::new(settings(20), Duration::from_millis(3));
         sim.arrivals(calls);
         sim.run(|index, _| once(index));
--- a/src/configs/journal.rs
+++ b/src/configs/journal.rs
@@ -97,6 +97,8 @@
     pub max_answer_bytes: usize,
     /// Size from which a journal takes no new programs and once-only calls.
     pub max_journal_bytes: usize,
+    /// Size, without the names of archives, above which old outcomes are archived.
+    pub archive_above_bytes: usize,
     /// Tokens of a budget reserved by one write.
     pub budget_slice: u64,
     /// Calls of one program that may wait for their turn.
@@ -123,6 +125,7 @@
             inline_answer_bytes: 4 * 1024,
             max_answer_bytes: 1000 * 1024,
             max_journal_bytes: 960 * 1024,
+            archive_above_bytes: 256 * 1024,
             budget_slice: 20_000,
             max_waiting_calls: 64,
             max_depth: 8,
@@ -203,6 +206,11 @@
             &self.max_journal_bytes,
             &(4 * 1024..=1000 * 1024),
         )?;
+        check_range(
+            "archive_above_bytes",
+            &self.archive_above_bytes,
+            &(1024..=self.max_journal_bytes),
+        )?;
         check_range("budget_slice", &self.budget_slice, &(1..=u64::MAX))?;
         check_range("max_waiting_calls", &self.max_waiting_calls, &(1..=10_000))?;
         check_range("max_depth", &self.max_depth, &(1..=64))
--- a/src/process/journals/mod.rs
+++ b/src/process/journals/mod.rs
@@ -37,7 +37,9 @@
 use crate::request::outcome::Refusal;
 use crate::request::outcome::Result;
 use crate::version::journal::ANSWER_KIND;
+use crate::version::journal::ARCHIVE_KIND;
 use crate::version::journal::Answer;
+use crate::version::journal::Archived;
 use crate::version::journal::CallSpec;
 use crate::version::journal::Durability;
 use crate::version::journal::Finished;
@@ -49,6 +51,7 @@
 use crate::version::journal::Reply;
 use crate::version::journal::Status;
 use crate::version::journal::StoredAnswer;
+use crate::version::journal::unreadable;
 
 /// Events that wait for a reader; later ones are dropped.
 const PENDING_EVENTS: usize = 4096;
@@ -201,6 +204,10 @@
         match reply {
             Reply::Run(permit) => Ok(Begun::Run(guard.into_ticket(permit))),
             Reply::Replay(answer) => self.replay(answer).await.map(Begun::Replay),
+            Reply::Archived(archived) => {
+                let answer = self.unarchive(&archived).await?;
+                self.replay(answer).await.map(Begun::Replay)
+            }
             Reply::Refused(refusal) => Err(refusal),
             other => unexpected(&other),
         }
@@ -266,6 +273,15 @@
         })
     }
 
+    async fn unarchive(&self, archived: &Archived) -> Result<Answer> {
+        let platform = &self.inner.platform;
+        let found = read_value(platform, ARCHIVE_KIND, &archived.name).await;
+        match found {
+            Ok(Some((_, archive))) => archived.resolve(&archive),
+            _ => Err(unreadable().retry_after(self.inner.cfg.max_backoff)),
+        }
+    }
+
     async fn replay(&self, answer: Answer) -> Result<StoredAnswer> {
         let name = match answer {
             Answer::Inline(answer) => return Ok(answer),
@@ -280,11 +296,6 @@
     }
 }
 
-fn unreadable() -> Refusal {
-    let detail = "the call has run; its stored answer cannot be read";
-    Refusal::unknown(Reason::JournalUnavailable, detail)
-}
-
 /// A partition as operators see it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PartitionSummary {
--- a/src/process/journals/run.rs
+++ b/src/process/journals/run.rs
@@ -17,7 +17,9 @@
 use crate::connection::platform::write_value;
 use crate::units::Moment;
 use crate::version::journal::ANSWER_KIND;
+use crate::version::journal::ARCHIVE_KIND;
 use crate::version::journal::Action;
+use crate::version::journal::Dropped;
 use crate::version::journal::JOURNAL_KIND;
 use crate::version::journal::PartitionId;
 use crate::version::journal::Status;
@@ -70,9 +72,14 @@
             let stored = attend(cell, events, store(platform, &name, &answer)).await?;
             cell.step(events, |journal, now| journal.answer_stored(now, &stored));
         }
-        Action::RemoveAnswer(name) => {
-            let removed = attend(cell, events, remove(platform, &name)).await?;
-            cell.step(events, |journal, now| journal.answer_removed(now, &removed));
+        Action::StoreArchive { name, archive } => {
+            let written = write_value(platform, ARCHIVE_KIND, &name, Expect::Absent, &archive);
+            let stored = attend(cell, events, written).await?.map(|_| ());
+            cell.step(events, |journal, now| journal.archive_stored(now, &stored));
+        }
+        Action::Remove(dropped) => {
+            let removed = attend(cell, events, remove(platform, &dropped)).await?;
+            cell.step(events, |journal, now| journal.removed(now, &removed));
         }
         Action::Wait(_) | Action::Stop => {}
     }
@@ -110,9 +117,10 @@
     written.map(|_| ())
 }
 
-async fn remove(platform: &impl Platform, name: &str) -> Result<()> {
-    if let Some(object) = platform.read(ANSWER_KIND, name).await? {
-        platform.remove(ANSWER_KIND, name, object.version).await?;
+async fn remove(platform: &impl Platform, dropped: &Dropped) -> Result<()> {
+    let Dropped { kind, name } = dropped;
+    if let Some(object) = platform.read(kind, name).await? {
+        platform.remove(kind, name, object.version).await?;
     }
     Ok(())
 }
--- /dev/null
+++ b/src/version/journal/archive.rs
@@ -0,0 +1,182 @@
+//! Outcomes moved out of the journal into archive objects.
+//!
+//! The journal keeps the ids of what it moved, so that a retry of an archived
+//! call is told from a new call without asking the platform.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+
+use super::commit::Action;
+use super::commit::Io;
+use super::document::Answer;
+use super::document::OnceId;
+use super::document::OnceRecord;
+use super::document::OnceState;
+use super::machine::Journal;
+use crate::connection::platform::PlatformError;
+use crate::units::Moment;
+
+/// Largest archive, by the bound of its records' encoded sizes, in bytes.
+const MAX_ARCHIVE_BYTES: usize = 512 * 1024;
+
+/// Share of the threshold that an archive must free, as a divisor.
+const MIN_FREED: usize = 4;
+
+/// Growth after which a journal without enough to archive looks again, as a
+/// divisor of the threshold.
+const RETRY_GROWTH: usize = 8;
+
+/// Ids of archived calls, encoded as one text.
+#[derive(Clone, Debug, Default, DeserializeFromStr, Eq, PartialEq, SerializeDisplay)]
+pub struct OnceIds(pub Vec<OnceId>);
+
+impl fmt::Display for OnceIds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|id| id.fmt(f))
+    }
+}
+
+impl FromStr for OnceIds {
+    type Err = hex::FromHexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bytes = hex::decode(text)?;
+        let (ids, rest) = bytes.as_chunks::<{ OnceId::BYTES }>();
+        if !rest.is_empty() {
+            return Err(hex::FromHexError::InvalidStringLength);
+        }
+        Ok(Self(ids.iter().copied().map(OnceId::from).collect()))
+    }
+}
+
+/// An archive as the journal names it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ArchiveRecord {
+    /// Name of the object of kind [`ARCHIVE_KIND`](super::ARCHIVE_KIND).
+    pub name: String,
+    /// Journal clock at its newest intent, in milliseconds.
+    pub newest_ms: u64,
+    /// The calls it holds.
+    pub ids: OnceIds,
+}
+
+/// Contents of an archive object.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Archive {
+    /// Answered once-only calls.
+    pub once: BTreeMap<OnceId, OnceRecord>,
+}
+
+/// An archive that is being written.
+#[derive(Clone, Debug)]
+pub(super) struct Archiving {
+    name: String,
+    archive: Archive,
+}
+
+impl Journal {
+    /// Starts an archive if the journal is large enough and has enough to move.
+    pub(super) fn poll_archive(&mut self) -> Option<Action> {
+        if self.archiving.is_none() && self.size() > self.archive_above {
+            self.archiving = self.choose_archive();
+        }
+        let Some(archiving) = &self.archiving else {
+            return None;
+        };
+        self.io = Io::Archiving;
+        Some(Action::StoreArchive {
+            name: archiving.name.clone(),
+            archive: archiving.archive.clone(),
+        })
+    }
+
+    fn choose_archive(&mut self) -> Option<Archiving> {
+        let is_inline =
+            |record: &OnceRecord| matches!(record.state, OnceState::Answered(Answer::Inline(_)));
+        let once = self.doc.once.iter();
+        let mut found: Vec<(u64, OnceId)> = once
+            .filter(|(_, record)| is_inline(record))
+            .map(|(id, record)| (record.at_ms, *id))
+            .collect();
+        found.sort_unstable();
+        let mut archive = Archive::default();
+        let mut bytes = 0;
+        for (_, id) in found {
+            let record = &self.doc.once[&id];
+            bytes += self.sizes.of_once(id, record);
+            if bytes > MAX_ARCHIVE_BYTES {
+                break;
+            }
+            archive.once.insert(id, record.clone());
+        }
+        let threshold = self.cfg.archive_above_bytes;
+        if bytes < threshold / MIN_FREED {
+            self.archive_above = self.size() + threshold / RETRY_GROWTH;
+            return None;
+        }
+        let header = self.doc.header;
+        let name = format!("{}.{}.{}", self.id, header.epoch, header.revision);
+        Some(Archiving { name, archive })
+    }
+
+    /// Takes the result of creating an archive's object.
+    pub fn archive_stored(&mut self, now: Moment, result: &Result<(), PlatformError>) {
+        assert_eq!(self.io, Io::Archiving, "one-write-in-flight");
+        self.io = Io::Idle;
+        if result.is_err() {
+            self.counters.failures.add(1);
+            self.pace.failed(now);
+            return;
+        }
+        self.pace.reached();
+        let archiving = self.archiving.take().expect("an archive is being written");
+        self.move_out(now, archiving);
+    }
+
+    fn move_out(&mut self, now: Moment, archiving: Archiving) {
+        let once = archiving.archive.once;
+        let newest_ms = once.values().map(|record| record.at_ms).max();
+        let ids: Vec<OnceId> = once.into_keys().collect();
+        for id in &ids {
+            self.doc.once.remove(id);
+            self.sizes.remove_once(*id);
+            self.archived.insert(*id, archiving.name.clone());
+        }
+        let record = ArchiveRecord {
+            name: archiving.name,
+            newest_ms: newest_ms.unwrap_or_default(),
+            ids: OnceIds(ids),
+        };
+        self.sizes.set_archive(&record);
+        self.doc.archives.push(record);
+        self.archive_above = self.cfg.archive_above_bytes + self.sizes.archives();
+        self.counters.archives.add(1);
+        self.changed(now);
+    }
+
+    /// Drops archives whose newest call is past its retention.
+    pub(super) fn sweep_archives(&mut self, is_past: impl Fn(u64) -> bool) -> bool {
+        let archives = std::mem::take(&mut self.doc.archives);
+        let (old, kept): (Vec<_>, Vec<_>) = archives
+            .into_iter()
+            .partition(|record| is_past(record.newest_ms));
+        self.doc.archives = kept;
+        for record in &old {
+            self.sizes.remove_archive(record);
+            for id in &record.ids.0 {
+                self.archived.remove(id);
+            }
+            self.dropped.push_back(super::Dropped {
+                kind: super::ARCHIVE_KIND,
+                name: record.name.clone(),
+            });
+        }
+        !old.is_empty()
+    }
+}
--- a/src/version/journal/begin.rs
+++ b/src/version/journal/begin.rs
@@ -1,11 +1,13 @@
 //! Start of calls: idempotency keys, order, budget and intent.
 
 use super::budget::Cover;
+use super::call::Archived;
 use super::call::CallSpec;
 use super::call::Permit;
 use super::call::Reply;
 use super::call::RequestId;
 use super::call::Scope;
+use super::call::conflicting_key;
 use super::document::Answer;
 use super::document::OnceId;
 use super::document::OnceRecord;
@@ -46,12 +48,15 @@
     fn known(&self, spec: &CallSpec) -> Option<Reply> {
         let once = spec.once.as_ref()?;
         let id = spec.once_id()?;
+        if let Some(name) = self.archived.get(&id) {
+            return Some(Reply::Archived(Archived {
+                name: name.clone(),
+                id,
+                body: once.body,
+            }));
+        }
         if self.body_of(id)? != once.body {
-            let refusal = Refusal::not_run(
-                Reason::ConflictingKey,
-                "the key came with another body before",
-            );
-            return Some(Reply::Refused(refusal));
+            return Some(Reply::Refused(conflicting_key()));
         }
         Some(self.outcome_of(id))
     }
--- a/src/version/journal/call.rs
+++ b/src/version/journal/call.rs
@@ -2,16 +2,20 @@
 
 use std::fmt;
 
+use super::archive::Archive;
 use super::document::Answer;
 use super::document::Digest;
 use super::document::OnceId;
+use super::document::OnceState;
 use super::document::StoredAnswer;
 use super::home::PartitionId;
 use crate::ids::CustomerId;
 use crate::ids::Epoch;
 use crate::ids::Ordinal;
 use crate::ids::ProgramId;
+use crate::request::outcome::Reason;
 use crate::request::outcome::Refusal;
+use crate::request::outcome::Result;
 use crate::units::Moment;
 use crate::units::Tokens;
 use crate::version::history::HistoryMode;
@@ -148,6 +152,48 @@
     Lost,
 }
 
+/// Where the answer of an archived call is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Archived {
+    /// Name of the archive's object.
+    pub name: String,
+    /// The call in it.
+    pub id: OnceId,
+    /// Digest of the body that came now, to be compared with the recorded one.
+    pub body: Digest,
+}
+
+impl Archived {
+    /// The stored answer, or why the call is refused.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the key came with another body before, or if the archive
+    /// does not hold the answer.
+    pub fn resolve(&self, archive: &Archive) -> Result<Answer> {
+        let record = archive.once.get(&self.id);
+        if record.is_some_and(|record| record.body != self.body) {
+            return Err(conflicting_key());
+        }
+        match record.map(|record| &record.state) {
+            Some(OnceState::Answered(answer)) => Ok(answer.clone()),
+            _ => Err(unreadable()),
+        }
+    }
+}
+
+/// Refusal of a key that came with another body before.
+pub(super) fn conflicting_key() -> Refusal {
+    let detail = "the key came with another body before";
+    Refusal::not_run(Reason::ConflictingKey, detail)
+}
+
+/// Refusal of a call that has run and whose answer cannot be read.
+pub(crate) fn unreadable() -> Refusal {
+    let detail = "the call has run; its stored answer cannot be read";
+    Refusal::unknown(Reason::JournalUnavailable, detail)
+}
+
 /// Reply to a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
@@ -159,6 +205,8 @@
     Run(Permit),
     /// The call has run before and this is its answer.
     Replay(Answer),
+    /// The call has run before and its answer is in an archive.
+    Archived(Archived),
     /// The call's end is recorded.
     Recorded(Durability),
     /// The request is refused.
--- a/src/version/journal/commit.rs
+++ b/src/version/journal/commit.rs
@@ -1,6 +1,7 @@
 //! Group commit: when the journal is written, and how a write is settled.
 
 use super::JOURNAL_KIND;
+use super::archive::Archive;
 use super::call::Durability;
 use super::call::Reply;
 use super::call::RequestId;
@@ -9,6 +10,7 @@
 use super::document::Header;
 use super::document::OnceId;
 use super::home::PartitionId;
+use super::machine::Dropped;
 use super::machine::Journal;
 use super::machine::Phase;
 use super::machine::Status;
@@ -51,9 +53,16 @@
         /// The answer.
         answer: super::StoredAnswer,
     },
-    /// Remove the object of an answer that the journal no longer names, then
-    /// call [`Journal::answer_removed`].
-    RemoveAnswer(String),
+    /// Create an object of kind [`ARCHIVE_KIND`](super::ARCHIVE_KIND), then call
+    /// [`Journal::archive_stored`].
+    StoreArchive {
+        /// Name of the object.
+        name: String,
+        /// Its contents.
+        archive: Archive,
+    },
+    /// Remove an object, then call [`Journal::removed`].
+    Remove(Dropped),
     /// Wait for a request or until this moment.
     Wait(Option<Moment>),
     /// Stop; the partition is released or lost.
@@ -73,7 +82,9 @@
     Settling,
     /// An answer's object is being created.
     Storing(OnceId, RequestId),
-    /// An answer's object is being removed.
+    /// An archive's object is being created.
+    Archiving,
+    /// An object is being removed.
     Removing,
 }
 
@@ -93,7 +104,7 @@
                 Action::Read
             }
             Io::Unsettled => self.wait(Some(self.pace.next_try())),
-            Io::Writing(_) | Io::Settling | Io::Storing(..) | Io::Removing => self.wait(None),
+            _ => self.wait(None),
         }
     }
 
@@ -104,6 +115,11 @@
                 return self.store_answer(once, request);
             }
         }
+        if self.pace.next_try() <= now
+            && let Some(archive) = self.poll_archive()
+        {
+            return archive;
+        }
         match self.write_due() {
             Some(at) if at <= now => Action::Write(self.write(now)),
             Some(at) => self.wait(Some(at)),
@@ -113,15 +129,15 @@
 
     /// Gives the next platform call of a journal that needs no write.
     fn poll_clean(&mut self, now: Moment) -> Action {
-        let is_behind = !self.large.is_empty() || !self.dropped_answers.is_empty();
+        let is_behind = !self.large.is_empty() || !self.dropped.is_empty();
         if !is_behind {
             return self.wait(None);
         }
         let next_try = self.pace.next_try();
-        match self.dropped_answers.front() {
-            Some(name) if next_try <= now => {
+        match self.dropped.front() {
+            Some(dropped) if next_try <= now => {
                 self.io = Io::Removing;
-                Action::RemoveAnswer(name.clone())
+                Action::Remove(dropped.clone())
             }
             _ => self.wait(Some(next_try)),
         }
@@ -249,8 +265,8 @@
         }
     }
 
-    /// Takes the result of removing an answer's object.
-    pub fn answer_removed(&mut self, now: Moment, result: &Result<(), PlatformError>) {
+    /// Takes the result of removing an object.
+    pub fn removed(&mut self, now: Moment, result: &Result<(), PlatformError>) {
         assert_eq!(self.io, Io::Removing, "one-write-in-flight");
         self.io = Io::Idle;
         if result.is_err() {
@@ -259,7 +275,7 @@
             return;
         }
         self.pace.reached();
-        self.dropped_answers.pop_front();
+        self.dropped.pop_front();
     }
 
     /// Notes that the journal is durable up to a revision.
--- a/src/version/journal/counters.rs
+++ b/src/version/journal/counters.rs
@@ -35,6 +35,8 @@
     pub intents: Counter,
     /// Once-only calls answered from the journal.
     pub replays: Counter,
+    /// Archives written.
+    pub archives: Counter,
     /// Calls refused since the journal could not be written.
     pub refused_unavailable: Counter,
     /// Calls and programs refused since the journal is full.
--- a/src/version/journal/document.rs
+++ b/src/version/journal/document.rs
@@ -11,6 +11,7 @@
 use serde_with::hex::Hex;
 use serde_with::serde_as;
 
+use super::archive::ArchiveRecord;
 use super::home::sha256;
 use crate::connection::platform::Envelope;
 use crate::connection::platform::Nonce;
@@ -46,6 +47,9 @@
     pub programs: BTreeMap<ProgramId, ProgramRecord>,
     /// Once-only calls of the partition.
     pub once: BTreeMap<OnceId, OnceRecord>,
+    /// Once-only calls moved to other objects.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub archives: Vec<ArchiveRecord>,
 }
 
 impl Document {
@@ -93,9 +97,18 @@
 #[derive(
     Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
 )]
-pub struct OnceId([u8; 16]);
+pub struct OnceId([u8; Self::BYTES]);
+
+impl From<[u8; Self::BYTES]> for OnceId {
+    fn from(bytes: [u8; Self::BYTES]) -> Self {
+        Self(bytes)
+    }
+}
 
 impl OnceId {
+    /// Length of an id.
+    pub const BYTES: usize = 16;
+
     /// The id of a call.
     pub fn new(customer: &CustomerId, program: Option<&ProgramId>, key: &str) -> Self {
         let program = program.map(ToString::to_string).unwrap_or_default();
--- a/src/version/journal/machine.rs
+++ b/src/version/journal/machine.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::archive::Archiving;
 use super::budget::Account;
 use super::call::CallSpec;
 use super::call::Effect;
@@ -132,6 +133,15 @@
     pub(super) children: usize,
 }
 
+/// An object that the journal no longer names.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Dropped {
+    /// Kind of the object.
+    pub kind: &'static str,
+    /// Name of the object.
+    pub name: String,
+}
+
 /// A large answer that waits for its object to be written.
 #[derive(Debug)]
 pub(super) struct LargeAnswer {
@@ -160,8 +170,13 @@
     pub(super) commits: BTreeSet<(u64, RequestId)>,
     pub(super) unstored: HashMap<OnceId, StoredAnswer>,
     pub(super) large: VecDeque<LargeAnswer>,
-    /// Objects of answers that the journal no longer names.
-    pub(super) dropped_answers: VecDeque<String>,
+    /// Objects that the journal no longer names.
+    pub(super) dropped: VecDeque<Dropped>,
+    /// Archived calls and the name of their archive.
+    pub(super) archived: HashMap<OnceId, String>,
+    pub(super) archiving: Option<Archiving>,
+    /// Size above which outcomes are archived.
+    pub(super) archive_above: usize,
     pub(super) timers: BTreeSet<(Moment, Timer)>,
     pub(super) alarms: HashMap<RequestId, Moment>,
     pub(super) effects: Vec<Effect>,
@@ -194,6 +209,7 @@
                 header,
                 programs: BTreeMap::new(),
                 once: BTreeMap::new(),
+                archives: Vec::new(),
             });
         };
         let held = stored.header;
@@ -238,7 +254,10 @@
             commits: BTreeSet::new(),
             unstored: HashMap::new(),
             large: VecDeque::new(),
-            dropped_answers: VecDeque::new(),
+            dropped: VecDeque::new(),
+            archived: HashMap::new(),
+            archiving: None,
+            archive_above: 0,
             timers: BTreeSet::new(),
             alarms: HashMap::new(),
             effects: Vec::new(),
@@ -302,6 +321,12 @@
         for (id, record) in &self.doc.once {
             self.sizes.set_once(*id, record);
         }
+        for record in &self.doc.archives {
+            self.sizes.set_archive(record);
+            let named = record.ids.0.iter().map(|id| (*id, record.name.clone()));
+            self.archived.extend(named);
+        }
+        self.archive_above = self.cfg.archive_above_bytes + self.sizes.archives();
         self.timers
             .insert((now + self.sweep_interval(), Timer::Sweep));
     }
--- a/src/version/journal/mod.rs
+++ b/src/version/journal/mod.rs
@@ -6,6 +6,7 @@
 //! [`Effect`]s that it returns. The whole state that must survive the owner is
 //! one platform object, a [`Document`], written only by conditional update.
 
+mod archive;
 mod begin;
 mod budget;
 mod call;
@@ -22,6 +23,10 @@
 mod size;
 mod summary;
 
+pub use archive::Archive;
+pub use archive::ArchiveRecord;
+pub use archive::OnceIds;
+pub use call::Archived;
 pub use call::CallSpec;
 pub use call::Durability;
 pub use call::Effect;
@@ -34,6 +39,7 @@
 pub use call::Reply;
 pub use call::RequestId;
 pub use call::Scope;
+pub(crate) use call::unreadable;
 pub use commit::Action;
 pub use commit::WriteRequest;
 pub use counters::Counter;
@@ -49,6 +55,7 @@
 pub use document::StoredAnswer;
 pub use home::PartitionId;
 pub use home::partition_of_key;
+pub use machine::Dropped;
 pub use machine::Fenced;
 pub use machine::Journal;
 pub use machine::Status;
@@ -61,3 +68,6 @@
 
 /// Kind of the platform objects that hold large stored answers.
 pub const ANSWER_KIND: &str = "answer";
+
+/// Kind of the platform objects that hold archived outcomes.
+pub const ARCHIVE_KIND: &str = "archive";
--- a/src/version/journal/programs.rs
+++ b/src/version/journal/programs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::ANSWER_KIND;
 use super::budget::Account;
 use super::call::Durability;
 use super::call::Effect;
@@ -14,6 +15,7 @@
 use super::document::OnceRecord;
 use super::document::OnceState;
 use super::document::ProgramRecord;
+use super::machine::Dropped;
 use super::machine::Journal;
 use super::machine::Live;
 use super::machine::Timer;
@@ -276,7 +278,9 @@
         let programs = self.doc.programs.iter();
         let programs = programs.filter(|(id, record)| has_ended(id, record));
         let programs: Vec<ProgramId> = programs.map(|(id, _)| id.clone()).collect();
-        if once.is_empty() && programs.is_empty() {
+        let once_retention = self.cfg.once_retention;
+        let archives = self.sweep_archives(|newest| is_past(newest, once_retention));
+        if once.is_empty() && programs.is_empty() && !archives {
             return;
         }
         for id in once {
@@ -294,7 +298,8 @@
         let record = self.doc.once.remove(&id);
         self.sizes.remove_once(id);
         if let Some(OnceState::Answered(Answer::Object(name))) = record.map(|r| r.state) {
-            self.dropped_answers.push_back(name);
+            let kind = ANSWER_KIND;
+            self.dropped.push_back(Dropped { kind, name });
         }
     }
 
--- a/src/version/journal/release.rs
+++ b/src/version/journal/release.rs
@@ -60,7 +60,10 @@
     }
 
     fn is_flushed(&self) -> bool {
-        self.io == Io::Idle && self.large.is_empty() && self.durable == self.doc.header.revision
+        self.io == Io::Idle
+            && self.large.is_empty()
+            && self.archiving.is_none()
+            && self.durable == self.doc.header.revision
     }
 
     /// Gives back what is reserved and unspent, since nothing starts any more.
--- a/src/version/journal/size.rs
+++ b/src/version/journal/size.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::archive::ArchiveRecord;
 use super::document::OnceId;
 use super::document::OnceRecord;
 use super::document::OnceState;
@@ -18,6 +19,7 @@
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Entry {
+    Archive(String),
     Once(OnceId),
     Program(ProgramId),
 }
@@ -31,6 +33,7 @@
     inline_answer_bytes: usize,
     entries: HashMap<Entry, usize>,
     total: usize,
+    archives: usize,
 }
 
 impl Sizes {
@@ -39,6 +42,7 @@
             inline_answer_bytes,
             entries: HashMap::new(),
             total: HEADER_BYTES,
+            archives: 0,
         }
     }
 
@@ -68,6 +72,22 @@
         self.set(Entry::Once(id), size);
     }
 
+    /// Part of the total that names archives.
+    pub(super) fn archives(&self) -> usize {
+        self.archives
+    }
+
+    pub(super) fn set_archive(&mut self, record: &ArchiveRecord) {
+        let size = encoded_len(record) + ENTRY_MARGIN_BYTES;
+        self.archives += size;
+        self.set(Entry::Archive(record.name.clone()), size);
+    }
+
+    pub(super) fn remove_archive(&mut self, record: &ArchiveRecord) {
+        self.archives -= encoded_len(record) + ENTRY_MARGIN_BYTES;
+        self.remove(&Entry::Archive(record.name.clone()));
+    }
+
     pub(super) fn remove_program(&mut self, id: &ProgramId) {
         self.remove(&Entry::Program(id.clone()));
     }
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -22,6 +22,7 @@
 use chicoryarch::units::Tokens;
 use chicoryarch::version::history::HistoryMode;
 use chicoryarch::version::journal::Action;
+use chicoryarch::version::journal::Archive;
 use chicoryarch::version::journal::CallSpec;
 use chicoryarch::version::journal::Digest;
 use chicoryarch::version::journal::Document;
@@ -58,6 +59,7 @@
     ended: Vec<ProgramId>,
     programs: u64,
     answers: usize,
+    archives: Vec<Archive>,
 }
 
 impl Owner {
@@ -81,6 +83,7 @@
             ended: Vec::new(),
             programs: epoch * 1000,
             answers: 0,
+            archives: Vec::new(),
         }
     }
 
@@ -100,9 +103,13 @@
                     self.answers += 1;
                     self.journal.answer_stored(self.now, &Ok(()));
                 }
-                Action::RemoveAnswer(_) => {
+                Action::StoreArchive { archive, .. } => {
+                    self.archives.push(archive);
+                    self.journal.archive_stored(self.now, &Ok(()));
+                }
+                Action::Remove(_) => {
                     self.answers -= 1;
-                    self.journal.answer_removed(self.now, &Ok(()));
+                    self.journal.removed(self.now, &Ok(()));
                 }
                 Action::Wait(_) | Action::Stop => return self.collect(),
             }
--- a/tests/journal/steps.rs
+++ b/tests/journal/steps.rs
@@ -87,7 +87,7 @@
         option::weighted(0.7, any::<u8>()),
         0..8_u8,
         option::weighted(0.5, 0..8_u8),
-        option::weighted(0.6, 0..3_u8),
+        option::weighted(0.6, 0..6_u8),
         0..8_u8,
         1..40_u8,
     );
--- a/tests/journal/store.rs
+++ b/tests/journal/store.rs
@@ -12,6 +12,7 @@
 use chicoryarch::ids::ProgramId;
 use chicoryarch::ids::Version;
 use chicoryarch::version::journal::Answer;
+use chicoryarch::version::journal::Archive;
 use chicoryarch::version::journal::Document;
 use chicoryarch::version::journal::JOURNAL_KIND;
 use chicoryarch::version::journal::OnceId;
@@ -32,6 +33,7 @@
     pub(crate) out: bool,
     pub(crate) object: Option<Object>,
     pub(crate) answers: BTreeMap<String, StoredAnswer>,
+    pub(crate) archives: BTreeMap<String, Archive>,
     /// Programs whose id was given out.
     pub(crate) opened: BTreeSet<ProgramId>,
     /// Answers that their owner reported as recorded.
@@ -124,7 +126,10 @@
             assert!(new.programs.contains_key(program), "no-program-lost");
         }
         for (id, answer) in &self.recorded {
-            let state = new.once.get(id).map(|record| &record.state);
+            let archived = new.archives.iter().find(|record| record.ids.0.contains(id));
+            let archived = archived.and_then(|record| self.archives[&record.name].once.get(id));
+            let record = new.once.get(id).or(archived);
+            let state = record.map(|record| &record.state);
             let Some(OnceState::Answered(found)) = state else {
                 panic!("no-outcome-lost: {state:?}");
             };
--- a/tests/journal/world.rs
+++ b/tests/journal/world.rs
@@ -105,6 +105,8 @@
     pub(crate) takeovers: u64,
     pub(crate) late_dispatches: u64,
     pub(crate) recorded: u64,
+    pub(crate) archives: u64,
+    pub(crate) unarchived: u64,
 }
 
 pub(crate) struct World {
@@ -136,6 +138,7 @@
 fn settings() -> JournalConfig {
     JournalConfig {
         budget_slice: 15,
+        archive_above_bytes: 1500,
         inline_answer_bytes: 128,
         gap_wait: Duration::from_millis(300),
         commit_wait: Duration::from_millis(800),
@@ -353,10 +356,19 @@
                 }
                 owner.journal.answer_stored(now, &stored);
             }
-            Some(Action::RemoveAnswer(name)) => {
+            Some(Action::StoreArchive { name, archive }) => {
+                let stored = self.store.read(fault).map(|_| ());
+                if stored.is_ok() {
+                    self.store.archives.entry(name).or_insert(archive);
+                    self.totals.archives += 1;
+                }
+                owner.journal.archive_stored(now, &stored);
+            }
+            Some(Action::Remove(dropped)) => {
                 let removed = self.store.read(fault).map(|_| ());
-                self.store.answers.remove(&name);
-                owner.journal.answer_removed(now, &removed);
+                self.store.answers.remove(&dropped.name);
+                self.store.archives.remove(&dropped.name);
+                owner.journal.removed(now, &removed);
             }
             _ => {}
         }
@@ -416,6 +428,19 @@
                 attempt.stage = Stage::Done;
                 self.totals.replays += 1;
             }
+            Reply::Archived(archived) => {
+                let archive = &self.store.archives[&archived.name];
+                if let Ok(answer) = archived.resolve(archive) {
+                    let answer = self.store.answer(&answer);
+                    assert_eq!(
+                        answer.as_ref(),
+                        self.runs.get(&archived.id),
+                        "replay-is-the-answer"
+                    );
+                    self.totals.unarchived += 1;
+                }
+                attempt.stage = Stage::Done;
+            }
             Reply::Refused(refusal) => {
                 assert_eq!(attempt.stage, Stage::Asked, "one-reply-per-request");
                 attempt.stage = Stage::Done;
--- a/tests/journal_driver.rs
+++ b/tests/journal_driver.rs
@@ -237,6 +237,30 @@
     });
 }
 
+#[test]
+fn an_archived_answer_is_replayed_here_and_at_the_next_owner() {
+    block_on(async {
+        let platform = MemoryPlatform::default();
+        let cfg = JournalConfig {
+            archive_above_bytes: 2000,
+            ..settings()
+        };
+        let first = Journals::new(platform.clone(), cfg, Spawner::start(2));
+        first.acquire(&partition(), Epoch(1)).await.unwrap();
+        for index in 0..20 {
+            run(&first, once(&format!("k-{index}")), b"done").await;
+        }
+        assert!(first.counters().archives.get() > 0);
+        assert_eq!(replayed(&first, once("k-0")).await, b"done");
+        let mut other = once("k-0");
+        other.once.as_mut().unwrap().body = Digest::of(b"other");
+        let refused = refusal(first.begin(other).await);
+        assert_eq!(refused.reason, Reason::ConflictingKey);
+        let second = owner(&platform, 2).await;
+        assert_eq!(replayed(&second, once("k-0")).await, b"done");
+    });
+}
+
 #[test]
 fn a_running_key_is_refused_as_still_running_and_after_a_takeover_as_unknown() {
     block_on(async {
--- a/tests/journal_random.rs
+++ b/tests/journal_random.rs
@@ -54,6 +54,8 @@
         takeovers: sum.takeovers + run.takeovers,
         late_dispatches: sum.late_dispatches + run.late_dispatches,
         recorded: sum.recorded + run.recorded,
+        archives: sum.archives + run.archives,
+        unarchived: sum.unarchived + run.unarchived,
     }
 }
 
@@ -83,6 +85,7 @@
         totals.not_run,
         totals.takeovers,
         totals.recorded,
+        totals.unarchived,
     ];
     assert!(counts.iter().all(|count| *count > 0), "{totals:?}");
 }
