--- a/src/process/journals/history.rs
+++ b/src/process/journals/history.rs
@@ -31,6 +31,7 @@
 use crate::version::history::Gap;
 use crate::version::history::HISTORY_KIND;
 use crate::version::history::Segment;
+use crate::version::history::Tip;
 use crate::version::history::Turn;
 use crate::version::history::TurnRequest;
 use crate::version::history::segment_name;
@@ -221,7 +222,7 @@
     fn push(&self, handle: &CacheHandle, ordinal: Ordinal, turn: Turn) -> Option<()> {
         let mut shard = self.shard(&handle.program).lock();
         let conversation = &mut shard.get_mut(&handle.program)?.conversation;
-        if conversation.handle() != handle || ordinal <= conversation.tip() {
+        if conversation.handle() != handle || ordinal <= conversation.tip().ordinal {
             return None;
         }
         let before = conversation.bytes();
@@ -232,6 +233,13 @@
         Some(())
     }
 
+    /// The last turn of a conversation in memory, to be given to the caller.
+    pub fn tip(&self, handle: &CacheHandle) -> Option<Tip> {
+        let shard = self.shard(&handle.program).lock();
+        let conversation = &shard.get(&handle.program)?.conversation;
+        (conversation.handle() == handle).then(|| conversation.tip())
+    }
+
     /// Writes the waiting turns of one program, oldest first.
     async fn flush_program(&self, program: &ProgramId) -> Appended {
         while let Some(segment) = self.next_pending(program) {
--- a/src/version/history/conversation.rs
+++ b/src/version/history/conversation.rs
@@ -4,10 +4,10 @@
 use super::Gap;
 use super::Message;
 use super::Segment;
+use super::Tip;
 use super::Turn;
 use super::segment::chained;
 use crate::ids::Ordinal;
-use crate::version::journal::Digest;
 
 /// A call that continues a held conversation.
 #[derive(Clone, Debug)]
@@ -16,10 +16,10 @@
     pub handle: CacheHandle,
     /// The call's position in its program.
     pub ordinal: Ordinal,
-    /// The last turn whose answer the caller has, 0 for none.
+    /// The last turn whose answer the caller has.
     ///
     /// A caller that names none means the call just before this one.
-    pub after: Option<Ordinal>,
+    pub after: Option<Tip>,
     /// The messages that the call brings.
     pub messages: Vec<Message>,
 }
@@ -78,12 +78,18 @@
         &self.segments[self.stored..]
     }
 
-    /// Ordinal of the last turn, 0 if there is none.
-    pub fn tip(&self) -> Ordinal {
-        self.segments
-            .last()
-            .map(|last| last.ordinal)
-            .unwrap_or_default()
+    /// The last turn.
+    pub fn tip(&self) -> Tip {
+        let last = self.segments.last();
+        last.map_or(Tip::NONE, |last| Tip {
+            ordinal: last.ordinal,
+            digest: last.digest(),
+        })
+    }
+
+    fn last_ordinal(&self) -> Ordinal {
+        let last = self.segments.last();
+        last.map(|last| last.ordinal).unwrap_or_default()
     }
 
     /// Gives the messages that a call runs with.
@@ -95,8 +101,12 @@
         if let Some(turn) = self.completed(req) {
             return Ok(Assembled::Complete(turn.answered.clone()));
         }
-        let before = Ordinal(req.ordinal.0.saturating_sub(1));
-        if self.tip() != req.after.unwrap_or(before) || self.tip() >= req.ordinal {
+        let last = self.last_ordinal();
+        let is_whole = match req.after {
+            Some(after) => after == self.tip(),
+            None => last.next() == req.ordinal,
+        };
+        if !is_whole || last >= req.ordinal {
             return Err(Gap(req.ordinal));
         }
         let held = self.segments.iter().flat_map(Segment::messages);
@@ -111,13 +121,16 @@
 
     /// Adds a completed turn, which then waits for the platform.
     pub fn push(&mut self, ordinal: Ordinal, turn: Turn) {
-        assert!(ordinal > self.tip(), "whole-history");
-        let last = self.segments.last();
+        let Tip {
+            ordinal: previous,
+            digest: previous_digest,
+        } = self.tip();
+        assert!(ordinal > previous, "whole-history");
         let segment = Segment {
             ordinal,
             epoch: self.handle.epoch,
-            previous: self.tip(),
-            previous_digest: last.map_or(Digest([0; 32]), Segment::digest),
+            previous,
+            previous_digest,
             turn,
         };
         self.bytes += segment.bytes();
--- a/src/version/history/segment.rs
+++ b/src/version/history/segment.rs
@@ -1,9 +1,13 @@
 //! Segments of a held history and the check of their chain.
 
 use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
 use sha2::Digest as _;
 use sha2::Sha256;
 
@@ -18,6 +22,48 @@
 #[error("the recorded history has a gap before turn {0}")]
 pub struct Gap(pub Ordinal);
 
+/// The last turn of a conversation, as a caller names it.
+#[derive(Clone, Copy, Debug, DeserializeFromStr, Eq, PartialEq, SerializeDisplay)]
+pub struct Tip {
+    /// Ordinal of the call that completed the turn.
+    pub ordinal: Ordinal,
+    /// Digest of the turn's segment and, by its chain, of all before it.
+    pub digest: Digest,
+}
+
+impl Tip {
+    /// No turn at all.
+    pub const NONE: Self = Self {
+        ordinal: Ordinal(0),
+        digest: Digest([0; 32]),
+    };
+}
+
+impl fmt::Display for Tip {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.ordinal, hex::encode(self.digest.0))
+    }
+}
+
+/// The text is not a tip.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("a tip is an ordinal, a dot and 64 hexadecimal digits")]
+pub struct NotATip;
+
+impl FromStr for Tip {
+    type Err = NotATip;
+
+    fn from_str(text: &str) -> Result<Self, NotATip> {
+        let (ordinal, digits) = text.split_once('.').ok_or(NotATip)?;
+        let mut digest = [0; 32];
+        hex::decode_to_slice(digits, &mut digest).map_err(|_| NotATip)?;
+        Ok(Self {
+            ordinal: Ordinal(ordinal.parse().map_err(|_| NotATip)?),
+            digest: Digest(digest),
+        })
+    }
+}
+
 /// A completed turn of a conversation.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Turn {
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -229,7 +229,7 @@
         let unnamed = refused(&history, &request(1, 5)).await;
         assert_eq!(unnamed.reason, Reason::HistoryGap);
         let named = TurnRequest {
-            after: Some(Ordinal(1)),
+            after: history.tip(&handle(1)),
             ..request(1, 5)
         };
         assert!(history.assemble(&named).await.is_ok());
