--- a/src/process/rates/counters.rs
+++ b/src/process/rates/counters.rs
@@ -40,6 +40,8 @@
     pub answered: Counter,
     /// Millionths of tokens granted to other hosts.
     pub granted_micros: Counter,
+    /// Millionths of tokens refilled in this host's buckets.
+    pub refilled_micros: Counter,
     /// Millionths of granted tokens that expired here unspent.
     pub expired_micros: Counter,
     /// Millionths of tokens granted to others that no report accounted for.
--- a/src/process/rates/mod.rs
+++ b/src/process/rates/mod.rs
@@ -236,7 +236,7 @@
                 let env = self.env(&view);
                 let mut effects = Vec::new();
                 limit.account.maintain(env, &mut effects);
-                self.count_lost(limit, env.now);
+                self.count_changes(limit, env.now);
                 self.carry_out(limit, effects);
             }
         }
@@ -320,11 +320,12 @@
         counter.add(1);
     }
 
-    fn count_lost(&self, limit: &mut Limit, now: Moment) {
-        let lost = limit.account.take_lost(now);
+    fn count_changes(&self, limit: &mut Limit, now: Moment) {
+        let changes = limit.account.take_changes(now);
         let counters = &self.inner.counters;
-        counters.expired_micros.add(lost.expired.micros());
-        counters.unreported_micros.add(lost.unreported.micros());
+        counters.refilled_micros.add(changes.refilled.micros());
+        counters.expired_micros.add(changes.expired.micros());
+        counters.unreported_micros.add(changes.unreported.micros());
     }
 
     fn shard(&self, customer: &CustomerId) -> &Mutex<Shard> {
--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -1,5 +1,6 @@
 //! Limit of one customer at one host: admits, refuses, asks and grants.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -88,9 +89,11 @@
     },
 }
 
-/// Tokens lost since the last look.
+/// Tokens refilled and lost since the last look.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Lost {
+pub struct Changes {
+    /// Tokens refilled in this host's own buckets.
+    pub refilled: Amount,
     /// Held tokens that expired unspent.
     pub expired: Amount,
     /// Granted tokens that no report accounted for.
@@ -147,7 +150,7 @@
     waiters: VecDeque<Waiter>,
     next_ticket: u64,
     dry_until: Moment,
-    lost: Lost,
+    changes: Changes,
 }
 
 impl Account {
@@ -180,7 +183,7 @@
             waiters: VecDeque::new(),
             next_ticket: 0,
             dry_until: Moment::default(),
-            lost: Lost::default(),
+            changes: Changes::default(),
         };
         account.set_view(env);
         account
@@ -272,7 +275,7 @@
             self.purse
                 .add(env.now, giver, id.sequence, answer.granted, expires);
         } else {
-            self.lost.expired += answer.granted;
+            self.changes.expired += answer.granted;
         }
         self.serve_waiters(env, effects);
     }
@@ -288,7 +291,7 @@
     /// Drops expired tokens and returns idle ones; called once in a while.
     pub fn maintain(&mut self, env: Env<'_>, effects: &mut Vec<Effect>) {
         self.refresh(env);
-        self.lost.expired += self.purse.expire(env.now);
+        self.changes.expired += self.purse.expire(env.now);
         let mut returned: BTreeMap<HostId, Vec<Report>> = BTreeMap::new();
         for (giver, report) in self.purse.return_idle(env.now, env.cfg.idle_return) {
             returned.entry(giver).or_default().push(report);
@@ -298,10 +301,16 @@
         }
     }
 
-    /// Takes the counts of tokens lost since the last call.
-    pub fn take_lost(&mut self, now: Moment) -> Lost {
-        self.lost.unreported += self.own.take_expired(now);
-        std::mem::take(&mut self.lost)
+    /// Takes the counts of tokens refilled and lost since the last call.
+    pub fn take_changes(&mut self, now: Moment) -> Changes {
+        self.changes.refilled += self.own.take_refilled(now);
+        self.changes.unreported += self.own.take_expired(now);
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Tokens held here that a host granted.
+    pub fn held_from(&self, now: Moment, giver: &HostId) -> Amount {
+        self.purse.level_from(now, giver)
     }
 
     /// The account as operators see it.
@@ -418,7 +427,7 @@
         let idle = self.candidates.iter().filter(idle);
         let mut ranked: Vec<_> = idle.map(estimate).collect();
         ranked.retain(|(level, _, _)| *level > Amount::ZERO);
-        ranked.sort_by_key(|(level, _, _)| std::cmp::Reverse(*level));
+        ranked.sort_by_key(|(level, _, _)| Reverse(*level));
         ranked
     }
 
@@ -470,10 +479,7 @@
             return;
         }
         let ranked = self.ranked(env);
-        let local = ranked
-            .iter()
-            .find(|(level, _, local)| *local && *level >= target);
-        let Some((level, host, _)) = local.or(ranked.first()) else {
+        let Some((level, host, _)) = ranked.first() else {
             return;
         };
         if *level >= Amount::ONE.half() {
@@ -518,23 +524,23 @@
         effects.push(Effect::Send { host, address, ask });
     }
 
-    /// Time until the tokens here and at the other hosts add up to one.
+    /// Time until one more token is refilled, here and at the hosts that one
+    /// round of requests reaches.
     ///
-    /// Tokens elsewhere count only if an answer has just reported them: with
-    /// several hosts short of tokens, older ones have been taken since.
+    /// Parts of a token that exist now do not count: with several hosts short
+    /// of tokens they are gone before a caller comes back.
     fn retry_after(&mut self, env: Env<'_>) -> Duration {
-        let now = env.now;
-        let mut level = self.local(now);
-        let mut refill = self.own.refill(now);
-        for Candidate { host, assumed, .. } in &self.candidates {
-            let recent = env.cfg.dry_interval;
-            level += self.estimates.recent_level(now, host, recent);
-            refill += self.estimates.refill(host, *assumed);
-        }
-        let missing = Amount::ONE.saturating_sub(level);
-        let seconds = missing.tokens() / refill.tokens().max(f64::MIN_POSITIVE);
+        let refill = |candidate: &Candidate| {
+            let Candidate { host, assumed, .. } = candidate;
+            self.estimates.refill(host, *assumed)
+        };
+        let mut refills: Vec<_> = self.candidates.iter().map(refill).collect();
+        refills.sort_by_key(|refill| Reverse(*refill));
+        let reached: Amount = refills.into_iter().take(env.cfg.fanout).sum();
+        let refill = reached + self.own.refill(env.now);
+        let seconds = 1.0 / refill.tokens().max(f64::MIN_POSITIVE);
         let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER);
-        let dry = now.until(self.dry_until);
+        let dry = env.now.until(self.dry_until);
         wait.max(dry).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
--- a/src/request/limit/bucket.rs
+++ b/src/request/limit/bucket.rs
@@ -60,6 +60,7 @@
     remainder: u128,
     grants: BTreeMap<GrantId, Grant>,
     expired: Amount,
+    refilled: Amount,
 }
 
 impl Bucket {
@@ -72,6 +73,7 @@
             remainder: 0,
             grants: BTreeMap::new(),
             expired: Amount::ZERO,
+            refilled: Amount::ZERO,
         }
     }
 
@@ -90,6 +92,11 @@
         self.grants.values().map(|grant| grant.held).sum()
     }
 
+    /// Takes the number of tokens refilled since the last call.
+    pub fn take_refilled(&mut self) -> Amount {
+        std::mem::take(&mut self.refilled)
+    }
+
     /// Takes the number of granted tokens that expired since the last call.
     pub fn take_expired(&mut self) -> Amount {
         std::mem::take(&mut self.expired)
@@ -207,8 +214,9 @@
         let refill = u128::from(self.allotment.refill.micros());
         let total = span.saturating_mul(refill).saturating_add(self.remainder);
         let micros = u64::try_from(total / NANOS_PER_SECOND).unwrap_or(u64::MAX);
-        let full = self.level + Amount::from_micros(micros);
-        self.level = full.min(self.room());
+        let added = Amount::from_micros(micros).min(self.room().saturating_sub(self.level));
+        self.level += added;
+        self.refilled += added;
         self.remainder = total % NANOS_PER_SECOND;
         self.refilled_at = until;
     }
--- a/src/request/limit/estimate.rs
+++ b/src/request/limit/estimate.rs
@@ -62,17 +62,6 @@
         }
     }
 
-    /// Tokens that a host certainly had within the last `within`.
-    ///
-    /// Unlike [`Estimates::level`] it leaves out what other hosts may have
-    /// taken since.
-    pub fn recent_level(&self, now: Moment, host: &HostId, within: Duration) -> Amount {
-        match self.hosts.get(host) {
-            Some(Estimate::Answered { at, answer }) if now.since(*at) <= within => answer.level,
-            _ => Amount::ZERO,
-        }
-    }
-
     /// Refill a second that a host probably has.
     pub fn refill(&self, host: &HostId, assumed: Allotment) -> Amount {
         match self.hosts.get(host) {
--- a/src/request/limit/own.rs
+++ b/src/request/limit/own.rs
@@ -128,6 +128,11 @@
         self.usable(now).map(Bucket::take_expired).sum()
     }
 
+    /// Tokens refilled since the last call.
+    pub fn take_refilled(&mut self, now: Moment) -> Amount {
+        self.usable(now).map(Bucket::take_refilled).sum()
+    }
+
     /// Removes up to `wanted` tokens, those of the floor first.
     pub fn drain(&mut self, now: Moment, wanted: Amount) -> Amount {
         let mut taken = Amount::ZERO;
--- a/src/request/limit/purse.rs
+++ b/src/request/limit/purse.rs
@@ -31,6 +31,13 @@
         live.map(|lot| lot.held).sum()
     }
 
+    /// Tokens of one granting host that can be spent now.
+    pub fn level_from(&self, now: Moment, giver: &HostId) -> Amount {
+        let live = self.lots.iter().filter(|lot| now < lot.expires);
+        let lots = live.filter(|lot| lot.giver == *giver);
+        lots.map(|lot| lot.held).sum()
+    }
+
     /// Adds the tokens of a grant.
     pub fn add(
         &mut self,
@@ -90,9 +97,13 @@
         reports
     }
 
-    /// Takes out the lots unused for `idle`, as returns by granting host.
+    /// Takes out spent lots and those unused for `idle`, as reports by granting
+    /// host; until then they count against the granting bucket's capacity.
     pub fn return_idle(&mut self, now: Moment, idle: Duration) -> Vec<(HostId, Report)> {
-        let is_idle = |lot: &Lot| now < lot.expires && now.since(lot.used_at) >= idle;
+        let is_idle = |lot: &Lot| {
+            let unused = lot.held == Amount::ZERO || now.since(lot.used_at) >= idle;
+            now < lot.expires && unused
+        };
         let returned = self.lots.iter().filter(|lot| is_idle(lot)).map(|lot| {
             let report = Report {
                 sequence: lot.sequence,
--- /dev/null
+++ b/tests/limit_bucket.rs
@@ -0,0 +1,137 @@
+//! Rules of a bucket and of its lease, one at a time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicoryarch::ids::Epoch;
+use chicoryarch::request::limit::Amount;
+use chicoryarch::request::limit::GrantId;
+use chicoryarch::request::limit::Member;
+use chicoryarch::request::limit::View;
+use chicoryarch::request::limit::bucket::Allotment;
+use chicoryarch::request::limit::bucket::Bucket;
+use chicoryarch::request::limit::message::Report;
+use chicoryarch::request::limit::own::OwnBuckets;
+use chicoryarch::request::limit::terms::Allotments;
+use chicoryarch::units::Moment;
+
+const TTL: Duration = Duration::from_secs(10);
+
+fn at(seconds: u64) -> Moment {
+    Moment::from_start(Duration::from_secs(seconds))
+}
+
+fn whole(tokens: u64) -> Amount {
+    Amount::from_whole(tokens)
+}
+
+/// One token a second, ten at most.
+const ALLOTMENT: Allotment = Allotment {
+    refill: Amount::ONE,
+    capacity: Amount::from_whole(10),
+};
+
+fn ask(sequence: u64) -> GrantId {
+    GrantId {
+        holder: "host-1".parse().expect("name"),
+        session: 1,
+        sequence,
+    }
+}
+
+fn report(held: u64, returned: u64) -> Report {
+    Report {
+        sequence: 1,
+        held: whole(held),
+        returned: whole(returned),
+    }
+}
+
+/// A bucket that filled up and granted all of it at ten seconds.
+fn granted() -> Bucket {
+    let mut bucket = Bucket::empty(at(0), ALLOTMENT);
+    let (tokens, _) = bucket.grant(at(10), &ask(1), whole(10), Amount::ZERO, TTL);
+    assert_eq!(tokens, whole(10));
+    bucket
+}
+
+#[test]
+fn capacity_is_free_only_from_the_expiry_of_a_grant_on() {
+    let mut bucket = granted();
+    bucket.refill(at(22));
+    assert_eq!(bucket.level(), whole(2));
+}
+
+#[test]
+fn a_repeated_report_returns_tokens_once() {
+    let mut bucket = granted();
+    for _ in 0..3 {
+        bucket.settle(at(10), &ask(1), &report(5, 3));
+    }
+    assert_eq!(bucket.level(), whole(3));
+    assert_eq!(bucket.outstanding(), whole(5));
+}
+
+#[test]
+fn a_report_that_comes_late_returns_nothing() {
+    let mut bucket = granted();
+    bucket.settle(at(10), &ask(1), &report(1, 0));
+    bucket.settle(at(10), &ask(1), &report(4, 3));
+    assert_eq!(bucket.level(), Amount::ZERO);
+    assert_eq!(bucket.outstanding(), whole(1));
+}
+
+#[test]
+fn a_repeated_request_gets_the_grant_it_has() {
+    let mut bucket = granted();
+    bucket.settle(at(10), &ask(1), &report(4, 6));
+    let (tokens, ttl) = bucket.grant(at(12), &ask(1), whole(10), Amount::ZERO, TTL);
+    assert_eq!((tokens, ttl), (whole(4), Duration::from_secs(8)));
+    assert_eq!(bucket.level(), whole(6));
+}
+
+fn view(epoch: u64, lease_until: u64) -> View {
+    let member = Member {
+        host: "host-0".parse().expect("name"),
+        address: "127.0.0.1:1".parse().expect("address"),
+        alive: true,
+        slot: None,
+    };
+    let data_centre = "dc-0".parse().expect("name");
+    View {
+        host: member.host.clone(),
+        data_centre,
+        epoch: Epoch(epoch),
+        members: BTreeMap::from([("dc-0".parse().expect("name"), vec![member])]),
+        lease_until: Some(at(lease_until)),
+        settled_at: at(epoch * 10),
+        floor: None,
+    }
+}
+
+/// Tokens at eight seconds, after a second view came at five.
+fn level_after(second: &View) -> Amount {
+    let allotments = Allotments {
+        main: ALLOTMENT,
+        floor: Allotment::default(),
+    };
+    let mut own = OwnBuckets::new(at(0));
+    own.adopt(at(0), &view(0, 6), true, allotments);
+    own.adopt(at(5), second, true, allotments);
+    own.level(at(8))
+}
+
+#[test]
+fn a_bucket_is_kept_over_one_change_of_the_hosts() {
+    assert_eq!(level_after(&view(1, 20)), whole(8));
+}
+
+#[test]
+fn a_bucket_starts_empty_after_a_missed_change_of_the_hosts() {
+    assert_eq!(level_after(&view(2, 20)), Amount::ZERO);
+}
+
+#[test]
+fn a_lapsed_bucket_cannot_be_used() {
+    assert_eq!(level_after(&view(1, 7)), Amount::ZERO);
+}
