Ask a host again while a request to it is under way

Cause: a host with a request under way was left out of the next one, so a burst at one host was refused while its owner had tokens.

Conclusion: what is left at small bursts comes from floors: the larger the floor share, the more parts of tokens stand at hosts that do not need them.

--- a/src/configs/limit.rs
+++ b/src/configs/limit.rs
@@ -74,7 +74,7 @@
             min_prefetch: 1,
             max_prefetch: 64,
             prefetch_span: Duration::from_millis(50),
-            floor_share: 0.9,
+            floor_share: 0.3,
             floor_slots: 4,
             borrow_timeout: Duration::from_millis(50),
             dry_interval: Duration::from_millis(20),
--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -413,19 +413,19 @@
         }
     }
 
-    /// Estimated tokens of the hosts that can be asked, the most first.
+    /// Estimated tokens of the hosts that can be asked, the most first, without
+    /// those that requests under way will take.
     fn ranked(&self, env: Env<'_>) -> Vec<(Amount, HostId, bool)> {
-        let idle = |candidate: &&Candidate| {
-            let mut pending = self.pending.values();
-            pending.all(|pending| pending.host != candidate.host)
-        };
         let estimate = |candidate: &Candidate| {
             let assumed = candidate.assumed;
             let level = self.estimates.level(env.now, &candidate.host, assumed);
-            (level, candidate.host.clone(), candidate.local_owner)
+            let to_host = |pending: &&Pending| pending.host == candidate.host;
+            let pending = self.pending.values().filter(to_host);
+            let wanted = pending.map(|pending| pending.wanted).sum();
+            let left = level.saturating_sub(wanted);
+            (left, candidate.host.clone(), candidate.local_owner)
         };
-        let idle = self.candidates.iter().filter(idle);
-        let mut ranked: Vec<_> = idle.map(estimate).collect();
+        let mut ranked: Vec<_> = self.candidates.iter().map(estimate).collect();
         ranked.retain(|(level, _, _)| *level > Amount::ZERO);
         ranked.sort_by_key(|(level, _, _)| Reverse(*level));
         ranked
@@ -465,7 +465,12 @@
         self.next_sequence > sent_before
     }
 
+    /// Tokens to hold ahead of demand; none if they would be returned unused.
     fn prefetch_target(&self, env: Env<'_>) -> Amount {
+        let held = self.demand.within(env.now, env.cfg.idle_return);
+        if held < Amount::ONE.half() {
+            return Amount::ZERO;
+        }
         let smallest = Amount::from_whole(u64::from(env.cfg.min_prefetch));
         let largest = Amount::from_whole(u64::from(env.cfg.max_prefetch));
         let demand = self.demand.within(env.now, env.cfg.prefetch_span);
@@ -474,7 +479,7 @@
 
     fn prefetch(&mut self, env: Env<'_>, effects: &mut Vec<Effect>) {
         let target = self.prefetch_target(env);
-        let enough = self.local(env.now) >= target.half();
+        let enough = target == Amount::ZERO || self.local(env.now) >= target.half();
         if enough || !self.pending.is_empty() || env.now < self.dry_until {
             return;
         }
