--- a/src/configs/limit.rs
+++ b/src/configs/limit.rs
@@ -36,10 +36,15 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "prefetch_span_ms")]
     pub prefetch_span: Duration,
-    /// Fraction of each data centre's share that its hosts use without a lease.
+    /// Fraction of each data centre's share that its hosts can use without a
+    /// lease.
     pub floor_share: f64,
     /// Hosts of a data centre that can have a floor at the same time.
     pub floor_slots: u16,
+    /// Time between two questions to a host whether its floor is unused.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "floor_renewal_ms")]
+    pub floor_renewal: Duration,
     /// Longest wait for tokens of another host.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "borrow_timeout_ms")]
@@ -76,6 +81,7 @@
             prefetch_span: Duration::from_millis(50),
             floor_share: 0.3,
             floor_slots: 4,
+            floor_renewal: Duration::from_millis(500),
             borrow_timeout: Duration::from_millis(50),
             dry_interval: Duration::from_millis(20),
             idle_return: Duration::from_millis(100),
@@ -112,6 +118,8 @@
             (1..=1_024).contains(&self.floor_slots),
             "1 to 1024",
         )?;
+        let floor_renewal = (10..=10_000).contains(&ms(self.floor_renewal));
+        check("floor_renewal_ms", floor_renewal, "10 to 10000 ms")?;
         let borrow_timeout = (1..=1_000).contains(&ms(self.borrow_timeout));
         check("borrow_timeout_ms", borrow_timeout, "1 to 1000 ms")?;
         let dry_interval = (1..=1_000).contains(&ms(self.dry_interval));
--- a/src/process/rates/counters.rs
+++ b/src/process/rates/counters.rs
@@ -34,6 +34,8 @@
     pub borrows: Counter,
     /// Requests that only gave tokens back.
     pub returns: Counter,
+    /// Questions to other hosts on the use of their floors.
+    pub floor_questions: Counter,
     /// Requests that got no answer.
     pub unanswered: Counter,
     /// Requests of other hosts that were answered.
--- a/src/process/rates/mod.rs
+++ b/src/process/rates/mod.rs
@@ -23,9 +23,11 @@
 use parking_lot::Mutex;
 
 use crate::configs::limit::LimitConfig;
+use crate::connection::peer::NoParams;
 use crate::connection::peer::PeerError;
 use crate::connection::peer::Peers;
 use crate::ids::CustomerId;
+use crate::ids::HostId;
 use crate::ids::Version;
 use crate::process::timers::Timers;
 use crate::request::limit::Account;
@@ -35,6 +37,9 @@
 use crate::request::limit::Decision;
 use crate::request::limit::Effect;
 use crate::request::limit::Env;
+use crate::request::limit::FloorUnused;
+use crate::request::limit::FloorUse;
+use crate::request::limit::Member;
 use crate::request::limit::Summary;
 use crate::request::limit::Ticket;
 use crate::request::limit::View;
@@ -51,6 +56,9 @@
 /// JSON-RPC method by which a host asks another one for tokens.
 pub const ASK_METHOD: &str = "limit_ask";
 
+/// JSON-RPC method by which a host asks whether another one's floor is unused.
+pub const FLOOR_METHOD: &str = "limit_floor";
+
 /// Shards of the customers' state.
 const SHARDS: usize = 16;
 
@@ -81,8 +89,9 @@
     peers: Q,
     shards: Vec<Mutex<Shard>>,
     spawner: Spawner,
-    /// Held while a view is taken up, so that views keep their order.
-    view_order: Mutex<()>,
+    /// Held while a view is taken up, so that views keep their order and no
+    /// answer on the floor's use runs ahead of the accounts.
+    floor_use: Mutex<FloorUse>,
     /// Read only under a shard's lock, so that no shard goes back to an older view.
     view: ArcSwap<View>,
 }
@@ -108,6 +117,7 @@
     /// Creates a limiter without customers.
     pub fn new(cfg: LimitConfig, view: View, peers: Q, spawner: Spawner) -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
+        let floor_use = Mutex::new(FloorUse::new(Moment::now(), &cfg));
         let inner = Inner {
             cfg,
             counters: Arc::default(),
@@ -115,7 +125,7 @@
             peers,
             shards,
             spawner,
-            view_order: Mutex::default(),
+            floor_use,
             view: ArcSwap::from_pointee(view),
         };
         Self {
@@ -123,14 +133,20 @@
         }
     }
 
-    /// Starts the periodic return of idle tokens.
+    /// Starts the periodic work: return of idle tokens, questions on floors.
     pub async fn start(&self, timers: &Timers) {
-        let period = self.inner.cfg.idle_return / MAINTENANCE_PER_IDLE_RETURN;
+        let maintenance = self.inner.cfg.idle_return / MAINTENANCE_PER_IDLE_RETURN;
+        self.every(maintenance, timers, Self::maintain).await;
+        let renewal = self.inner.cfg.floor_renewal;
+        self.every(renewal, timers, Self::renew_floors).await;
+    }
+
+    async fn every(&self, period: Duration, timers: &Timers, work: fn(&Self)) {
         let ticks = timers.subscribe(period).await;
         let rates = self.clone();
         self.inner.spawner.detach(async move {
             while ticks.recv().await.is_ok() {
-                rates.maintain();
+                work(&rates);
             }
         });
     }
@@ -180,7 +196,18 @@
 
     /// Takes up what membership knows; called for every renewal of a lease.
     pub fn set_view(&self, view: View) {
-        let _order = self.inner.view_order.lock();
+        let mut floor_use = self.inner.floor_use.lock();
+        let unused_floors = self.inner.view.load().unused_floors.clone();
+        let lease_until = view.lease_until;
+        self.take_up(View {
+            unused_floors,
+            ..view
+        });
+        floor_use.renew(Moment::now(), lease_until, &self.inner.cfg);
+    }
+
+    /// Replaces the view while `floor_use` is locked.
+    fn take_up(&self, view: View) {
         let view = Arc::new(view);
         let previous = self.inner.view.swap(Arc::clone(&view));
         let same_hosts = view.same_hosts(&previous);
@@ -196,6 +223,46 @@
         }
     }
 
+    /// Asks the hosts of this data centre whether their floors are unused.
+    pub fn renew_floors(&self) {
+        let now = Moment::now();
+        let view = self.inner.view.load_full();
+        let unused = self.floor_unused();
+        self.floor_answered(now, &view.host, unused);
+        for member in view.live_others(&view.data_centre) {
+            if member.slot.is_some() {
+                self.ask_floor(member.clone());
+            }
+        }
+    }
+
+    /// Time for which this host's floor is unused.
+    pub fn floor_unused(&self) -> FloorUnused {
+        self.inner.floor_use.lock().unused(Moment::now())
+    }
+
+    fn ask_floor(&self, member: Member) {
+        self.inner.counters.floor_questions.add(1);
+        let rates = self.clone();
+        self.inner.spawner.detach(async move {
+            let sent_at = Moment::now();
+            let peers = &rates.inner.peers;
+            let call =
+                peers.call::<NoParams, FloorUnused>(member.address, FLOOR_METHOD, &NoParams {});
+            if let Ok(unused) = call.await {
+                rates.floor_answered(sent_at, &member.host, unused);
+            }
+        });
+    }
+
+    fn floor_answered(&self, sent_at: Moment, host: &HostId, unused: FloorUnused) {
+        let _order = self.inner.floor_use.lock();
+        let mut view = View::clone(&self.inner.view.load());
+        let floors = &mut view.unused_floors;
+        floors.answered(Moment::now(), sent_at, host, unused, &self.inner.cfg);
+        self.take_up(view);
+    }
+
     /// Limits of all customers at this host.
     pub fn rows(&self) -> Vec<Row> {
         let mut rows = Vec::new();
@@ -236,7 +303,7 @@
                 let env = self.env(&view);
                 let mut effects = Vec::new();
                 limit.account.maintain(env, &mut effects);
-                self.count_changes(limit, env.now);
+                self.count_changes(limit, env);
                 self.carry_out(limit, effects);
             }
         }
@@ -320,8 +387,8 @@
         counter.add(1);
     }
 
-    fn count_changes(&self, limit: &mut Limit, now: Moment) {
-        let changes = limit.account.take_changes(now);
+    fn count_changes(&self, limit: &mut Limit, env: Env<'_>) {
+        let changes = limit.account.take_changes(env);
         let counters = &self.inner.counters;
         counters.refilled_micros.add(changes.refilled.micros());
         counters.expired_micros.add(changes.expired.micros());
@@ -356,9 +423,13 @@
     C: Send + Sync + 'static,
     Q: Peers,
 {
+    let asked = rates.clone();
     module.register_method(ASK_METHOD, move |params, _, _| {
         let ask: Ask = params.one()?;
-        Ok::<Answer, ErrorObjectOwned>(rates.answer(&ask))
+        Ok::<Answer, ErrorObjectOwned>(asked.answer(&ask))
+    })?;
+    module.register_method(FLOOR_METHOD, move |_, _, _| {
+        Ok::<FloorUnused, ErrorObjectOwned>(rates.floor_unused())
     })?;
     Ok(())
 }
--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -141,6 +141,8 @@
     terms: Customer,
     allotments: AllotmentLog,
     own: OwnBuckets,
+    /// Next moment at which the allotments change by themselves.
+    floors_unused_until: Option<Moment>,
     purse: Purse,
     demand: Demand,
     candidates: Vec<Candidate>,
@@ -174,6 +176,7 @@
             terms,
             allotments: AllotmentLog::new(allotments),
             own: OwnBuckets::new(env.now + env.cfg.token_ttl),
+            floors_unused_until: None,
             purse: Purse::default(),
             demand: Demand::default(),
             candidates: Vec::new(),
@@ -191,6 +194,7 @@
 
     /// Takes up a newer version of the customer's object; older ones are ignored.
     pub fn set_terms(&mut self, env: Env<'_>, version: Version, terms: Customer) {
+        self.refresh(env);
         if version > self.version {
             self.version = version;
             self.terms = terms;
@@ -200,15 +204,18 @@
 
     /// Takes up a changed view.
     pub fn set_view(&mut self, env: Env<'_>) {
+        self.refresh(env);
         self.divide(env);
         self.renew(env);
     }
 
     /// Takes up a view that differs from the last one only in its leases.
     pub fn renew(&mut self, env: Env<'_>) {
+        self.refresh(env);
         let owns = env.view.owns(&self.customer);
         let allotments = self.allotments.effective(env.now, env.cfg.spread);
         self.own.adopt(env.now, env.view, owns, allotments);
+        self.allot(env.now, env);
     }
 
     fn divide(&mut self, env: Env<'_>) {
@@ -220,12 +227,25 @@
             self.candidates = candidates;
             self.estimates.clear();
         }
-        self.refresh(env);
+        self.allot(env.now, env);
     }
 
+    /// Brings the buckets up to the present, through every moment at which an
+    /// unused floor came into use on the way.
     fn refresh(&mut self, env: Env<'_>) {
-        let allotments = self.allotments.effective(env.now, env.cfg.spread);
-        self.own.set_allotments(env.now, allotments);
+        while let Some(until) = self.floors_unused_until.filter(|until| *until <= env.now) {
+            self.allot(until, env);
+        }
+        self.allot(env.now, env);
+    }
+
+    fn allot(&mut self, at: Moment, env: Env<'_>) {
+        let unused: Vec<_> = env.view.unused_floors_at(at).collect();
+        let until = unused.iter().copied().min();
+        let allotments = self.allotments.effective(at, env.cfg.spread);
+        let allotments = allotments.with_unused(unused.len());
+        self.own.set_allotments(at, allotments, until);
+        self.floors_unused_until = until;
     }
 
     /// Asks for one token for a call.
@@ -265,6 +285,7 @@
         answer: &Answer,
         effects: &mut Vec<Effect>,
     ) {
+        self.refresh(env);
         let Some(pending) = self.take_pending(id) else {
             return;
         };
@@ -282,6 +303,7 @@
 
     /// Gives up on a request that got no answer.
     pub fn unanswered(&mut self, env: Env<'_>, id: &GrantId, effects: &mut Vec<Effect>) {
+        self.refresh(env);
         if let Some(pending) = self.take_pending(id) {
             self.estimates.unreachable(env.now, &pending.host);
             self.serve_waiters(env, effects);
@@ -302,9 +324,10 @@
     }
 
     /// Takes the counts of tokens refilled and lost since the last call.
-    pub fn take_changes(&mut self, now: Moment) -> Changes {
-        self.changes.refilled += self.own.take_refilled(now);
-        self.changes.unreported += self.own.take_expired(now);
+    pub fn take_changes(&mut self, env: Env<'_>) -> Changes {
+        self.refresh(env);
+        self.changes.refilled += self.own.take_refilled(env.now);
+        self.changes.unreported += self.own.take_expired(env.now);
         std::mem::take(&mut self.changes)
     }
 
@@ -315,6 +338,7 @@
 
     /// The account as operators see it.
     pub fn summary(&mut self, env: Env<'_>) -> Summary {
+        self.refresh(env);
         Summary {
             version: self.version,
             rate: self.terms.rate,
--- a/src/request/limit/bucket.rs
+++ b/src/request/limit/bucket.rs
@@ -29,6 +29,16 @@
         }
     }
 
+    /// The allotment `count` times.
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        let times = |amount: Amount| Amount::from_micros(amount.micros().saturating_mul(count));
+        Self {
+            refill: times(self.refill),
+            capacity: times(self.capacity),
+        }
+    }
+
     /// The smaller refill and the smaller capacity of two allotments.
     #[must_use]
     pub fn min(self, other: Self) -> Self {
--- a/src/request/limit/own.rs
+++ b/src/request/limit/own.rs
@@ -25,19 +25,27 @@
 }
 
 impl<K> Leased<K> {
+    /// The bucket, if it can be used.
     fn at(&mut self, now: Moment) -> Option<&mut Bucket> {
         (now < self.until).then_some(&mut self.bucket)
     }
 }
 
 /// The bucket of the data centre, where this host owns it, and its floor.
+///
+/// The floor is refilled only from the end of this host's lease on, and a
+/// renewed lease empties it.
 #[derive(Clone, Debug)]
 pub struct OwnBuckets {
     /// No bucket refills earlier: an earlier process of this host may have
     /// granted tokens that are still valid.
     not_before: Moment,
     main: Option<Leased<Epoch>>,
+    /// Until then the floors that are part of the main bucket are unused.
+    floors_unused_until: Option<Moment>,
     floor: Option<Leased<u16>>,
+    /// End of the last lease; the floor is not used earlier.
+    lease_until: Moment,
 }
 
 impl OwnBuckets {
@@ -46,7 +54,9 @@
         Self {
             not_before,
             main: None,
+            floors_unused_until: None,
             floor: None,
+            lease_until: Moment::default(),
         }
     }
 
@@ -55,11 +65,11 @@
     /// A bucket is kept only if its lease has not lapsed in between and no
     /// epoch was missed; otherwise it starts empty.
     pub fn adopt(&mut self, now: Moment, view: &View, owns: bool, allotments: Allotments) {
+        self.lease_until = self.lease_until.max(view.lease_until.unwrap_or_default());
         let lease = view.lease_until.filter(|until| owns && now < *until);
         self.main = lease.map(|until| self.adopt_main(now, view, until, allotments.main));
         let floor = view.floor.filter(|floor| now < floor.until);
         self.floor = floor.map(|floor| self.adopt_floor(now, floor, allotments.floor));
-        self.set_allotments(now, allotments);
     }
 
     fn adopt_main(
@@ -83,8 +93,9 @@
 
     fn adopt_floor(&mut self, now: Moment, lease: FloorLease, allotment: Allotment) -> Leased<u16> {
         let kept = self.floor.take().filter(|floor| now < floor.until);
-        let kept = kept.filter(|floor| floor.key == lease.slot);
+        let kept = kept.filter(|floor| floor.key == lease.slot && now >= self.lease_until);
         let start = now.max(lease.from).max(self.not_before);
+        let start = start.max(self.lease_until);
         let bucket = kept.map(|floor| floor.bucket);
         Leased {
             key: lease.slot,
@@ -93,8 +104,15 @@
         }
     }
 
-    /// Replaces refills and capacities.
-    pub fn set_allotments(&mut self, now: Moment, allotments: Allotments) {
+    /// Replaces refills and capacities; the main bucket's contains floors that
+    /// are unused until `floors_unused_until`.
+    pub fn set_allotments(
+        &mut self,
+        now: Moment,
+        allotments: Allotments,
+        floors_unused_until: Option<Moment>,
+    ) {
+        self.floors_unused_until = floors_unused_until;
         if let Some(main) = &mut self.main {
             main.bucket.set_allotment(now, allotments.main);
         }
@@ -153,7 +171,12 @@
         };
         let mut need = ask.need;
         let mut extra = ask.extra;
-        let main = self.main.as_mut().map(|main| (main.until, main.at(now)));
+        let unused = self.floors_unused_until;
+        let main = self.main.as_mut();
+        let main = main.map(|main| {
+            let until = unused.unwrap_or(main.until).min(main.until);
+            (until, main.at(now))
+        });
         let floor = self
             .floor
             .as_mut()
--- a/src/request/limit/terms.rs
+++ b/src/request/limit/terms.rs
@@ -51,6 +51,16 @@
         Self { main, floor }
     }
 
+    /// Adds unused floors to the data centre's bucket.
+    #[must_use]
+    pub fn with_unused(self, floors: usize) -> Self {
+        let floors = u64::try_from(floors).unwrap_or_default();
+        Self {
+            main: self.main.plus(self.floor.times(floors)),
+            ..self
+        }
+    }
+
     /// The smaller of two allotments in every part.
     #[must_use]
     pub fn min(self, other: Self) -> Self {
--- a/src/request/limit/view.rs
+++ b/src/request/limit/view.rs
@@ -7,6 +7,7 @@
 use crate::ids::DataCentre;
 use crate::ids::Epoch;
 use crate::ids::HostId;
+use crate::request::limit::floor::UnusedFloors;
 use crate::units::Moment;
 
 /// A host as membership knows it.
@@ -22,13 +23,14 @@
     pub slot: Option<u16>,
 }
 
-/// Permission to use a floor without contact to any other host.
+/// Permission to use a floor without a live lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FloorLease {
     /// Slot; no two hosts of a data centre have the same at the same time.
     pub slot: u16,
     /// First moment of use, after every owner that refilled the slot's part
-    /// itself has heard of the slot or lapsed.
+    /// itself has heard of the slot or lapsed, and after every lease of an
+    /// earlier process of this host has lapsed.
     pub from: Moment,
     /// End of use; the slot is given to another host only later.
     pub until: Moment,
@@ -50,8 +52,11 @@
     pub lease_until: Option<Moment>,
     /// Moment by which every host that acts on an older epoch has lapsed.
     pub settled_at: Moment,
-    /// This host's floor, if it has a slot.
+    /// This host's floor, if it has a slot; used only without a live lease.
     pub floor: Option<FloorLease>,
+    /// Floors of this data centre that are certainly unused. Filled in by the
+    /// limiter's driver; membership leaves it empty.
+    pub unused_floors: UnusedFloors,
 }
 
 impl View {
@@ -80,6 +85,14 @@
         members.filter(|member| member.alive && member.host != self.host)
     }
 
+    /// Ends of the periods, one a floor, in which floors of this data centre
+    /// are unused at a moment.
+    pub fn unused_floors_at(&self, at: Moment) -> impl Iterator<Item = Moment> {
+        let members = self.members.get(&self.data_centre).into_iter().flatten();
+        let slots = members.filter(|member| member.slot.is_some());
+        slots.filter_map(move |member| self.unused_floors.unused_until(&member.host, at))
+    }
+
     /// True if the two views differ only in their leases.
     pub fn same_hosts(&self, other: &Self) -> bool {
         self.epoch == other.epoch && self.members == other.members
--- a/tests/limit/fleet.rs
+++ b/tests/limit/fleet.rs
@@ -22,9 +22,12 @@
 use chicoryarch::request::limit::Effect;
 use chicoryarch::request::limit::Env;
 use chicoryarch::request::limit::FloorLease;
+use chicoryarch::request::limit::FloorUnused;
+use chicoryarch::request::limit::FloorUse;
 use chicoryarch::request::limit::GrantId;
 use chicoryarch::request::limit::Member;
 use chicoryarch::request::limit::Ticket;
+use chicoryarch::request::limit::UnusedFloors;
 use chicoryarch::request::limit::View;
 use chicoryarch::units::Moment;
 use chicoryarch::version::objects::Customer;
@@ -128,6 +131,8 @@
     Call(usize),
     Config(usize, usize),
     Fault(Fault),
+    FloorAnswer(usize, usize, Moment, FloorUnused),
+    FloorQuestion(usize, usize, Moment),
     Maintain(usize),
     Timeout(usize, GrantId),
     View(usize, View),
@@ -148,6 +153,7 @@
     state: State,
     heard: usize,
     epoch_seen: (Epoch, Moment),
+    floor_use: FloorUse,
     deferred: Vec<Event>,
     waiting: HashMap<Ticket, usize>,
 }
@@ -286,6 +292,7 @@
             state: State::Running,
             heard: 0,
             epoch_seen: (Epoch(1), Moment::default()),
+            floor_use: self.floor_use(Moment::default(), Some(Moment::default() + LEASE)),
             deferred: Vec::new(),
             waiting: HashMap::new(),
         });
@@ -294,6 +301,12 @@
         self.at(offset / 5, Event::Maintain(index));
     }
 
+    fn floor_use(&self, now: Moment, lease_until: Option<Moment>) -> FloorUse {
+        let mut floor_use = FloorUse::new(now, &self.plan.cfg);
+        floor_use.renew(now, lease_until, &self.plan.cfg);
+        floor_use
+    }
+
     fn schedule_plan(&mut self) {
         let calls = std::mem::take(&mut self.plan.calls);
         for (index, (at, host)) in calls.into_iter().enumerate() {
@@ -341,6 +354,7 @@
             lease_until,
             settled_at,
             floor,
+            unused_floors: UnusedFloors::default(),
         }
     }
 
@@ -368,6 +382,15 @@
             Event::Call(call) => self.call(call),
             Event::Config(index, version) => self.configure(index, version),
             Event::Fault(fault) => self.fault(fault),
+            Event::FloorAnswer(from, to, sent_at, unused) => {
+                self.floor_answered(from, to, sent_at, unused);
+            }
+            Event::FloorQuestion(from, to, sent_at) => {
+                let node = &self.nodes[to];
+                let unused = node.floor_use.unused(local(self.now, node.drift_ppm));
+                let answer = Event::FloorAnswer(to, from, sent_at, unused);
+                self.transmit(to, from, &answer);
+            }
             Event::Maintain(index) => {
                 self.step(index, |account, env, fx| account.maintain(env, fx));
                 let period = self.plan.cfg.idle_return.as_nanos() as u64 / 2;
@@ -594,7 +617,7 @@
                 view: &node.view,
             };
             exist += node.account.summary(env).tokens;
-            refilled += node.account.take_changes(env.now).refilled.tokens();
+            refilled += node.account.take_changes(env).refilled.tokens();
         }
         (refilled, exist)
     }
@@ -613,6 +636,7 @@
     fn beat(&mut self, index: usize) {
         self.at(self.now + BEAT, Event::Beat(index));
         let centre = self.nodes[index].centre;
+        self.renew_floors(index);
         self.detect();
         let registry = &mut self.registries[centre];
         if registry.cut {
@@ -635,6 +659,28 @@
         }
     }
 
+    fn renew_floors(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let now = local(self.now, node.drift_ppm);
+        let unused = node.floor_use.unused(now);
+        let centre = node.centre;
+        self.floor_answered(index, index, now, unused);
+        for to in centre * self.plan.hosts..(centre + 1) * self.plan.hosts {
+            if to != index {
+                self.transmit(index, to, &Event::FloorQuestion(index, to, now));
+            }
+        }
+    }
+
+    fn floor_answered(&mut self, from: usize, to: usize, sent_at: Moment, unused: FloorUnused) {
+        let host = self.nodes[from].view.host.clone();
+        let node = &mut self.nodes[to];
+        let now = local(self.now, node.drift_ppm);
+        let floors = &mut node.view.unused_floors;
+        floors.answered(now, sent_at, &host, unused, &self.plan.cfg);
+        self.step(to, |account, env, _| account.renew(env));
+    }
+
     /// Removes hosts that have not been heard of for the time of a lease.
     fn detect(&mut self) {
         for registry in &mut self.registries {
@@ -654,8 +700,12 @@
             node.epoch_seen = (view.epoch, now + LAPSE);
         }
         view.settled_at = node.epoch_seen.1;
+        view.unused_floors = std::mem::take(&mut node.view.unused_floors);
         node.view = view;
         self.step(index, |account, env, _| account.set_view(env));
+        let node = &mut self.nodes[index];
+        let lease_until = node.view.lease_until;
+        node.floor_use.renew(now, lease_until, &self.plan.cfg);
     }
 
     fn configure(&mut self, index: usize, version: usize) {
@@ -696,7 +746,7 @@
         let mut view = self.view(index, None, now + LAPSE);
         view.floor = Some(FloorLease {
             slot: (index % self.plan.hosts) as u16,
-            from: now,
+            from: now + LAPSE,
             until: now + FLOOR_LEASE,
         });
         let env = Env {
@@ -708,7 +758,9 @@
         let terms = self.versions[latest].1.clone();
         let session = self.rng.random();
         let account = Account::new(env, customer, session, Version(latest as u64 + 1), terms);
+        let floor_use = self.floor_use(now, None);
         let node = &mut self.nodes[index];
+        node.floor_use = floor_use;
         node.account = account;
         node.view = view;
         node.state = State::Running;
@@ -744,6 +796,7 @@
 fn target(event: &Event) -> Option<usize> {
     match event {
         Event::Answer(_, to, ..) | Event::Ask(_, to, _) => Some(*to),
+        Event::FloorAnswer(_, to, ..) | Event::FloorQuestion(_, to, _) => Some(*to),
         Event::Beat(index) | Event::Maintain(index) => Some(*index),
         Event::Config(index, _) | Event::Timeout(index, _) | Event::View(index, _) => Some(*index),
         Event::Call(_) | Event::Fault(_) => None,
--- a/tests/limit_bucket.rs
+++ b/tests/limit_bucket.rs
@@ -7,6 +7,7 @@
 use chicoryarch::request::limit::Amount;
 use chicoryarch::request::limit::GrantId;
 use chicoryarch::request::limit::Member;
+use chicoryarch::request::limit::UnusedFloors;
 use chicoryarch::request::limit::View;
 use chicoryarch::request::limit::bucket::Allotment;
 use chicoryarch::request::limit::bucket::Bucket;
@@ -106,6 +107,7 @@
         lease_until: Some(at(lease_until)),
         settled_at: at(epoch * 10),
         floor: None,
+        unused_floors: UnusedFloors::default(),
     }
 }
 
--- a/tests/limit_driver.rs
+++ b/tests/limit_driver.rs
@@ -27,6 +27,7 @@
 use chicoryarch::process::rates::Rates;
 use chicoryarch::process::rates::register;
 use chicoryarch::request::limit::Member;
+use chicoryarch::request::limit::UnusedFloors;
 use chicoryarch::request::limit::View;
 use chicoryarch::request::outcome::Ran;
 use chicoryarch::request::outcome::Reason;
@@ -87,6 +88,7 @@
         lease_until: Some(Moment::now() + HANG),
         settled_at: Moment::now(),
         floor: None,
+        unused_floors: UnusedFloors::default(),
     }
 }
 
