--- a/src/process/rates/counters.rs
+++ b/src/process/rates/counters.rs
@@ -34,12 +34,16 @@
     pub borrows: Counter,
     /// Requests that only gave tokens back.
     pub returns: Counter,
+    /// Questions to other hosts on the use of their floors.
+    pub floor_questions: Counter,
     /// Requests that got no answer.
     pub unanswered: Counter,
     /// Requests of other hosts that were answered.
     pub answered: Counter,
     /// Millionths of tokens granted to other hosts.
     pub granted_micros: Counter,
+    /// Millionths of tokens refilled in this host's buckets.
+    pub refilled_micros: Counter,
     /// Millionths of granted tokens that expired here unspent.
     pub expired_micros: Counter,
     /// Millionths of tokens granted to others that no report accounted for.
--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -1,5 +1,6 @@
 //! Limit of one customer at one host: admits, refuses, asks and grants.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -88,9 +89,11 @@
     },
 }
 
-/// Tokens lost since the last look.
+/// Tokens refilled and lost since the last look.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Lost {
+pub struct Changes {
+    /// Tokens refilled in this host's own buckets.
+    pub refilled: Amount,
     /// Held tokens that expired unspent.
     pub expired: Amount,
     /// Granted tokens that no report accounted for.
@@ -138,6 +141,8 @@
     terms: Customer,
     allotments: AllotmentLog,
     own: OwnBuckets,
+    /// Next moment at which the allotments change by themselves.
+    floors_unused_until: Option<Moment>,
     purse: Purse,
     demand: Demand,
     candidates: Vec<Candidate>,
@@ -147,7 +152,7 @@
     waiters: VecDeque<Waiter>,
     next_ticket: u64,
     dry_until: Moment,
-    lost: Lost,
+    changes: Changes,
 }
 
 impl Account {
@@ -171,6 +176,7 @@
             terms,
             allotments: AllotmentLog::new(allotments),
             own: OwnBuckets::new(env.now + env.cfg.token_ttl),
+            floors_unused_until: None,
             purse: Purse::default(),
             demand: Demand::default(),
             candidates: Vec::new(),
@@ -180,7 +186,7 @@
             waiters: VecDeque::new(),
             next_ticket: 0,
             dry_until: Moment::default(),
-            lost: Lost::default(),
+            changes: Changes::default(),
         };
         account.set_view(env);
         account
@@ -188,6 +194,7 @@
 
     /// Takes up a newer version of the customer's object; older ones are ignored.
     pub fn set_terms(&mut self, env: Env<'_>, version: Version, terms: Customer) {
+        self.refresh(env);
         if version > self.version {
             self.version = version;
             self.terms = terms;
@@ -197,15 +204,18 @@
 
     /// Takes up a changed view.
     pub fn set_view(&mut self, env: Env<'_>) {
+        self.refresh(env);
         self.divide(env);
         self.renew(env);
     }
 
     /// Takes up a view that differs from the last one only in its leases.
     pub fn renew(&mut self, env: Env<'_>) {
+        self.refresh(env);
         let owns = env.view.owns(&self.customer);
         let allotments = self.allotments.effective(env.now, env.cfg.spread);
         self.own.adopt(env.now, env.view, owns, allotments);
+        self.allot(env.now, env);
     }
 
     fn divide(&mut self, env: Env<'_>) {
@@ -217,12 +227,25 @@
             self.candidates = candidates;
             self.estimates.clear();
         }
-        self.refresh(env);
+        self.allot(env.now, env);
     }
 
+    /// Brings the buckets up to the present, through every moment at which an
+    /// unused floor came into use on the way.
     fn refresh(&mut self, env: Env<'_>) {
-        let allotments = self.allotments.effective(env.now, env.cfg.spread);
-        self.own.set_allotments(env.now, allotments);
+        while let Some(until) = self.floors_unused_until.filter(|until| *until <= env.now) {
+            self.allot(until, env);
+        }
+        self.allot(env.now, env);
+    }
+
+    fn allot(&mut self, at: Moment, env: Env<'_>) {
+        let unused: Vec<_> = env.view.unused_floors_at(at).collect();
+        let until = unused.iter().copied().min();
+        let allotments = self.allotments.effective(at, env.cfg.spread);
+        let allotments = allotments.with_unused(unused.len());
+        self.own.set_allotments(at, allotments, until);
+        self.floors_unused_until = until;
     }
 
     /// Asks for one token for a call.
@@ -262,6 +285,7 @@
         answer: &Answer,
         effects: &mut Vec<Effect>,
     ) {
+        self.refresh(env);
         let Some(pending) = self.take_pending(id) else {
             return;
         };
@@ -272,13 +296,14 @@
             self.purse
                 .add(env.now, giver, id.sequence, answer.granted, expires);
         } else {
-            self.lost.expired += answer.granted;
+            self.changes.expired += answer.granted;
         }
         self.serve_waiters(env, effects);
     }
 
     /// Gives up on a request that got no answer.
     pub fn unanswered(&mut self, env: Env<'_>, id: &GrantId, effects: &mut Vec<Effect>) {
+        self.refresh(env);
         if let Some(pending) = self.take_pending(id) {
             self.estimates.unreachable(env.now, &pending.host);
             self.serve_waiters(env, effects);
@@ -288,7 +313,7 @@
     /// Drops expired tokens and returns idle ones; called once in a while.
     pub fn maintain(&mut self, env: Env<'_>, effects: &mut Vec<Effect>) {
         self.refresh(env);
-        self.lost.expired += self.purse.expire(env.now);
+        self.changes.expired += self.purse.expire(env.now);
         let mut returned: BTreeMap<HostId, Vec<Report>> = BTreeMap::new();
         for (giver, report) in self.purse.return_idle(env.now, env.cfg.idle_return) {
             returned.entry(giver).or_default().push(report);
@@ -298,14 +323,22 @@
         }
     }
 
-    /// Takes the counts of tokens lost since the last call.
-    pub fn take_lost(&mut self, now: Moment) -> Lost {
-        self.lost.unreported += self.own.take_expired(now);
-        std::mem::take(&mut self.lost)
+    /// Takes the counts of tokens refilled and lost since the last call.
+    pub fn take_changes(&mut self, env: Env<'_>) -> Changes {
+        self.refresh(env);
+        self.changes.refilled += self.own.take_refilled(env.now);
+        self.changes.unreported += self.own.take_expired(env.now);
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Tokens held here that a host granted.
+    pub fn held_from(&self, now: Moment, giver: &HostId) -> Amount {
+        self.purse.level_from(now, giver)
     }
 
     /// The account as operators see it.
     pub fn summary(&mut self, env: Env<'_>) -> Summary {
+        self.refresh(env);
         Summary {
             version: self.version,
             rate: self.terms.rate,
@@ -404,21 +437,21 @@
         }
     }
 
-    /// Estimated tokens of the hosts that can be asked, the most first.
+    /// Estimated tokens of the hosts that can be asked, the most first, without
+    /// those that requests under way will take.
     fn ranked(&self, env: Env<'_>) -> Vec<(Amount, HostId, bool)> {
-        let idle = |candidate: &&Candidate| {
-            let mut pending = self.pending.values();
-            pending.all(|pending| pending.host != candidate.host)
-        };
         let estimate = |candidate: &Candidate| {
             let assumed = candidate.assumed;
             let level = self.estimates.level(env.now, &candidate.host, assumed);
-            (level, candidate.host.clone(), candidate.local_owner)
+            let to_host = |pending: &&Pending| pending.host == candidate.host;
+            let pending = self.pending.values().filter(to_host);
+            let wanted = pending.map(|pending| pending.wanted).sum();
+            let left = level.saturating_sub(wanted);
+            (left, candidate.host.clone(), candidate.local_owner)
         };
-        let idle = self.candidates.iter().filter(idle);
-        let mut ranked: Vec<_> = idle.map(estimate).collect();
+        let mut ranked: Vec<_> = self.candidates.iter().map(estimate).collect();
         ranked.retain(|(level, _, _)| *level > Amount::ZERO);
-        ranked.sort_by_key(|(level, _, _)| std::cmp::Reverse(*level));
+        ranked.sort_by_key(|(level, _, _)| Reverse(*level));
         ranked
     }
 
@@ -456,7 +489,12 @@
         self.next_sequence > sent_before
     }
 
+    /// Tokens to hold ahead of demand; none if they would be returned unused.
     fn prefetch_target(&self, env: Env<'_>) -> Amount {
+        let held = self.demand.within(env.now, env.cfg.idle_return);
+        if held < Amount::ONE.half() {
+            return Amount::ZERO;
+        }
         let smallest = Amount::from_whole(u64::from(env.cfg.min_prefetch));
         let largest = Amount::from_whole(u64::from(env.cfg.max_prefetch));
         let demand = self.demand.within(env.now, env.cfg.prefetch_span);
@@ -465,15 +503,12 @@
 
     fn prefetch(&mut self, env: Env<'_>, effects: &mut Vec<Effect>) {
         let target = self.prefetch_target(env);
-        let enough = self.local(env.now) >= target.half();
+        let enough = target == Amount::ZERO || self.local(env.now) >= target.half();
         if enough || !self.pending.is_empty() || env.now < self.dry_until {
             return;
         }
         let ranked = self.ranked(env);
-        let local = ranked
-            .iter()
-            .find(|(level, _, local)| *local && *level >= target);
-        let Some((level, host, _)) = local.or(ranked.first()) else {
+        let Some((level, host, _)) = ranked.first() else {
             return;
         };
         if *level >= Amount::ONE.half() {
@@ -518,23 +553,23 @@
         effects.push(Effect::Send { host, address, ask });
     }
 
-    /// Time until the tokens here and at the other hosts add up to one.
+    /// Time until one more token is refilled, here and at the hosts that one
+    /// round of requests reaches.
     ///
-    /// Tokens elsewhere count only if an answer has just reported them: with
-    /// several hosts short of tokens, older ones have been taken since.
+    /// Parts of a token that exist now do not count: with several hosts short
+    /// of tokens they are gone before a caller comes back.
     fn retry_after(&mut self, env: Env<'_>) -> Duration {
-        let now = env.now;
-        let mut level = self.local(now);
-        let mut refill = self.own.refill(now);
-        for Candidate { host, assumed, .. } in &self.candidates {
-            let recent = env.cfg.dry_interval;
-            level += self.estimates.recent_level(now, host, recent);
-            refill += self.estimates.refill(host, *assumed);
-        }
-        let missing = Amount::ONE.saturating_sub(level);
-        let seconds = missing.tokens() / refill.tokens().max(f64::MIN_POSITIVE);
+        let refill = |candidate: &Candidate| {
+            let Candidate { host, assumed, .. } = candidate;
+            self.estimates.refill(host, *assumed)
+        };
+        let mut refills: Vec<_> = self.candidates.iter().map(refill).collect();
+        refills.sort_by_key(|refill| Reverse(*refill));
+        let reached: Amount = refills.into_iter().take(env.cfg.fanout).sum();
+        let refill = reached + self.own.refill(env.now);
+        let seconds = 1.0 / refill.tokens().max(f64::MIN_POSITIVE);
         let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER);
-        let dry = now.until(self.dry_until);
+        let dry = env.now.until(self.dry_until);
         wait.max(dry).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 }
