--- a/src/process/limit_view.rs
+++ b/src/process/limit_view.rs
@@ -14,6 +14,7 @@
 use crate::ids::Epoch;
 use crate::request::limit::FloorLease;
 use crate::request::limit::Member;
+use crate::request::limit::UnusedFloors;
 use crate::request::limit::View;
 use crate::units::Moment;
 use crate::version::table::Table;
@@ -71,6 +72,7 @@
             lease_until: standing.lease_until,
             settled_at: self.settled_at,
             floor: self.floor(cfg, standing, home),
+            unused_floors: UnusedFloors::default(),
         }
     }
 
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -58,6 +58,7 @@
 use crate::operator::Operator;
 use crate::operator::OperatorSecrets;
 use crate::operator::credentials::CredentialsError;
+use crate::request::limit::UnusedFloors;
 use crate::request::limit::View;
 use crate::request::programs;
 use crate::request::retry::RetryBudget;
@@ -301,6 +302,7 @@
         lease_until: None,
         settled_at: Moment::now(),
         floor: None,
+        unused_floors: UnusedFloors::default(),
     }
 }
 
