Split the distribution driver, and read a host's standing before its answer

A host that became current between reading what a peer lacks and reading its own standing would have vouched for a bundle that is behind: the standing is read first. Found by reading; the randomised run takes both at one moment and cannot show it. A key's hash no longer appears in debug output or in a report on an unreadable key set.

--- /dev/null
+++ b/src/process/distribution/exchange.rs
@@ -0,0 +1,203 @@
+//! Calls to other hosts: handing over, comparing and pulling.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::Distribution;
+use super::HostAddress;
+use super::Hosts;
+use super::driver::count;
+use super::rpc::DIGEST;
+use super::rpc::DigestAnswer;
+use super::rpc::PULL;
+use super::rpc::PUSH;
+use super::rpc::Pull;
+use super::rpc::PullAnswer;
+use super::rpc::PushAnswer;
+use crate::connection::peer;
+use crate::connection::peer::NoParams;
+use crate::connection::peer::Peers;
+use crate::connection::platform::Platform;
+use crate::ids::Version;
+use crate::units::Moment;
+use crate::version::catalogue::Bundle;
+use crate::version::catalogue::Catalogue;
+use crate::version::catalogue::Digest;
+use crate::version::catalogue::ObjectId;
+
+/// What a fan-out reached.
+#[derive(Debug, Default)]
+pub struct Reach {
+    /// Hosts that answered, with the versions that they apply.
+    pub reached: Vec<(HostAddress, Vec<Option<Version>>)>,
+    /// Hosts that did not answer.
+    pub missed: Vec<HostAddress>,
+}
+
+impl<P: Platform, Q: Peers, H: Hosts> Distribution<P, Q, H> {
+    /// What this host answers to a digest call.
+    pub fn digest_answer(&self, now: Moment) -> DigestAnswer {
+        // Read first: what is current now holds for any later digest.
+        let standing = self.standing();
+        DigestAnswer {
+            summary: self.configuration.digest().summary(),
+            age: self.contact.age(now),
+            standing,
+        }
+    }
+
+    /// What this host answers to the holder of another digest.
+    pub fn pull_answer(&self, digest: &Digest) -> PullAnswer {
+        // Read first: what is current now holds for any later bundle.
+        let standing = self.standing();
+        let lacking = |catalogue: &Catalogue| catalogue.difference(digest);
+        PullAnswer {
+            bundle: self.configuration.read(lacking),
+            standing,
+        }
+    }
+
+    /// Applies what another host hands over and saves before the answer, so
+    /// that what this host confirms outlasts its crash.
+    pub async fn receive(&self, bundle: Bundle) -> PushAnswer {
+        let ids: Vec<ObjectId> = bundle.items.iter().map(|item| item.id.clone()).collect();
+        self.configuration.apply(bundle);
+        // Also if another call applied it: that one may not have saved yet.
+        if !self.save().await {
+            return PushAnswer {
+                versions: vec![None; ids.len()],
+            };
+        }
+        let versions = ids
+            .iter()
+            .map(|id| self.configuration.applied_version(id))
+            .collect();
+        PushAnswer { versions }
+    }
+
+    /// Hands a bundle to hosts and waits for all answers.
+    pub async fn spread(&self, bundle: &Bundle, hosts: Vec<HostAddress>) -> Reach {
+        let bundle = Arc::new(bundle.clone());
+        let answers = self.ask_all(hosts, move |this, host| {
+            let bundle = Arc::clone(&bundle);
+            async move { this.push(&host, &bundle).await }
+        });
+        let mut reach = Reach::default();
+        for (host, answer) in answers.await {
+            match answer {
+                Ok(answer) => reach.reached.push((host, answer.versions)),
+                Err(_) => reach.missed.push(host),
+            }
+        }
+        reach
+    }
+
+    /// Compares with one host and takes what it has newer.
+    pub(super) async fn exchange_with(&self, host: &HostAddress) -> peer::Result<()> {
+        count(&self.counters.exchanges);
+        let term = self.hosts.term();
+        let answer: DigestAnswer = self.ask(host, DIGEST, &NoParams {}).await?;
+        self.note_contact(host, answer.age);
+        let digest = self.configuration.digest();
+        if digest.summary() == answer.summary {
+            self.gain(answer.standing, term);
+            return Ok(());
+        }
+        count(&self.counters.pulls);
+        let pulled: PullAnswer = self.ask(host, PULL, &Pull { digest }).await?;
+        self.apply_durably(pulled.bundle).await;
+        self.gain(pulled.standing, term);
+        Ok(())
+    }
+
+    /// Compares with every live host.
+    ///
+    /// The first that answers is asked alone, so that an empty host does not
+    /// pull everything from each of them.
+    pub(super) async fn exchange_with_all(&self) {
+        let mut hosts = self.hosts.others();
+        hosts.shuffle(&mut rand::rng());
+        while let Some(host) = hosts.pop() {
+            if self.exchange_with(&host).await.is_ok() {
+                break;
+            }
+        }
+        self.ask_all(hosts, |this, host| async move {
+            this.exchange_with(&host).await
+        })
+        .await;
+    }
+
+    /// Runs a call to each host at once, within the limit of the fan-out.
+    pub(crate) async fn ask_all<R, F, A>(
+        &self,
+        hosts: Vec<HostAddress>,
+        ask: F,
+    ) -> Vec<(HostAddress, R)>
+    where
+        R: Send + 'static,
+        F: Fn(Self, HostAddress) -> A,
+        A: Future<Output = R> + Send + 'static,
+    {
+        let start = |host: HostAddress| {
+            let answer = ask(self.clone(), host.clone());
+            let limit = Arc::clone(&self.fan_out);
+            let task = self.spawner.spawn(async move {
+                let _permit = limit.acquire_arc().await;
+                answer.await
+            });
+            (host, task)
+        };
+        let tasks: Vec<_> = hosts.into_iter().map(start).collect();
+        let mut answers = Vec::with_capacity(tasks.len());
+        for (host, task) in tasks {
+            answers.push((host, task.await));
+        }
+        answers
+    }
+
+    /// Hands a bundle to all live hosts without waiting for them.
+    pub(super) fn spread_later(&self, bundle: Bundle) {
+        let this = self.clone();
+        self.spawner.detach(async move {
+            let hosts = this.hosts.others();
+            this.spread(&bundle, hosts).await;
+        });
+    }
+
+    async fn push(&self, host: &HostAddress, bundle: &Bundle) -> peer::Result<PushAnswer> {
+        count(&self.counters.pushes);
+        self.ask(host, PUSH, bundle).await
+    }
+
+    /// Calls a method of one host.
+    pub(crate) async fn ask<A, R>(
+        &self,
+        host: &HostAddress,
+        method: &'static str,
+        params: &A,
+    ) -> peer::Result<R>
+    where
+        A: Serialize + Sync,
+        R: DeserializeOwned + Send,
+    {
+        let answer = self.peers.call(host.address, method, params).await;
+        if answer.is_err() {
+            count(&self.counters.peer_failures);
+        }
+        answer
+    }
+
+    fn note_contact(&self, host: &HostAddress, age: Duration) {
+        let now = Moment::now();
+        if host.data_centre == self.hosts.own().data_centre {
+            self.contact.relayed(now, age);
+        } else {
+            self.contact.direct(now);
+        }
+    }
+}
--- a/src/process/distribution/mod.rs
+++ b/src/process/distribution/mod.rs
@@ -8,9 +8,11 @@
 pub mod boot;
 pub mod contact;
 pub mod driver;
+pub mod exchange;
 pub mod file;
 pub mod hosts;
 pub mod in_force;
+pub mod platform;
 pub mod proposal;
 pub mod rpc;
 pub mod saver;
--- /dev/null
+++ b/src/process/distribution/platform.rs
@@ -0,0 +1,131 @@
+//! Reads and writes of configuration at the platform.
+
+use std::sync::atomic::Ordering;
+
+use serde::de::DeserializeOwned;
+
+use super::Distribution;
+use super::Hosts;
+use super::driver::count;
+use super::proposal::Base;
+use super::proposal::Proposal;
+use super::proposal::base_of;
+use super::proposal::item_of;
+use super::standing::Standing;
+use super::submit::Submitted;
+use super::submit::submit;
+use crate::connection::peer::Peers;
+use crate::connection::platform;
+use crate::connection::platform::Object;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::units::Moment;
+use crate::version::catalogue::Bundle;
+use crate::version::catalogue::Item;
+use crate::version::catalogue::ObjectId;
+use crate::version::objects::Kind;
+
+impl<P: Platform, Q: Peers, H: Hosts> Distribution<P, Q, H> {
+    /// Reads an object as the base of a change.
+    ///
+    /// # Errors
+    ///
+    /// What the platform reports; an unreadable object is not overwritten.
+    pub async fn read_base<T: DeserializeOwned>(&self, id: &ObjectId) -> platform::Result<Base<T>> {
+        let found = self.platform.read(id.kind.as_str(), &id.name).await;
+        let found = self.note(found)?;
+        if let Some(object) = &found {
+            self.configuration
+                .apply(bundle_of(id.kind, std::slice::from_ref(object)));
+        }
+        base_of(found.as_ref()).map_err(|e| PlatformError::Malformed {
+            kind: id.kind.as_str().to_owned(),
+            name: id.name.clone(),
+            // The parser's words may quote a hash.
+            detail: match id.kind {
+                Kind::Keys => "not a valid key set".to_owned(),
+                _ => e.to_string(),
+            },
+        })
+    }
+
+    /// Writes a change, applies it here and hands it to the other hosts.
+    pub async fn commit(&self, proposal: &Proposal) -> Submitted {
+        let submitted = self.write(proposal).await;
+        if let Submitted::Accepted(item) = &submitted {
+            let id = &item.id;
+            let bundle = self
+                .configuration
+                .read(|catalogue| catalogue.with_references(id));
+            self.spread_later(bundle);
+        }
+        submitted
+    }
+
+    /// Writes a change and applies it here.
+    pub(super) async fn write(&self, proposal: &Proposal) -> Submitted {
+        let submitted = submit(&self.platform, proposal).await;
+        if let Submitted::Accepted(item) = &submitted {
+            self.configuration.apply(Bundle {
+                items: vec![item.clone()],
+                tombstones: Vec::new(),
+            });
+        }
+        submitted
+    }
+
+    /// Lists every kind at the platform.
+    pub(super) async fn list_all(&self) {
+        let term = self.hosts.term();
+        let mut complete = true;
+        for kind in Kind::ALL {
+            complete &= self.list(kind).await.is_ok();
+        }
+        if complete {
+            self.gain(Standing::Current, term);
+        }
+    }
+
+    async fn list(&self, kind: Kind) -> platform::Result<()> {
+        count(&self.counters.lists);
+        let listed = self.platform.list(kind.as_str(), "").await;
+        let changes = self.note(listed)?;
+        self.apply_durably(bundle_of(kind, &changes.objects)).await;
+        Ok(())
+    }
+
+    /// Notes whether the platform answered.
+    pub(super) fn note<T>(&self, result: platform::Result<T>) -> platform::Result<T> {
+        let out = matches!(
+            result,
+            Err(PlatformError::Unavailable(_) | PlatformError::UnknownOutcome)
+        );
+        if out {
+            count(&self.counters.platform_failures);
+        } else {
+            self.contact.direct(Moment::now());
+        }
+        if self.platform_out.swap(out, Ordering::Relaxed) != out {
+            let state = if out { "unavailable" } else { "available" };
+            log::warn!("platform {state} for configuration");
+        }
+        result
+    }
+}
+
+/// Objects of one kind from the platform as a bundle.
+pub fn bundle_of(kind: Kind, objects: &[Object]) -> Bundle {
+    let item = |object: &Object| {
+        let id = ObjectId::new(kind, object.name.clone());
+        // What is no envelope becomes a record that the catalogue refuses.
+        item_of(&id, object).unwrap_or(Item {
+            id,
+            version: object.version,
+            record: serde_json::Value::Null,
+        })
+    };
+    Bundle {
+        items: objects.iter().map(item).collect(),
+        tombstones: Vec::new(),
+    }
+}
--- a/src/version/objects.rs
+++ b/src/version/objects.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -92,7 +93,7 @@
 
 /// One caller's key: the SHA-256 of its secret and whether it is withdrawn.
 #[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// SHA-256 of the secret.
@@ -103,6 +104,15 @@
     pub withdrawn: bool,
 }
 
+impl fmt::Debug for Key {
+    /// Leaves the hash out of logs and panics.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Key")
+            .field("withdrawn", &self.withdrawn)
+            .finish_non_exhaustive()
+    }
+}
+
 /// The keys of one customer; the object's name is the customer's.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
