Keep conversations for programs that ask for it

A held program's caller sends new messages only; the owner assembles the whole conversation before the dispatch, charges it, and records the turn before the end of the answer is sent. Four tests on separate processes: whole conversations over two hosts, a killed owner, a platform outage (the answer says that its turn is pending), and a lost turn, refused before anything runs. Also: a host whose lease had lapsed collects the configuration again, and one cut off beyond its limit accepts no keys.

--- a/src/connection/forward.rs
+++ b/src/connection/forward.rs
@@ -93,6 +93,9 @@
     if let Some(ordinal) = call.ordinal {
         fields.insert(headers::CALL, headers::value(ordinal));
     }
+    if let Some(after) = call.after {
+        fields.insert(headers::AFTER, headers::value(after));
+    }
     if let Some(key) = &call.idempotency_key {
         fields.insert(headers::IDEMPOTENCY_KEY, headers::value(key));
     }
--- a/src/connection/headers.rs
+++ b/src/connection/headers.rs
@@ -13,11 +13,14 @@
 use crate::request::outcome::Reason;
 use crate::request::outcome::Refusal;
 use crate::request::outcome::Result;
+use crate::version::history::Tip;
 
 /// Program that a call belongs to.
 pub const PROGRAM: HeaderName = HeaderName::from_static("chicoryarch-program");
 /// Position of a call within its program.
 pub const CALL: HeaderName = HeaderName::from_static("chicoryarch-call");
+/// Last turn of a held conversation whose answer the caller has.
+pub const AFTER: HeaderName = HeaderName::from_static("chicoryarch-after");
 /// Name of a call that may not be repeated.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Whether a refused call can have run: `not-run` or `unknown`.
@@ -70,6 +73,8 @@
     pub program: Option<ProgramId>,
     /// Position within the program.
     pub ordinal: Option<Ordinal>,
+    /// Last turn of a held conversation whose answer the caller has.
+    pub after: Option<Tip>,
     /// Name of a call that may not be repeated.
     pub idempotency_key: Option<IdempotencyKey>,
 }
@@ -88,6 +93,7 @@
         Ok(Self {
             program: read_one(headers, &PROGRAM)?,
             ordinal,
+            after: read_one(headers, &AFTER)?,
             idempotency_key: read_one(headers, &IDEMPOTENCY_KEY)?,
         })
     }
--- a/src/connection/peer_port.rs
+++ b/src/connection/peer_port.rs
@@ -104,6 +104,7 @@
         path,
         program: fields.program,
         ordinal: fields.ordinal,
+        after: fields.after,
         idempotency_key: fields.idempotency_key,
         deadline: received + forward::read_remaining(&head.headers)?,
         headers: headers::passed_on(&head.headers),
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -6,9 +6,12 @@
 use chicoryarch_net::Spawner;
 use parking_lot::Mutex;
 
+use super::distribution::Distribution;
 use super::drain::Readiness;
 use super::journals::Journals;
+use super::journals::history::History;
 use super::layout::SharedLayout;
+use super::links::KnownHosts;
 use super::membership::Membership;
 use super::metrics::Metrics;
 use super::placing::Placing;
@@ -33,6 +36,10 @@
     pub client: Client,
     /// Customers, keys, services and endpoints in force here.
     pub configuration: Configuration,
+    /// Spread of the configuration.
+    pub distribution: Distribution<P, HttpPeers, KnownHosts>,
+    /// Conversations that this host keeps for its programs.
+    pub history: History<P>,
     /// Journals of the partitions that this host owns.
     pub journals: Journals<P>,
     /// Where idempotency keys without a program are kept.
--- a/src/process/journals/history.rs
+++ b/src/process/journals/history.rs
@@ -240,6 +240,13 @@
         (conversation.handle() == handle).then(|| conversation.tip())
     }
 
+    /// Upper bound of what the messages in memory add to a request, in bytes.
+    pub fn encoded_bytes(&self, program: &ProgramId) -> usize {
+        let shard = self.shard(program).lock();
+        let cached = shard.get(program);
+        cached.map_or(0, |cached| cached.conversation.encoded_bytes())
+    }
+
     /// Writes the waiting turns of one program, oldest first.
     async fn flush_program(&self, program: &ProgramId) -> Appended {
         while let Some(segment) = self.next_pending(program) {
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -25,12 +25,15 @@
 use super::distribution;
 use super::distribution::Distribution;
 use super::distribution::HostAddress;
+use super::distribution::Hosts;
 use super::distribution::Standing;
+use super::distribution::standing::Term;
 use super::drain;
 use super::drain::Drained;
 use super::drain::Ports;
 use super::drain::Readiness;
 use super::journals::Journals;
+use super::journals::history::History;
 use super::layout::Layout;
 use super::layout::SharedLayout;
 use super::limit_view;
@@ -245,6 +248,8 @@
     let cx = Arc::new(Context {
         client,
         configuration,
+        distribution: distribution.clone(),
+        history: History::new(platform.clone(), cfg.history.clone()),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
@@ -258,7 +263,7 @@
         spawner,
         cfg,
     });
-    let counters = Arc::clone(distribution.counters());
+    let counters = Arc::clone(cx.distribution.counters());
     cx.metrics
         .register(PartCounters::new(Cx::clone(&cx), counters));
     let operator = Operator::new(
@@ -266,7 +271,7 @@
         distribution.clone(),
         Backend(Cx::clone(&cx)),
     );
-    let module = module(&cx, &distribution, &operator).expect("method names are distinct");
+    let module = module(&cx, &operator).expect("method names are distinct");
     let ports = Ports::default();
     let operator_port = OperatorPort {
         cx: Cx::clone(&cx),
@@ -277,7 +282,7 @@
     let settled = Settled::default();
     start_links(&cx, events, platform, &timers, &settled).await;
     cx.spawner
-        .detach(become_ready(Cx::clone(&cx), distribution, timers, settled));
+        .detach(become_ready(Cx::clone(&cx), timers, settled));
     Ok((cx, ports))
 }
 
@@ -308,12 +313,11 @@
 
 fn module<P: Platform>(
     cx: &Cx<P>,
-    distribution: &Distribution<P, HttpPeers, KnownHosts>,
     operator: &HostOperator<P>,
 ) -> std::result::Result<RpcModule<()>, RegisterMethodError> {
     let mut module = RpcModule::new(());
     module.merge(membership::rpc_module(cx.membership.clone()))?;
-    distribution::rpc::register(&mut module, distribution)?;
+    distribution::rpc::register(&mut module, &cx.distribution)?;
     rates::register(&mut module, cx.rates.clone())?;
     programs::register(&mut module, cx)?;
     operator::fleet::register(&mut module, operator)?;
@@ -374,6 +378,7 @@
         timers.clone(),
         settled.clone(),
     ));
+    spawner.detach(cx.history.clone().run(timers.clone()));
     cx.rates.start(timers).await;
     let layout = cx.layout.clone();
     let wanted = Layout {
@@ -384,19 +389,18 @@
 }
 
 /// Collects the configuration, then reports the host as ready.
-async fn become_ready<P: Platform>(
-    cx: Cx<P>,
-    distribution: Distribution<P, HttpPeers, KnownHosts>,
-    timers: Timers,
-    settled: Settled,
-) {
+async fn become_ready<P: Platform>(cx: Cx<P>, timers: Timers, settled: Settled) {
     until_listed(&cx).await;
-    let mut standing = distribution.catch_up().await;
+    let mut term = cx.distribution.hosts().term();
+    let mut standing = cx.distribution.catch_up().await;
     while standing == Standing::Starting {
         Timer::after(CATCH_UP_RETRY).await;
-        standing = distribution.catch_up().await;
+        term = cx.distribution.hosts().term();
+        standing = cx.distribution.catch_up().await;
     }
-    distribution.start(&timers);
+    cx.distribution.start(&timers);
+    cx.spawner
+        .detach(catch_up_again(Cx::clone(&cx), timers, term));
     // Without the platform there is no lease to wait for; the host then
     // serves what it can.
     while standing == Standing::Current && has_lease(&cx) && !settled.is_settled() {
@@ -406,6 +410,19 @@
     log::info!("host ready host={} configuration={standing:?}", cx.cfg.host);
 }
 
+/// Collects the configuration again whenever a lapsed lease is held again:
+/// changes may have come into force without this host.
+async fn catch_up_again<P: Platform>(cx: Cx<P>, timers: Timers, mut caught_up: Option<Term>) {
+    let ticks = timers.subscribe(cx.cfg.membership.heartbeat_period).await;
+    while ticks.recv().await.is_ok() {
+        let term = cx.distribution.hosts().term();
+        if term.is_some() && term != caught_up {
+            cx.distribution.catch_up().await;
+            caught_up = term;
+        }
+    }
+}
+
 /// Waits until the other hosts can know this one, as long as a lease may take
 /// if the platform answers.
 async fn until_listed<P: Platform>(cx: &Cx<P>) {
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -8,8 +8,10 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 
+use super::completion;
 use crate::units::Moment;
 use crate::units::Tokens;
+use crate::version::history::Message;
 
 /// Bytes at the end of an answer in which a model engine reports its usage.
 const TAIL_BYTES: usize = 4096;
@@ -50,24 +52,48 @@
     }
 }
 
-/// The last bytes of an answer.
+/// What is kept of an answer while it is relayed: its last bytes, or all.
 #[derive(Clone, Debug, Default)]
-pub struct Tail(Vec<u8>);
+pub struct Tail {
+    kept: Vec<u8>,
+    is_whole: bool,
+}
 
 impl Tail {
+    /// Keeps the whole answer.
+    pub fn whole() -> Self {
+        Self {
+            kept: Vec::new(),
+            is_whole: true,
+        }
+    }
+
     /// Adds the next bytes of the answer.
     pub fn push(&mut self, chunk: &[u8]) {
-        let kept = &chunk[chunk.len().saturating_sub(TAIL_BYTES)..];
-        let surplus = (self.0.len() + kept.len()).saturating_sub(TAIL_BYTES);
-        self.0.drain(..surplus.min(self.0.len()));
-        self.0.extend_from_slice(kept);
+        if self.is_whole {
+            self.kept.extend_from_slice(chunk);
+            return;
+        }
+        let last = &chunk[chunk.len().saturating_sub(TAIL_BYTES)..];
+        let surplus = (self.kept.len() + last.len()).saturating_sub(TAIL_BYTES);
+        self.kept.drain(..surplus.min(self.kept.len()));
+        self.kept.extend_from_slice(last);
+    }
+
+    /// The assistant's message in a whole answer.
+    pub fn message(&self, is_stream: bool) -> Option<Message> {
+        let text = std::str::from_utf8(&self.kept).ok()?;
+        if is_stream {
+            return completion::streamed_message(text);
+        }
+        completion::message(text)
     }
 
     /// The usage reported last, if there is any.
     pub fn usage(&self) -> Option<Usage> {
         const NAME: &[u8] = b"\"usage\":";
-        let at = self.0.windows(NAME.len()).rposition(|w| w == NAME)?;
-        let rest = &self.0[at + NAME.len()..];
+        let at = self.kept.windows(NAME.len()).rposition(|w| w == NAME)?;
+        let rest = &self.kept[at + NAME.len()..];
         let mut values = serde_json::Deserializer::from_slice(rest).into_iter::<Usage>();
         values.next()?.ok()
     }
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -16,6 +16,7 @@
 use crate::ids::ProgramId;
 use crate::ids::ServiceId;
 use crate::units::Moment;
+use crate::version::history::Tip;
 use crate::version::objects::KeyRef;
 
 /// Longest idempotency key, in bytes.
@@ -105,6 +106,8 @@
     pub program: Option<ProgramId>,
     /// Position within its program, if the caller gives one.
     pub ordinal: Option<Ordinal>,
+    /// Last turn of a held conversation whose answer the caller has.
+    pub after: Option<Tip>,
     /// Present if the call may not be repeated under this name.
     pub idempotency_key: Option<IdempotencyKey>,
     /// Headers that go on to the endpoint; no key and no connection header.
--- a/src/request/cost.rs
+++ b/src/request/cost.rs
@@ -24,17 +24,22 @@
 /// The most that a call can cost.
 ///
 /// For a model call: the most prompt tokens that the body can hold plus the
-/// limit on generated tokens.
+/// limit on generated tokens. `held_bytes` are added to the body's length.
 ///
 /// # Errors
 ///
 /// A bad-request refusal if a model call's body is not a JSON object.
-pub fn worst(cfg: &CallerConfig, service: &Service, body: &[u8]) -> Result<Tokens> {
+pub fn worst(
+    cfg: &CallerConfig,
+    service: &Service,
+    body: &[u8],
+    held_bytes: usize,
+) -> Result<Tokens> {
     if service.kind == ServiceKind::Plain {
         return Ok(service.cost);
     }
     let limits: Limits = json::object(body).map_err(|e| not_an_object(&e))?;
-    let prompt = (body.len() as u64).div_ceil(cfg.bytes_per_token);
+    let prompt = ((body.len() + held_bytes) as u64).div_ceil(cfg.bytes_per_token);
     let completion = limits.max_tokens.unwrap_or(cfg.default_max_tokens);
     Ok(Tokens(prompt.saturating_add(completion)))
 }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -89,7 +89,7 @@
             customer: call.account().clone(),
             program: self.clearance.program().clone(),
             interactive: self.service.interactive,
-            worst: cost::worst(&self.cx.cfg.caller, self.service, &call.body)?,
+            worst: cost::worst(&self.cx.cfg.caller, self.service, &call.body, 0)?,
             prompt_bytes,
             avoid: Vec::new(),
             deadline: call.deadline,
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -69,6 +69,7 @@
         path,
         program: fields.program,
         ordinal: fields.ordinal,
+        after: fields.after,
         idempotency_key: fields.idempotency_key,
         headers: headers::passed_on(&head.headers),
         body: receive::read_body(cfg, body).await?,
@@ -96,6 +97,9 @@
     let refuse = |detail: &str| Refusal::not_run(Reason::Unauthorized, detail);
     let secret = headers::bearer(fields)
         .ok_or_else(|| refuse("`Authorization: Bearer` with a key is required"))?;
+    if !cx.distribution.accepts_keys(Moment::now()) {
+        return Err(refuse("this host has been cut off too long to accept keys"));
+    }
     let found = cx.configuration.identify(secret.as_bytes());
     found.ok_or_else(|| refuse("the key is unknown or withdrawn"))
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,9 +3,11 @@
 pub mod answer;
 pub mod call;
 pub mod clearance;
+pub mod completion;
 pub mod cost;
 pub mod dispatch;
 pub mod entry;
+pub mod held;
 pub mod limit;
 pub mod once;
 pub mod outcome;
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -19,6 +19,7 @@
 use super::cost;
 use super::dispatch::Attempts;
 use super::dispatch::Placed;
+use super::held;
 use super::once;
 use super::outcome::Reason;
 use super::outcome::Refusal;
@@ -43,7 +44,7 @@
 use crate::version::objects::ServiceKind;
 
 /// Chunks of an answer held for a caller that reads slowly.
-const ANSWER_CHUNKS: usize = 16;
+pub const ANSWER_CHUNKS: usize = 16;
 
 /// One call at the host that decides about it.
 pub struct Work<P: Platform> {
@@ -55,6 +56,8 @@
     pub service: Arc<Service>,
     /// When the call reached this host.
     pub received: Moment,
+    /// Bytes of held conversation that are added to the body.
+    pub held_bytes: usize,
 }
 
 /// Runs a call whose caller has been identified.
@@ -72,7 +75,11 @@
         call,
         service,
         received: Moment::now(),
+        held_bytes: 0,
     };
+    if work.service.kind == ServiceKind::Model && held::is_held(cx, &work.call) {
+        return held::run(work).await;
+    }
     match once::name(&work) {
         Some(once) => once::run(work, once).await,
         None => work.run().await,
@@ -168,7 +175,7 @@
             scope,
             customer: call.account().clone(),
             ordinal: call.ordinal,
-            worst_cost: cost::worst(&self.cx.cfg.caller, &self.service, &call.body)?,
+            worst_cost: self.worst()?,
             once,
             repeatable: self.service.repeatable,
             deadline: call.deadline,
@@ -230,8 +237,7 @@
             _in_flight,
         } = self;
         let cx = &work.cx;
-        let key = work.call.caller.key();
-        let is_withdrawn = || key.is_some_and(|key| cx.configuration.is_withdrawn(key));
+        let is_withdrawn = || work.is_withdrawn();
         let mut tail = Tail::default();
         let deadline = work.call.deadline;
         let ended = answer::relay(upstream, &tx, deadline, is_withdrawn, &mut tail).await;
@@ -253,10 +259,25 @@
 }
 
 impl<P: Platform> Work<P> {
+    /// The most that the call can cost.
+    ///
+    /// # Errors
+    ///
+    /// A bad-request refusal if the body is not a completion request.
+    pub fn worst(&self) -> Result<Tokens> {
+        let cfg = &self.cx.cfg.caller;
+        cost::worst(cfg, &self.service, &self.call.body, self.held_bytes)
+    }
+
+    /// True if the caller's key has been withdrawn.
+    pub fn is_withdrawn(&self) -> bool {
+        let key = self.call.caller.key();
+        key.is_some_and(|key| self.cx.configuration.is_withdrawn(key))
+    }
+
     /// What the call is charged: what the engine reports, else its worst case.
     pub fn cost(&self, ended: Ended, usage: Option<Usage>) -> Tokens {
-        let worst = cost::worst(&self.cx.cfg.caller, &self.service, &self.call.body);
-        let worst = worst.unwrap_or_default();
+        let worst = self.worst().unwrap_or_default();
         match (self.service.kind, ended, usage) {
             (ServiceKind::Model, Ended::Whole, Some(usage)) => usage.cost(),
             _ => worst,
@@ -264,7 +285,8 @@
     }
 }
 
-const fn verdict(ended: Ended) -> Verdict {
+/// What the end of an answer says about its endpoint.
+pub const fn verdict(ended: Ended) -> Verdict {
     match ended {
         Ended::Whole => Verdict::Answered,
         Ended::Broken | Ended::Expired => Verdict::Failed,
--- a/src/version/history/conversation.rs
+++ b/src/version/history/conversation.rs
@@ -92,6 +92,13 @@
         last.map(|last| last.ordinal).unwrap_or_default()
     }
 
+    /// Upper bound of what the messages add to a request, in bytes: their own
+    /// lengths and a separator for each.
+    pub fn encoded_bytes(&self) -> usize {
+        let messages = self.segments.iter().map(|s| s.messages().count());
+        self.bytes + messages.sum::<usize>()
+    }
+
     /// Gives the messages that a call runs with.
     ///
     /// # Errors
