--- a/tests/must_hold.rs
+++ b/tests/must_hold.rs
@@ -6,6 +6,8 @@
 
 use serde_json::Value;
 use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
 use support::Answer;
 use support::Fleet;
 use support::FleetSpec;
@@ -90,7 +92,10 @@
     runs.sort_by_key(|run| run["started"].as_u64());
     let mut last_end = 0;
     for (index, run) in runs.iter().enumerate() {
-        assert_eq!(run["ordinal"], index as u64 + 1);
+        let ordinal = index as u64 + 1;
+        assert_eq!(run["ordinal"], ordinal);
+        let body = completion(&format!("bar {ordinal}"));
+        assert_eq!(run["body_digest"], hex::encode(Sha256::digest(body)));
         assert!(run["started"].as_u64().expect("a position") > last_end);
         last_end = run["ended"]["at"].as_u64().expect("an end");
     }
