--- a/src/configs/limit.rs
+++ b/src/configs/limit.rs
@@ -79,7 +79,7 @@
             min_prefetch: 1,
             max_prefetch: 64,
             prefetch_span: Duration::from_millis(50),
-            floor_share: 0.3,
+            floor_share: 0.9,
             floor_slots: 4,
             floor_renewal: Duration::from_millis(500),
             borrow_timeout: Duration::from_millis(50),
