Tell placing of configuration changes and load reports

Waiting calls were only woken by places; now each change of the configuration makes them look again, interactive services are known before their first call, and endpoints of model services are asked for their load while they have calls of this host.

--- a/src/process/placing/mod.rs
+++ b/src/process/placing/mod.rs
@@ -7,6 +7,7 @@
 //! arrives or a time is reached that an earlier step named.
 
 pub mod counters;
+pub mod links;
 pub mod load;
 pub mod rows;
 pub mod shard;
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -37,6 +37,7 @@
 use super::links::KnownHosts;
 use super::membership;
 use super::metrics::Metrics;
+use super::placing;
 use super::placing::Placing;
 use super::rates;
 use super::rates::Rates;
@@ -338,6 +339,11 @@
     let spawner = &cx.spawner;
     spawner.detach(links::run_partitions(Cx::clone(cx), events));
     spawner.detach(links::run_customers(Cx::clone(cx)));
+    spawner.detach(placing::links::run_changes(Cx::clone(cx)));
+    spawner.detach(placing::links::run_load_reports(
+        Cx::clone(cx),
+        timers.clone(),
+    ));
     spawner.detach(limit_view::run(
         Cx::clone(cx),
         timers.clone(),
