--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -15,7 +15,9 @@
 use super::membership::MembershipConfig;
 use super::operator::OperatorConfig;
 use super::peer::PeerConfig;
+use super::place::PlaceConfig;
 use super::platform::PlatformConfig;
+use super::queue::QueueConfig;
 use super::retry::RetryConfig;
 use super::within;
 use crate::ids::DataCentre;
@@ -73,9 +75,15 @@
     /// Settings of calls between hosts.
     #[serde(default)]
     pub peer: PeerConfig,
+    /// Choice of endpoints.
+    #[serde(default)]
+    pub place: PlaceConfig,
     /// Connection to the platform.
     #[serde(default)]
     pub platform: PlatformConfig,
+    /// Calls that wait for an endpoint.
+    #[serde(default)]
+    pub queue: QueueConfig,
     /// Repeated attempts.
     #[serde(default)]
     pub retry: RetryConfig,
@@ -174,6 +182,10 @@
         operator.map_err(|e| Fault::new("operator", e.field, &e))?;
         let peer = self.peer.check();
         peer.map_err(|e| Fault::new("peer", e.field, &e))?;
+        let place = self.place.check();
+        place.map_err(|e| Fault::new("place", e.field, &e))?;
+        let queue = self.queue.check();
+        queue.map_err(|e| Fault::new("queue", e.field, &e))?;
         let retry = self.retry.check();
         retry.map_err(|e| Fault::new("retry", e.field, &e))
     }
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -42,6 +42,7 @@
 use super::links::KnownHosts;
 use super::membership;
 use super::metrics::Metrics;
+use super::placing;
 use super::placing::Placing;
 use super::rates;
 use super::rates::Rates;
@@ -245,6 +246,12 @@
         peers.clone(),
         spawner.clone(),
     );
+    let placing = Placing::new(
+        cfg.queue.clone(),
+        cfg.place.clone(),
+        cfg.data_centre.clone(),
+        spawner.clone(),
+    );
     let cx = Arc::new(Context {
         client,
         configuration,
@@ -255,7 +262,7 @@
         membership,
         metrics: Metrics::default(),
         peers,
-        placing: Placing::default(),
+        placing,
         rates,
         readiness: Readiness::default(),
         retries: Mutex::new(RetryBudget::new(cfg.retry.clone())),
@@ -373,6 +380,11 @@
     let spawner = &cx.spawner;
     spawner.detach(links::run_partitions(Cx::clone(cx), events));
     spawner.detach(links::run_customers(Cx::clone(cx)));
+    spawner.detach(placing::links::run_changes(Cx::clone(cx)));
+    spawner.detach(placing::links::run_load_reports(
+        Cx::clone(cx),
+        timers.clone(),
+    ));
     spawner.detach(limit_view::run(
         Cx::clone(cx),
         timers.clone(),
