Drain tests: one for callers' requests, one for those of other hosts

With both calls in one test each kept the process alive for the other: with either wait taken out the test passed. Seen; the two are now apart.

--- a/tests/must_hold.rs
+++ b/tests/must_hold.rs
@@ -81,7 +81,7 @@
             let host = &fleet.hosts[n as usize % hosts];
             fleet
                 .http
-                .start(host.callers, &model_call(&program, n, "x"))
+                .start(host.callers, &model_call(&program, n, &format!("bar {n}")))
         })
         .collect();
     for call in calls {
@@ -552,35 +552,43 @@
     assert_eq!(runs(&fleet, true).len(), before);
 }
 
-#[test]
-fn a_graceful_shutdown_cuts_off_no_request() {
+/// Drains the owner of a program while `call` runs at one of its endpoints.
+fn drain_during(call: impl Fn(&Fleet, usize, &str) -> support::http::Pending) {
     let mut fleet = Fleet::start(FleetSpec::default());
     let program = fleet.open_program(0, "{}");
     let owner = owner_of(&fleet, &program);
     let other = fleet.hosts[1 - owner].callers;
-    fleet.service.switch(&fleet.http, &json!({"slow_ms": 300}));
-    let slow = fleet.http.start(
-        fleet.hosts[owner].callers,
-        &Req::post("/lookup/x").bearer(SECRET),
-    );
-    let once = fleet.http.start(
-        other,
-        &order("drain", "{}").header("chicoryarch-program", &program),
-    );
-    wait_until("both calls run", || runs(&fleet, true).len() == 2);
+    // Longer than the process lives if it does not wait for the call.
+    fleet.service.switch(&fleet.http, &json!({"slow_ms": 3000}));
+    let pending = call(&fleet, owner, &program);
+    wait_until("the call runs", || runs(&fleet, true).len() == 1);
     fleet.hosts[owner].process.terminate();
     // Calls go on while the host drains, at whichever host owns the program.
     for n in 2..10 {
         let answer = fleet.http.send(other, &model_call(&program, n, "on"));
         assert!(answer.is_success(), "{answer:?}");
     }
-    for call in [slow, once] {
-        let answer = call.wait().expect("a whole answer");
-        assert!(answer.is_success(), "{answer:?}");
-    }
+    let answer = pending.wait().expect("a whole answer");
+    assert!(answer.is_success(), "{answer:?}");
     assert!(fleet.hosts[owner].process.wait(), "the drain was cut short");
 }
 
+#[test]
+fn a_graceful_shutdown_cuts_off_no_request_of_its_callers() {
+    drain_during(|fleet, owner, _| {
+        let req = Req::post("/lookup/x").bearer(SECRET);
+        fleet.http.start(fleet.hosts[owner].callers, &req)
+    });
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_off_no_request_of_other_hosts() {
+    drain_during(|fleet, owner, program| {
+        let req = order("drain", "{}").header("chicoryarch-program", program);
+        fleet.http.start(fleet.hosts[1 - owner].callers, &req)
+    });
+}
+
 #[test]
 fn an_accepted_change_is_in_force_everywhere_and_does_not_revert() {
     let mut fleet = Fleet::start(FleetSpec::default());
