Add chicoryarch load and compare: seeded traces against running hosts

Programs arrive when the trace says, so a slow answer delays no later arrival and latency counts from when each was due. Two tests run both shapes through hosts and stand-ins to their end.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 
 pub mod ctl;
+pub mod load;
 
 /// Form in which answers are printed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -63,6 +64,30 @@
         #[bpaf(long("port"), argument("PORT"), fallback(8080))]
         port: u16,
     },
+    /// Sends a seeded trace of programs to running hosts and reports.
+    ///
+    /// Example: chicoryarch load --plan plan.toml --output before.json
+    #[bpaf(command("load"))]
+    Load {
+        /// Plan of the run, in TOML
+        #[bpaf(long("plan"), argument("FILE"))]
+        plan: PathBuf,
+        /// Where to write the result as JSON
+        #[bpaf(long("output"), argument("FILE"), optional)]
+        output: Option<PathBuf>,
+    },
+    /// Prints two results of `load` side by side.
+    ///
+    /// Example: chicoryarch compare before.json after.json
+    #[bpaf(command("compare"))]
+    Compare {
+        /// Result of the run before a change
+        #[bpaf(positional("BEFORE"))]
+        before: PathBuf,
+        /// Result of the run after it
+        #[bpaf(positional("AFTER"))]
+        after: PathBuf,
+    },
     /// Sends one query or command to a host.
     ///
     /// Example: chicoryarch ctl --address 127.0.0.1:8082 --secret-file ops show hosts
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod journal;
 pub mod limit;
+pub mod load;
 pub mod membership;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,9 @@
+//! Seeded workloads: programs of unknown shape as two deployments send them,
+//! and a runner that sends them to hosts.
+
+pub mod caller;
+pub mod deployment;
+pub mod program;
+pub mod result;
+pub mod run;
+pub mod trace;
--- /dev/null
+++ b/src/load/result.rs
@@ -0,0 +1,118 @@
+//! Result of a load run, and two results side by side.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Significant digits of a recorded latency.
+const DIGITS: u8 = 3;
+
+/// Latencies in microseconds, counted from when each was due.
+#[derive(Clone, Debug)]
+pub struct Latencies(Histogram<u64>);
+
+impl Default for Latencies {
+    fn default() -> Self {
+        Self(Histogram::new(DIGITS).expect("the number of digits is allowed"))
+    }
+}
+
+impl Latencies {
+    /// Adds one latency.
+    pub fn record(&mut self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.0.saturating_record(micros);
+    }
+
+    /// The summary to report.
+    pub fn summary(&self) -> Summary {
+        let at = |quantile| self.0.value_at_quantile(quantile) as f64 / 1000.0;
+        Summary {
+            count: self.0.len(),
+            p50_ms: at(0.50),
+            p95_ms: at(0.95),
+            p99_ms: at(0.99),
+            max_ms: self.0.max() as f64 / 1000.0,
+        }
+    }
+}
+
+/// Summary of latencies, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Summary {
+    /// Latencies recorded.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Largest.
+    pub max_ms: f64,
+}
+
+/// Result of a load run.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LoadResult {
+    /// Seed of the trace.
+    pub seed: u64,
+    /// Programs that arrived.
+    pub programs: u64,
+    /// Programs that came to their end.
+    pub finished: u64,
+    /// From a program's arrival to its end.
+    pub program: Summary,
+    /// One call, retries included.
+    pub call: Summary,
+    /// The same for each customer, by its position.
+    pub customers: BTreeMap<usize, Summary>,
+    /// Attempts that were refused, by `problem outcome`.
+    pub refusals: BTreeMap<String, u64>,
+    /// Attempts without a whole answer.
+    pub broken: u64,
+}
+
+type Figure = (&'static str, fn(&LoadResult) -> f64);
+
+/// Figures that a comparison shows.
+const FIGURES: [Figure; 11] = [
+    ("programs", |r| r.programs as f64),
+    ("finished", |r| r.finished as f64),
+    ("program p50 ms", |r| r.program.p50_ms),
+    ("program p95 ms", |r| r.program.p95_ms),
+    ("program p99 ms", |r| r.program.p99_ms),
+    ("call p50 ms", |r| r.call.p50_ms),
+    ("call p95 ms", |r| r.call.p95_ms),
+    ("call p99 ms", |r| r.call.p99_ms),
+    ("worst customer p95 ms", worst_customer),
+    ("refused attempts", |r| {
+        r.refusals.values().sum::<u64>() as f64
+    }),
+    ("broken attempts", |r| r.broken as f64),
+];
+
+fn worst_customer(result: &LoadResult) -> f64 {
+    let p95 = result.customers.values().map(|summary| summary.p95_ms);
+    p95.fold(0.0, f64::max)
+}
+
+/// A table with two results side by side and their ratio.
+pub fn compare(before: &LoadResult, after: &LoadResult) -> String {
+    let mut text = format!("{:<24}{:>12}{:>12}{:>9}\n", "", "before", "after", "ratio");
+    for (name, figure) in FIGURES {
+        let (a, b) = (figure(before), figure(after));
+        let ratio = if a == 0.0 {
+            "-".to_owned()
+        } else {
+            format!("{:.2}", b / a)
+        };
+        writeln!(text, "{name:<24}{a:>12.1}{b:>12.1}{ratio:>9}")
+            .expect("writing to a string never fails");
+    }
+    text
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use chicoryarch::cli::Command;
 use chicoryarch::cli::command;
 use chicoryarch::cli::ctl;
+use chicoryarch::cli::load;
 use chicoryarch::configs::host::DEFAULT_THREADS;
 use chicoryarch::configs::host::HostConfig;
 use chicoryarch::configs::host::LogConfig;
@@ -21,13 +22,21 @@
 
 fn main() -> miette::Result<ExitCode> {
     match command().run() {
-        Command::Serve { config } => run_host(load(&config)?),
+        Command::Serve { config } => run_host(read_settings(&config)?),
         Command::Check { config } => {
-            load(&config)?;
+            read_settings(&config)?;
             println!("{}: no fault found", config.display());
             Ok(ExitCode::SUCCESS)
         }
         Command::Dev { port } => run_dev(port),
+        Command::Load { plan, output } => {
+            load::run(&plan, output.as_deref())?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Compare { before, after } => {
+            load::compare(&before, &after)?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Ctl {
             address,
             secret_file,
@@ -37,7 +46,7 @@
     }
 }
 
-fn load(path: &Path) -> miette::Result<HostConfig> {
+fn read_settings(path: &Path) -> miette::Result<HostConfig> {
     settings::load(path).map_err(|e| miette::Report::new(*e))
 }
 
--- /dev/null
+++ b/tests/load_tool.rs
@@ -0,0 +1,98 @@
+//! The load tool against separate processes.
+
+mod support;
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+
+use chicoryarch::load::deployment::Deployment;
+use chicoryarch::load::result::LoadResult;
+use chicoryarch::version::objects::Service;
+use chicoryarch::version::objects::ServiceKind;
+use support::Fleet;
+use support::FleetSpec;
+use support::OTHER_SECRET;
+use support::SECRET;
+
+/// Adds the services of a deployment, all at the two stand-ins.
+fn add_services(fleet: &Fleet, deployment: &Deployment) {
+    for shape in &deployment.services {
+        let kind = if shape.model {
+            ServiceKind::Model
+        } else {
+            ServiceKind::Plain
+        };
+        let service = Service {
+            kind,
+            repeatable: shape.repeatable,
+            interactive: shape.interactive,
+            ..Service::default()
+        };
+        fleet.put("service", shape.name, &service);
+        let standin = if shape.model {
+            &fleet.engine
+        } else {
+            &fleet.service
+        };
+        let endpoint = fleet.endpoint(standin.addr, &[shape.name]);
+        fleet.put("endpoint", &format!("load-{}", shape.name), &endpoint);
+    }
+    support::wait_until("every host knows the services", || {
+        (0..fleet.hosts.len()).all(|host| {
+            let rows = fleet.ask(host, "show endpoints");
+            let rows = rows["rows"].as_array().expect("rows").len();
+            rows >= deployment.services.len() + 2
+        })
+    });
+}
+
+fn run_tool(args: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
+        .args(args)
+        .output()
+        .expect("the tool runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    text(&output.stdout)
+}
+
+fn plan(fleet: &Fleet, dir: &Path, shape: &str) -> String {
+    let secrets = dir.join("callers.secret");
+    fs::write(&secrets, format!("{SECRET}\n{OTHER_SECRET}\n")).expect("a file");
+    let owner_only = fs::Permissions::from_mode(0o600);
+    fs::set_permissions(&secrets, owner_only).expect("its mode can be set");
+    let hosts: Vec<String> = fleet.hosts.iter().map(|h| h.callers.to_string()).collect();
+    format!(
+        "shape = \"{shape}\"\nseed = 7\nprograms_per_second = 20.0\nlength_ms = 1500\n\
+         scale = 0.02\nhosts = [{hosts:?}]\nsecrets = {secrets:?}\n"
+    )
+}
+
+fn run_shape(shape: &str, deployment: &Deployment) {
+    let fleet = Fleet::start(FleetSpec::default());
+    add_services(&fleet, deployment);
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = |name: &str| dir.path().join(name).display().to_string();
+    fs::write(path("plan.toml"), plan(&fleet, dir.path(), shape)).expect("a file");
+    let (plan, result) = (path("plan.toml"), path("result.json"));
+    run_tool(&["load", "--plan", &plan, "--output", &result]);
+    let text = fs::read_to_string(&result).expect("a result");
+    let parsed: LoadResult = serde_json::from_str(&text).expect("a result");
+    assert!(parsed.programs > 10, "{text}");
+    assert_eq!(parsed.finished, parsed.programs, "{text}");
+    assert_eq!(parsed.broken, 0, "{text}");
+    let table = run_tool(&["compare", &result, &result]);
+    assert!(table.contains("program p95 ms"), "{table}");
+}
+
+#[test]
+fn every_program_of_the_score_shape_finishes() {
+    run_shape("scores", &Deployment::scores());
+}
+
+#[test]
+fn every_program_of_the_label_shape_finishes() {
+    run_shape("labels", &Deployment::labels());
+}
