--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -260,6 +260,8 @@
     pub engine: Standin,
     pub service: Standin,
     pub hosts: Vec<Host>,
+    /// Secret of hosts that are started from now on.
+    pub peer_secret: &'static str,
     spec: FleetSpec,
     dir: TempDir,
 }
@@ -292,6 +294,7 @@
             engine,
             service,
             hosts: Vec::new(),
+            peer_secret: "peer-secret-0123456789abcdef",
             spec,
             dir,
         };
@@ -336,8 +339,8 @@
     }
 
     fn write_settings(&self, data_centre: &str, name: &str) -> PathBuf {
-        let secrets = self.dir.path().join("peers.secret");
-        write_secret(&secrets, "peer-secret-0123456789abcdef\n");
+        let secrets = self.dir.path().join(format!("{name}.secret"));
+        write_secret(&secrets, self.peer_secret);
         let operators = self.dir.path().join("operators.secret");
         let hash = hex::encode(Sha256::digest(OPERATOR_SECRET));
         write_secret(&operators, &format!("alma:{hash}\n"));
