--- a/src/process/backend.rs
+++ b/src/process/backend.rs
@@ -119,7 +119,8 @@
         let programs = self.0.journals.programs();
         let waiting = programs.iter().flat_map(|program| {
             let calls = program.calls.iter();
-            let waiting = calls.filter(|call| call.waits_for != WaitsFor::Answer);
+            let is_waiting = |w| matches!(w, WaitsFor::Turn | WaitsFor::Commit);
+            let waiting = calls.filter(move |call| is_waiting(call.waits_for));
             waiting.map(|call| WaitingRow {
                 program: program.program.to_string(),
                 call: call.ordinal.0,
@@ -129,7 +130,17 @@
                 ..WaitingRow::default()
             })
         });
-        waiting.map(Into::into).collect()
+        let placing = self.0.placing.rows().waiting.into_iter();
+        let queued = placing.map(|call| WaitingRow {
+            program: call.program.to_string(),
+            customer: call.customer.to_string(),
+            service: call.service.to_string(),
+            reason: format!("{:?}", call.why),
+            waited_ms: call.waited.as_millis().try_into().unwrap_or(u64::MAX),
+            host: self.host(),
+            ..WaitingRow::default()
+        });
+        waiting.chain(queued).map(Into::into).collect()
     }
 
     fn rates(&self) -> Vec<Row> {
@@ -193,9 +204,9 @@
 
 const fn reason(waits_for: WaitsFor) -> &'static str {
     match waits_for {
-        WaitsFor::Turn => "turn",
-        WaitsFor::Commit => "journal",
-        WaitsFor::Dispatch => "endpoint",
-        WaitsFor::Answer => "answer",
+        WaitsFor::Turn => "an earlier call",
+        WaitsFor::Commit => "a journal write",
+        WaitsFor::Dispatch => "an endpoint",
+        WaitsFor::Answer => "the answer",
     }
 }
--- a/src/process/counters.rs
+++ b/src/process/counters.rs
@@ -13,6 +13,7 @@
 use super::context::Cx;
 use super::distribution::driver::Counters as DistributionCounters;
 use super::membership::Counters as MembershipCounters;
+use super::placing::counters::PlacingCounters;
 use super::rates::counters::RateCounters;
 use crate::connection::platform::Platform;
 use crate::version::journal::JournalCounters;
@@ -54,6 +55,7 @@
         samples.extend(journal(self.cx.journals.counters()));
         samples.extend(rates(&self.cx.rates.counters()));
         samples.extend(distribution(&self.distribution));
+        samples.extend(placing(self.cx.placing.counters()));
         for Sample { name, help, value } in samples {
             let counter = ConstCounter::new(value);
             let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
@@ -294,3 +296,83 @@
         ),
     ]
 }
+
+fn placing(c: &PlacingCounters) -> [Sample; 15] {
+    [
+        sample(
+            "placing_immediate",
+            "Calls placed at once",
+            c.immediate.get(),
+        ),
+        sample(
+            "placing_waited",
+            "Calls placed after a wait",
+            c.waited.get(),
+        ),
+        sample(
+            "placing_refused_full",
+            "Calls refused by a full queue",
+            c.refused_full.get(),
+        ),
+        sample(
+            "placing_refused_deadline",
+            "Calls refused since they would start too late",
+            c.refused_deadline.get(),
+        ),
+        sample(
+            "placing_expired",
+            "Calls whose deadline passed while they waited",
+            c.expired.get(),
+        ),
+        sample(
+            "placing_displaced",
+            "Calls removed from a full queue for another customer",
+            c.displaced.get(),
+        ),
+        sample(
+            "placing_left",
+            "Waiting calls whose caller went away",
+            c.left.get(),
+        ),
+        sample(
+            "placing_prefix_held",
+            "Calls placed where their prefix is held",
+            c.prefix_held.get(),
+        ),
+        sample(
+            "placing_prefix_moved",
+            "Calls placed where their prefix is to be moved",
+            c.prefix_moved.get(),
+        ),
+        sample(
+            "placing_prefix_cold",
+            "Calls placed without a prefix",
+            c.prefix_cold.get(),
+        ),
+        sample(
+            "placing_tokens",
+            "Cost of ended calls, in tokens",
+            c.tokens.get(),
+        ),
+        sample(
+            "placing_ejected",
+            "Endpoints ejected for their failures",
+            c.ejected.get(),
+        ),
+        sample(
+            "placing_restored",
+            "Ejected endpoints that answered again",
+            c.restored.get(),
+        ),
+        sample(
+            "placing_load_reports",
+            "Load reports taken up",
+            c.load_reports.get(),
+        ),
+        sample(
+            "placing_load_failures",
+            "Load reports that did not come",
+            c.load_failures.get(),
+        ),
+    ]
+}
