--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client that keeps idle connections by address.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -103,11 +104,7 @@
         req: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
-        let limit = async {
-            Timer::after(timeout).await;
-            Err(ClientError::Timeout(timeout))
-        };
-        future::or(self.exchange(to, req), limit).await
+        within(timeout, self.exchange(to, req)).await
     }
 
     /// Like [`Client::send`], on a new connection.
@@ -121,11 +118,7 @@
         req: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
-        let limit = async {
-            Timer::after(timeout).await;
-            Err(ClientError::Timeout(timeout))
-        };
-        future::or(self.exchange_fresh(to, req), limit).await
+        within(timeout, self.exchange_fresh(to, req)).await
     }
 
     /// Closes the idle connections of an address, when a host has gone.
@@ -212,3 +205,11 @@
         Ok(sender)
     }
 }
+
+async fn within<T>(timeout: Duration, exchange: impl Future<Output = Result<T>>) -> Result<T> {
+    let limit = async {
+        Timer::after(timeout).await;
+        Err(ClientError::Timeout(timeout))
+    };
+    future::or(exchange, limit).await
+}
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -21,8 +21,9 @@
 
 use super::drain;
 use super::drain::Drained;
+use super::listeners;
+use super::listeners::Listeners;
 use super::serve;
-use super::serve::Listeners;
 use crate::configs::caller::CallerConfig;
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::drain::DrainConfig;
@@ -81,6 +82,9 @@
     /// The embedded platform refused something.
     #[error(transparent)]
     Platform(#[from] PlatformError),
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Bind(#[from] listeners::BindError),
     /// The host cannot start.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -92,34 +92,36 @@
 /// Fences the journals of gained partitions and releases those of lost ones.
 pub async fn run_partitions<P: Platform>(cx: Cx<P>, events: Receiver<PartitionEvent>) {
     while let Ok(event) = events.recv().await {
-        match event {
-            PartitionEvent::Gained {
-                data_centre,
-                partition,
-                epoch,
-            } => {
-                let partition = PartitionId {
-                    data_centre,
-                    partition,
-                };
-                cx.spawner.detach(gain(Cx::clone(&cx), partition, epoch));
-            }
-            PartitionEvent::Lost {
-                data_centre,
-                partition,
-                epoch,
-                ..
-            } => {
-                let partition = PartitionId {
-                    data_centre,
-                    partition,
-                };
-                cx.spawner.detach(lose(Cx::clone(&cx), partition, epoch));
-            }
+        let (is_gain, partition, epoch) = parts(event);
+        if is_gain {
+            cx.spawner.detach(gain(Cx::clone(&cx), partition, epoch));
+        } else {
+            cx.spawner.detach(lose(Cx::clone(&cx), partition, epoch));
         }
     }
 }
 
+/// Whether the partition is gained, which it is, and under which epoch.
+fn parts(event: PartitionEvent) -> (bool, PartitionId, Epoch) {
+    let is_gain = matches!(event, PartitionEvent::Gained { .. });
+    let (PartitionEvent::Gained {
+        data_centre,
+        partition,
+        epoch,
+    }
+    | PartitionEvent::Lost {
+        data_centre,
+        partition,
+        epoch,
+        ..
+    }) = event;
+    let partition = PartitionId {
+        data_centre,
+        partition,
+    };
+    (is_gain, partition, epoch)
+}
+
 async fn gain<P: Platform>(cx: Cx<P>, partition: PartitionId, epoch: Epoch) {
     while is_assigned(&cx, &partition, epoch) {
         match cx.journals.acquire(&partition, epoch).await {
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -1,14 +1,9 @@
 //! Starts a host and runs it until it is told to stop.
 
 use std::io;
-use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::Receiver;
-use async_io::Timer;
-use async_net::TcpListener;
 use chicoryarch_net::Client;
 use chicoryarch_net::Spawner;
 use chicoryarch_net::client::ClientConfig;
@@ -25,9 +20,6 @@
 use super::distribution;
 use super::distribution::Distribution;
 use super::distribution::HostAddress;
-use super::distribution::Hosts;
-use super::distribution::Standing;
-use super::distribution::standing::Term;
 use super::drain;
 use super::drain::Drained;
 use super::drain::Ports;
@@ -40,12 +32,17 @@
 use super::limit_view::Settled;
 use super::links;
 use super::links::KnownHosts;
+use super::listeners::Addresses;
+use super::listeners::BindError;
+use super::listeners::Listeners;
+use super::listeners::announce;
 use super::membership;
 use super::metrics::Metrics;
 use super::placing;
 use super::placing::Placing;
 use super::rates;
 use super::rates::Rates;
+use super::ready;
 use super::secrets;
 use super::timers::Timers;
 use crate::configs::distribution::DistributionConfig;
@@ -71,22 +68,12 @@
 use crate::version::table::Identity;
 use crate::version::table::PartitionEvent;
 
-/// Pause before configuration is looked for again by a starting host.
-const CATCH_UP_RETRY: Duration = Duration::from_millis(100);
-
 /// Why a host cannot start.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub enum ServeError {
     /// An address cannot be listened on.
-    #[error("cannot listen on {address} for {purpose}: {source}")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// What the port is for.
-        purpose: &'static str,
-        /// What the system answered.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// The system refused something else.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -102,63 +89,6 @@
 /// Result of running a host.
 pub type Result<T> = std::result::Result<T, ServeError>;
 
-/// Open ports of a starting host.
-#[derive(Debug)]
-pub struct Listeners {
-    callers: TcpListener,
-    peers: TcpListener,
-    operators: TcpListener,
-}
-
-/// Addresses on which a host listens.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For other hosts.
-    pub peers: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
-}
-
-impl Listeners {
-    /// Opens the ports that the settings name.
-    ///
-    /// # Errors
-    ///
-    /// [`ServeError::Bind`].
-    pub async fn open(cfg: &HostConfig) -> Result<Self> {
-        Ok(Self {
-            callers: bind(cfg.listen.callers, "callers").await?,
-            peers: bind(cfg.listen.peers, "other hosts").await?,
-            operators: bind(cfg.listen.operators, "operators").await?,
-        })
-    }
-
-    /// The addresses, with the ports that the kernel chose.
-    ///
-    /// # Errors
-    ///
-    /// What the system answered.
-    pub fn addresses(&self) -> io::Result<Addresses> {
-        Ok(Addresses {
-            callers: self.callers.local_addr()?,
-            peers: self.peers.local_addr()?,
-            operators: self.operators.local_addr()?,
-        })
-    }
-}
-
-async fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener> {
-    server::bind(address)
-        .await
-        .map_err(|source| ServeError::Bind {
-            address,
-            purpose,
-            source,
-        })
-}
-
 /// Runs a host over HTTP to the platform until it has drained.
 ///
 /// # Errors
@@ -179,21 +109,6 @@
     Ok(drain::until_drained(&cx, &ports).await?)
 }
 
-/// Prints where the host listens, once it does.
-fn announce(addresses: &Addresses) -> io::Result<()> {
-    let Addresses {
-        callers,
-        peers,
-        operators,
-    } = addresses;
-    let mut out = io::stdout().lock();
-    writeln!(
-        out,
-        "listening callers={callers} peers={peers} operators={operators}"
-    )?;
-    out.flush()
-}
-
 /// Starts every part of a host.
 ///
 /// # Errors
@@ -289,7 +204,7 @@
     let settled = Settled::default();
     start_links(&cx, events, platform, &timers, &settled).await;
     cx.spawner
-        .detach(become_ready(Cx::clone(&cx), timers, settled));
+        .detach(ready::become_ready(Cx::clone(&cx), timers, settled));
     Ok((cx, ports))
 }
 
@@ -399,52 +314,3 @@
     };
     spawner.detach(async move { layout.load(&platform, &wanted).await });
 }
-
-/// Collects the configuration, then reports the host as ready.
-async fn become_ready<P: Platform>(cx: Cx<P>, timers: Timers, settled: Settled) {
-    until_listed(&cx).await;
-    let mut term = cx.distribution.hosts().term();
-    let mut standing = cx.distribution.catch_up().await;
-    while standing == Standing::Starting {
-        Timer::after(CATCH_UP_RETRY).await;
-        term = cx.distribution.hosts().term();
-        standing = cx.distribution.catch_up().await;
-    }
-    cx.distribution.start(&timers);
-    cx.spawner
-        .detach(catch_up_again(Cx::clone(&cx), timers, term));
-    // Without the platform there is no lease to wait for; the host then
-    // serves what it can.
-    while standing == Standing::Current && has_lease(&cx) && !settled.is_settled() {
-        Timer::after(CATCH_UP_RETRY).await;
-    }
-    cx.readiness.set(true);
-    log::info!("host ready host={} configuration={standing:?}", cx.cfg.host);
-}
-
-/// Collects the configuration again whenever a lapsed lease is held again:
-/// changes may have come into force without this host.
-async fn catch_up_again<P: Platform>(cx: Cx<P>, timers: Timers, mut caught_up: Option<Term>) {
-    let ticks = timers.subscribe(cx.cfg.membership.heartbeat_period).await;
-    while ticks.recv().await.is_ok() {
-        let term = cx.distribution.hosts().term();
-        if term.is_some() && term != caught_up {
-            cx.distribution.catch_up().await;
-            caught_up = term;
-        }
-    }
-}
-
-/// Waits until the other hosts can know this one, as long as a lease may take
-/// if the platform answers.
-async fn until_listed<P: Platform>(cx: &Cx<P>) {
-    let give_up = Moment::now() + cx.cfg.membership.lapse_after();
-    while !has_lease(cx) && Moment::now() < give_up {
-        Timer::after(CATCH_UP_RETRY).await;
-    }
-}
-
-fn has_lease<P: Platform>(cx: &Cx<P>) -> bool {
-    let until = cx.membership.standing().lease_until;
-    until.is_some_and(|until| Moment::now() < until)
-}
