Ask only hosts that can have tokens, and mend the time to come back

It is now at least the time of one token at the customer's whole rate. Buckets count only from their start on; an answer that says that nothing is refilled is believed for a second; hosts without the bucket are not asked while leases are live.

--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -441,7 +441,7 @@
     /// those that requests under way will take.
     fn ranked(&self, env: Env<'_>) -> Vec<(Amount, HostId, bool)> {
         let estimate = |candidate: &Candidate| {
-            let assumed = candidate.assumed;
+            let assumed = candidate.assumed(env.now, env.view);
             let level = self.estimates.level(env.now, &candidate.host, assumed);
             let to_host = |pending: &&Pending| pending.host == candidate.host;
             let pending = self.pending.values().filter(to_host);
@@ -560,13 +560,14 @@
     /// of tokens they are gone before a caller comes back.
     fn retry_after(&mut self, env: Env<'_>) -> Duration {
         let refill = |candidate: &Candidate| {
-            let Candidate { host, assumed, .. } = candidate;
-            self.estimates.refill(host, *assumed)
+            let assumed = candidate.assumed(env.now, env.view);
+            self.estimates.refill(env.now, &candidate.host, assumed)
         };
         let mut refills: Vec<_> = self.candidates.iter().map(refill).collect();
         refills.sort_by_key(|refill| Reverse(*refill));
         let reached: Amount = refills.into_iter().take(env.cfg.fanout).sum();
-        let refill = reached + self.own.refill(env.now);
+        let whole = Amount::from_tokens(self.terms.rate);
+        let refill = (reached + self.own.refill(env.now)).min(whole);
         let seconds = 1.0 / refill.tokens().max(f64::MIN_POSITIVE);
         let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER);
         let dry = env.now.until(self.dry_until);
--- a/src/request/limit/candidate.rs
+++ b/src/request/limit/candidate.rs
@@ -6,6 +6,7 @@
 use crate::request::limit::bucket::Allotment;
 use crate::request::limit::terms::Allotments;
 use crate::request::limit::view::View;
+use crate::units::Moment;
 use crate::version::objects::Customer;
 
 /// Hosts considered for one customer; bounds the work on a miss.
@@ -18,8 +19,19 @@
     pub host: HostId,
     /// True if it owns the bucket of this host's data centre.
     pub local_owner: bool,
-    /// What it has if nothing else is known.
-    pub assumed: Allotment,
+    /// What it has under a live lease, if nothing else is known.
+    pub leased: Allotment,
+    /// What it has without a lease, if nothing else is known.
+    pub lapsed: Allotment,
+}
+
+impl Candidate {
+    /// What it has if nothing else is known: its lease is taken to be live if
+    /// that of this host is.
+    pub fn assumed(&self, now: Moment, view: &View) -> Allotment {
+        let leased = view.lease_until.is_some_and(|until| now < until);
+        if leased { self.leased } else { self.lapsed }
+    }
 }
 
 /// Lists the owner here, the owners elsewhere, hosts with a floor here and
@@ -34,21 +46,22 @@
     for data_centre in view.members.keys() {
         let here = *data_centre == view.data_centre;
         let allotments = Allotments::divide(terms, data_centre, view, cfg);
+        let pooled = allotments.with_unused(view.used_slots(data_centre));
         let owner = view.owner(customer, data_centre).map(|owner| &owner.host);
         for member in view.live_others(data_centre) {
             let owns = owner == Some(&member.host);
-            let mut assumed = Allotment::default();
+            let mut candidate = Candidate {
+                host: member.host.clone(),
+                local_owner: owns && here,
+                leased: Allotment::default(),
+                lapsed: Allotment::default(),
+            };
             if member.slot.is_some() {
-                assumed = assumed.plus(allotments.floor);
+                candidate.lapsed = allotments.floor;
             }
             if owns {
-                assumed = assumed.plus(allotments.main);
+                candidate.leased = pooled.main;
             }
-            let candidate = Candidate {
-                host: member.host.clone(),
-                local_owner: owns && here,
-                assumed,
-            };
             ranked.push((!(owns && here), !owns, !here, candidate));
         }
     }
--- a/src/request/limit/estimate.rs
+++ b/src/request/limit/estimate.rs
@@ -9,8 +9,9 @@
 use crate::request::limit::message::Answer;
 use crate::units::Moment;
 
-/// Time for which a host that gave no answer is not asked again.
-const UNREACHABLE_FOR: Duration = Duration::from_secs(1);
+/// Time for which a host that gave no answer, or refills nothing, is not asked
+/// again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
 enum Estimate {
@@ -42,32 +43,36 @@
         self.hosts.insert(host.clone(), estimate);
     }
 
-    /// Tokens that a host probably has; `assumed` is its allotment if it has
-    /// not been asked yet.
+    /// Tokens that a host probably has; `assumed` is its allotment if nothing
+    /// is known of it.
     pub fn level(&self, now: Moment, host: &HostId, assumed: Allotment) -> Amount {
-        match self.hosts.get(host) {
+        match self.known(now, host) {
             None => assumed.capacity,
             Some(Estimate::Answered { at, answer }) => {
                 let age = now.since(*at).as_secs_f64();
                 let refilled = Amount::from_tokens(answer.refill.tokens() * age);
                 (answer.level + refilled).min(answer.capacity)
             }
-            Some(Estimate::Unreachable { since }) => {
-                if now.since(*since) < UNREACHABLE_FOR {
-                    Amount::ZERO
-                } else {
-                    assumed.capacity
-                }
-            }
+            Some(Estimate::Unreachable { .. }) => Amount::ZERO,
         }
     }
 
     /// Refill a second that a host probably has.
-    pub fn refill(&self, host: &HostId, assumed: Allotment) -> Amount {
-        match self.hosts.get(host) {
+    pub fn refill(&self, now: Moment, host: &HostId, assumed: Allotment) -> Amount {
+        match self.known(now, host) {
             None => assumed.refill,
             Some(Estimate::Answered { answer, .. }) => answer.refill,
             Some(Estimate::Unreachable { .. }) => Amount::ZERO,
         }
     }
+
+    fn known(&self, now: Moment, host: &HostId) -> Option<&Estimate> {
+        let estimate = self.hosts.get(host)?;
+        let fresh = |at: Moment| now.since(at) < ASK_AGAIN_AFTER;
+        let known = match estimate {
+            Estimate::Answered { at, answer } => answer.refill > Amount::ZERO || fresh(*at),
+            Estimate::Unreachable { since } => fresh(*since),
+        };
+        known.then_some(estimate)
+    }
 }
--- a/src/request/limit/own.rs
+++ b/src/request/limit/own.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 struct Leased<K> {
     key: K,
+    from: Moment,
     until: Moment,
     bucket: Bucket,
 }
@@ -27,7 +28,7 @@
 impl<K> Leased<K> {
     /// The bucket, if it can be used.
     fn at(&mut self, now: Moment) -> Option<&mut Bucket> {
-        (now < self.until).then_some(&mut self.bucket)
+        (self.from <= now && now < self.until).then_some(&mut self.bucket)
     }
 }
 
@@ -83,11 +84,13 @@
         let kept = self.main.take().filter(|main| now < main.until);
         let kept = kept.filter(|main| key == main.key || key == main.key.next());
         let start = now.max(view.settled_at).max(self.not_before);
-        let bucket = kept.map(|main| main.bucket);
+        let kept = kept.map(|main| (main.from, main.bucket));
+        let (from, bucket) = kept.unwrap_or_else(|| (start, Bucket::empty(start, allotment)));
         Leased {
             key,
+            from,
             until,
-            bucket: bucket.unwrap_or_else(|| Bucket::empty(start, allotment)),
+            bucket,
         }
     }
 
@@ -96,11 +99,13 @@
         let kept = kept.filter(|floor| floor.key == lease.slot && now >= self.lease_until);
         let start = now.max(lease.from).max(self.not_before);
         let start = start.max(self.lease_until);
-        let bucket = kept.map(|floor| floor.bucket);
+        let kept = kept.map(|floor| (floor.from, floor.bucket));
+        let (from, bucket) = kept.unwrap_or_else(|| (start, Bucket::empty(start, allotment)));
         Leased {
             key: lease.slot,
+            from,
             until: lease.until,
-            bucket: bucket.unwrap_or_else(|| Bucket::empty(start, allotment)),
+            bucket,
         }
     }
 
--- a/tests/limit_bucket.rs
+++ b/tests/limit_bucket.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use chicoryarch::configs::limit::LimitConfig;
 use chicoryarch::ids::Epoch;
 use chicoryarch::request::limit::Amount;
+use chicoryarch::request::limit::FloorUnused;
+use chicoryarch::request::limit::FloorUse;
 use chicoryarch::request::limit::GrantId;
 use chicoryarch::request::limit::Member;
 use chicoryarch::request::limit::UnusedFloors;
@@ -13,6 +16,7 @@
 use chicoryarch::request::limit::bucket::Bucket;
 use chicoryarch::request::limit::message::Report;
 use chicoryarch::request::limit::own::OwnBuckets;
+use chicoryarch::request::limit::terms::AllotmentLog;
 use chicoryarch::request::limit::terms::Allotments;
 use chicoryarch::units::Moment;
 
@@ -137,3 +141,58 @@
 fn a_lapsed_bucket_cannot_be_used() {
     assert_eq!(level_after(&view(1, 7)), Amount::ZERO);
 }
+
+/// Refill at a moment, after a change from two tokens a second to `second`.
+fn refill_at(second: u64, seconds: u64) -> Amount {
+    let allotments = |tokens: u64| {
+        let refill = whole(tokens);
+        let main = Allotment {
+            refill,
+            ..ALLOTMENT
+        };
+        let floor = Allotment::default();
+        Allotments { main, floor }
+    };
+    let mut log = AllotmentLog::new(allotments(2));
+    log.push(at(0), allotments(second));
+    let spread = Duration::from_secs(5);
+    log.effective(at(seconds), spread).main.refill
+}
+
+#[test]
+fn a_lowered_rate_is_in_force_at_once() {
+    assert_eq!(refill_at(1, 0), whole(1));
+}
+
+#[test]
+fn a_raised_rate_is_in_force_after_the_spread_time() {
+    assert_eq!(refill_at(3, 4), whole(2));
+    assert_eq!(refill_at(3, 5), whole(3));
+}
+
+#[test]
+fn a_floor_is_not_unused_between_two_answers_that_do_not_meet() {
+    let host = "host-1".parse().expect("name");
+    let cfg = LimitConfig::default();
+    let answer = FloorUnused {
+        remaining: Duration::from_secs(2),
+    };
+    let mut floors = UnusedFloors::default();
+    floors.answered(at(0), at(0), &host, answer, &cfg);
+    floors.answered(at(5), at(5), &host, answer, &cfg);
+    assert_eq!(floors.unused_until(&host, at(2)), None);
+    assert!(floors.unused_until(&host, at(6)).is_some());
+}
+
+#[test]
+fn a_floor_counts_as_used_while_its_grants_may_be_valid() {
+    let cfg = LimitConfig::default();
+    let mut floor_use = FloorUse::new(at(0), &cfg);
+    floor_use.renew(at(10), Some(at(20)), &cfg);
+    assert_eq!(floor_use.unused(at(10)), FloorUnused::default());
+    let granted_until = at(10) + cfg.token_ttl;
+    assert_eq!(
+        floor_use.unused(granted_until).remaining,
+        granted_until.until(at(20))
+    );
+}
