Add the policy bench, its traces and two examples

The code of limiter, queue and placement runs on seeded traces shaped like the two deployments, in virtual time over small fakes of endpoints.

--- /dev/null
+++ b/benches/policy/figures.rs
@@ -0,0 +1,167 @@
+//! Figures of a run.
+
+use std::time::Duration;
+
+use chicoryarch::load::deployment::Deployment;
+use chicoryarch::load::program::Agent;
+use chicoryarch::load::program::CallSpec;
+use chicoryarch::load::program::Program;
+use chicoryarch::load::program::Step;
+
+use crate::fakes::DECODE;
+use crate::fakes::PREFILL;
+use crate::sim::End;
+use crate::sim::Outcome;
+
+/// Figures of one or more runs, averaged.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Figures {
+    pub(crate) p50: f64,
+    pub(crate) p95: f64,
+    pub(crate) p99: f64,
+    /// Largest mean of latency over ideal latency of any customer.
+    pub(crate) stretch: f64,
+    /// Mean and 95th percentile of latency by customer.
+    pub(crate) customers: Vec<(f64, f64)>,
+    pub(crate) wasted: f64,
+    pub(crate) refused_rate: f64,
+    pub(crate) wrongful: f64,
+    pub(crate) refused_queue: f64,
+    pub(crate) failed: f64,
+    pub(crate) given_up: f64,
+    pub(crate) unfinished: f64,
+    pub(crate) repeated: f64,
+    pub(crate) hedged: f64,
+    pub(crate) calls: f64,
+}
+
+impl Figures {
+    /// Figures of one run; the customer `except` is left out of latencies.
+    pub(crate) fn of(
+        deployment: &Deployment,
+        programs: &[Program],
+        outcome: &Outcome,
+        except: Option<usize>,
+    ) -> Self {
+        let latency = |end: &End| match end {
+            End::Done(latency) | End::Unfinished(latency) => Some(latency.as_secs_f64()),
+            End::Failed | End::Refused => None,
+        };
+        let mut all = Vec::new();
+        let mut by_customer = vec![Vec::new(); deployment.customers.len()];
+        let mut stretches = vec![Vec::new(); deployment.customers.len()];
+        for (n, customer, end) in &outcome.programs {
+            let Some(latency) = latency(end).filter(|_| except != Some(*customer)) else {
+                continue;
+            };
+            let ideal = ideal(deployment, &programs[*n].root).as_secs_f64();
+            all.push(latency);
+            by_customer[*customer].push(latency);
+            stretches[*customer].push(latency / ideal);
+        }
+        let count = |is: fn(&End) -> bool| {
+            let ends = outcome.programs.iter();
+            ends.filter(|(_, _, end)| is(end)).count() as f64
+        };
+        let wrongful = outcome.wrongful.iter().enumerate();
+        let wrongful = wrongful.filter(|(customer, _)| except != Some(*customer));
+        let wrongful: u64 = wrongful.map(|(_, count)| count).sum();
+        let stretch = stretches.iter().filter(|s| !s.is_empty()).map(|s| mean(s));
+        Self {
+            p50: percentile(&mut all, 0.50),
+            p95: percentile(&mut all, 0.95),
+            p99: percentile(&mut all, 0.99),
+            stretch: stretch.fold(0.0, f64::max),
+            customers: by_customer
+                .iter_mut()
+                .map(|latencies| (mean(latencies), percentile(latencies, 0.95)))
+                .collect(),
+            wasted: outcome.wasted as f64,
+            refused_rate: outcome.refused_rate as f64,
+            wrongful: wrongful as f64,
+            refused_queue: outcome.refused_queue as f64,
+            failed: count(|end| matches!(end, End::Failed)),
+            given_up: count(|end| matches!(end, End::Refused)),
+            unfinished: count(|end| matches!(end, End::Unfinished(_))),
+            repeated: outcome.repeated as f64,
+            hedged: outcome.hedged as f64,
+            calls: outcome.calls as f64,
+        }
+    }
+
+    /// Average over runs.
+    pub(crate) fn average(runs: &[Self]) -> Self {
+        let over = |get: fn(&Self) -> f64| mean(&runs.iter().map(get).collect::<Vec<_>>());
+        let customers = runs[0].customers.len();
+        let customer = |n: usize| {
+            let means: Vec<_> = runs.iter().map(|run| run.customers[n].0).collect();
+            let p95s: Vec<_> = runs.iter().map(|run| run.customers[n].1).collect();
+            (mean(&means), mean(&p95s))
+        };
+        Self {
+            p50: over(|f| f.p50),
+            p95: over(|f| f.p95),
+            p99: over(|f| f.p99),
+            stretch: over(|f| f.stretch),
+            customers: (0..customers).map(customer).collect(),
+            wasted: over(|f| f.wasted),
+            refused_rate: over(|f| f.refused_rate),
+            wrongful: over(|f| f.wrongful),
+            refused_queue: over(|f| f.refused_queue),
+            failed: over(|f| f.failed),
+            given_up: over(|f| f.given_up),
+            unfinished: over(|f| f.unfinished),
+            repeated: over(|f| f.repeated),
+            hedged: over(|f| f.hedged),
+            calls: over(|f| f.calls),
+        }
+    }
+
+    /// Largest growth of a customer's mean latency against a quiet run, with
+    /// that of its 95th percentile.
+    pub(crate) fn slowdown(&self, quiet: &Self) -> (f64, f64) {
+        let both = self.customers.iter().zip(&quiet.customers);
+        let known = both.filter(|(here, _)| here.0 > 0.0);
+        known.fold((0.0, 0.0), |(mean, p95), (here, quiet)| {
+            (
+                f64::max(mean, here.0 / quiet.0),
+                f64::max(p95, here.1 / quiet.1),
+            )
+        })
+    }
+}
+
+/// Latency of an agent alone at endpoints of speed 1 that hold its prefix.
+fn ideal(deployment: &Deployment, agent: &Agent) -> Duration {
+    let step = |step: &Step| match step {
+        Step::Call(call) => Duration::from_secs_f64(work(deployment, call)),
+        Step::Pause(pause) => *pause,
+        Step::Agents(agents) => {
+            let ideals = agents.iter().map(|agent| ideal(deployment, agent));
+            ideals.max().unwrap_or_default()
+        }
+    };
+    agent.steps.iter().map(step).sum()
+}
+
+/// Seconds of a call at an endpoint of speed 1 that holds its prefix.
+pub(crate) fn work(deployment: &Deployment, call: &CallSpec) -> f64 {
+    let plain = deployment.services[call.service].plain.as_secs_f64() * call.work;
+    plain + call.new_tokens as f64 * PREFILL + call.completion_tokens as f64 * DECODE
+}
+
+fn mean(values: &[f64]) -> f64 {
+    if values.is_empty() {
+        return 0.0;
+    }
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn percentile(values: &mut [f64], fraction: f64) -> f64 {
+    if values.is_empty() {
+        return 0.0;
+    }
+    values.sort_by(f64::total_cmp);
+    let index = (values.len() - 1) as f64 * fraction;
+    values[index.round() as usize]
+}
--- a/src/configs/place.rs
+++ b/src/configs/place.rs
@@ -23,6 +23,9 @@
     pub interactive_share: f64,
     /// Weight of the newest sample in learnt averages.
     pub smoothing: f64,
+    /// Slowdown expected of a call at an endpoint whose other places are taken,
+    /// as a fraction of its time alone.
+    pub load_slowdown: f64,
     /// Time without samples in which a learnt speed moves half of the way to
     /// the service's mean.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -78,6 +81,7 @@
         Self {
             interactive_share: 0.15,
             smoothing: 0.15,
+            load_slowdown: 0.25,
             half_life: Duration::from_secs(20),
             remote: Duration::from_millis(1),
             distances: BTreeMap::new(),
@@ -86,7 +90,7 @@
             move_prefixes: false,
             move_per_token: Duration::from_micros(20),
             adaptive_concurrency: true,
-            latency_tolerance: 2.5,
+            latency_tolerance: 1.5,
             eject_after: 3,
             eject_min: Duration::from_secs(1),
             eject_max: Duration::from_secs(30),
@@ -106,6 +110,7 @@
     pub fn check(&self) -> Result<()> {
         within("interactive_share", self.interactive_share, 0.0, 0.9)?;
         within("smoothing", self.smoothing, 0.001, 1.0)?;
+        within("load_slowdown", self.load_slowdown, 0.0, 10.0)?;
         within("half_life_ms", self.half_life, TICK, LONGEST)?;
         within("remote_us", self.remote, Duration::ZERO, MAX_DISTANCE)?;
         for distance in self.distances.values() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configs;
 pub mod connection;
 pub mod ids;
+pub mod load;
 pub mod operator;
 pub mod process;
 pub mod request;
--- a/src/request/place/pool.rs
+++ b/src/request/place/pool.rs
@@ -26,9 +26,6 @@
 use crate::version::catalogue::ConfiguredEndpoint;
 use crate::version::objects::Endpoint;
 
-/// Slowdown of a call at an endpoint all of whose places are taken, relative
-/// to one that runs alone there.
-const LOAD_SLOWDOWN: f64 = 0.5;
 /// Least expected rate of success, so that an expected time stays finite.
 const MIN_SUCCESS: f64 = 0.05;
 
@@ -329,7 +326,7 @@
         let utilisation = member.utilisation(now, &self.cfg);
         // Beyond its limit the endpoint itself keeps calls waiting.
         let excess = (utilisation - 1.0).max(0.0);
-        let slowdown = 1.0 + LOAD_SLOWDOWN * utilisation.min(1.0) + excess;
+        let slowdown = 1.0 + self.cfg.load_slowdown * utilisation.min(1.0) + excess;
         let expected = member.round_trip.as_secs_f64() + work * slowdown;
         let success = (1.0 - member.health.failure_rate(now)).max(MIN_SUCCESS);
         let overdue = member.overdue(now, &self.cfg).as_secs_f64();
