--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -9,12 +9,15 @@
 use super::caller::CallerConfig;
 use super::distribution::DistributionConfig;
 use super::drain::DrainConfig;
+use super::history::HistoryConfig;
 use super::journal::JournalConfig;
 use super::limit::LimitConfig;
 use super::membership::MembershipConfig;
 use super::operator::OperatorConfig;
 use super::peer::PeerConfig;
+use super::place::PlaceConfig;
 use super::platform::PlatformConfig;
+use super::queue::QueueConfig;
 use super::retry::RetryConfig;
 use super::within;
 use crate::ids::DataCentre;
@@ -54,6 +57,9 @@
     /// Graceful shutdown.
     #[serde(default)]
     pub drain: DrainConfig,
+    /// Conversations that hosts keep.
+    #[serde(default)]
+    pub history: HistoryConfig,
     /// Journals of partitions.
     #[serde(default)]
     pub journal: JournalConfig,
@@ -69,9 +75,15 @@
     /// Settings of calls between hosts.
     #[serde(default)]
     pub peer: PeerConfig,
+    /// Choice of endpoints.
+    #[serde(default)]
+    pub place: PlaceConfig,
     /// Connection to the platform.
     #[serde(default)]
     pub platform: PlatformConfig,
+    /// Calls that wait for an endpoint.
+    #[serde(default)]
+    pub queue: QueueConfig,
     /// Repeated attempts.
     #[serde(default)]
     pub retry: RetryConfig,
@@ -158,6 +170,8 @@
         distribution.map_err(|e| Fault::new("distribution", e.field, &e))?;
         let drain = self.drain.check();
         drain.map_err(|e| Fault::new("drain", e.field, &e))?;
+        let history = self.history.check();
+        history.map_err(|e| Fault::new("history", e.field, &e))?;
         let journal = self.journal.check();
         journal.map_err(|e| Fault::new("journal", e.field, &e))?;
         let limit = self.limit.check();
@@ -168,6 +182,10 @@
         operator.map_err(|e| Fault::new("operator", e.field, &e))?;
         let peer = self.peer.check();
         peer.map_err(|e| Fault::new("peer", e.field, &e))?;
+        let place = self.place.check();
+        place.map_err(|e| Fault::new("place", e.field, &e))?;
+        let queue = self.queue.check();
+        queue.map_err(|e| Fault::new("queue", e.field, &e))?;
         let retry = self.retry.check();
         retry.map_err(|e| Fault::new("retry", e.field, &e))
     }
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -21,11 +21,13 @@
 
 use super::drain;
 use super::drain::Drained;
+use super::listeners;
+use super::listeners::Listeners;
 use super::serve;
-use super::serve::Listeners;
 use crate::configs::caller::CallerConfig;
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::drain::DrainConfig;
+use crate::configs::history::HistoryConfig;
 use crate::configs::host::HostConfig;
 use crate::configs::host::ListenConfig;
 use crate::configs::host::LogConfig;
@@ -35,7 +37,9 @@
 use crate::configs::membership::MembershipConfig;
 use crate::configs::operator::OperatorConfig;
 use crate::configs::peer::PeerConfig;
+use crate::configs::place::PlaceConfig;
 use crate::configs::platform::PlatformConfig;
+use crate::configs::queue::QueueConfig;
 use crate::configs::retry::RetryConfig;
 use crate::connection::peer::PeerSecret;
 use crate::connection::platform;
@@ -78,6 +82,9 @@
     /// The embedded platform refused something.
     #[error(transparent)]
     Platform(#[from] PlatformError),
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Bind(#[from] listeners::BindError),
     /// The host cannot start.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -153,6 +160,7 @@
             notice: Duration::ZERO,
             ..DrainConfig::default()
         },
+        history: HistoryConfig::default(),
         journal: JournalConfig::default(),
         limit: LimitConfig::default(),
         operator: OperatorConfig::default(),
@@ -163,6 +171,8 @@
             ..MembershipConfig::default()
         },
         peer: PeerConfig::default(),
+        place: PlaceConfig::default(),
+        queue: QueueConfig::default(),
         platform: PlatformConfig {
             address: platform,
             ..PlatformConfig::default()
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -1,14 +1,9 @@
 //! Starts a host and runs it until it is told to stop.
 
 use std::io;
-use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::Receiver;
-use async_io::Timer;
-use async_net::TcpListener;
 use chicoryarch_net::Client;
 use chicoryarch_net::Spawner;
 use chicoryarch_net::client::ClientConfig;
@@ -25,23 +20,29 @@
 use super::distribution;
 use super::distribution::Distribution;
 use super::distribution::HostAddress;
-use super::distribution::Standing;
 use super::drain;
 use super::drain::Drained;
 use super::drain::Ports;
 use super::drain::Readiness;
 use super::journals::Journals;
+use super::journals::history::History;
 use super::layout::Layout;
 use super::layout::SharedLayout;
 use super::limit_view;
 use super::limit_view::Settled;
 use super::links;
 use super::links::KnownHosts;
+use super::listeners::Addresses;
+use super::listeners::BindError;
+use super::listeners::Listeners;
+use super::listeners::announce;
 use super::membership;
 use super::metrics::Metrics;
+use super::placing;
 use super::placing::Placing;
 use super::rates;
 use super::rates::Rates;
+use super::ready;
 use super::secrets;
 use super::timers::Timers;
 use crate::configs::distribution::DistributionConfig;
@@ -67,22 +68,12 @@
 use crate::version::table::Identity;
 use crate::version::table::PartitionEvent;
 
-/// Pause before configuration is looked for again by a starting host.
-const CATCH_UP_RETRY: Duration = Duration::from_millis(100);
-
 /// Why a host cannot start.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub enum ServeError {
     /// An address cannot be listened on.
-    #[error("cannot listen on {address} for {purpose}: {source}")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// What the port is for.
-        purpose: &'static str,
-        /// What the system answered.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] BindError),
     /// The system refused something else.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -98,63 +89,6 @@
 /// Result of running a host.
 pub type Result<T> = std::result::Result<T, ServeError>;
 
-/// Open ports of a starting host.
-#[derive(Debug)]
-pub struct Listeners {
-    callers: TcpListener,
-    peers: TcpListener,
-    operators: TcpListener,
-}
-
-/// Addresses on which a host listens.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For other hosts.
-    pub peers: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
-}
-
-impl Listeners {
-    /// Opens the ports that the settings name.
-    ///
-    /// # Errors
-    ///
-    /// [`ServeError::Bind`].
-    pub async fn open(cfg: &HostConfig) -> Result<Self> {
-        Ok(Self {
-            callers: bind(cfg.listen.callers, "callers").await?,
-            peers: bind(cfg.listen.peers, "other hosts").await?,
-            operators: bind(cfg.listen.operators, "operators").await?,
-        })
-    }
-
-    /// The addresses, with the ports that the kernel chose.
-    ///
-    /// # Errors
-    ///
-    /// What the system answered.
-    pub fn addresses(&self) -> io::Result<Addresses> {
-        Ok(Addresses {
-            callers: self.callers.local_addr()?,
-            peers: self.peers.local_addr()?,
-            operators: self.operators.local_addr()?,
-        })
-    }
-}
-
-async fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener> {
-    server::bind(address)
-        .await
-        .map_err(|source| ServeError::Bind {
-            address,
-            purpose,
-            source,
-        })
-}
-
 /// Runs a host over HTTP to the platform until it has drained.
 ///
 /// # Errors
@@ -175,21 +109,6 @@
     Ok(drain::until_drained(&cx, &ports).await?)
 }
 
-/// Prints where the host listens, once it does.
-fn announce(addresses: &Addresses) -> io::Result<()> {
-    let Addresses {
-        callers,
-        peers,
-        operators,
-    } = addresses;
-    let mut out = io::stdout().lock();
-    writeln!(
-        out,
-        "listening callers={callers} peers={peers} operators={operators}"
-    )?;
-    out.flush()
-}
-
 /// Starts every part of a host.
 ///
 /// # Errors
@@ -242,15 +161,23 @@
         peers.clone(),
         spawner.clone(),
     );
+    let placing = Placing::new(
+        cfg.queue.clone(),
+        cfg.place.clone(),
+        cfg.data_centre.clone(),
+        spawner.clone(),
+    );
     let cx = Arc::new(Context {
         client,
         configuration,
+        distribution: distribution.clone(),
+        history: History::new(platform.clone(), cfg.history.clone()),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
         metrics: Metrics::default(),
         peers,
-        placing: Placing::default(),
+        placing,
         rates,
         readiness: Readiness::default(),
         retries: Mutex::new(RetryBudget::new(cfg.retry.clone())),
@@ -258,7 +185,7 @@
         spawner,
         cfg,
     });
-    let counters = Arc::clone(distribution.counters());
+    let counters = Arc::clone(cx.distribution.counters());
     cx.metrics
         .register(PartCounters::new(Cx::clone(&cx), counters));
     let operator = Operator::new(
@@ -266,7 +193,7 @@
         distribution.clone(),
         Backend(Cx::clone(&cx)),
     );
-    let module = module(&cx, &distribution, &operator).expect("method names are distinct");
+    let module = module(&cx, &operator).expect("method names are distinct");
     let ports = Ports::default();
     let operator_port = OperatorPort {
         cx: Cx::clone(&cx),
@@ -277,7 +204,7 @@
     let settled = Settled::default();
     start_links(&cx, events, platform, &timers, &settled).await;
     cx.spawner
-        .detach(become_ready(Cx::clone(&cx), distribution, timers, settled));
+        .detach(ready::become_ready(Cx::clone(&cx), timers, settled));
     Ok((cx, ports))
 }
 
@@ -308,12 +235,11 @@
 
 fn module<P: Platform>(
     cx: &Cx<P>,
-    distribution: &Distribution<P, HttpPeers, KnownHosts>,
     operator: &HostOperator<P>,
 ) -> std::result::Result<RpcModule<()>, RegisterMethodError> {
     let mut module = RpcModule::new(());
     module.merge(membership::rpc_module(cx.membership.clone()))?;
-    distribution::rpc::register(&mut module, distribution)?;
+    distribution::rpc::register(&mut module, &cx.distribution)?;
     rates::register(&mut module, cx.rates.clone())?;
     programs::register(&mut module, cx)?;
     operator::fleet::register(&mut module, operator)?;
@@ -369,11 +295,17 @@
     let spawner = &cx.spawner;
     spawner.detach(links::run_partitions(Cx::clone(cx), events));
     spawner.detach(links::run_customers(Cx::clone(cx)));
+    spawner.detach(placing::links::run_changes(Cx::clone(cx)));
+    spawner.detach(placing::links::run_load_reports(
+        Cx::clone(cx),
+        timers.clone(),
+    ));
     spawner.detach(limit_view::run(
         Cx::clone(cx),
         timers.clone(),
         settled.clone(),
     ));
+    spawner.detach(cx.history.clone().run(timers.clone()));
     cx.rates.start(timers).await;
     let layout = cx.layout.clone();
     let wanted = Layout {
@@ -382,40 +314,3 @@
     };
     spawner.detach(async move { layout.load(&platform, &wanted).await });
 }
-
-/// Collects the configuration, then reports the host as ready.
-async fn become_ready<P: Platform>(
-    cx: Cx<P>,
-    distribution: Distribution<P, HttpPeers, KnownHosts>,
-    timers: Timers,
-    settled: Settled,
-) {
-    until_listed(&cx).await;
-    let mut standing = distribution.catch_up().await;
-    while standing == Standing::Starting {
-        Timer::after(CATCH_UP_RETRY).await;
-        standing = distribution.catch_up().await;
-    }
-    distribution.start(&timers);
-    // Without the platform there is no lease to wait for; the host then
-    // serves what it can.
-    while standing == Standing::Current && has_lease(&cx) && !settled.is_settled() {
-        Timer::after(CATCH_UP_RETRY).await;
-    }
-    cx.readiness.set(true);
-    log::info!("host ready host={} configuration={standing:?}", cx.cfg.host);
-}
-
-/// Waits until the other hosts can know this one, as long as a lease may take
-/// if the platform answers.
-async fn until_listed<P: Platform>(cx: &Cx<P>) {
-    let give_up = Moment::now() + cx.cfg.membership.lapse_after();
-    while !has_lease(cx) && Moment::now() < give_up {
-        Timer::after(CATCH_UP_RETRY).await;
-    }
-}
-
-fn has_lease<P: Platform>(cx: &Cx<P>) -> bool {
-    let until = cx.membership.standing().lease_until;
-    until.is_some_and(|until| Moment::now() < until)
-}
--- a/tests/must_hold.rs
+++ b/tests/must_hold.rs
@@ -6,6 +6,8 @@
 
 use serde_json::Value;
 use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
 use support::Answer;
 use support::Fleet;
 use support::FleetSpec;
@@ -79,7 +81,7 @@
             let host = &fleet.hosts[n as usize % hosts];
             fleet
                 .http
-                .start(host.callers, &model_call(&program, n, "x"))
+                .start(host.callers, &model_call(&program, n, &format!("bar {n}")))
         })
         .collect();
     for call in calls {
@@ -90,7 +92,10 @@
     runs.sort_by_key(|run| run["started"].as_u64());
     let mut last_end = 0;
     for (index, run) in runs.iter().enumerate() {
-        assert_eq!(run["ordinal"], index as u64 + 1);
+        let ordinal = index as u64 + 1;
+        assert_eq!(run["ordinal"], ordinal);
+        let body = completion(&format!("bar {ordinal}"));
+        assert_eq!(run["body_digest"], hex::encode(Sha256::digest(body)));
         assert!(run["started"].as_u64().expect("a position") > last_end);
         last_end = run["ended"]["at"].as_u64().expect("an end");
     }
@@ -547,35 +552,43 @@
     assert_eq!(runs(&fleet, true).len(), before);
 }
 
-#[test]
-fn a_graceful_shutdown_cuts_off_no_request() {
+/// Drains the owner of a program while `call` runs at one of its endpoints.
+fn drain_during(call: impl Fn(&Fleet, usize, &str) -> support::http::Pending) {
     let mut fleet = Fleet::start(FleetSpec::default());
     let program = fleet.open_program(0, "{}");
     let owner = owner_of(&fleet, &program);
     let other = fleet.hosts[1 - owner].callers;
-    fleet.service.switch(&fleet.http, &json!({"slow_ms": 300}));
-    let slow = fleet.http.start(
-        fleet.hosts[owner].callers,
-        &Req::post("/lookup/x").bearer(SECRET),
-    );
-    let once = fleet.http.start(
-        other,
-        &order("drain", "{}").header("chicoryarch-program", &program),
-    );
-    wait_until("both calls run", || runs(&fleet, true).len() == 2);
+    // Longer than the process lives if it does not wait for the call.
+    fleet.service.switch(&fleet.http, &json!({"slow_ms": 3000}));
+    let pending = call(&fleet, owner, &program);
+    wait_until("the call runs", || runs(&fleet, true).len() == 1);
     fleet.hosts[owner].process.terminate();
     // Calls go on while the host drains, at whichever host owns the program.
     for n in 2..10 {
         let answer = fleet.http.send(other, &model_call(&program, n, "on"));
         assert!(answer.is_success(), "{answer:?}");
     }
-    for call in [slow, once] {
-        let answer = call.wait().expect("a whole answer");
-        assert!(answer.is_success(), "{answer:?}");
-    }
+    let answer = pending.wait().expect("a whole answer");
+    assert!(answer.is_success(), "{answer:?}");
     assert!(fleet.hosts[owner].process.wait(), "the drain was cut short");
 }
 
+#[test]
+fn a_graceful_shutdown_cuts_off_no_request_of_its_callers() {
+    drain_during(|fleet, owner, _| {
+        let req = Req::post("/lookup/x").bearer(SECRET);
+        fleet.http.start(fleet.hosts[owner].callers, &req)
+    });
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_off_no_request_of_other_hosts() {
+    drain_during(|fleet, owner, program| {
+        let req = order("drain", "{}").header("chicoryarch-program", program);
+        fleet.http.start(fleet.hosts[1 - owner].callers, &req)
+    });
+}
+
 #[test]
 fn an_accepted_change_is_in_force_everywhere_and_does_not_revert() {
     let mut fleet = Fleet::start(FleetSpec::default());
