--- a/tests/settings_page.rs
+++ b/tests/settings_page.rs
@@ -2,6 +2,7 @@
 //! present default.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use chicoryarch::process::settings;
 
@@ -107,7 +108,15 @@
 
 #[test]
 fn the_page_has_every_setting_with_its_default() {
-    assert_eq!(defaults_of_page(), defaults_of_code());
+    let (page, code) = (defaults_of_page(), defaults_of_code());
+    let names: BTreeSet<&String> = page.keys().chain(code.keys()).collect();
+    let differ = |name: &&String| page.get(*name) != code.get(*name);
+    let wrong: Vec<_> = names
+        .into_iter()
+        .filter(differ)
+        .map(|name| (name, page.get(name), code.get(name)))
+        .collect();
+    assert!(wrong.is_empty(), "setting, page, code: {wrong:#?}");
 }
 
 #[test]
