Release engine memory that nobody uses; stop work to leaving endpoints

Caches at engines stayed when their program ended, when its owner died or when a new owner served it under a later epoch. The owner now releases the caches of ended and idle programs at the engines that it dispatched to. For each engine one host, chosen by rendezvous hashing over the live hosts of the engine's data centre, compares the engine's list with the programs' homes and releases what two sightings, a grace and a last question found unused. A home that cannot be asked, or that does not serve in full, keeps the cache.

The platform's list of endpoint hosts is read by one host of each data centre and taken over by the others; it is joined with the operators' state and with refused connections before a call is placed. Endpoints name their machine in the new field `host`.

Ruled out: release by a steward of idle caches, since the next call could be under way; only the owner sees that, so only it releases them, and it sends calls without the cache until the release is known to have succeeded.

--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -9,6 +9,7 @@
 use super::caller::CallerConfig;
 use super::distribution::DistributionConfig;
 use super::drain::DrainConfig;
+use super::endpoints::EndpointsConfig;
 use super::journal::JournalConfig;
 use super::limit::LimitConfig;
 use super::membership::MembershipConfig;
@@ -54,6 +55,9 @@
     /// Graceful shutdown.
     #[serde(default)]
     pub drain: DrainConfig,
+    /// Leaving endpoints and engine memory.
+    #[serde(default)]
+    pub endpoints: EndpointsConfig,
     /// Journals of partitions.
     #[serde(default)]
     pub journal: JournalConfig,
@@ -158,6 +162,8 @@
         distribution.map_err(|e| Fault::new("distribution", e.field, &e))?;
         let drain = self.drain.check();
         drain.map_err(|e| Fault::new("drain", e.field, &e))?;
+        let endpoints = self.endpoints.check();
+        endpoints.map_err(|e| Fault::new("endpoints", e.field, &e))?;
         let journal = self.journal.check();
         journal.map_err(|e| Fault::new("journal", e.field, &e))?;
         let limit = self.limit.check();
--- a/src/connection/endpoint.rs
+++ b/src/connection/endpoint.rs
@@ -12,11 +12,11 @@
 use hyper::body::Incoming;
 
 use super::headers;
-use crate::ids::CustomerId;
 use crate::ids::Epoch;
 use crate::ids::Ordinal;
 use crate::ids::ProgramId;
 use crate::request::call::Call;
+use crate::version::engine_memory::CacheHandle;
 
 /// Priority of calls on interactive routes.
 pub const INTERACTIVE_PRIORITY: u32 = 10;
@@ -33,19 +33,11 @@
     /// Fencing number of the dispatching owner.
     pub fence: Epoch,
     /// Cache to use at a model engine; absent if nothing is to be kept.
-    pub cache: Option<String>,
+    pub cache: Option<CacheHandle>,
     /// Larger runs first at a model engine.
     pub priority: u32,
 }
 
-/// Names the cache of a program at a model engine.
-///
-/// The handle holds the customer and the owner's epoch and is never used
-/// again, so no engine can answer one program from another's cache.
-pub fn cache_handle(customer: &CustomerId, program: &ProgramId, epoch: Epoch) -> String {
-    format!("{customer}/{program}/{epoch}")
-}
-
 impl Dispatch<'_> {
     fn request(&self, to: SocketAddr) -> Request<Body> {
         let call = self.call;
--- a/src/operator/edit.rs
+++ b/src/operator/edit.rs
@@ -197,6 +197,7 @@
         "services",
         "concurrency",
         "checks_fence",
+        "host",
     ];
     const REQUIRED: &'static [&'static str] = &["address", "data_centre", "services"];
 
@@ -208,6 +209,7 @@
             concurrency: DEFAULT_CONCURRENCY,
             checks_fence: false,
             state: EndpointState::Serving,
+            host: None,
         }
     }
 
@@ -220,6 +222,7 @@
                 self.services = BTreeSet::from_iter(services);
             }
             "concurrency" => self.concurrency = parse(value, "a whole number")?,
+            "host" => self.host = Some(value.value.clone()),
             _ => self.checks_fence = flag(value)?,
         }
         Ok(())
--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 
 use super::drain::Readiness;
+use super::endpoints::Endpoints;
 use super::journals::Journals;
 use super::layout::SharedLayout;
 use super::membership::Membership;
@@ -33,6 +34,8 @@
     pub client: Client,
     /// Customers, keys, services and endpoints in force here.
     pub configuration: Configuration,
+    /// What is known of endpoints beyond their configuration.
+    pub endpoints: Endpoints,
     /// Journals of the partitions that this host owns.
     pub journals: Journals<P>,
     /// Where idempotency keys without a program are kept.
--- a/src/process/counters.rs
+++ b/src/process/counters.rs
@@ -12,6 +12,7 @@
 
 use super::context::Cx;
 use super::distribution::driver::Counters as DistributionCounters;
+use super::endpoints::Counters as EndpointCounters;
 use super::membership::Counters as MembershipCounters;
 use super::rates::counters::RateCounters;
 use crate::connection::platform::Platform;
@@ -54,6 +55,7 @@
         samples.extend(journal(self.cx.journals.counters()));
         samples.extend(rates(&self.cx.rates.counters()));
         samples.extend(distribution(&self.distribution));
+        samples.extend(endpoints(&self.cx.endpoints.counters));
         for Sample { name, help, value } in samples {
             let counter = ConstCounter::new(value);
             let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
@@ -294,3 +296,58 @@
         ),
     ]
 }
+
+fn endpoints(c: &EndpointCounters) -> [Sample; 10] {
+    [
+        sample(
+            "endpoint_lists_read",
+            "Reads of the platform's list of endpoint hosts",
+            read(&c.lists_read),
+        ),
+        sample(
+            "endpoint_lists_pulled",
+            "Lists of endpoint hosts taken over from another host",
+            read(&c.lists_pulled),
+        ),
+        sample(
+            "endpoint_list_failures",
+            "Failed reads of the list of endpoint hosts",
+            read(&c.list_failures),
+        ),
+        sample(
+            "engine_reviews",
+            "Reviews of an engine's memory",
+            read(&c.reviews),
+        ),
+        sample(
+            "engine_review_failures",
+            "Reviews without a list from the engine",
+            read(&c.review_failures),
+        ),
+        sample(
+            "engine_caches_unknown",
+            "Caches kept because their home could not be asked",
+            read(&c.homes_unknown),
+        ),
+        sample(
+            "engine_owner_releases",
+            "Release orders by owners of programs",
+            read(&c.owner_releases),
+        ),
+        sample(
+            "engine_steward_releases",
+            "Release orders by stewards of engines",
+            read(&c.steward_releases),
+        ),
+        sample(
+            "engine_release_failures",
+            "Release orders refused or not answered",
+            read(&c.release_failures),
+        ),
+        sample(
+            "engine_uncached_dispatches",
+            "Calls sent without a cache that is being released",
+            read(&c.uncached_dispatches),
+        ),
+    ]
+}
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -26,6 +26,7 @@
 use crate::configs::caller::CallerConfig;
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::drain::DrainConfig;
+use crate::configs::endpoints::EndpointsConfig;
 use crate::configs::host::HostConfig;
 use crate::configs::host::ListenConfig;
 use crate::configs::host::LogConfig;
@@ -153,6 +154,7 @@
             notice: Duration::ZERO,
             ..DrainConfig::default()
         },
+        endpoints: EndpointsConfig::default(),
         journal: JournalConfig::default(),
         limit: LimitConfig::default(),
         operator: OperatorConfig::default(),
@@ -210,6 +212,7 @@
         concurrency: CONCURRENCY,
         checks_fence: false,
         state: EndpointState::Serving,
+        host: None,
     }
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod dev;
 pub mod distribution;
 pub mod drain;
+pub mod endpoints;
 pub mod journals;
 pub mod layout;
 pub mod limit_view;
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -30,6 +30,8 @@
 use super::drain::Drained;
 use super::drain::Ports;
 use super::drain::Readiness;
+use super::endpoints;
+use super::endpoints::Endpoints;
 use super::journals::Journals;
 use super::layout::Layout;
 use super::layout::SharedLayout;
@@ -245,6 +247,7 @@
     let cx = Arc::new(Context {
         client,
         configuration,
+        endpoints: Endpoints::new(&cfg.endpoints),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
@@ -316,6 +319,7 @@
     distribution::rpc::register(&mut module, distribution)?;
     rates::register(&mut module, cx.rates.clone())?;
     programs::register(&mut module, cx)?;
+    endpoints::register(&mut module, cx)?;
     operator::fleet::register(&mut module, operator)?;
     Ok(module)
 }
@@ -374,6 +378,7 @@
         timers.clone(),
         settled.clone(),
     ));
+    endpoints::start(cx, platform.clone(), timers);
     cx.rates.start(timers).await;
     let layout = cx.layout.clone();
     let wanted = Layout {
--- a/src/request/clearance.rs
+++ b/src/request/clearance.rs
@@ -6,7 +6,6 @@
 use super::outcome::Reason;
 use super::outcome::Refusal;
 use super::outcome::Result;
-use crate::connection::endpoint;
 use crate::connection::platform::Platform;
 use crate::ids::Epoch;
 use crate::ids::Ordinal;
@@ -15,6 +14,7 @@
 use crate::process::journals::Ticket;
 use crate::units::Moment;
 use crate::units::Tokens;
+use crate::version::engine_memory::CacheHandle;
 use crate::version::journal::Durability;
 use crate::version::journal::Finished;
 use crate::version::journal::Outcome;
@@ -72,10 +72,13 @@
 
     /// The cache that a model engine uses for the call, if it belongs to a
     /// program.
-    pub fn cache_handle(&self, call: &Call) -> Option<String> {
+    pub fn cache_handle(&self, call: &Call) -> Option<CacheHandle> {
         call.program.as_ref()?;
-        let (program, epoch) = (self.program(), self.epoch());
-        Some(endpoint::cache_handle(call.account(), program, epoch))
+        Some(CacheHandle {
+            customer: call.account().clone(),
+            program: self.program().clone(),
+            epoch: self.epoch(),
+        })
     }
 
     /// Checks, right before the dispatch, that this host may still run it.
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::process::placing::Verdict;
 use crate::units::Moment;
 use crate::units::Tokens;
+use crate::version::engine_memory::CacheHandle;
 use crate::version::objects::Service;
 use crate::version::objects::ServiceKind;
 
@@ -107,7 +108,8 @@
 
     fn candidates(&self) -> Result<Candidates> {
         self.check_key()?;
-        Ok(self.cx.configuration.endpoints_of(&self.call.service))
+        let endpoints = self.cx.configuration.endpoints_of(&self.call.service);
+        Ok(self.cx.endpoints.leaving.usable(endpoints, Moment::now()))
     }
 
     /// Checks, right before the dispatch, that the call may still run.
@@ -129,7 +131,7 @@
             program: self.clearance.program(),
             ordinal: self.clearance.ordinal(),
             fence: self.clearance.epoch(),
-            cache: self.clearance.cache_handle(self.call),
+            cache: self.cache(slot),
             priority: if self.service.interactive {
                 INTERACTIVE_PRIORITY
             } else {
@@ -144,9 +146,28 @@
         self.cx
             .metrics
             .observe(Stage::Endpoint, Moment::now().since(started));
+        let leaving = &self.cx.endpoints.leaving;
+        match &response {
+            Err(ClientError::Connect(_)) => leaving.refused(&slot.id, Moment::now()),
+            _ => leaving.connected(&slot.id),
+        }
         response
     }
 
+    /// The cache to use at an engine, unless it is being released there.
+    fn cache(&self, slot: &Slot) -> Option<CacheHandle> {
+        if self.service.kind != ServiceKind::Model {
+            return None;
+        }
+        let handle = self.clearance.cache_handle(self.call)?;
+        let endpoints = &self.cx.endpoints;
+        let may_use = endpoints.memory.dispatch(&handle, &slot.id);
+        if !may_use {
+            endpoints.counters.uncached_dispatch();
+        }
+        may_use.then_some(handle)
+    }
+
     fn may_repeat(&self, e: &ClientError, attempts: u32) -> bool {
         let in_time = Moment::now() < self.call.deadline;
         let mut budget = self.cx.retries.lock();
--- a/src/version/objects.rs
+++ b/src/version/objects.rs
@@ -186,6 +186,9 @@
     /// Whether it takes new work.
     #[serde(default)]
     pub state: EndpointState,
+    /// The platform's name of the machine that it runs on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
 }
 
 /// Calls an endpoint runs at once if its configuration does not say.
--- a/tests/configuration/cost.rs
+++ b/tests/configuration/cost.rs
@@ -29,6 +29,7 @@
         concurrency: 8,
         checks_fence: true,
         state: EndpointState::Serving,
+        host: None,
     };
     item(
         ObjectId::new(Kind::Endpoint, format!("e{index}")),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -422,6 +422,7 @@
             concurrency: 64,
             checks_fence: false,
             state: chicoryarch::version::objects::EndpointState::Serving,
+            host: None,
         }
     }
 
