--- a/src/process/context.rs
+++ b/src/process/context.rs
@@ -8,6 +8,7 @@
 
 use super::distribution::Distribution;
 use super::drain::Readiness;
+use super::endpoints::Endpoints;
 use super::journals::Journals;
 use super::journals::history::History;
 use super::layout::SharedLayout;
@@ -40,6 +41,8 @@
     pub distribution: Distribution<P, HttpPeers, KnownHosts>,
     /// Conversations that this host keeps for its programs.
     pub history: History<P>,
+    /// What is known of endpoints beyond their configuration.
+    pub endpoints: Endpoints,
     /// Journals of the partitions that this host owns.
     pub journals: Journals<P>,
     /// Where idempotency keys without a program are kept.
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -27,6 +27,7 @@
 use crate::configs::caller::CallerConfig;
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::drain::DrainConfig;
+use crate::configs::endpoints::EndpointsConfig;
 use crate::configs::history::HistoryConfig;
 use crate::configs::host::HostConfig;
 use crate::configs::host::ListenConfig;
@@ -161,6 +162,7 @@
             ..DrainConfig::default()
         },
         history: HistoryConfig::default(),
+        endpoints: EndpointsConfig::default(),
         journal: JournalConfig::default(),
         limit: LimitConfig::default(),
         operator: OperatorConfig::default(),
@@ -220,6 +222,7 @@
         concurrency: CONCURRENCY,
         checks_fence: false,
         state: EndpointState::Serving,
+        host: None,
     }
 }
 
