--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -9,6 +9,7 @@
 use super::caller::CallerConfig;
 use super::distribution::DistributionConfig;
 use super::drain::DrainConfig;
+use super::endpoints::EndpointsConfig;
 use super::history::HistoryConfig;
 use super::journal::JournalConfig;
 use super::limit::LimitConfig;
@@ -57,6 +58,9 @@
     /// Graceful shutdown.
     #[serde(default)]
     pub drain: DrainConfig,
+    /// Leaving endpoints and engine memory.
+    #[serde(default)]
+    pub endpoints: EndpointsConfig,
     /// Conversations that hosts keep.
     #[serde(default)]
     pub history: HistoryConfig,
@@ -170,6 +174,8 @@
         distribution.map_err(|e| Fault::new("distribution", e.field, &e))?;
         let drain = self.drain.check();
         drain.map_err(|e| Fault::new("drain", e.field, &e))?;
+        let endpoints = self.endpoints.check();
+        endpoints.map_err(|e| Fault::new("endpoints", e.field, &e))?;
         let history = self.history.check();
         history.map_err(|e| Fault::new("history", e.field, &e))?;
         let journal = self.journal.check();
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -24,6 +24,8 @@
 use super::drain::Drained;
 use super::drain::Ports;
 use super::drain::Readiness;
+use super::endpoints;
+use super::endpoints::Endpoints;
 use super::journals::Journals;
 use super::journals::history::History;
 use super::layout::Layout;
@@ -172,6 +174,7 @@
         configuration,
         distribution: distribution.clone(),
         history: History::new(platform.clone(), cfg.history.clone()),
+        endpoints: Endpoints::new(&cfg.endpoints),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
@@ -242,6 +245,7 @@
     distribution::rpc::register(&mut module, &cx.distribution)?;
     rates::register(&mut module, cx.rates.clone())?;
     programs::register(&mut module, cx)?;
+    endpoints::register(&mut module, cx)?;
     operator::fleet::register(&mut module, operator)?;
     Ok(module)
 }
@@ -306,6 +310,7 @@
         settled.clone(),
     ));
     spawner.detach(cx.history.clone().run(timers.clone()));
+    endpoints::start(cx, platform.clone(), timers);
     cx.rates.start(timers).await;
     let layout = cx.layout.clone();
     let wanted = Layout {
--- a/tests/placing/world.rs
+++ b/tests/placing/world.rs
@@ -49,6 +49,7 @@
             concurrency: places,
             checks_fence: false,
             state,
+            host: None,
         }),
     }
 }
