--- a/tests/limit_bucket.rs
+++ b/tests/limit_bucket.rs
@@ -5,7 +5,11 @@
 
 use chicoryarch::configs::limit::LimitConfig;
 use chicoryarch::ids::Epoch;
+use chicoryarch::ids::Version;
+use chicoryarch::request::limit::Account;
 use chicoryarch::request::limit::Amount;
+use chicoryarch::request::limit::Ask;
+use chicoryarch::request::limit::Env;
 use chicoryarch::request::limit::FloorUnused;
 use chicoryarch::request::limit::FloorUse;
 use chicoryarch::request::limit::GrantId;
@@ -19,6 +23,7 @@
 use chicoryarch::request::limit::terms::AllotmentLog;
 use chicoryarch::request::limit::terms::Allotments;
 use chicoryarch::units::Moment;
+use chicoryarch::version::objects::Customer;
 
 const TTL: Duration = Duration::from_secs(10);
 
@@ -196,3 +201,45 @@
         granted_until.until(at(20))
     );
 }
+
+#[test]
+fn a_grant_ends_before_a_floor_in_it_comes_into_use() {
+    let allotments = Allotments {
+        main: ALLOTMENT,
+        floor: Allotment::default(),
+    };
+    let mut own = OwnBuckets::new(at(0));
+    own.adopt(at(0), &view(0, 60), true, allotments);
+    own.set_allotments(at(0), allotments, Some(at(9)));
+    let ask = Ask {
+        customer: "choir".parse().expect("name"),
+        id: ask(1),
+        need: whole(1),
+        extra: Amount::ZERO,
+        reports: Vec::new(),
+    };
+    let cfg = LimitConfig {
+        token_ttl: Duration::from_secs(5),
+        ..LimitConfig::default()
+    };
+    let answer = own.grant(at(8), &ask, Amount::ZERO, &cfg);
+    assert_eq!(answer.granted, whole(1));
+    assert!(answer.ttl <= Duration::from_secs(1));
+}
+
+#[test]
+fn a_new_process_refills_once_grants_of_the_former_one_have_expired() {
+    let cfg = LimitConfig::default();
+    let view = view(0, 60);
+    let env = |now: Moment| Env {
+        now,
+        cfg: &cfg,
+        view: &view,
+    };
+    let customer = "choir".parse().expect("name");
+    let terms = Customer::default();
+    let mut account = Account::new(env(at(0)), customer, 1, Version(1), terms);
+    let expired = at(0) + cfg.token_ttl;
+    assert_eq!(account.summary(env(expired)).tokens, 0.0);
+    assert!(account.summary(env(expired + TTL)).tokens > 0.0);
+}
