--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -692,6 +692,7 @@
         concurrency,
         checks_fence: true,
         state: EndpointState::Serving,
+        host: None,
     };
     item(
         Kind::Endpoint,
--- a/benches/policy/limits.rs
+++ b/benches/policy/limits.rs
@@ -15,6 +15,7 @@
 use chicoryarch::request::limit::Env;
 use chicoryarch::request::limit::Member;
 use chicoryarch::request::limit::Ticket;
+use chicoryarch::request::limit::UnusedFloors;
 use chicoryarch::request::limit::View;
 use chicoryarch::units::Moment;
 use chicoryarch::version::objects::Customer;
@@ -233,5 +234,6 @@
         lease_until: Some(Moment::from_start(Duration::MAX)),
         settled_at: Moment::default(),
         floor: None,
+        unused_floors: UnusedFloors::default(),
     }
 }
--- a/benches/policy/sim.rs
+++ b/benches/policy/sim.rs
@@ -806,6 +806,7 @@
             concurrency: shape.places,
             checks_fence: false,
             state: EndpointState::Serving,
+            host: None,
         }),
     }
 }
--- a/examples/placement.rs
+++ b/examples/placement.rs
@@ -44,6 +44,7 @@
             concurrency: 2,
             checks_fence: false,
             state: EndpointState::Serving,
+            host: None,
         }),
     }
 }
