--- a/tests/must_hold.rs
+++ b/tests/must_hold.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Instant;
 
 use serde_json::Value;
@@ -552,6 +555,36 @@
     assert_eq!(runs(&fleet, true).len(), before);
 }
 
+#[test]
+fn a_caller_that_leaves_in_the_middle_of_an_answer_cancels_the_rest() {
+    let fleet = Fleet::start(FleetSpec::default());
+    for (index, host) in fleet.hosts.iter().enumerate() {
+        let body = json!({
+            "model": "m", "stream": true, "max_tokens": 60_000,
+            "messages": [{"role": "user", "content": "long"}],
+        })
+        .to_string();
+        let head = format!(
+            "POST {COMPLETIONS} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {SECRET}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut stream = TcpStream::connect(host.callers).expect("the port is open");
+        stream.write_all(head.as_bytes()).expect("it can be sent");
+        let mut seen = Vec::new();
+        while !seen.windows(5).any(|w| w == b"data:") {
+            let mut buf = [0; 1024];
+            let read = stream.read(&mut buf).expect("the answer begins");
+            assert!(read > 0, "the answer broke off");
+            seen.extend_from_slice(&buf[..read]);
+        }
+        drop(stream);
+        wait_until("the run is cancelled", || {
+            runs(&fleet, false)[index]["ended"]["how"] == "cancelled"
+        });
+    }
+}
+
 /// Drains the owner of a program while `call` runs at one of its endpoints.
 fn drain_during(call: impl Fn(&Fleet, usize, &str) -> support::http::Pending) {
     let mut fleet = Fleet::start(FleetSpec::default());
