--- a/src/configs/caller.rs
+++ b/src/configs/caller.rs
@@ -49,7 +49,7 @@
             max_body_bytes: 4 * 1024 * 1024,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(20),
-            owner_wait: Duration::from_secs(5),
+            owner_wait: Duration::from_secs(10),
             retry_after: Duration::from_secs(1),
             bytes_per_token: 3,
             default_max_tokens: 1024,
@@ -84,6 +84,12 @@
             MAX_TIMEOUT,
         )?;
         within("retry_after_ms", self.retry_after, MIN_TIMEOUT, MAX_TIMEOUT)?;
+        within(
+            "owner_wait_ms",
+            self.owner_wait,
+            Duration::ZERO,
+            MAX_TIMEOUT,
+        )?;
         within("bytes_per_token", self.bytes_per_token, 1, 16)?;
         within("default_max_tokens", self.default_max_tokens, 1, 1_000_000)
     }
--- a/src/configs/distribution.rs
+++ b/src/configs/distribution.rs
@@ -8,23 +8,15 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::Result;
+use super::within;
+
 /// Shortest period between two exchanges, polls or retries.
 pub const MIN_PERIOD: Duration = Duration::from_millis(10);
 
 /// Longest period or wait.
 pub const MAX_PERIOD: Duration = Duration::from_secs(3600);
 
-/// A setting outside its bounds.
-#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("distribution.{field} must be from {} to {} ms", MIN_PERIOD.as_millis(), MAX_PERIOD.as_millis())]
-pub struct DistributionConfigError {
-    /// Name of the setting.
-    pub field: &'static str,
-}
-
-/// Result of checking the settings.
-pub type Result<T> = std::result::Result<T, DistributionConfigError>;
-
 /// Settings of the spread of configuration.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -100,9 +92,5 @@
 }
 
 fn check_period(field: &'static str, period: Duration) -> Result<()> {
-    if (MIN_PERIOD..=MAX_PERIOD).contains(&period) {
-        Ok(())
-    } else {
-        Err(DistributionConfigError { field })
-    }
+    within(field, period, MIN_PERIOD, MAX_PERIOD)
 }
--- a/src/configs/host.rs
+++ b/src/configs/host.rs
@@ -190,6 +190,8 @@
         peer.map_err(|e| Fault::new("peer", e.field, &e))?;
         let place = self.place.check();
         place.map_err(|e| Fault::new("place", e.field, &e))?;
+        let platform = self.platform.check();
+        platform.map_err(|e| Fault::new("platform", e.field, &e))?;
         let queue = self.queue.check();
         queue.map_err(|e| Fault::new("queue", e.field, &e))?;
         let retry = self.retry.check();
--- a/src/configs/journal.rs
+++ b/src/configs/journal.rs
@@ -1,7 +1,5 @@
 //! Settings of the journal part.
 
-use std::fmt::Debug;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -9,36 +7,8 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
-/// A setting outside of its range.
-#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("`{field}` is {value}; it must lie in {range}")]
-pub struct RangeError {
-    /// Name of the field as written in the settings.
-    pub field: &'static str,
-    /// The value found.
-    pub value: String,
-    /// The values allowed.
-    pub range: String,
-}
-
-/// Result of a check of settings.
-pub type Result<T> = std::result::Result<T, RangeError>;
-
-/// Checks that a setting lies in its range.
-pub(crate) fn check_range<T: Debug + PartialOrd>(
-    field: &'static str,
-    value: &T,
-    range: &RangeInclusive<T>,
-) -> Result<()> {
-    if range.contains(value) {
-        return Ok(());
-    }
-    Err(RangeError {
-        field,
-        value: format!("{value:?}"),
-        range: format!("{range:?}"),
-    })
-}
+use super::Result;
+use super::within;
 
 /// Settings of one partition's journal.
 #[serde_as]
@@ -148,72 +118,63 @@
         let ms = Duration::from_millis;
         let day = Duration::from_secs(24 * 60 * 60);
         let least = ms(1);
-        check_range(
+        within(
             "min_commit_interval_ms",
-            &self.min_commit_interval,
-            &(least..=self.max_commit_interval),
+            self.min_commit_interval,
+            least,
+            self.max_commit_interval,
         )?;
-        check_range(
+        within(
             "max_commit_interval_ms",
-            &self.max_commit_interval,
-            &(least..=ms(60_000)),
-        )?;
-        check_range(
-            "lazy_interval_ms",
-            &self.lazy_interval,
-            &(ms(10)..=ms(600_000)),
-        )?;
-        check_range("commit_wait_ms", &self.commit_wait, &(ms(10)..=ms(60_000)))?;
-        check_range(
-            "min_backoff_ms",
-            &self.min_backoff,
-            &(least..=self.max_backoff),
-        )?;
-        check_range("max_backoff_ms", &self.max_backoff, &(least..=ms(60_000)))?;
-        check_range("gap_wait_ms", &self.gap_wait, &(least..=ms(60_000)))?;
-        check_range("idle_end_ms", &self.idle_end, &(ms(100)..=day))?;
-        check_range(
-            "once_retention_ms",
-            &self.once_retention,
-            &(ms(1000)..=day * 30),
-        )?;
-        check_range(
-            "ended_retention_ms",
-            &self.ended_retention,
-            &(ms(100)..=day),
+            self.max_commit_interval,
+            least,
+            ms(60_000),
         )?;
-        check_range("release_wait_ms", &self.release_wait, &(least..=day))
+        within("lazy_interval_ms", self.lazy_interval, ms(10), ms(600_000))?;
+        within("commit_wait_ms", self.commit_wait, ms(10), ms(60_000))?;
+        within("min_backoff_ms", self.min_backoff, least, self.max_backoff)?;
+        within("max_backoff_ms", self.max_backoff, least, ms(60_000))?;
+        within("gap_wait_ms", self.gap_wait, least, ms(60_000))?;
+        within("idle_end_ms", self.idle_end, ms(100), day)?;
+        within("once_retention_ms", self.once_retention, ms(1000), day * 30)?;
+        within("ended_retention_ms", self.ended_retention, ms(100), day)?;
+        within("release_wait_ms", self.release_wait, least, day)
     }
 
     fn check_sizes(&self) -> Result<()> {
-        check_range(
+        within(
             "writes_per_second",
-            &self.writes_per_second,
-            &(1..=MAX_WRITES_PER_SECOND),
+            self.writes_per_second,
+            1,
+            MAX_WRITES_PER_SECOND,
         )?;
-        check_range(
+        within(
             "inline_answer_bytes",
-            &self.inline_answer_bytes,
-            &(64..=64 * 1024),
+            self.inline_answer_bytes,
+            64,
+            64 * 1024,
         )?;
-        check_range(
+        within(
             "max_answer_bytes",
-            &self.max_answer_bytes,
-            &(self.inline_answer_bytes..=1000 * 1024),
+            self.max_answer_bytes,
+            self.inline_answer_bytes,
+            1000 * 1024,
         )?;
-        check_range(
+        within(
             "max_journal_bytes",
-            &self.max_journal_bytes,
-            &(4 * 1024..=1000 * 1024),
+            self.max_journal_bytes,
+            4 * 1024,
+            1000 * 1024,
         )?;
-        check_range(
+        within(
             "archive_above_bytes",
-            &self.archive_above_bytes,
-            &(1024..=self.max_journal_bytes),
+            self.archive_above_bytes,
+            1024,
+            self.max_journal_bytes,
         )?;
-        check_range("budget_slice", &self.budget_slice, &(1..=u64::MAX))?;
-        check_range("max_waiting_calls", &self.max_waiting_calls, &(1..=10_000))?;
-        check_range("max_depth", &self.max_depth, &(1..=64))
+        within("budget_slice", self.budget_slice, 1, u64::MAX)?;
+        within("max_waiting_calls", self.max_waiting_calls, 1, 10_000)?;
+        within("max_depth", self.max_depth, 1, 64)
     }
 }
 
--- a/src/configs/limit.rs
+++ b/src/configs/limit.rs
@@ -7,18 +7,8 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
-/// A setting outside its allowed range.
-#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("limit.{field}: {allowed} is allowed")]
-pub struct LimitConfigError {
-    /// Name of the setting.
-    pub field: &'static str,
-    /// Allowed range.
-    pub allowed: &'static str,
-}
-
-/// Result of a check of settings.
-pub type Result<T> = std::result::Result<T, LimitConfigError>;
+use super::Result;
+use super::require;
 
 /// Settings of rate and burst limits.
 ///
@@ -102,50 +92,54 @@
     /// Names the first setting that is out of range.
     pub fn check(&self) -> Result<()> {
         let ms = |span: Duration| span.as_millis();
-        check(
+        require(
             "min_prefetch",
             (1..=1_000).contains(&self.min_prefetch),
-            "1 to 1000 tokens",
+            || "1 to 1000 tokens",
         )?;
         let max_prefetch = (self.min_prefetch..=10_000).contains(&self.max_prefetch);
-        check("max_prefetch", max_prefetch, "min_prefetch to 10000 tokens")?;
+        require(
+            "max_prefetch",
+            max_prefetch,
+            || "min_prefetch to 10000 tokens",
+        )?;
         let prefetch_span = (1..=1_000).contains(&ms(self.prefetch_span));
-        check("prefetch_span_ms", prefetch_span, "1 to 1000 ms")?;
+        require("prefetch_span_ms", prefetch_span, || "1 to 1000 ms")?;
         let floor_share = (0.0..=1.0).contains(&self.floor_share);
-        check("floor_share", floor_share, "0.0 to 1.0")?;
-        check(
+        require("floor_share", floor_share, || "0.0 to 1.0")?;
+        require(
             "floor_slots",
             (1..=1_024).contains(&self.floor_slots),
-            "1 to 1024",
+            || "1 to 1024",
         )?;
         let floor_renewal = (10..=10_000).contains(&ms(self.floor_renewal));
-        check("floor_renewal_ms", floor_renewal, "10 to 10000 ms")?;
+        require("floor_renewal_ms", floor_renewal, || "10 to 10000 ms")?;
         let borrow_timeout = (1..=1_000).contains(&ms(self.borrow_timeout));
-        check("borrow_timeout_ms", borrow_timeout, "1 to 1000 ms")?;
+        require("borrow_timeout_ms", borrow_timeout, || "1 to 1000 ms")?;
         let dry_interval = (1..=1_000).contains(&ms(self.dry_interval));
-        check("dry_interval_ms", dry_interval, "1 to 1000 ms")?;
+        require("dry_interval_ms", dry_interval, || "1 to 1000 ms")?;
         let token_ttl = (10..=60_000).contains(&ms(self.token_ttl));
-        check("token_ttl_ms", token_ttl, "10 to 60000 ms")?;
+        require("token_ttl_ms", token_ttl, || "10 to 60000 ms")?;
         let idle_return = self.idle_return >= self.prefetch_span;
         let idle_return = idle_return && self.idle_return <= self.token_ttl;
-        check(
+        require(
             "idle_return_ms",
             idle_return,
-            "prefetch_span_ms to token_ttl_ms",
+            || "prefetch_span_ms to token_ttl_ms",
         )?;
         let spread = self.spread >= self.token_ttl && ms(self.spread) <= 60_000;
-        check("spread_ms", spread, "token_ttl_ms to 60000 ms")?;
-        check("fanout", (1..=64).contains(&self.fanout), "1 to 64 hosts")?;
-        check("max_rounds", (1..=2).contains(&self.max_rounds), "1 to 2")?;
+        require("spread_ms", spread, || "token_ttl_ms to 60000 ms")?;
+        require(
+            "fanout",
+            (1..=64).contains(&self.fanout),
+            || "1 to 64 hosts",
+        )?;
+        require(
+            "max_rounds",
+            (1..=2).contains(&self.max_rounds),
+            || "1 to 2",
+        )?;
         let drift = self.clock_drift_ppm <= 100_000;
-        check("clock_drift_ppm", drift, "0 to 100000 parts per million")
-    }
-}
-
-fn check(field: &'static str, holds: bool, allowed: &'static str) -> Result<()> {
-    if holds {
-        Ok(())
-    } else {
-        Err(LimitConfigError { field, allowed })
+        require("clock_drift_ppm", drift, || "0 to 100000 parts per million")
     }
 }
--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -9,6 +9,9 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::Result;
+use super::require;
+
 /// Heartbeats that fit at least into one lease.
 const MIN_HEARTBEATS_PER_LEASE: u32 = 3;
 
@@ -80,19 +83,6 @@
     }
 }
 
-/// A field outside its allowed range.
-#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("membership.{field}: {allowed}")]
-pub struct ConfigError {
-    /// Name of the field as written in the settings.
-    pub field: &'static str,
-    /// The allowed range, in words.
-    pub allowed: String,
-}
-
-/// Result of a check of settings.
-pub type Result<T> = std::result::Result<T, ConfigError>;
-
 impl MembershipConfig {
     /// Checks every field's bounds.
     ///
@@ -103,11 +93,9 @@
         self.check_lease()?;
         self.check_timeouts()?;
         let allowed = format!("{} to {}", PARTITIONS.start(), PARTITIONS.end());
-        require(
-            PARTITIONS.contains(&self.partitions),
-            "partitions",
-            &allowed,
-        )
+        require("partitions", PARTITIONS.contains(&self.partitions), || {
+            allowed
+        })
     }
 
     fn check_lease(&self) -> Result<()> {
@@ -118,9 +106,9 @@
             HEARTBEAT_PERIOD_MS.end()
         );
         require(
-            HEARTBEAT_PERIOD_MS.contains(&period),
             "heartbeat_period_ms",
-            &allowed,
+            HEARTBEAT_PERIOD_MS.contains(&period),
+            || allowed,
         )?;
         let least = self.heartbeat_period * MIN_HEARTBEATS_PER_LEASE;
         at_least("lease_ttl_ms", self.lease_ttl, least)?;
@@ -148,17 +136,7 @@
 fn at_least(field: &'static str, value: Duration, least: Duration) -> Result<()> {
     let allowed = format!("{} to {MAX_DURATION_MS} ms", millis(least));
     let fits = value >= least && millis(value) <= MAX_DURATION_MS;
-    require(fits, field, &allowed)
-}
-
-fn require(fits: bool, field: &'static str, allowed: &str) -> Result<()> {
-    if fits {
-        return Ok(());
-    }
-    Err(ConfigError {
-        field,
-        allowed: allowed.to_owned(),
-    })
+    require(field, fits, || allowed)
 }
 
 fn millis(span: Duration) -> u64 {
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -21,16 +21,12 @@
 
 /// A setting that is out of its range.
 #[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("`{field}` is {value}; allowed is {min} to {max}")]
+#[error("`{field}` must be {allowed}")]
 pub struct OutOfRange {
     /// Name of the setting within its table.
     pub field: &'static str,
-    /// Its value.
-    pub value: String,
-    /// Smallest allowed value.
-    pub min: String,
-    /// Largest allowed value.
-    pub max: String,
+    /// The allowed range, in words.
+    pub allowed: String,
 }
 
 /// Result of checking settings.
@@ -47,13 +43,23 @@
     min: T,
     max: T,
 ) -> Result<()> {
-    if min <= value && value <= max {
+    let holds = min <= value && value <= max;
+    require(field, holds, || format!("{min:?} to {max:?}"))
+}
+
+/// Checks that what is allowed of a setting holds.
+///
+/// # Errors
+///
+/// [`OutOfRange`] with the setting's name and what is allowed, in words.
+pub fn require<A: Into<String>>(
+    field: &'static str,
+    holds: bool,
+    allowed: impl FnOnce() -> A,
+) -> Result<()> {
+    if holds {
         return Ok(());
     }
-    Err(OutOfRange {
-        field,
-        value: format!("{value:?}"),
-        min: format!("{min:?}"),
-        max: format!("{max:?}"),
-    })
+    let allowed = allowed().into();
+    Err(OutOfRange { field, allowed })
 }
--- a/src/configs/platform.rs
+++ b/src/configs/platform.rs
@@ -9,6 +9,9 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use super::Result;
+use super::within;
+
 /// Settings of the connection to the platform.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,3 +52,31 @@
         }
     }
 }
+
+/// Shortest time that can be set.
+const MIN_TIME: Duration = Duration::from_millis(1);
+/// Longest time that can be set.
+const MAX_TIME: Duration = Duration::from_secs(600);
+/// Bounds of the largest answer, in bytes.
+const LIST_BYTES: (usize, usize) = (64 * 1024, 1024 * 1024 * 1024);
+
+impl PlatformConfig {
+    /// Checks every bound.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that is out of its range.
+    pub fn check(&self) -> Result<()> {
+        within("timeout_ms", self.timeout, MIN_TIME, MAX_TIME)?;
+        within(
+            "settle_timeout_ms",
+            self.settle_timeout,
+            self.timeout,
+            MAX_TIME,
+        )?;
+        within("retry_interval_ms", self.retry_interval, MIN_TIME, MAX_TIME)?;
+        within("watch_wait_ms", self.watch_wait, MIN_TIME, MAX_TIME)?;
+        let (least, most) = LIST_BYTES;
+        within("max_list_bytes", self.max_list_bytes, least, most)
+    }
+}
--- a/src/connection/endpoint.rs
+++ b/src/connection/endpoint.rs
@@ -34,6 +34,8 @@
     pub fence: Epoch,
     /// Cache to use at a model engine; absent if nothing is to be kept.
     pub cache: Option<CacheHandle>,
+    /// True if the call may run more than once.
+    pub repeatable: bool,
     /// Larger runs first at a model engine.
     pub priority: u32,
 }
@@ -76,7 +78,7 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
         let req = self.request(to);
-        if self.call.idempotency_key.is_some() {
+        if !self.repeatable {
             client.send_fresh(to, req, timeout).await
         } else {
             client.send(to, req, timeout).await
--- a/src/connection/peer_port.rs
+++ b/src/connection/peer_port.rs
@@ -54,7 +54,7 @@
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
         let sent = req.headers().get(header::AUTHORIZATION);
         if !self.cx.secret.accepts(sent.map(|value| value.as_bytes())) {
-            return status(StatusCode::UNAUTHORIZED);
+            return stranger();
         }
         let path = req.uri().path();
         if req.method() == Method::POST && path == RPC_PATH {
@@ -126,6 +126,14 @@
     response
 }
 
+/// The answer to a host without the peers' secret; nothing has run.
+fn stranger() -> Response<Body> {
+    let mut response = status(StatusCode::UNAUTHORIZED);
+    let moved = headers::value(true);
+    response.headers_mut().insert(headers::MOVED, moved);
+    response
+}
+
 fn json(text: String) -> Response<Body> {
     let mut response = Response::new(Body::from(text));
     response
--- a/src/main.rs
+++ b/src/main.rs
@@ -50,8 +50,19 @@
     settings::load(path).map_err(|e| miette::Report::new(*e))
 }
 
+/// Ends the process when an invariant is broken: a host that went on would act
+/// on state that cannot be trusted.
+fn stop_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+}
+
 fn run_host(cfg: HostConfig) -> miette::Result<ExitCode> {
     logs::start(&cfg.log);
+    stop_on_panic();
     let spawner = Spawner::start(cfg.threads);
     let drained = async_io::block_on(serve::run(cfg, spawner))?;
     Ok(exit_code(drained))
--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -62,14 +62,18 @@
     }
 }
 
-/// Waits for the first signal to stop, then drains.
+/// Waits for the first signal to stop, or until operators retire the host,
+/// then drains.
 ///
 /// # Errors
 ///
 /// What the system answered to the subscription to signals.
 pub async fn until_drained<P: Platform>(cx: &Cx<P>, ports: &Ports) -> std::io::Result<Drained> {
     let mut signals = Signals::new([Signal::Int, Signal::Term])?;
-    let _first = signals.next().await;
+    let first = async {
+        let _first = signals.next().await;
+    };
+    future::or(first, until_retired(cx)).await;
     log::info!("drain started requests={}", ports.requests());
     cx.readiness.set(false);
     let drained = async {
@@ -89,6 +93,16 @@
     Ok(outcome)
 }
 
+/// Waits until operators retire this host.
+async fn until_retired<P: Platform>(cx: &Cx<P>) {
+    let changes = cx.configuration.subscribe();
+    while !cx.configuration.is_retired(&cx.cfg.host) {
+        if changes.recv().await.is_err() {
+            return;
+        }
+    }
+}
+
 fn report(outcome: Drained) {
     match outcome {
         Drained::Whole => log::info!("drain ended; every request was answered"),
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -141,6 +141,7 @@
             ordinal: self.clearance.ordinal(),
             fence: self.clearance.epoch(),
             cache: self.cache(slot),
+            repeatable: self.repeatable,
             priority: if self.service.interactive {
                 INTERACTIVE_PRIORITY
             } else {
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -198,14 +198,16 @@
     }
 
     /// Relays the answer and records the turn before the answer's end.
-    async fn relay(self, head: Parts, upstream: Incoming, slot: Slot, tx: BodySender) {
+    async fn relay(self, head: Parts, upstream: Incoming, mut slot: Slot, tx: BodySender) {
         let cx = Cx::clone(&self.work.cx);
         let _in_flight = cx.metrics.fly();
         let mut tail = Tail::whole();
         let call = &self.work.call;
         let is_withdrawn = || self.work.is_withdrawn();
         let ended = answer::relay(upstream, &tx, call.deadline, is_withdrawn, &mut tail).await;
-        let cost = self.work.cost(ended, tail.usage());
+        let worst = self.work.worst().unwrap_or_default();
+        let cost = self.work.cost(ended, tail.usage(), worst);
+        slot.used(tail.usage());
         slot.done(run::verdict(ended), cost);
         let is_stream = is_event_stream(&head);
         let answered = tail.message(is_stream).filter(|_| head.status.is_success());
--- a/src/request/once.rs
+++ b/src/request/once.rs
@@ -105,7 +105,8 @@
         };
         let mut tail = Tail::default();
         tail.push(&body);
-        let cost = self.cost(Ended::Whole, tail.usage());
+        let worst = self.worst().unwrap_or_default();
+        let cost = self.cost(Ended::Whole, tail.usage(), worst);
         slot.used(tail.usage());
         slot.done(Verdict::Answered, cost);
         let content_type = head.headers.get(header::CONTENT_TYPE);
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodySender;
 use http::Response;
@@ -231,17 +232,20 @@
     /// Relays the answer; what it cost is recorded before its end is sent.
     async fn run(self, upstream: Incoming, tx: BodySender) {
         let Self {
-            work,
+            mut work,
             clearance,
             mut slot,
             _in_flight,
         } = self;
+        let worst = work.worst().unwrap_or_default();
+        // It has been sent, and the answer may take long.
+        work.call.body = Bytes::new();
         let cx = &work.cx;
         let is_withdrawn = || work.is_withdrawn();
         let mut tail = Tail::default();
         let deadline = work.call.deadline;
         let ended = answer::relay(upstream, &tx, deadline, is_withdrawn, &mut tail).await;
-        let cost = work.cost(ended, tail.usage());
+        let cost = work.cost(ended, tail.usage(), worst);
         slot.used(tail.usage());
         slot.done(verdict(ended), cost);
         clearance.ended(cx, ended, cost).await;
@@ -277,8 +281,7 @@
     }
 
     /// What the call is charged: what the engine reports, else its worst case.
-    pub fn cost(&self, ended: Ended, usage: Option<Usage>) -> Tokens {
-        let worst = self.worst().unwrap_or_default();
+    pub fn cost(&self, ended: Ended, usage: Option<Usage>, worst: Tokens) -> Tokens {
         match (self.service.kind, ended, usage) {
             (ServiceKind::Model, Ended::Whole, Some(usage)) => usage.cost(),
             _ => worst,
--- a/src/version/objects.rs
+++ b/src/version/objects.rs
@@ -139,7 +139,8 @@
 pub struct Service {
     /// Kind of its endpoints.
     pub kind: ServiceKind,
-    /// True if no key is needed; a key that comes along is passed on.
+    /// True if no key is needed; a key that comes along is not looked at and
+    /// not passed on.
     pub open: bool,
     /// True if a call may run more than once.
     pub repeatable: bool,
