--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -26,6 +26,7 @@
 use super::rows::Cancel;
 use super::rows::CancelError;
 use super::rows::Rows;
+use crate::connection::caller::RESERVED_SERVICES;
 use crate::connection::peer::Peers;
 use crate::connection::platform::Nonce;
 use crate::connection::platform::Platform;
@@ -92,6 +93,7 @@
         request: Request<'_>,
         fields: &[Assignment],
     ) -> Result<Accepted> {
+        check_name(target)?;
         match target {
             Target::Customer(_) => self.create_as::<Customer>(request, fields).await,
             Target::Service(_) => self.create_as::<Service>(request, fields).await,
@@ -460,3 +462,17 @@
     let help = "a key's name is never used again, also after its withdrawal";
     Report::new(Failure::Exists, message).with_help(help)
 }
+
+/// Refuses names that the scheduler uses itself.
+fn check_name(target: &Target) -> Result<()> {
+    let (name, is_taken) = match target {
+        Target::Customer(id) => (id.as_str(), id == CustomerId::open()),
+        Target::Service(id) => (id.as_str(), RESERVED_SERVICES.contains(&id.as_str())),
+        Target::Endpoint(_) => return Ok(()),
+    };
+    if !is_taken {
+        return Ok(());
+    }
+    let message = format!("the name `{name}` is used by the scheduler itself");
+    Err(Report::new(Failure::Invalid, message))
+}
--- a/src/operator/credentials.rs
+++ b/src/operator/credentials.rs
@@ -111,6 +111,20 @@
         })
     }
 
+    /// One operator who may change everything.
+    pub fn single(name: &str, secret: &Secret) -> Self {
+        let credential = Credential {
+            hash: secret_hash(secret.0.as_bytes()),
+            identity: Identity {
+                name: name.to_owned(),
+                scope: Scope::Change,
+            },
+        };
+        Self {
+            credentials: Arc::new(ArcSwap::from_pointee(vec![credential])),
+        }
+    }
+
     /// Reads the file again; on an error the old secrets stay.
     ///
     /// # Errors
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -49,6 +49,9 @@
 use crate::connection::platform::http::HttpPlatform;
 use crate::ids::DataCentre;
 use crate::ids::ServiceId;
+use crate::operator::OperatorSecrets;
+use crate::operator::answer::Secret;
+use crate::operator::credentials::new_operator_secret;
 use crate::version::objects::Customer;
 use crate::version::objects::Endpoint;
 use crate::version::objects::EndpointState;
@@ -111,12 +114,24 @@
     seed(&api, engine.addr(), service.addr(), &secret).await?;
     let listeners = Listeners::open(&cfg).await?;
     let addresses = listeners.addresses()?;
+    let operator = new_operator_secret();
+    let operators = OperatorSecrets::single(NAME, &operator);
     let peer_secret = PeerSecret::new(vec![random_secret("")]);
-    let (cx, ports) = serve::start(cfg, listeners, peer_secret, None, client, api, spawner).await?;
+    let (cx, ports) = serve::start(
+        cfg,
+        listeners,
+        peer_secret,
+        Some(operators),
+        client,
+        api,
+        spawner,
+    )
+    .await?;
     while !cx.readiness.is_ready() {
         Timer::after(LOOK_AGAIN).await;
     }
     print_example(addresses.callers, &secret);
+    print_operator_example(addresses.operators, &operator);
     Ok(drain::until_drained(&cx, &ports).await?)
 }
 
@@ -253,3 +268,11 @@
          -H 'Idempotency-Key: order-1' -d '{{\"order\":1}}'"
     );
 }
+
+fn print_operator_example(operators: SocketAddr, secret: &Secret) {
+    println!("and a question of an operator:");
+    println!(
+        "curl http://{operators}/operate -H 'Authorization: Bearer {}' -d 'show programs'",
+        secret.0
+    );
+}
--- a/src/process/secrets.rs
+++ b/src/process/secrets.rs
@@ -6,6 +6,13 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use async_signal::Signals;
+use futures_lite::StreamExt;
+
+use crate::configs::host::SecretsConfig;
+use crate::connection::peer::PeerSecret;
+use crate::operator::OperatorSecrets;
+
 /// Permission bits that a secret's file must not have.
 const OTHERS_MASK: u32 = 0o077;
 
@@ -70,3 +77,26 @@
     }
     Ok(secrets)
 }
+
+/// Reads the secrets again at every hang-up signal; on an error the old ones
+/// stay.
+pub async fn reload(
+    mut hang_ups: Signals,
+    files: SecretsConfig,
+    peers: PeerSecret,
+    operators: Option<OperatorSecrets>,
+) {
+    while hang_ups.next().await.is_some() {
+        match read_lines(&files.peers) {
+            Ok(secrets) => peers.replace(secrets),
+            Err(e) => log::error!("the peers' secrets stay as they are: {e}"),
+        }
+        let Some((operators, path)) = operators.as_ref().zip(files.operators.as_ref()) else {
+            continue;
+        };
+        if let Err(e) = operators.reload(path) {
+            log::error!("the operators' secrets stay as they are: {e}");
+        }
+        log::info!("secrets read again");
+    }
+}
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use async_channel::Receiver;
+use async_signal::Signal;
+use async_signal::Signals;
 use chicoryarch_net::Client;
 use chicoryarch_net::Spawner;
 use chicoryarch_net::client::ClientConfig;
@@ -105,9 +107,18 @@
         Some(path) => Some(OperatorSecrets::load(path)?),
         None => None,
     };
+    let reloaded = operators.clone();
     let platform = HttpPlatform::new(client.clone(), &cfg.host, cfg.platform.clone());
     let (cx, ports) = start(cfg, listeners, secret, operators, client, platform, spawner).await?;
     announce(&addresses)?;
+    let files = cx.cfg.secrets.clone();
+    let hang_ups = Signals::new([Signal::Hup])?;
+    cx.spawner.detach(secrets::reload(
+        hang_ups,
+        files,
+        cx.secret.clone(),
+        reloaded,
+    ));
     Ok(drain::until_drained(&cx, &ports).await?)
 }
 
--- /dev/null
+++ b/tests/operators_processes.rs
@@ -0,0 +1,110 @@
+//! Operators' commands and secrets on separate processes.
+
+mod support;
+
+use support::Fleet;
+use support::FleetSpec;
+use support::OPERATOR_SECRET;
+use support::Req;
+use support::SECRET;
+use support::wait_until;
+
+#[test]
+fn a_retired_host_drains_and_ends() {
+    let mut fleet = Fleet::start(FleetSpec::default());
+    let program = fleet.open_program(0, "{}");
+    fleet.tell(1, "retire host north-0");
+    assert!(fleet.hosts[0].process.wait(), "the drain was cut short");
+    let req = Req::post("/lookup/x")
+        .bearer(SECRET)
+        .header("chicoryarch-program", &program);
+    let answer = fleet.http.send(fleet.hosts[1].callers, &req);
+    assert!(answer.is_success(), "{answer:?}");
+}
+
+#[test]
+fn names_that_the_scheduler_uses_cannot_be_created() {
+    let fleet = Fleet::start(FleetSpec::default());
+    for command in [
+        "create service health",
+        "create service programs",
+        "create customer open",
+    ] {
+        let refused = fleet.operate(0, command);
+        assert_eq!(refused.status.as_u16(), 400, "{command}: {refused:?}");
+    }
+}
+
+#[test]
+fn a_program_is_cancelled_from_any_host() {
+    let fleet = Fleet::start(FleetSpec::default());
+    let program = fleet.open_program(0, "{}");
+    fleet.tell(1, &format!("cancel program {program}"));
+    let req = Req::post("/lookup/x")
+        .bearer(SECRET)
+        .header("chicoryarch-program", &program);
+    for host in &fleet.hosts {
+        let refused = fleet.http.send(host.callers, &req);
+        assert_eq!(
+            refused.header("chicoryarch-outcome"),
+            Some("not-run"),
+            "{refused:?}"
+        );
+    }
+}
+
+#[test]
+fn secrets_are_read_again_at_a_hang_up_without_a_restart() {
+    let fleet = Fleet::start(FleetSpec::default());
+    let program = fleet.open_program(0, "{}");
+    let old = "peer-secret-0123456789abcdef";
+    let new = "peer-secret-fedcba9876543210";
+    // Each host accepts both before any host sends the new one.
+    for step in [format!("{old}\n{new}\n"), format!("{new}\n{old}\n")] {
+        for host in &fleet.hosts {
+            fleet.write_peer_secrets(&host.name, &step);
+            host.process.hang_up();
+        }
+    }
+    wait_until("both hosts send the new secret", || {
+        let rows = fleet.ask(0, "show hosts");
+        rows["rows"].as_array().is_some_and(|rows| rows.len() == 2)
+    });
+    for host in &fleet.hosts {
+        let req = Req::post("/lookup/x")
+            .bearer(SECRET)
+            .header("chicoryarch-program", &program);
+        let answer = fleet.http.send(host.callers, &req);
+        assert!(answer.is_success(), "{answer:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_misses_a_host_names_it() {
+    let fleet = Fleet::start(FleetSpec::default());
+    fleet.hosts[1].process.freeze();
+    let answer = fleet.ask(0, "show hosts");
+    assert_eq!(answer["complete"], false, "{answer}");
+    assert_eq!(answer["silent"], serde_json::json!(["north-1"]), "{answer}");
+    fleet.hosts[1].process.resume();
+}
+
+#[test]
+fn callers_and_peers_secrets_open_no_operators_port() {
+    let fleet = Fleet::start(FleetSpec::default());
+    let host = &fleet.hosts[0];
+    let show = |secret: &str| Req::post("/operate").bearer(secret).body("show hosts");
+    assert!(
+        fleet
+            .http
+            .send(host.operators, &show(OPERATOR_SECRET))
+            .is_success()
+    );
+    for secret in [SECRET, "peer-secret-0123456789abcdef", "cho_unknown"] {
+        let refused = fleet.http.send(host.operators, &show(secret));
+        assert_eq!(refused.status.as_u16(), 401, "{refused:?}");
+    }
+    let as_caller = Req::post("/lookup/x").bearer(OPERATOR_SECRET);
+    let refused = fleet.http.send(host.callers, &as_caller);
+    assert_eq!(refused.status.as_u16(), 401, "{refused:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -97,6 +97,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks the process to read its secrets again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _gone = self.child.kill();
@@ -339,8 +344,7 @@
     }
 
     fn write_settings(&self, data_centre: &str, name: &str) -> PathBuf {
-        let secrets = self.dir.path().join(format!("{name}.secret"));
-        write_secret(&secrets, self.peer_secret);
+        let secrets = self.write_peer_secrets(name, self.peer_secret);
         let operators = self.dir.path().join("operators.secret");
         let hash = hex::encode(Sha256::digest(OPERATOR_SECRET));
         write_secret(&operators, &format!("alma:{hash}\n"));
@@ -372,6 +376,13 @@
         path
     }
 
+    /// Writes the file of a host's peer secrets.
+    pub fn write_peer_secrets(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.path().join(format!("{name}.secret"));
+        write_secret(&path, text);
+        path
+    }
+
     fn seed(&self) {
         let customer = Customer {
             rate: self.spec.rate,
