Keep leaving endpoints in placing's view; leave failed connections to placing

The first version removed endpoints on leaving machines from the list that placing compares by allocation. It made a new list for every call, so placing rebuilt its endpoints each time, forgot what it had learnt of the leaving one, and calls that waited did not look again when the list changed. Such endpoints now stay in the list in the state `leaving`; the marked list is kept until the endpoints or the machines change, and a change wakes waiting calls.

--- a/src/configs/endpoints.rs
+++ b/src/configs/endpoints.rs
@@ -19,10 +19,6 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "list_period_ms")]
     pub list_period: Duration,
-    /// Time for which an endpoint that refuses connections is passed over.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "unreachable_hold_ms")]
-    pub unreachable_hold: Duration,
     /// Time between two reviews of an engine's memory.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "review_period_ms")]
@@ -48,7 +44,6 @@
     fn default() -> Self {
         Self {
             list_period: Duration::from_secs(1),
-            unreachable_hold: Duration::from_secs(1),
             review_period: Duration::from_secs(5),
             release_grace: Duration::from_secs(10),
             idle_release: Duration::from_secs(10 * 60),
@@ -67,12 +62,6 @@
     pub fn check(&self) -> Result<()> {
         let period = |field, value| within(field, value, MIN_PERIOD, MAX_PERIOD);
         period("list_period_ms", self.list_period)?;
-        within(
-            "unreachable_hold_ms",
-            self.unreachable_hold,
-            Duration::ZERO,
-            MAX_PERIOD,
-        )?;
         period("review_period_ms", self.review_period)?;
         within(
             "release_grace_ms",
--- a/src/process/endpoints/hosts.rs
+++ b/src/process/endpoints/hosts.rs
@@ -60,7 +60,7 @@
     match pulled {
         Some(list) => {
             count(&cx.endpoints.counters.lists_pulled);
-            cx.endpoints.leaving.apply(list);
+            apply(cx, list);
         }
         None => read(cx, platform).await,
     }
@@ -86,13 +86,19 @@
     match platform.hosts().await {
         Ok(list) => {
             count(&counters.lists_read);
-            cx.endpoints.leaving.apply(list);
+            apply(cx, list);
             cx.endpoints.last_read.set(asked);
         }
         Err(_) => count(&counters.list_failures),
     }
 }
 
+fn apply<P: Platform>(cx: &Cx<P>, list: Vec<HostStatus>) {
+    if cx.endpoints.leaving.apply(list) {
+        cx.placing.changed();
+    }
+}
+
 /// The list, if this host has read it lately.
 fn list<P: Platform>(cx: &Cx<P>) -> Option<Vec<HostStatus>> {
     let age = cx.cfg.endpoints.list_period * FRESH_PERIODS;
--- a/src/process/endpoints/leaving.rs
+++ b/src/process/endpoints/leaving.rs
@@ -3,100 +3,100 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 
 use crate::connection::platform::HostStatus;
-use crate::ids::EndpointId;
+use crate::ids::ServiceId;
 use crate::process::placing::Candidates;
-use crate::units::Moment;
 use crate::version::catalogue::ConfiguredEndpoint;
 use crate::version::objects::Endpoint;
 use crate::version::objects::EndpointState;
 
-/// Machines of endpoints as last listed; true once one is leaving.
+/// Hosts of endpoints as last listed; true once one is leaving.
 type Listed = BTreeMap<String, bool>;
 
+/// The endpoints of a service with their state under one list.
+#[derive(Debug)]
+struct Marked {
+    configured: Candidates,
+    listed: Arc<Listed>,
+    marked: Candidates,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    listed: ArcSwap<Listed>,
+    marked: Mutex<HashMap<ServiceId, Marked>>,
+}
+
 /// Endpoints that get no new work; clones share the knowledge.
 ///
-/// Three sources are joined and the strictest wins: the operators' state in
-/// the configuration, the platform's list of endpoint hosts, and refused
-/// connections. The first two are final until they are taken back. A refused
-/// connection passes an endpoint over for a while, unless nothing else is left.
-#[derive(Clone, Debug)]
+/// The operators' state in the configuration and the platform's list of
+/// endpoint hosts are joined, and the stricter wins. Failed connections count
+/// beside them in placing, which passes such endpoints over for a while.
+#[derive(Clone, Debug, Default)]
 pub struct Leaving {
-    listed: Arc<ArcSwap<Listed>>,
-    unreachable: Arc<Mutex<HashMap<EndpointId, Moment>>>,
-    hold: Duration,
+    shared: Arc<Shared>,
 }
 
 impl Leaving {
-    /// No endpoint is leaving; a refused connection counts for `hold`.
-    pub fn new(hold: Duration) -> Self {
-        Self {
-            listed: Arc::default(),
-            unreachable: Arc::default(),
-            hold,
-        }
-    }
-
     /// True if an endpoint must get no new work.
-    pub fn is_leaving(&self, _id: &EndpointId, endpoint: &Endpoint) -> bool {
-        let is_listed = |host: &String| self.listed.load().get(host).copied().unwrap_or_default();
-        endpoint.state == EndpointState::Leaving || endpoint.host.as_ref().is_some_and(is_listed)
-    }
-
-    /// True while a refused connection counts against an endpoint.
-    pub fn is_unreachable(&self, id: &EndpointId, now: Moment) -> bool {
-        let unreachable = self.unreachable.lock();
-        unreachable
-            .get(id)
-            .is_some_and(|since| now.since(*since) < self.hold)
-    }
-
-    /// Notes that an endpoint refused a connection.
-    pub fn refused(&self, id: &EndpointId, now: Moment) {
-        self.unreachable.lock().insert(id.clone(), now);
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        is_leaving(&self.shared.listed.load(), endpoint)
     }
 
-    /// Notes that an endpoint accepted a connection.
-    pub fn connected(&self, id: &EndpointId) {
-        self.unreachable.lock().remove(id);
-    }
-
-    /// The endpoints that new work may go to.
-    pub fn usable(&self, endpoints: Candidates, now: Moment) -> Candidates {
-        let staying = filter(endpoints, |e| !self.is_leaving(&e.id, &e.endpoint));
-        let reachable = filter(Candidates::clone(&staying), |e| {
-            !self.is_unreachable(&e.id, now)
-        });
-        if reachable.is_empty() {
-            staying
-        } else {
-            reachable
+    /// The endpoints of a service, in the state [`EndpointState::Leaving`] if
+    /// they must get no new work.
+    ///
+    /// Gives the same allocation until the endpoints or the list change, so
+    /// that placing sees whether there is anything new.
+    pub fn mark(&self, service: &ServiceId, configured: Candidates) -> Candidates {
+        let listed = self.shared.listed.load_full();
+        if !configured.iter().any(|e| changes(&listed, &e.endpoint)) {
+            return configured;
         }
+        let mut known = self.shared.marked.lock();
+        if let Some(known) = known.get(service)
+            && Arc::ptr_eq(&known.configured, &configured)
+            && Arc::ptr_eq(&known.listed, &listed)
+        {
+            return Candidates::clone(&known.marked);
+        }
+        let marked: Candidates = configured.iter().map(|e| mark(&listed, e)).collect();
+        let fresh = Marked {
+            configured,
+            listed,
+            marked: Candidates::clone(&marked),
+        };
+        known.insert(service.clone(), fresh);
+        marked
     }
 
-    /// Takes a list of endpoint hosts.
+    /// Takes a list of endpoint hosts; true if it changed any state.
     ///
     /// Hosts that are not on it keep their state, so that one that has left
     /// and is no longer listed gets no work either.
-    pub fn apply(&self, list: Vec<HostStatus>) {
-        let mut listed = Listed::clone(&self.listed.load());
+    pub fn apply(&self, list: Vec<HostStatus>) -> bool {
+        let mut listed = Listed::clone(&self.shared.listed.load());
+        let mut is_change = false;
         for HostStatus { host, leaving } in list {
             let before = listed.insert(host.clone(), leaving).unwrap_or_default();
             if before != leaving {
+                is_change = true;
                 log::info!("endpoint host leaving={leaving} host={host}");
             }
         }
-        self.listed.store(Arc::new(listed));
+        if listed != **self.shared.listed.load() {
+            self.shared.listed.store(Arc::new(listed));
+        }
+        is_change
     }
 
     /// Every host that was ever listed, with its last state.
     pub fn list(&self) -> Vec<HostStatus> {
-        let listed = self.listed.load();
+        let listed = self.shared.listed.load();
         let status = |(host, leaving): (&String, &bool)| HostStatus {
             host: host.clone(),
             leaving: *leaving,
@@ -105,11 +105,25 @@
     }
 }
 
-/// Keeps the endpoints that fit; copies nothing if all do.
-fn filter(endpoints: Candidates, fits: impl Fn(&ConfiguredEndpoint) -> bool) -> Candidates {
-    if endpoints.iter().all(&fits) {
-        return endpoints;
+fn is_leaving(listed: &Listed, endpoint: &Endpoint) -> bool {
+    let is_listed = |host: &String| listed.get(host).copied().unwrap_or_default();
+    endpoint.state == EndpointState::Leaving || endpoint.host.as_ref().is_some_and(is_listed)
+}
+
+/// True if the list is stricter than the configuration.
+fn changes(listed: &Listed, endpoint: &Endpoint) -> bool {
+    endpoint.state != EndpointState::Leaving && is_leaving(listed, endpoint)
+}
+
+fn mark(listed: &Listed, configured: &ConfiguredEndpoint) -> ConfiguredEndpoint {
+    let ConfiguredEndpoint { id, endpoint } = configured;
+    if !changes(listed, endpoint) {
+        return configured.clone();
+    }
+    let mut leaving = Endpoint::clone(endpoint);
+    leaving.state = EndpointState::Leaving;
+    ConfiguredEndpoint {
+        id: id.clone(),
+        endpoint: Arc::new(leaving),
     }
-    let fitting = endpoints.iter().filter(|e| fits(e));
-    fitting.cloned().collect()
 }
--- a/src/process/endpoints/mod.rs
+++ b/src/process/endpoints/mod.rs
@@ -20,11 +20,10 @@
 
 use super::context::Cx;
 use super::timers::Timers;
-use crate::configs::endpoints::EndpointsConfig;
 use crate::connection::platform::Platform;
 
 /// What a host knows of the endpoints beyond their configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Endpoints {
     /// Endpoints that get no new work.
     pub leaving: Leaving,
@@ -36,18 +35,6 @@
     pub counters: Arc<Counters>,
 }
 
-impl Endpoints {
-    /// Nothing is known yet.
-    pub fn new(cfg: &EndpointsConfig) -> Self {
-        Self {
-            leaving: Leaving::new(cfg.unreachable_hold),
-            memory: Memory::default(),
-            last_read: LastRead::default(),
-            counters: Arc::default(),
-        }
-    }
-}
-
 /// Registers the control calls of this part.
 ///
 /// # Errors
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -174,7 +174,7 @@
         configuration,
         distribution: distribution.clone(),
         history: History::new(platform.clone(), cfg.history.clone()),
-        endpoints: Endpoints::new(&cfg.endpoints),
+        endpoints: Endpoints::default(),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -118,7 +118,8 @@
     fn candidates(&self) -> Result<Candidates> {
         self.check_key()?;
         let endpoints = self.cx.configuration.endpoints_of(&self.call.service);
-        Ok(self.cx.endpoints.leaving.usable(endpoints, Moment::now()))
+        let leaving = &self.cx.endpoints.leaving;
+        Ok(leaving.mark(&self.call.service, endpoints))
     }
 
     /// Checks, right before the dispatch, that the call may still run.
@@ -155,11 +156,6 @@
         self.cx
             .metrics
             .observe(Stage::Endpoint, Moment::now().since(started));
-        let leaving = &self.cx.endpoints.leaving;
-        match &response {
-            Err(ClientError::Connect(_)) => leaving.refused(&slot.id, Moment::now()),
-            _ => leaving.connected(&slot.id),
-        }
         response
     }
 
