--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -13,8 +13,6 @@
 mod figures;
 #[path = "policy/limits.rs"]
 mod limits;
-#[path = "policy/quota.rs"]
-mod quota;
 #[path = "policy/rounds.rs"]
 mod rounds;
 #[path = "policy/scenario.rs"]
--- a/benches/policy/figures.rs
+++ b/benches/policy/figures.rs
@@ -31,7 +31,6 @@
     pub(crate) given_up: f64,
     pub(crate) unfinished: f64,
     pub(crate) repeated: f64,
-    pub(crate) hedged: f64,
     pub(crate) calls: f64,
 }
 
@@ -84,7 +83,6 @@
             given_up: count(|end| matches!(end, End::Refused)),
             unfinished: count(|end| matches!(end, End::Unfinished(_))),
             repeated: outcome.repeated as f64,
-            hedged: outcome.hedged as f64,
             calls: outcome.calls as f64,
         }
     }
@@ -112,7 +110,6 @@
             given_up: over(|f| f.given_up),
             unfinished: over(|f| f.unfinished),
             repeated: over(|f| f.repeated),
-            hedged: over(|f| f.hedged),
             calls: over(|f| f.calls),
         }
     }
--- a/benches/policy/rounds.rs
+++ b/benches/policy/rounds.rs
@@ -12,7 +12,6 @@
 use crate::scenario::Bench;
 use crate::scenario::Policy;
 use crate::scenario::Trouble;
-use crate::sim::Repeats;
 
 /// Ordinary loads of the traces of scores and of labels.
 const ORDINARY: (f64, f64) = (0.85, 0.70);
@@ -96,18 +95,6 @@
         policies: adaptive,
         troubles: &[QUIET, &[Trouble::Half]],
     },
-    Round {
-        name: "repeats",
-        loads: ORDINARY,
-        policies: repeats,
-        troubles: &[&[Trouble::Failing], &[Trouble::Dead]],
-    },
-    Round {
-        name: "hedging",
-        loads: ORDINARY,
-        policies: hedging,
-        troubles: &[QUIET, &[Trouble::Half], &[Trouble::Failing]],
-    },
 ];
 
 fn baselines() -> Vec<Policy> {
@@ -209,27 +196,6 @@
     ]
 }
 
-fn repeats() -> Vec<Policy> {
-    let quota = Policy {
-        repeats: Repeats::MarginalGain,
-        ..Policy::with("marginal gain, quotas", |_, _| {})
-    };
-    vec![Policy::with("retry budget", |_, _| {}), quota]
-}
-
-fn hedging() -> Vec<Policy> {
-    let with = |name, seconds| Policy {
-        hedge_after: Some(Duration::from_secs(seconds)),
-        ..Policy::with(name, |_, _| {})
-    };
-    vec![
-        Policy::full(),
-        with("hedge after 8 s", 8),
-        with("hedge after 15 s", 15),
-        with("hedge after 30 s", 30),
-    ]
-}
-
 /// Runs a round on both deployments and prints its tables.
 pub(crate) fn run(round: &Round, seeds: &[u64]) {
     let benches = [
@@ -272,7 +238,7 @@
 fn header() {
     println!(
         "| policy | p50 s | p95 s | p99 s | wasted Mtok | worst stretch | slowdown mean, p95 | \
-         refused rate, wrongful | refused queue | failed | given up | repeats, hedges |"
+         refused rate, wrongful | refused queue | failed | given up | repeats |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
 }
@@ -282,7 +248,7 @@
     let (mean, p95) = f.slowdown(quiet);
     println!(
         "| {} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {mean:.2}, {p95:.2} | {:.0}, {:.1} | \
-         {:.1} | {:.1} | {:.1} | {:.0}, {:.0} |",
+         {:.1} | {:.1} | {:.1} | {:.0} |",
         policy.name,
         f.p50,
         f.p95,
@@ -295,6 +261,5 @@
         f.failed,
         f.given_up,
         f.repeated,
-        f.hedged,
     );
 }
--- a/benches/policy/scenario.rs
+++ b/benches/policy/scenario.rs
@@ -19,7 +19,6 @@
 use crate::figures::Figures;
 use crate::limits::LimitKind;
 use crate::sim::Fault;
-use crate::sim::Repeats;
 use crate::sim::Setup;
 use crate::sim::Sim;
 
@@ -67,19 +66,15 @@
     pub(crate) name: &'static str,
     pub(crate) desk: DeskKind,
     pub(crate) limits: LimitKind,
-    pub(crate) repeats: Repeats,
-    pub(crate) hedge_after: Option<Duration>,
 }
 
 impl Policy {
-    /// A policy with the limiter and retry budget in the tree.
+    /// A policy with the limiter in the tree.
     pub(crate) fn new(name: &'static str, desk: DeskKind) -> Self {
         Self {
             name,
             desk,
             limits: LimitKind::Conserved,
-            repeats: Repeats::Budget,
-            hedge_after: None,
         }
     }
 
@@ -174,8 +169,6 @@
             terms: self.terms.clone(),
             faults: self.faults(troubles),
             load_lag: if late { LATE } else { LAG },
-            repeats: policy.repeats,
-            hedge_after: policy.hedge_after,
         };
         let outcome = Sim::run(&setup);
         let except = loud.then_some(LOUD);
--- a/benches/policy/sim.rs
+++ b/benches/policy/sim.rs
@@ -42,7 +42,6 @@
 use crate::limits::Bucket;
 use crate::limits::LimitKind;
 use crate::limits::Limits;
-use crate::quota::ReceiverQuota;
 
 /// Start of the virtual clock, past every warm-up of the limiter.
 const START: Duration = Duration::from_secs(10_000);
@@ -72,16 +71,6 @@
     Fail(usize, f64),
 }
 
-/// How repeats are paid for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Repeats {
-    /// From the retry budget in the tree.
-    Budget,
-    /// From the same budget, where the gain in success is large enough and
-    /// within a quota of the receiving endpoint.
-    MarginalGain,
-}
-
 /// One run.
 #[derive(Clone, Debug)]
 pub(crate) struct Setup<'a> {
@@ -95,9 +84,6 @@
     pub(crate) faults: Vec<(Duration, Fault)>,
     /// Age of load reports when they arrive.
     pub(crate) load_lag: Duration,
-    pub(crate) repeats: Repeats,
-    /// Time after which a repeatable call is sent a second time.
-    pub(crate) hedge_after: Option<Duration>,
 }
 
 /// What became of a program.
@@ -129,8 +115,6 @@
     pub(crate) refused_queue: u64,
     /// Attempts after the first.
     pub(crate) repeated: u64,
-    /// Second attempts beside a running first.
-    pub(crate) hedged: u64,
     /// Calls sent by customers.
     pub(crate) calls: u64,
 }
@@ -147,7 +131,6 @@
     Wake(usize, usize),
     Tick,
     Fault(usize),
-    Hedge(usize),
 }
 
 struct AgentState<'a> {
@@ -203,7 +186,6 @@
     limits: Limits,
     ideal: Vec<Bucket>,
     budgets: Vec<RetryBudget>,
-    quota: ReceiverQuota,
     reports: VecDeque<(Moment, Vec<LoadReport>)>,
     ends: Vec<Option<End>>,
     open_programs: usize,
@@ -279,7 +261,6 @@
             limits: Limits::new(setup.limits, deployment, &setup.terms),
             ideal: setup.terms.iter().map(|t| Bucket::new(t.0, t.1)).collect(),
             budgets: vec![RetryBudget::new(RetryConfig::default()); deployment.hosts],
-            quota: ReceiverQuota::new(shapes.len()),
             reports: VecDeque::new(),
             ends: vec![None; setup.programs.len()],
             open_programs: setup.programs.len(),
@@ -316,7 +297,6 @@
             Event::Wake(host, service) => self.step(host, service),
             Event::Tick => self.tick(),
             Event::Fault(n) => self.fault(self.setup.faults[n].1),
-            Event::Hedge(call) => self.hedge(call),
         }
     }
 
@@ -516,7 +496,6 @@
         call.attempts += 1;
         call.runs.push(run);
         let host = call.host;
-        let first = call.attempts == 1;
         self.runs.push(Run {
             call: start.call,
             endpoint: start.endpoint,
@@ -527,9 +506,6 @@
         });
         let distance = self.distance(host, start.endpoint);
         self.after(distance, Event::AtEndpoint(run));
-        if let (true, Some(after)) = (first, self.setup.hedge_after) {
-            self.after(after, Event::Hedge(start.call));
-        }
     }
 
     fn distance(&self, host: usize, endpoint: usize) -> Duration {
@@ -645,7 +621,6 @@
         let (host, service) = (call.host, call.spec.service);
         let desk = &mut self.desks[host][service];
         desk.finish(self.now, endpoint, run.handle, verdict, usage);
-        self.quota.ended(run.endpoint, verdict == Verdict::Failed);
         for service in self.setup.deployment.endpoints[run.endpoint]
             .services
             .clone()
@@ -658,7 +633,6 @@
         if std::mem::replace(&mut self.calls[index].over, true) {
             return;
         }
-        self.cancel_runs(index);
         let call = &self.calls[index];
         let (agent, prompt) = (call.agent, call.prompt);
         if prompt > 0 {
@@ -667,20 +641,6 @@
         self.advance(agent);
     }
 
-    /// Cancels the other attempts of an answered call.
-    fn cancel_runs(&mut self, index: usize) {
-        for run in self.calls[index].runs.clone() {
-            if self.runs[run].over {
-                continue;
-            }
-            let endpoint = self.runs[run].endpoint;
-            self.fakes[endpoint].running.remove(&run);
-            self.fakes[endpoint].queued.retain(|job| job.run != run);
-            self.finish_run(run, Verdict::Cancelled);
-            self.begin_jobs(endpoint);
-        }
-    }
-
     fn failed(&mut self, index: usize, run: usize, failure: Failure) {
         let call = &mut self.calls[index];
         let running = call.runs.iter().any(|run| !self.runs[*run].over);
@@ -690,8 +650,7 @@
         call.avoid.push(self.runs[run].endpoint);
         let (host, attempts) = (call.host, call.attempts);
         let repeatable = self.setup.deployment.services[call.spec.service].repeatable;
-        let worth = self.setup.repeats == Repeats::Budget || self.quota.permit(attempts);
-        if worth && self.budgets[host].permit(failure, repeatable, attempts) {
+        if self.budgets[host].permit(failure, repeatable, attempts) {
             self.outcome.repeated += 1;
             self.join(index);
             return;
@@ -701,25 +660,8 @@
         self.end_program(program, End::Failed);
     }
 
-    fn hedge(&mut self, index: usize) {
-        let call = &self.calls[index];
-        let service = &self.setup.deployment.services[call.spec.service];
-        let running = call.runs.iter().find(|run| !self.runs[**run].over);
-        let Some(run) = running.filter(|_| !call.over && service.repeatable) else {
-            return;
-        };
-        let endpoint = self.runs[*run].endpoint;
-        let (host, attempts) = (call.host, call.attempts);
-        if self.budgets[host].permit(Failure::NotSent, true, attempts) {
-            self.calls[index].avoid.push(endpoint);
-            self.outcome.hedged += 1;
-            self.join(index);
-        }
-    }
-
     fn tick(&mut self) {
         self.limits.maintain(self.now);
-        self.quota.tick();
         let report = |fake: &Fake| LoadReport {
             running: fake.running.len() as u32,
             queued: fake.queued.len() as u32,
--- a/tests/placing/place.rs
+++ b/tests/placing/place.rs
@@ -113,6 +113,7 @@
     let step = scheduler.step(at(23_000));
     assert!(step.started.is_empty(), "it waits for its prefix");
     let wake = step.wake.expect("it does not wait for ever");
+    assert!(wake <= at(53_000), "a prefill takes less than 30 s");
     let step = scheduler.step(wake);
     assert_eq!(step.started.len(), 1, "it starts elsewhere");
     assert_ne!(step.started[0].id, first.id);
@@ -326,7 +327,7 @@
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(reserved: bool) -> Self {
         let dc = "dc".parse().expect("a valid name");
         let queue = QueueConfig {
             max_waiting: 40,
@@ -334,7 +335,7 @@
         };
         let occupancies = (0..ENDPOINTS).map(|n| {
             let occupancy = Occupancy::default();
-            occupancy.set_reserved(true);
+            occupancy.set_reserved(reserved);
             (id(n), Arc::new(occupancy))
         });
         let mut world = Self {
@@ -494,8 +495,8 @@
 
 #[test]
 fn places_are_conserved_bounded_and_reserved_under_any_events() {
-    check(&ops(), |ops| {
-        let mut world = World::new();
+    check(&(any::<bool>(), ops()), |(reserved, ops)| {
+        let mut world = World::new(*reserved);
         for op in ops {
             world.apply(op);
             world.step()?;
@@ -507,8 +508,8 @@
 
 #[test]
 fn a_step_starts_every_call_that_has_a_place_unless_it_waits_for_its_prefix() {
-    check(&ops(), |ops| {
-        let mut world = World::new();
+    check(&(any::<bool>(), ops()), |(reserved, ops)| {
+        let mut world = World::new(*reserved);
         for op in ops {
             world.apply(op);
             world.step()?;
--- a/tests/placing/queue.rs
+++ b/tests/placing/queue.rs
@@ -218,7 +218,11 @@
 
 #[test]
 fn no_call_is_passed_by_one_that_came_longer_after_it_than_ageing_allows() {
-    let cfg = QueueConfig::default();
+    let cfg = QueueConfig {
+        ageing: 1.0,
+        max_attained: 20 * SECOND,
+        ..QueueConfig::default()
+    };
     let longest = cfg.max_attained.as_secs_f64() / cfg.ageing;
     check(&ops(), |ops| {
         let mut queue = FairQueue::new(cfg.clone());
