--- a/tests/engine_memory/world.rs
+++ b/tests/engine_memory/world.rs
@@ -418,6 +418,12 @@
                 "invariant: no live handle is released"
             );
         }
+        let uses =
+            |call: &Call| call.cached && call.engine == sent.engine && call.handle == *handle;
+        assert!(
+            !self.is_live(handle) || !self.calls.iter().any(uses),
+            "invariant: no handle of a running call is released"
+        );
         let engine = &mut self.engines[sent.engine];
         let partition = usize::from(handle.program.partition.0);
         let accepted = engine.check_fence(partition, sent.order.fence);
