--- a/src/process/endpoints/memory.rs
+++ b/src/process/endpoints/memory.rs
@@ -9,6 +9,7 @@
 use super::home;
 use crate::connection::platform::Platform;
 use crate::ids::EndpointId;
+use crate::ids::ProgramId;
 use crate::process::context::Cx;
 use crate::process::journals::JournalEvent;
 use crate::process::timers::Timers;
@@ -17,6 +18,7 @@
 use crate::version::engine_memory::Placement;
 use crate::version::engine_memory::Standing;
 use crate::version::engine_memory::Uses;
+use crate::version::history::HistoryMode;
 use crate::version::journal::ProgramEnd;
 
 /// Caches of the programs that a host owns; clones share them.
@@ -40,11 +42,26 @@
     while let Ok(event) = events.recv().await {
         if let JournalEvent::ProgramEnded(end) = event {
             cx.placing.forget(&end.program);
+            erase_history(&cx, &end.program);
             release(&cx, cx.endpoints.memory.uses.lock().ended(&handle(end)));
         }
     }
 }
 
+/// Removes the conversation of a program that is gone, if it was kept.
+fn erase_history<P: Platform>(cx: &Cx<P>, program: &ProgramId) {
+    let summary = cx.journals.program_summary(program);
+    if summary.is_none_or(|summary| summary.history != HistoryMode::Held) {
+        return;
+    }
+    let (history, program) = (cx.history.clone(), program.clone());
+    cx.spawner.detach(async move {
+        if let Err(e) = history.erase(&program).await {
+            log::warn!("history of an ended program is left program={program}: {e}");
+        }
+    });
+}
+
 fn handle(end: ProgramEnd) -> CacheHandle {
     CacheHandle {
         customer: end.customer,
--- a/src/process/journals/mod.rs
+++ b/src/process/journals/mod.rs
@@ -231,6 +231,13 @@
         }
     }
 
+    /// The root of a program's chain of sub-agents; itself if this host does
+    /// not own it.
+    pub fn root(&self, program: &ProgramId) -> ProgramId {
+        let cell = self.cell(&PartitionId::of(program));
+        cell.map_or_else(|| program.clone(), |cell| cell.lock().journal.root(program))
+    }
+
     /// One program, if this host owns and knows it.
     pub fn program_summary(&self, program: &ProgramId) -> Option<ProgramSummary> {
         let cell = self.cell(&PartitionId::of(program))?;
--- a/src/request/clearance.rs
+++ b/src/request/clearance.rs
@@ -74,11 +74,16 @@
     /// program.
     pub fn cache_handle(&self, call: &Call) -> Option<CacheHandle> {
         call.program.as_ref()?;
-        Some(CacheHandle {
+        Some(self.handle(call))
+    }
+
+    /// Names the call's program under this owner.
+    pub fn handle(&self, call: &Call) -> CacheHandle {
+        CacheHandle {
             customer: call.account().clone(),
             program: self.program().clone(),
             epoch: self.epoch(),
-        })
+        }
     }
 
     /// Checks, right before the dispatch, that this host may still run it.
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -96,7 +96,7 @@
             service: call.service.clone(),
             customer: call.account().clone(),
             weight: customer.map_or(DEFAULT_WEIGHT, |customer| customer.weight),
-            program: self.clearance.program().clone(),
+            program: self.cx.journals.root(self.clearance.program()),
             conversation: call.program.clone(),
             interactive: self.service.interactive,
             worst: cost::worst(&self.cx.cfg.caller, self.service, &call.body, 0)?,
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -105,7 +105,7 @@
         let Cleared::Run(clearance) = work.clear(None).await? else {
             unreachable!("only once-only calls are replayed");
         };
-        let handle = handle(&work.call, &clearance);
+        let handle = clearance.handle(&work.call);
         let turn = TurnRequest {
             handle: handle.clone(),
             ordinal: clearance.ordinal(),
@@ -145,14 +145,6 @@
     program.map_or(0, |program| work.cx.history.encoded_bytes(program))
 }
 
-fn handle(call: &Call, clearance: &Clearance) -> CacheHandle {
-    CacheHandle {
-        customer: call.account().clone(),
-        program: clearance.program().clone(),
-        epoch: clearance.epoch(),
-    }
-}
-
 fn grown<P: Platform>(cx: &Cx<P>) -> Refusal {
     let detail = "the conversation grew while the call waited";
     Refusal::not_run(Reason::Overloaded, detail).retry_after(cx.cfg.caller.retry_after)
--- a/src/version/history/mod.rs
+++ b/src/version/history/mod.rs
@@ -8,11 +8,10 @@
 mod message;
 mod segment;
 
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use super::engine_memory::CacheHandle;
 pub use conversation::Assembled;
 pub use conversation::Conversation;
 pub use conversation::TurnRequest;
@@ -26,10 +25,6 @@
 pub use segment::segment_name;
 pub use segment::segment_prefix;
 
-use crate::ids::CustomerId;
-use crate::ids::Epoch;
-use crate::ids::ProgramId;
-
 /// Kind of the platform objects that hold segments.
 pub const HISTORY_KIND: &str = "history";
 
@@ -43,23 +38,3 @@
     /// Calls hold the new messages only; the owner keeps the rest.
     Held,
 }
-
-/// Name of a program's prefix at the engines.
-///
-/// It names the customer, the program and the owner's epoch, so that it is
-/// never used for anything else, nor again after a takeover.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct CacheHandle {
-    /// The customer whose program it is.
-    pub customer: CustomerId,
-    /// The program.
-    pub program: ProgramId,
-    /// Epoch of the owner that created it.
-    pub epoch: Epoch,
-}
-
-impl fmt::Display for CacheHandle {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}.{}", self.customer, self.program, self.epoch)
-    }
-}
--- a/src/version/journal/summary.rs
+++ b/src/version/journal/summary.rs
@@ -63,6 +63,12 @@
 }
 
 impl Journal {
+    /// The root of a program's chain of sub-agents; itself if it is not known.
+    pub fn root(&self, program: &ProgramId) -> ProgramId {
+        let mut chain = self.chain(program);
+        chain.pop().unwrap_or_else(|| program.clone())
+    }
+
     /// One program, if it is known.
     pub fn program(&self, program: &ProgramId) -> Option<ProgramSummary> {
         let record = self.doc.programs.get(program)?;
--- a/tests/held_history.rs
+++ b/tests/held_history.rs
@@ -153,3 +153,18 @@
         .map(Vec::len);
     assert_eq!(runs, after);
 }
+
+#[test]
+fn the_conversation_of_an_ended_program_is_removed() {
+    let fleet = Fleet::start(FleetSpec::default());
+    let program = fleet.open_program(0, "{\"history\":\"held\"}");
+    let host = fleet.hosts[0].callers;
+    let answer = fleet.http.send(host, &turn(&program, 1, "a"));
+    assert!(answer.is_success(), "{answer:?}");
+    let end = Req::delete(&format!("/programs/{program}")).bearer(SECRET);
+    assert!(fleet.http.send(host, &end).is_success());
+    support::wait_until("the platform holds no turn of it", || {
+        let listed = fleet.platform.read(&fleet.http, "/objects/history");
+        listed["objects"].as_array().is_some_and(Vec::is_empty)
+    });
+}
