--- a/src/connection/peer_port.rs
+++ b/src/connection/peer_port.rs
@@ -54,7 +54,7 @@
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
         let sent = req.headers().get(header::AUTHORIZATION);
         if !self.cx.secret.accepts(sent.map(|value| value.as_bytes())) {
-            return stranger();
+            return unauthorized();
         }
         let path = req.uri().path();
         if req.method() == Method::POST && path == RPC_PATH {
@@ -127,7 +127,7 @@
 }
 
 /// The answer to a host without the peers' secret; nothing has run.
-fn stranger() -> Response<Body> {
+fn unauthorized() -> Response<Body> {
     let mut response = status(StatusCode::UNAUTHORIZED);
     let moved = headers::value(true);
     response.headers_mut().insert(headers::MOVED, moved);
--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -75,7 +75,7 @@
 /// Start of a caller's secret.
 const CALLER_PREFIX: &str = "chk_";
 /// Pause between two looks at whether the host is ready.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
+const RECHECK: Duration = Duration::from_millis(20);
 
 /// Why `dev` cannot start.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
@@ -128,7 +128,7 @@
     )
     .await?;
     while !cx.readiness.is_ready() {
-        Timer::after(LOOK_AGAIN).await;
+        Timer::after(RECHECK).await;
     }
     print_example(addresses.callers, &secret);
     print_operator_example(addresses.operators, &operator);
--- a/src/process/limit_view.rs
+++ b/src/process/limit_view.rs
@@ -34,14 +34,14 @@
 /// Passes a view on at every heartbeat.
 pub async fn run<P: Platform>(cx: Cx<P>, timers: Timers, settled: Settled) {
     let ticks = timers.subscribe(cx.cfg.membership.heartbeat_period).await;
-    let mut sights = Sights::default();
+    let mut first_seen = FirstSeen::default();
     while ticks.recv().await.is_ok() {
         let now = Moment::now();
         let data_centres = cx
             .layout
             .data_centres()
             .unwrap_or_else(|| cx.cfg.all_data_centres());
-        let view = sights.view(now, &cx.cfg, &data_centres, &cx.membership.standing());
+        let view = first_seen.view(now, &cx.cfg, &data_centres, &cx.membership.standing());
         let has_lease = view.lease_until.is_some_and(|until| now < until);
         if has_lease && view.settled_at <= now {
             settled.0.store(true, Ordering::Release);
@@ -52,14 +52,14 @@
 
 /// When this host first saw what its limiter counts from.
 #[derive(Debug, Default)]
-pub struct Sights {
+pub struct FirstSeen {
     members: Epoch,
     settled_at: Moment,
     slot: Option<u16>,
     slot_from: Moment,
 }
 
-impl Sights {
+impl FirstSeen {
     /// What the limiter is told at a moment.
     ///
     /// `data_centres` share every customer's rate; a host of another data
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -166,7 +166,7 @@
     }
 
     /// Counts a call as in flight until the guard is dropped.
-    pub fn fly(&self) -> InFlight {
+    pub fn in_flight(&self) -> InFlight {
         self.in_flight.inc();
         InFlight(self.in_flight.clone())
     }
--- a/src/request/held.rs
+++ b/src/request/held.rs
@@ -192,7 +192,7 @@
     /// Relays the answer and records the turn before the answer's end.
     async fn relay(self, head: Parts, upstream: Incoming, mut slot: Slot, tx: BodySender) {
         let cx = Cx::clone(&self.work.cx);
-        let _in_flight = cx.metrics.fly();
+        let _in_flight = cx.metrics.in_flight();
         let mut tail = Tail::whole();
         let call = &self.work.call;
         let is_withdrawn = || self.work.is_withdrawn();
--- a/src/request/limit/account.rs
+++ b/src/request/limit/account.rs
@@ -21,7 +21,7 @@
 use crate::request::limit::message::Report;
 use crate::request::limit::own::OwnBuckets;
 use crate::request::limit::own::shortened;
-use crate::request::limit::purse::Purse;
+use crate::request::limit::prefetched::Prefetched;
 use crate::request::limit::terms::AllotmentLog;
 use crate::request::limit::terms::Allotments;
 use crate::request::limit::view::View;
@@ -143,7 +143,7 @@
     own: OwnBuckets,
     /// Next moment at which the allotments change by themselves.
     floors_unused_until: Option<Moment>,
-    purse: Purse,
+    prefetched: Prefetched,
     demand: Demand,
     candidates: Vec<Candidate>,
     estimates: Estimates,
@@ -177,7 +177,7 @@
             allotments: AllotmentLog::new(allotments),
             own: OwnBuckets::new(env.now + env.cfg.token_ttl),
             floors_unused_until: None,
-            purse: Purse::default(),
+            prefetched: Prefetched::default(),
             demand: Demand::default(),
             candidates: Vec::new(),
             estimates: Estimates::default(),
@@ -293,7 +293,7 @@
         let expires = pending.sent_at + shortened(answer.ttl, env.cfg);
         if env.now < expires && answer.granted > Amount::ZERO {
             let giver = &pending.host;
-            self.purse
+            self.prefetched
                 .add(env.now, giver, id.sequence, answer.granted, expires);
         } else {
             self.changes.expired += answer.granted;
@@ -313,9 +313,9 @@
     /// Drops expired tokens and returns idle ones; called once in a while.
     pub fn maintain(&mut self, env: Env<'_>, effects: &mut Vec<Effect>) {
         self.refresh(env);
-        self.changes.expired += self.purse.expire(env.now);
+        self.changes.expired += self.prefetched.expire(env.now);
         let mut returned: BTreeMap<HostId, Vec<Report>> = BTreeMap::new();
-        for (giver, report) in self.purse.return_idle(env.now, env.cfg.idle_return) {
+        for (giver, report) in self.prefetched.return_idle(env.now, env.cfg.idle_return) {
             returned.entry(giver).or_default().push(report);
         }
         for (giver, reports) in returned {
@@ -333,7 +333,7 @@
 
     /// Tokens held here that a host granted.
     pub fn held_from(&self, now: Moment, giver: &HostId) -> Amount {
-        self.purse.level_from(now, giver)
+        self.prefetched.level_from(now, giver)
     }
 
     /// The account as operators see it.
@@ -344,7 +344,7 @@
             rate: self.terms.rate,
             burst: self.terms.burst,
             tokens: self.own.level(env.now).tokens(),
-            borrowed: self.purse.level(env.now).tokens(),
+            borrowed: self.prefetched.level(env.now).tokens(),
             lent: self.own.outstanding(env.now).tokens(),
             owner: env.view.owns(&self.customer),
         }
@@ -356,14 +356,14 @@
     }
 
     fn local(&mut self, now: Moment) -> Amount {
-        self.purse.level(now) + self.own.level(now)
+        self.prefetched.level(now) + self.own.level(now)
     }
 
     fn spend_one(&mut self, env: Env<'_>) -> bool {
         if self.local(env.now) < Amount::ONE {
             return false;
         }
-        let granted = self.purse.drain(env.now, Amount::ONE);
+        let granted = self.prefetched.drain(env.now, Amount::ONE);
         let rest = Amount::ONE.saturating_sub(granted);
         let own = self.own.drain(env.now, rest);
         assert_eq!(granted + own, Amount::ONE, "an admitted call costs a token");
@@ -482,7 +482,7 @@
             let part = rest.split_off(level);
             if part > Amount::ZERO {
                 let extra = std::mem::take(&mut extra);
-                let reports = self.purse.reports(&host);
+                let reports = self.prefetched.reports(&host);
                 self.send(env, &host, part, extra, reports, effects);
             }
         }
@@ -512,7 +512,7 @@
             return;
         };
         if *level >= Amount::ONE.half() {
-            let reports = self.purse.reports(host);
+            let reports = self.prefetched.reports(host);
             self.send(env, host, Amount::ZERO, target, reports, effects);
         }
     }
--- a/src/request/limit/mod.rs
+++ b/src/request/limit/mod.rs
@@ -15,7 +15,7 @@
 pub mod floor;
 pub mod message;
 pub mod own;
-pub mod purse;
+pub mod prefetched;
 pub mod terms;
 pub mod view;
 
--- a/src/request/limit/purse.rs
+++ b/src/request/limit/prefetched.rs
@@ -20,11 +20,11 @@
 
 /// Granted tokens, the first to expire first.
 #[derive(Clone, Debug, Default)]
-pub struct Purse {
+pub struct Prefetched {
     lots: Vec<Lot>,
 }
 
-impl Purse {
+impl Prefetched {
     /// Tokens that can be spent now.
     pub fn level(&self, now: Moment) -> Amount {
         let live = self.lots.iter().filter(|lot| now < lot.expires);
--- a/src/request/once.rs
+++ b/src/request/once.rs
@@ -90,7 +90,7 @@
     }
 
     async fn collect(self, clearance: Clearance, placed: Placed) -> Result<Response<Body>> {
-        let _in_flight = self.cx.metrics.fly();
+        let _in_flight = self.cx.metrics.in_flight();
         let Placed { mut slot, response } = placed;
         let (head, upstream) = response.into_parts();
         let body = match Body::collect(upstream, MAX_ANSWER_BYTES).await {
--- a/src/request/run.rs
+++ b/src/request/run.rs
@@ -196,7 +196,7 @@
         let (head, upstream) = placed.response.into_parts();
         let (tx, body) = Body::channel(ANSWER_CHUNKS);
         let response = answer_head(&head, &clearance, body);
-        let in_flight = self.cx.metrics.fly();
+        let in_flight = self.cx.metrics.in_flight();
         let spawner = self.cx.spawner.clone();
         let relay = Relay {
             work: self,
--- a/tests/load_tool.rs
+++ b/tests/load_tool.rs
@@ -6,8 +6,10 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::process::Command;
+use std::time::Duration;
 
 use chicoryarch::load::deployment::Deployment;
+use chicoryarch::load::result::Latencies;
 use chicoryarch::load::result::LoadResult;
 use chicoryarch::version::objects::Service;
 use chicoryarch::version::objects::ServiceKind;
@@ -96,3 +98,14 @@
 fn every_program_of_the_label_shape_finishes() {
     run_shape("labels", &Deployment::labels());
 }
+
+#[test]
+fn latencies_of_seconds_are_told_apart() {
+    let mut latencies = Latencies::default();
+    for seconds in [1, 2, 3] {
+        latencies.record(Duration::from_secs(seconds));
+    }
+    let summary = latencies.summary();
+    assert!((1_990.0..2_010.0).contains(&summary.p50_ms), "{summary:?}");
+    assert!((2_990.0..3_010.0).contains(&summary.max_ms), "{summary:?}");
+}
