--- /dev/null
+++ b/tests/fuzz.rs
@@ -0,0 +1,171 @@
+//! Arbitrary input to the settings and the callers' interface: no panic, and
+//! what is accepted comes back the same.
+
+use chicoryarch::connection::forward;
+use chicoryarch::connection::headers;
+use chicoryarch::connection::headers::CallHeaders;
+use chicoryarch::ids::ProgramId;
+use chicoryarch::process::settings;
+use chicoryarch::request::answer::Tail;
+use chicoryarch::request::call::IdempotencyKey;
+use chicoryarch::request::completion;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+/// Seed of every run in CI, as 32 bytes.
+const SEED: [u8; 32] = [7; 32];
+/// Cases of each run unless `CHICORYARCH_CASES` says otherwise.
+const CASES: u32 = 2_000;
+
+const SOUND: &str = "
+host = \"north-1\"
+data_centre = \"north\"
+[listen]
+callers = \"127.0.0.1:0\"
+peers = \"127.0.0.1:0\"
+operators = \"127.0.0.1:0\"
+[secrets]
+peers = \"peers.secret\"
+[membership]
+lease_ttl_ms = 5000
+[journal]
+writes_per_second = 10
+";
+
+fn run<S: Strategy>(strategy: S, test: impl Fn(S::Value)) {
+    let cases = std::env::var("CHICORYARCH_CASES").ok();
+    let cases = cases.and_then(|text| text.parse().ok()).unwrap_or(CASES);
+    let cfg = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(cfg, rng);
+    runner
+        .run(&strategy, |value| {
+            test(value);
+            Ok(())
+        })
+        .expect("every case passes");
+}
+
+/// The sound settings with some bytes replaced, removed or added.
+fn damaged() -> impl Strategy<Value = String> {
+    let edit = (0..SOUND.len(), 0..6_usize, "[ -~\n]{0,6}");
+    vec(edit, 0..4).prop_map(|edits| {
+        let mut text = SOUND.to_owned();
+        for (at, removed, added) in edits {
+            let at = at.min(text.len());
+            let end = (at + removed).min(text.len());
+            text.replace_range(at..end, &added);
+        }
+        text
+    })
+}
+
+#[test]
+fn damaged_settings_are_refused_or_checked_and_never_panic() {
+    run(damaged(), |text| {
+        if let Ok(cfg) = settings::parse("fuzz.toml", &text) {
+            assert!(cfg.check().is_ok());
+        }
+    });
+}
+
+#[test]
+fn arbitrary_settings_never_panic() {
+    run(".{0,400}", |text: String| {
+        let _refused = settings::parse("fuzz.toml", &text);
+    });
+}
+
+#[test]
+fn arbitrary_headers_are_read_or_refused() {
+    let names = prop::sample::select(vec![
+        headers::PROGRAM,
+        headers::CALL,
+        headers::IDEMPOTENCY_KEY,
+        headers::AFTER,
+        headers::CALLER,
+        HeaderName::from_static("authorization"),
+        HeaderName::from_static("connection"),
+    ]);
+    let fields = vec((names, vec(any::<u8>(), 0..80)), 0..8);
+    run(fields, |fields| {
+        let mut map = HeaderMap::new();
+        for (name, value) in fields {
+            if let Ok(value) = HeaderValue::from_bytes(&value) {
+                map.append(name, value);
+            }
+        }
+        let _read = CallHeaders::read(&map);
+        let _caller = forward::read_caller(&map);
+        let _secret = headers::bearer(&map);
+        let kept = headers::passed_on(&map);
+        assert!(!kept.contains_key("authorization"));
+        assert!(kept.keys().all(|name| !name.as_str().starts_with("chicoryarch-")));
+    });
+}
+
+#[test]
+fn a_path_is_split_without_loss_or_refused() {
+    run("/?[a-z0-9/?.%A-Z-]{0,60}", |path: String| {
+        if let Ok((service, rest)) = forward::split_path(&path) {
+            let joined = format!("/{service}{rest}");
+            let same = joined == path || joined.replacen("/?", "?", 1) == path;
+            assert!(same || joined == format!("{path}/"), "{path} gave {joined}");
+        }
+    });
+}
+
+#[test]
+fn an_id_that_is_accepted_prints_the_same() {
+    run("[a-z0-9.-]{0,60}|[a-z]{1,9}\\.[0-9]{1,6}\\.[0-9a-f]{16}", |text: String| {
+        if let Ok(id) = text.parse::<ProgramId>() {
+            assert_eq!(id.to_string(), text);
+        }
+        if let Ok(key) = text.parse::<IdempotencyKey>() {
+            assert_eq!(key.as_str(), text);
+        }
+    });
+}
+
+#[test]
+fn arbitrary_answers_of_engines_never_panic() {
+    let piece = prop::sample::select(vec![
+        "data: ",
+        "[DONE]",
+        "\n",
+        "{\"choices\":[{\"delta\":{\"content\":\"x\"}}]}",
+        "{\"choices\":[{\"message\":{\"role\":\"assistant\"}}]}",
+        "\"usage\":",
+        "{\"prompt_tokens\":18446744073709551615,\"completion_tokens\":9}",
+        "é",
+        "{",
+        "}",
+    ]);
+    run(vec(piece, 0..12), |pieces| {
+        let text = pieces.concat();
+        let mut tail = Tail::default();
+        let mut whole = Tail::whole();
+        for chunk in text.as_bytes().chunks(3) {
+            tail.push(chunk);
+            whole.push(chunk);
+        }
+        if let Some(usage) = tail.usage() {
+            let _cost = usage.cost();
+        }
+        for is_stream in [true, false] {
+            let _message = whole.message(is_stream);
+        }
+        let _message = completion::streamed_message(&text);
+    });
+}
