Hand changes that the platform alone told on to the hosts of the data centre

Cause: only one host of a data centre watches the platform; the others learn by comparing with a random host every two seconds. Ruled out: operators' commands, which hand their change to all hosts themselves. The watching host now hands on what is new. The test, with the hourly comparison, failed before (never within its guard) and passes after.

--- a/src/process/dev.rs
+++ b/src/process/dev.rs
@@ -24,6 +24,7 @@
 use super::listeners;
 use super::listeners::Listeners;
 use super::serve;
+use super::serve::Resources;
 use crate::configs::caller::CallerConfig;
 use crate::configs::distribution::DistributionConfig;
 use crate::configs::drain::DrainConfig;
@@ -117,16 +118,15 @@
     let operator = new_operator_secret();
     let operators = OperatorSecrets::single(NAME, &operator);
     let peer_secret = PeerSecret::new(vec![random_secret("")]);
-    let (cx, ports) = serve::start(
-        cfg,
-        listeners,
-        peer_secret,
-        Some(operators),
+    let resources = Resources {
         client,
-        api,
+        listeners,
+        operators: Some(operators),
+        platform: api,
+        secret: peer_secret,
         spawner,
-    )
-    .await?;
+    };
+    let (cx, ports) = serve::start(cfg, resources).await?;
     while !cx.readiness.is_ready() {
         Timer::after(RECHECK).await;
     }
--- a/src/process/distribution/exchange.rs
+++ b/src/process/distribution/exchange.rs
@@ -169,6 +169,18 @@
         });
     }
 
+    /// Hands a bundle to the live hosts of this data centre, which do not watch
+    /// the platform themselves, without waiting for them.
+    pub(super) fn spread_near(&self, bundle: Bundle) {
+        let this = self.clone();
+        self.spawner.detach(async move {
+            let own = &this.hosts.own().data_centre;
+            let mut hosts = this.hosts.others();
+            hosts.retain(|host| host.data_centre == *own);
+            this.spread(&bundle, hosts).await;
+        });
+    }
+
     async fn push(&self, host: &HostAddress, bundle: &Bundle) -> peer::Result<PushAnswer> {
         count(&self.counters.pushes);
         self.ask(host, PUSH, bundle).await
--- a/src/process/distribution/tasks.rs
+++ b/src/process/distribution/tasks.rs
@@ -103,7 +103,11 @@
         let watched = self.platform.watch(kind.as_str(), *since, wait).await;
         let changes = self.note(watched)?;
         count(&self.counters.watches);
-        self.apply_durably(bundle_of(kind, &changes.objects)).await;
+        let bundle = bundle_of(kind, &changes.objects);
+        let applied = self.apply_durably(bundle.clone()).await;
+        if applied.is_change() {
+            self.spread_near(bundle);
+        }
         *since = changes.upto.max(*since);
         Ok(())
     }
--- a/src/process/serve.rs
+++ b/src/process/serve.rs
@@ -108,8 +108,15 @@
         None => None,
     };
     let reloaded = operators.clone();
-    let platform = HttpPlatform::new(client.clone(), &cfg.host, cfg.platform.clone());
-    let (cx, ports) = start(cfg, listeners, secret, operators, client, platform, spawner).await?;
+    let resources = Resources {
+        platform: HttpPlatform::new(client.clone(), &cfg.host, cfg.platform.clone()),
+        client,
+        listeners,
+        operators,
+        secret,
+        spawner,
+    };
+    let (cx, ports) = start(cfg, resources).await?;
     announce(&addresses)?;
     let files = cx.cfg.secrets.clone();
     let hang_ups = Signals::new([Signal::Hup])?;
@@ -122,6 +129,23 @@
     Ok(drain::until_drained(&cx, &ports).await?)
 }
 
+/// What a host is given besides its settings.
+#[derive(Debug)]
+pub struct Resources<P> {
+    /// Connections to other hosts and to endpoints.
+    pub client: Client,
+    /// Open ports.
+    pub listeners: Listeners,
+    /// Operators' credentials; absent if nobody may operate the host.
+    pub operators: Option<OperatorSecrets>,
+    /// The platform.
+    pub platform: P,
+    /// Credential towards other hosts.
+    pub secret: PeerSecret,
+    /// Executor of the host.
+    pub spawner: Spawner,
+}
+
 /// Starts every part of a host.
 ///
 /// # Errors
@@ -129,30 +153,62 @@
 /// [`ServeError`] if a part cannot start.
 pub async fn start<P: Platform>(
     cfg: HostConfig,
-    listeners: Listeners,
-    secret: PeerSecret,
-    operators: Option<OperatorSecrets>,
-    client: Client,
-    platform: P,
-    spawner: Spawner,
+    resources: Resources<P>,
 ) -> Result<(Cx<P>, Ports)> {
-    let addresses = listeners.addresses()?;
-    let timers = Timers::start(&spawner);
+    let timers = Timers::start(&resources.spawner);
+    let (cx, events) = context(cfg, &resources, &timers)?;
+    let counters = Arc::clone(cx.distribution.counters());
+    cx.metrics
+        .register(PartCounters::new(Cx::clone(&cx), counters));
+    let operator = Operator::new(
+        cx.cfg.operator.clone(),
+        cx.distribution.clone(),
+        Backend(Cx::clone(&cx)),
+    );
+    let module = module(&cx, &operator).expect("method names are distinct");
+    let operator_port = OperatorPort {
+        cx: Cx::clone(&cx),
+        operator: Arc::new(operator),
+        secrets: resources.operators,
+    };
+    let ports = Ports::default();
+    serve_ports(&cx, resources.listeners, &ports, module, operator_port);
+    let settled = Settled::default();
+    start_links(&cx, events, resources.platform, &timers, &settled).await;
+    cx.spawner
+        .detach(ready::become_ready(Cx::clone(&cx), timers, settled));
+    Ok((cx, ports))
+}
+
+/// Creates every part; of these, membership begins at once.
+fn context<P: Platform>(
+    cfg: HostConfig,
+    resources: &Resources<P>,
+    timers: &Timers,
+) -> Result<(Cx<P>, Receiver<PartitionEvent>)> {
+    let Resources {
+        client,
+        platform,
+        secret,
+        spawner,
+        ..
+    } = resources;
+    let addresses = resources.listeners.addresses()?;
     let peers = HttpPeers::new(client.clone(), secret.clone(), cfg.peer.clone());
     let (membership, events) = membership::start(
-        Identity {
-            host: cfg.host.clone(),
-            data_centre: cfg.data_centre.clone(),
-            peer: addresses.peers,
-            caller: addresses.callers,
-        },
+        identity(&cfg, &addresses),
         &cfg.membership,
         platform.clone(),
         peers.clone(),
         timers.clone(),
-        &spawner,
+        spawner,
     );
     let configuration = Configuration::default();
+    let hosts = KnownHosts::new(
+        own_address(&cfg, &addresses),
+        membership.clone(),
+        cfg.membership.clone(),
+    );
     let distribution = Distribution::new(
         DistributionConfig {
             data_dir: cfg.data_folder.clone(),
@@ -161,65 +217,49 @@
         configuration.clone(),
         platform.clone(),
         peers.clone(),
-        KnownHosts::new(
-            own_address(&cfg, &addresses),
-            membership.clone(),
-            cfg.membership.clone(),
-        ),
+        hosts,
         spawner.clone(),
     )?;
-    let rates = Rates::new(
-        cfg.limit.clone(),
-        empty_view(&cfg),
-        peers.clone(),
-        spawner.clone(),
-    );
     let placing = Placing::new(
         cfg.queue.clone(),
         cfg.place.clone(),
         cfg.data_centre.clone(),
         spawner.clone(),
     );
-    let cx = Arc::new(Context {
-        client,
+    let cx = Context {
+        client: client.clone(),
         configuration,
-        distribution: distribution.clone(),
+        distribution,
         history: History::new(platform.clone(), cfg.history.clone()),
         endpoints: Endpoints::default(),
         journals: Journals::new(platform.clone(), cfg.journal.clone(), spawner.clone()),
         layout: SharedLayout::default(),
         membership,
         metrics: Metrics::default(),
-        peers,
         placing,
-        rates,
+        rates: Rates::new(
+            cfg.limit.clone(),
+            empty_view(&cfg),
+            peers.clone(),
+            spawner.clone(),
+        ),
+        peers,
         readiness: Readiness::default(),
         retries: Mutex::new(RetryBudget::new(cfg.retry.clone())),
-        secret,
-        spawner,
+        secret: secret.clone(),
+        spawner: spawner.clone(),
         cfg,
-    });
-    let counters = Arc::clone(cx.distribution.counters());
-    cx.metrics
-        .register(PartCounters::new(Cx::clone(&cx), counters));
-    let operator = Operator::new(
-        cx.cfg.operator.clone(),
-        distribution.clone(),
-        Backend(Cx::clone(&cx)),
-    );
-    let module = module(&cx, &operator).expect("method names are distinct");
-    let ports = Ports::default();
-    let operator_port = OperatorPort {
-        cx: Cx::clone(&cx),
-        operator: Arc::new(operator),
-        secrets: operators,
     };
-    serve_ports(&cx, listeners, &ports, module, operator_port);
-    let settled = Settled::default();
-    start_links(&cx, events, platform, &timers, &settled).await;
-    cx.spawner
-        .detach(ready::become_ready(Cx::clone(&cx), timers, settled));
-    Ok((cx, ports))
+    Ok((Arc::new(cx), events))
+}
+
+fn identity(cfg: &HostConfig, addresses: &Addresses) -> Identity {
+    Identity {
+        host: cfg.host.clone(),
+        data_centre: cfg.data_centre.clone(),
+        peer: addresses.peers,
+        caller: addresses.callers,
+    }
 }
 
 fn own_address(cfg: &HostConfig, addresses: &Addresses) -> HostAddress {
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -111,7 +111,10 @@
         let _secret = headers::bearer(&map);
         let kept = headers::passed_on(&map);
         assert!(!kept.contains_key("authorization"));
-        assert!(kept.keys().all(|name| !name.as_str().starts_with("chicoryarch-")));
+        assert!(
+            kept.keys()
+                .all(|name| !name.as_str().starts_with("chicoryarch-"))
+        );
     });
 }
 
@@ -128,14 +131,17 @@
 
 #[test]
 fn an_id_that_is_accepted_prints_the_same() {
-    run("[a-z0-9.-]{0,60}|[a-z]{1,9}\\.[0-9]{1,6}\\.[0-9a-f]{16}", |text: String| {
-        if let Ok(id) = text.parse::<ProgramId>() {
-            assert_eq!(id.to_string(), text);
-        }
-        if let Ok(key) = text.parse::<IdempotencyKey>() {
-            assert_eq!(key.as_str(), text);
-        }
-    });
+    run(
+        "[a-z0-9.-]{0,60}|[a-z]{1,9}\\.[0-9]{1,6}\\.[0-9a-f]{16}",
+        |text: String| {
+            if let Ok(id) = text.parse::<ProgramId>() {
+                assert_eq!(id.to_string(), text);
+            }
+            if let Ok(key) = text.parse::<IdempotencyKey>() {
+                assert_eq!(key.as_str(), text);
+            }
+        },
+    );
 }
 
 #[test]
--- a/tests/must_hold.rs
+++ b/tests/must_hold.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::time::Instant;
 
+use chicoryarch::version::objects::Service;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -654,6 +655,24 @@
     assert_eq!(shown(&fleet, 1), Some(7.0));
 }
 
+#[test]
+fn a_change_that_only_the_platform_knows_reaches_hosts_that_do_not_watch_it() {
+    // Hosts compare with each other once an hour, so only a hand-over by the
+    // host that watches can bring the change in time.
+    let fleet = Fleet::start(FleetSpec {
+        data_centres: vec![("north", 3), ("south", 2)],
+        settings: "[distribution]\nexchange_ms = 3600000\npoll_ms = 3600000\n".to_owned(),
+        ..FleetSpec::default()
+    });
+    fleet.put("service", "late", &Service::default());
+    for host in 0..fleet.hosts.len() {
+        wait_until("the host knows the service", || {
+            let rows = fleet.ask(host, "show services where service = late");
+            rows["rows"].as_array().is_some_and(|rows| rows.len() == 1)
+        });
+    }
+}
+
 #[test]
 fn operators_that_race_are_told_of_each_other_and_every_change_is_audited() {
     let fleet = Fleet::start(FleetSpec::default());
