--- a/src/configs/journal.rs
+++ b/src/configs/journal.rs
@@ -80,7 +80,7 @@
 impl Default for JournalConfig {
     fn default() -> Self {
         Self {
-            min_commit_interval: Duration::from_millis(20),
+            min_commit_interval: Duration::from_millis(5),
             max_commit_interval: Duration::from_secs(1),
             writes_per_second: 10,
             lazy_interval: Duration::from_secs(5),
