One owner look-up, one choice of the delegate host, one seeding of services

The look-up of a partition's owner and its refusal stood in entry and programs; the rule for which host acts for its data centre in links and endpoints; the services of a load run in a test and a bench, where a fixed pause now waits for what it waited for.

--- a/benches/faults.rs
+++ b/benches/faults.rs
@@ -16,8 +16,6 @@
 use chicoryarch::load::result;
 use chicoryarch::load::result::LoadResult;
 use chicoryarch::load::run;
-use chicoryarch::version::objects::Service;
-use chicoryarch::version::objects::ServiceKind;
 use chicoryarch_net::Spawner;
 use serde_json::json;
 use support::Fleet;
@@ -67,28 +65,7 @@
         rate: 2_000.0,
         ..FleetSpec::default()
     });
-    let deployment = Deployment::scores();
-    for shape in &deployment.services {
-        let kind = if shape.model {
-            ServiceKind::Model
-        } else {
-            ServiceKind::Plain
-        };
-        let service = Service {
-            kind,
-            repeatable: shape.repeatable,
-            ..Service::default()
-        };
-        fleet.put("service", shape.name, &service);
-        let standin = if shape.model {
-            &fleet.engine
-        } else {
-            &fleet.service
-        };
-        let endpoint = fleet.endpoint(standin.addr, &[shape.name]);
-        fleet.put("endpoint", &format!("load-{}", shape.name), &endpoint);
-    }
-    thread::sleep(Duration::from_secs(2));
+    fleet.add_deployment(&Deployment::scores());
     fleet
 }
 
--- a/src/process/endpoints/hosts.rs
+++ b/src/process/endpoints/hosts.rs
@@ -68,10 +68,8 @@
 
 /// The host that reads the list for this data centre, if it is another.
 fn watcher<P: Platform>(cx: &Cx<P>) -> Option<SocketAddr> {
-    let hosts = cx.membership.hosts().into_iter();
-    let near = hosts.filter(|h| h.live && !h.draining && h.data_centre == cx.cfg.data_centre);
-    let first = near.min_by(|a, b| a.host.cmp(&b.host))?;
-    (first.host != cx.cfg.host).then_some(first.peer)
+    let delegate = cx.membership.delegate(&cx.cfg.data_centre)?;
+    (delegate.host != cx.cfg.host).then_some(delegate.peer)
 }
 
 async fn pull<P: Platform>(cx: &Cx<P>, from: SocketAddr) -> Option<Vec<HostStatus>> {
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -80,12 +80,8 @@
     }
 
     fn is_watcher(&self) -> bool {
-        let hosts = self.membership.hosts();
-        let near = |host: &&crate::version::table::coordinator::HostInfo| {
-            host.live && !host.draining && host.data_centre == self.own.data_centre
-        };
-        let first = hosts.iter().filter(near).map(|host| &host.host).min();
-        first.is_none_or(|first| *first == self.own.id)
+        let delegate = self.membership.delegate(&self.own.data_centre);
+        delegate.is_none_or(|delegate| delegate.host == self.own.id)
     }
 }
 
--- a/src/process/membership/handle.rs
+++ b/src/process/membership/handle.rs
@@ -120,6 +120,14 @@
         self.state.lock().coordinator.hosts()
     }
 
+    /// The host that does for its data centre what only one has to do: the
+    /// first one that takes part.
+    pub fn delegate(&self, data_centre: &DataCentre) -> Option<HostInfo> {
+        let hosts = self.hosts().into_iter();
+        let near = hosts.filter(|h| h.live && !h.draining && h.data_centre == *data_centre);
+        near.min_by(|a, b| a.host.cmp(&b.host))
+    }
+
     /// Starts to hand over every partition.
     pub fn begin_drain(&self) {
         self.state.lock().coordinator.begin_drain();
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -190,7 +190,12 @@
     }
 }
 
-fn owner<P: Platform>(cx: &Cx<P>, partition: &PartitionId) -> Result<Owner> {
+/// The owner of a partition, as far as this host knows.
+///
+/// # Errors
+///
+/// A `not-run` refusal if there is none.
+pub fn owner<P: Platform>(cx: &Cx<P>, partition: &PartitionId) -> Result<Owner> {
     let PartitionId {
         data_centre,
         partition,
@@ -221,7 +226,8 @@
     Refusal::unknown(Reason::OwnerUnavailable, detail)
 }
 
-fn no_owner<P: Platform>(cx: &Cx<P>) -> Refusal {
+/// The refusal of a call whose program's host cannot be reached.
+pub fn no_owner<P: Platform>(cx: &Cx<P>) -> Refusal {
     let detail = "the host that owns the program cannot be reached";
     Refusal::not_run(Reason::OwnerUnavailable, detail).retry_after(cx.cfg.caller.retry_after)
 }
--- a/src/request/programs.rs
+++ b/src/request/programs.rs
@@ -15,6 +15,8 @@
 
 use super::clearance;
 use super::entry;
+use super::entry::no_owner;
+use super::entry::owner;
 use super::outcome::Reason;
 use super::outcome::Refusal;
 use super::outcome::Result;
@@ -245,23 +247,6 @@
     ended.map(|_| ())
 }
 
-fn owner<P: Platform>(
-    cx: &Cx<P>,
-    partition: &PartitionId,
-) -> Result<crate::version::table::coordinator::Owner> {
-    let PartitionId {
-        data_centre,
-        partition,
-    } = partition;
-    let owner = cx.membership.owner(data_centre, *partition);
-    owner.ok_or_else(|| no_owner(cx))
-}
-
-fn no_owner<P: Platform>(cx: &Cx<P>) -> Refusal {
-    let detail = "the host that owns the program cannot be reached";
-    Refusal::not_run(Reason::OwnerUnavailable, detail).retry_after(cx.cfg.caller.retry_after)
-}
-
 fn created(opened: &Opened) -> Response<Body> {
     let body = serde_json::to_vec(opened).expect("an id always encodes as JSON");
     let mut response = Response::new(Body::from(body));
--- a/tests/load_tool.rs
+++ b/tests/load_tool.rs
@@ -11,45 +11,11 @@
 use chicoryarch::load::deployment::Deployment;
 use chicoryarch::load::result::Latencies;
 use chicoryarch::load::result::LoadResult;
-use chicoryarch::version::objects::Service;
-use chicoryarch::version::objects::ServiceKind;
 use support::Fleet;
 use support::FleetSpec;
 use support::OTHER_SECRET;
 use support::SECRET;
 
-/// Adds the services of a deployment, all at the two stand-ins.
-fn add_services(fleet: &Fleet, deployment: &Deployment) {
-    for shape in &deployment.services {
-        let kind = if shape.model {
-            ServiceKind::Model
-        } else {
-            ServiceKind::Plain
-        };
-        let service = Service {
-            kind,
-            repeatable: shape.repeatable,
-            interactive: shape.interactive,
-            ..Service::default()
-        };
-        fleet.put("service", shape.name, &service);
-        let standin = if shape.model {
-            &fleet.engine
-        } else {
-            &fleet.service
-        };
-        let endpoint = fleet.endpoint(standin.addr, &[shape.name]);
-        fleet.put("endpoint", &format!("load-{}", shape.name), &endpoint);
-    }
-    support::wait_until("every host knows the services", || {
-        (0..fleet.hosts.len()).all(|host| {
-            let rows = fleet.ask(host, "show endpoints");
-            let rows = rows["rows"].as_array().expect("rows").len();
-            rows >= deployment.services.len() + 2
-        })
-    });
-}
-
 fn run_tool(args: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
         .args(args)
@@ -74,7 +40,7 @@
 
 fn run_shape(shape: &str, deployment: &Deployment) {
     let fleet = Fleet::start(FleetSpec::default());
-    add_services(&fleet, deployment);
+    fleet.add_deployment(deployment);
     let dir = tempfile::tempdir().expect("a folder");
     let path = |name: &str| dir.path().join(name).display().to_string();
     fs::write(path("plan.toml"), plan(&fleet, dir.path(), shape)).expect("a file");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use chicoryarch::connection::platform::Expect;
 use chicoryarch::connection::platform::write_value;
 use chicoryarch::ids::CustomerId;
+use chicoryarch::load::deployment::Deployment;
 use chicoryarch::version::objects::Customer;
 use chicoryarch::version::objects::Endpoint;
 use chicoryarch::version::objects::Key;
@@ -453,6 +454,39 @@
         async_io::block_on(written).expect("the platform takes the object");
     }
 
+    /// Adds the services of a deployment, all at the two stand-ins, and
+    /// waits until every host knows them.
+    pub fn add_deployment(&self, deployment: &Deployment) {
+        for shape in &deployment.services {
+            let kind = if shape.model {
+                ServiceKind::Model
+            } else {
+                ServiceKind::Plain
+            };
+            let service = Service {
+                kind,
+                repeatable: shape.repeatable,
+                interactive: shape.interactive,
+                ..Service::default()
+            };
+            self.put("service", shape.name, &service);
+            let standin = if shape.model {
+                &self.engine
+            } else {
+                &self.service
+            };
+            let endpoint = self.endpoint(standin.addr, &[shape.name]);
+            self.put("endpoint", &format!("load-{}", shape.name), &endpoint);
+        }
+        wait_until("every host knows the services", || {
+            (0..self.hosts.len()).all(|host| {
+                let rows = self.ask(host, "show endpoints");
+                let rows = rows["rows"].as_array().expect("rows").len();
+                rows >= deployment.services.len() + 2
+            })
+        });
+    }
+
     /// A call with the first customer's key.
     pub fn call(&self, host: usize, path: &str, body: &str) -> Answer {
         let req = Req::post(path).bearer(SECRET).body(body.to_owned());
