--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,12 +6,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::future;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::header;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -20,6 +23,13 @@
 
 use crate::Body;
 use crate::Spawner;
+use crate::silence;
+
+/// Name of the header in which a server tells how long it keeps a connection.
+const KEEP_ALIVE: &str = "keep-alive";
+/// Part of a server's announced idle time after which a connection is not used
+/// again, so that a request does not cross the server's close.
+const IDLE_SHARE: f64 = 0.6;
 
 /// Why a request got no response head.
 #[derive(Debug, thiserror::Error)]
@@ -55,6 +65,11 @@
     pub connect_timeout: Duration,
     /// Idle connections kept for each address.
     pub max_idle: usize,
+    /// Longest time that an idle connection is used again, if the server
+    /// announces none.
+    pub idle_limit: Duration,
+    /// Time after which a peer that acknowledges nothing counts as gone.
+    pub silence_limit: Option<Duration>,
 }
 
 impl Default for ClientConfig {
@@ -62,11 +77,20 @@
         Self {
             connect_timeout: Duration::from_secs(1),
             max_idle: 32,
+            idle_limit: Duration::from_secs(60),
+            silence_limit: None,
         }
     }
 }
 
-type Idle = HashMap<SocketAddr, Vec<SendRequest<Body>>>;
+/// A connection between two requests.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Body>,
+    expires: Instant,
+}
+
+type Idle = HashMap<SocketAddr, Vec<IdleConnection>>;
 
 /// A client with a pool of idle connections.
 ///
@@ -156,9 +180,10 @@
 
     fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock();
-        let senders = idle.get_mut(&to)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() && !sender.is_closed() {
+        let parked = idle.get_mut(&to)?;
+        let now = Instant::now();
+        while let Some(IdleConnection { sender, expires }) = parked.pop() {
+            if now < expires && sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
         }
@@ -174,14 +199,19 @@
     ) -> Response<Incoming> {
         let idle = Arc::clone(&self.idle);
         let max_idle = self.cfg.max_idle;
+        let keep = announced_idle(response.headers()).unwrap_or(self.cfg.idle_limit);
+        if closes(response.headers()) {
+            return response;
+        }
         self.spawner.detach(async move {
             if sender.ready().await.is_err() {
                 return;
             }
             let mut idle = idle.lock();
-            let senders = idle.entry(to).or_default();
-            if senders.len() < max_idle {
-                senders.push(sender);
+            let parked = idle.entry(to).or_default();
+            if parked.len() < max_idle {
+                let expires = Instant::now() + keep.mul_f64(IDLE_SHARE);
+                parked.push(IdleConnection { sender, expires });
             }
         });
         response
@@ -196,6 +226,9 @@
             .await
             .map_err(ClientError::Connect)?;
         stream.set_nodelay(true).map_err(ClientError::Connect)?;
+        if let Some(limit) = self.cfg.silence_limit {
+            silence::detect(&stream, limit).map_err(ClientError::Connect)?;
+        }
         let (sender, connection) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(ClientError::NotSent)?;
@@ -213,3 +246,21 @@
     };
     future::or(exchange, limit).await
 }
+
+/// Idle time that a server announces, `Keep-Alive: timeout=SECONDS`.
+fn announced_idle(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// True if the server closes the connection after this response.
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod runtime;
 pub mod server;
+pub mod silence;
 
 pub use body::Body;
 pub use client::Client;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -26,6 +26,7 @@
 
 use crate::Body;
 use crate::Spawner;
+use crate::silence;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -47,6 +48,8 @@
     pub header_timeout: Duration,
     /// Largest read buffer of a connection, in bytes.
     pub max_buf_size: usize,
+    /// Time after which a caller that acknowledges nothing counts as gone.
+    pub silence_limit: Option<Duration>,
 }
 
 impl Default for ServerConfig {
@@ -54,6 +57,7 @@
         Self {
             header_timeout: Duration::from_secs(10),
             max_buf_size: 64 * 1024,
+            silence_limit: None,
         }
     }
 }
@@ -147,6 +151,10 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    if let Some(limit) = cfg.silence_limit {
+        // A caller without detection is still served; it only holds its connection longer.
+        let _unsupported = silence::detect(&stream, limit);
+    }
     let count = Arc::clone(&control.requests);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = handler.clone();
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -45,6 +45,14 @@
         #[bpaf(long("config"), argument("FILE"))]
         config: PathBuf,
     },
+    /// Serves callers on the users' platform until it is told to stop.
+    ///
+    /// The platform's settings file is named by an environment variable.
+    #[bpaf(command("gateway"))]
+    Gateway,
+    /// Keeps the audit trail on a host with a disk of the users' platform.
+    #[bpaf(command("archive"))]
+    Archive,
     /// Checks a settings file and prints what is wrong with it.
     ///
     /// Example: chicoryarch check /etc/chicoryarch.toml
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod distribution;
 pub mod drain;
 pub mod endpoints;
+pub mod gateway;
 pub mod history;
 pub mod host;
 pub mod journal;
--- a/src/connection/headers.rs
+++ b/src/connection/headers.rs
@@ -63,6 +63,19 @@
     IDEMPOTENCY_KEY,
 ];
 
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
 const KEEP_ALIVE: &str = "keep-alive";
 const BEARER: &str = "Bearer ";
 
@@ -136,16 +149,23 @@
 
 /// The headers that go on to an endpoint or back to a caller.
 pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    filtered(headers, |name| {
+        !name.as_str().starts_with(OWN_PREFIX) && !STRIPPED.contains(name)
+    })
+}
+
+/// All headers but those that concern one connection only.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    filtered(headers, |name| !HOP_BY_HOP.contains(name))
+}
+
+fn filtered(headers: &HeaderMap, is_kept: impl Fn(&HeaderName) -> bool) -> HeaderMap {
     let named = connection_tokens(headers);
-    let kept = |name: &HeaderName| {
-        let text = name.as_str();
-        let own = text.starts_with(OWN_PREFIX);
-        let listed = STRIPPED.contains(name) || text == KEEP_ALIVE;
-        !own && !listed && !named.iter().any(|n| n == text)
-    };
     let mut out = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        if kept(name) {
+        let text = name.as_str();
+        let is_bound = text == KEEP_ALIVE || named.iter().any(|n| n == text);
+        if !is_bound && is_kept(name) {
             out.append(name, value.clone());
         }
     }
--- a/src/connection/peer_port.rs
+++ b/src/connection/peer_port.rs
@@ -58,7 +58,8 @@
         }
         let path = req.uri().path();
         if req.method() == Method::POST && path == RPC_PATH {
-            return self.control(req).await;
+            let max_bytes = self.cx.cfg.peer.max_message_bytes;
+            return control(&self.module, req, max_bytes).await;
         }
         if path.starts_with(CALL_PREFIX) {
             return match forwarded(&self.cx, req).await {
@@ -73,19 +74,21 @@
     }
 }
 
-impl<P: Platform> PeerPort<P> {
-    async fn control(&self, req: Request<Incoming>) -> Response<Body> {
-        let limit = self.cx.cfg.peer.max_message_bytes;
-        let Ok(body) = Body::collect(req.into_body(), limit).await else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        let Ok(text) = std::str::from_utf8(&body) else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        match self.module.raw_json_request(text, RPC_BUFFER).await {
-            Ok((answer, _notices)) => json(answer.get().to_owned()),
-            Err(_) => status(StatusCode::BAD_REQUEST),
-        }
+/// Answers a control call with the methods of a module.
+pub async fn control<C: Send + Sync + 'static>(
+    module: &RpcModule<C>,
+    req: Request<Incoming>,
+    max_bytes: usize,
+) -> Response<Body> {
+    let Ok(body) = Body::collect(req.into_body(), max_bytes).await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let Ok(text) = std::str::from_utf8(&body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    match module.raw_json_request(text, RPC_BUFFER).await {
+        Ok((answer, _notices)) => json(answer.get().to_owned()),
+        Err(_) => status(StatusCode::BAD_REQUEST),
     }
 }
 
--- a/src/connection/platform/http/counters.rs
+++ b/src/connection/platform/http/counters.rs
@@ -87,7 +87,7 @@
     const fn of_error(error: &PlatformError) -> Self {
         match error {
             PlatformError::Malformed { .. } | PlatformError::TooLarge(_) => Self::Invalid,
-            PlatformError::Unavailable(_) => Self::Unavailable,
+            PlatformError::HistoryLost | PlatformError::Unavailable(_) => Self::Unavailable,
             PlatformError::UnknownOutcome => Self::Unknown,
         }
     }
--- a/src/connection/platform/http/wire.rs
+++ b/src/connection/platform/http/wire.rs
@@ -109,14 +109,16 @@
     }))
 }
 
-/// The objects in an answer to a list or a watch, without the removed ones.
+/// The objects in an answer to a list or a watch, and the names of removed ones.
 pub(super) fn changes(kind: &str, answer: &Answer) -> Result<Changes> {
     let listing: Listing =
         serde_json::from_slice(&answer.body).map_err(|e| malformed(kind, "", &e.to_string()))?;
-    let present = listing.objects.into_iter().filter(|entry| !entry.removed);
+    let (removed, present): (Vec<_>, Vec<_>) =
+        listing.objects.into_iter().partition(|entry| entry.removed);
     Ok(Changes {
         upto: listing.upto,
-        objects: present.map(Object::from).collect(),
+        objects: present.into_iter().map(Object::from).collect(),
+        removed: removed.into_iter().map(|entry| entry.name).collect(),
     })
 }
 
--- a/src/connection/platform/memory.rs
+++ b/src/connection/platform/memory.rs
@@ -83,6 +83,7 @@
         Ok(Changes {
             upto: Version(state.newest),
             objects,
+            removed: Vec::new(),
         })
     }
 }
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -22,6 +22,9 @@
 /// Why the platform gave no result.
 #[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum PlatformError {
+    /// The platform no longer holds the changes since the given version.
+    #[error("the platform no longer holds the changes that were asked for")]
+    HistoryLost,
     /// A stored value cannot be read as the type expected.
     #[error("object {kind}/{name} holds an unreadable value: {detail}")]
     Malformed {
@@ -82,6 +85,8 @@
     pub upto: Version,
     /// The latest state of each changed object.
     pub objects: Vec<Object>,
+    /// Names of the objects removed since the given version; empty for a list.
+    pub removed: Vec<String>,
 }
 
 /// One line of the platform's lagging list of endpoint hosts.
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,156 @@
+//! What the parts of a host share.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use chicoryarch_net::Client;
+use chicoryarch_net::Spawner;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+
+use super::account::Accounts;
+use super::directory::Directory;
+use super::directory::Endpoint;
+use super::metrics::GatewayMetrics;
+use super::placing::Pool;
+use super::rate::Rates;
+use super::roster::Roster;
+use super::routes::Configuration;
+use crate::configs::gateway::GatewayConfig;
+use crate::connection::peer::HttpPeers;
+use crate::connection::platform::Platform;
+use crate::ids::Version;
+use crate::process::events::EventLog;
+
+/// The configuration in force with the text that other hosts are told.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The routing table.
+    pub table: Configuration,
+    /// The operators' text.
+    pub text: Arc<str>,
+}
+
+/// Whether this host reaches the platform's store.
+#[derive(Debug, Default)]
+pub struct StoreContact(AtomicBool);
+
+impl StoreContact {
+    /// True if the last call had an answer.
+    pub fn is_up(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+
+    /// Notes the outcome of a call; true if it differs from the one before.
+    pub fn set(&self, is_up: bool) -> bool {
+        self.0.swap(is_up, Ordering::AcqRel) != is_up
+    }
+}
+
+/// Endpoints by service, each service under its own lock.
+#[derive(Debug, Default)]
+pub struct Pools(RwLock<HashMap<Arc<str>, Arc<Mutex<Pool>>>>);
+
+impl Pools {
+    /// The pool of a service, if any endpoint of it is known.
+    pub fn get(&self, service: &str) -> Option<Arc<Mutex<Pool>>> {
+        self.0.read().get(service).cloned()
+    }
+
+    /// Takes up the listed endpoints.
+    pub fn replace(&self, endpoints: &[Arc<Endpoint>]) {
+        let mut pools = self.0.write();
+        let listed: HashSet<&Arc<str>> = endpoints.iter().map(|e| &e.service).collect();
+        for service in listed {
+            pools.entry(Arc::clone(service)).or_default();
+        }
+        for (service, pool) in pools.iter() {
+            let own = endpoints.iter().filter(|e| e.service == *service);
+            pool.lock().replace(own.cloned());
+        }
+    }
+}
+
+/// The listed endpoints with the store's version of the list.
+#[derive(Debug, Default)]
+pub struct Listed {
+    /// The endpoints.
+    pub directory: Directory,
+    /// Version of the store up to which changes are known; `None` before any.
+    pub upto: Option<Version>,
+}
+
+/// Requests and bytes of bodies that this host holds.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// Bytes of callers' bodies in memory.
+    pub body_bytes: AtomicUsize,
+}
+
+/// Shared parts of one host.
+#[derive(Debug)]
+pub struct Gateway<P> {
+    /// Settings.
+    pub cfg: GatewayConfig,
+    /// Executor.
+    pub spawner: Spawner,
+    /// The platform's store.
+    pub store: P,
+    /// Whether the store answers.
+    pub contact: StoreContact,
+    /// Connections to endpoints.
+    pub client: Client,
+    /// Calls to other hosts.
+    pub peers: HttpPeers,
+    /// Configuration in force.
+    pub in_force: ArcSwap<InForce>,
+    /// Listed endpoints.
+    pub listed: Mutex<Listed>,
+    /// Endpoints by service.
+    pub pools: Pools,
+    /// Hosts.
+    pub roster: Mutex<Roster>,
+    /// Rates of customers.
+    pub rates: Rates,
+    /// Budgets of programs.
+    pub accounts: Accounts,
+    /// What is held for callers.
+    pub held: Held,
+    /// Set once the process is to end.
+    pub is_draining: AtomicBool,
+    /// Structured log.
+    pub log: EventLog,
+    /// Counters.
+    pub metrics: GatewayMetrics,
+}
+
+/// Handle to the shared parts.
+pub type Cx<P> = Arc<Gateway<P>>;
+
+impl<P: Platform> Gateway<P> {
+    /// True once the process is to end.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    /// True if this host can serve callers.
+    pub fn is_ready(&self) -> bool {
+        let is_configured = !self.in_force.load().table.is_unknown();
+        let has_endpoints = self.listed.lock().upto.is_some();
+        !self.is_draining() && is_configured && has_endpoints
+    }
+
+    /// Puts the listed endpoints into the pools.
+    pub fn refresh_pools(&self) {
+        let endpoints: Vec<Arc<Endpoint>> = {
+            let listed = self.listed.lock();
+            listed.directory.endpoints().cloned().collect()
+        };
+        self.pools.replace(&endpoints);
+    }
+}
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,136 @@
+//! Endpoints as the platform lists them, and those that lapsed with it.
+//!
+//! Entries can expire while the store is away. What is missing right after its
+//! return is therefore kept for a short grace, within which the entry of a
+//! living endpoint is back.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::units::Moment;
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EndpointState {
+    /// It takes work.
+    Ready,
+    /// It leaves and takes no new work.
+    Draining,
+}
+
+/// One start of an endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Endpoint {
+    /// Id that no other endpoint has at the same time.
+    pub id: Box<str>,
+    /// Service that it serves.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: Box<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+    /// Milliseconds for which it was still slow when it wrote its entry.
+    pub cold_ms: u64,
+    /// Unix millisecond of its start; 0 if it did not tell.
+    pub started_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    endpoint: Arc<Endpoint>,
+    /// Set while its entry is missing after an outage of the store.
+    gone_at: Option<Moment>,
+}
+
+/// The endpoints that this host knows.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    known: HashMap<Box<str>, Known>,
+    /// Entries that are missing before this moment may come back.
+    grace_until: Option<Moment>,
+}
+
+impl Directory {
+    /// Notes that the store is back after an outage.
+    pub fn store_regained(&mut self, now: Moment, grace: Duration) {
+        self.grace_until = Some(now + grace);
+    }
+
+    /// Replaces the whole listing.
+    pub fn replace(&mut self, listed: Vec<Endpoint>, now: Moment) {
+        let listed: HashMap<Box<str>, Endpoint> = listed
+            .into_iter()
+            .map(|endpoint| (endpoint.id.clone(), endpoint))
+            .collect();
+        let missing: Vec<Box<str>> = self
+            .known
+            .keys()
+            .filter(|id| !listed.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for endpoint in listed.into_values() {
+            self.put(endpoint);
+        }
+    }
+
+    /// Takes up an entry that was written.
+    pub fn put(&mut self, endpoint: Endpoint) {
+        let known = Known {
+            endpoint: Arc::new(endpoint),
+            gone_at: None,
+        };
+        self.known.insert(known.endpoint.id.clone(), known);
+    }
+
+    /// Takes up that an entry is gone.
+    pub fn remove(&mut self, id: &str, now: Moment) {
+        let grace = self.grace_until.filter(|until| now < *until);
+        let Entry::Occupied(mut entry) = self.known.entry(id.into()) else {
+            return;
+        };
+        match grace {
+            Some(until) if entry.get().endpoint.state == EndpointState::Ready => {
+                entry.get_mut().gone_at.get_or_insert(until);
+            }
+            _ => {
+                entry.remove();
+            }
+        }
+    }
+
+    /// Drops entries that did not come back; true if there were any.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        let before = self.known.len();
+        self.known
+            .retain(|_, known| known.gone_at.is_none_or(|at| now < at));
+        self.known.len() != before
+    }
+
+    /// Endpoints of every service, those that leave included.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.known.values().map(|known| &known.endpoint)
+    }
+
+    /// Number of endpoints known.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// True if no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
--- /dev/null
+++ b/src/gateway/entry.rs
@@ -0,0 +1,271 @@
+//! The way of a caller's request from its head to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryarch_net::Body;
+use chicoryarch_net::body::BodyError;
+use chicoryarch_net::server::Handler;
+use futures_lite::future;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use http::request;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use super::account;
+use super::attempt::Call;
+use super::call::CallMeta;
+use super::call::Urgency;
+use super::context::Cx;
+use super::context::Gateway;
+use super::dispatch;
+use super::rate;
+use super::refusal::Outcome;
+use super::refusal::Refusal;
+use super::refusal::Result;
+use super::routes::Customer;
+use super::routes::Route;
+use crate::connection::headers;
+use crate::connection::platform::Platform;
+use crate::platform::ingress;
+use crate::units::Moment;
+
+/// Time to come back while no configuration is known.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+/// Time to come back while callers' bodies fill the memory.
+const MEMORY_RETRY: Duration = Duration::from_millis(500);
+/// Part of the memory that callers' bodies may take, as a divisor.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Time that a caller who names none is taken to wait.
+const DEFAULT_TIME: Duration = Duration::from_secs(60);
+
+#[derive(Serialize)]
+struct RefusedLine<'a> {
+    request: Option<&'a str>,
+    program: Option<&'a str>,
+    outcome: &'static str,
+    why: &'a str,
+    configuration: u64,
+    retry_after_ms: Option<u128>,
+    spent_ms: u128,
+}
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct CallerPort<P: Platform>(pub Cx<P>);
+
+impl<P: Platform> Clone for CallerPort<P> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<P: Platform> Handler for CallerPort<P> {
+    async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
+        let received = Moment::now();
+        let cx = &self.0;
+        let (head, body) = req.into_parts();
+        let meta = ingress::read(&head);
+        let id = meta.as_ref().ok().map(|meta| meta.id.clone());
+        let program = meta.as_ref().ok().and_then(|meta| meta.program.clone());
+        let answer = match meta {
+            Ok(meta) => serve(cx, received, &head, meta, body).await,
+            Err(refusal) => Err(refusal),
+        };
+        let mut response = answer.unwrap_or_else(|refusal| {
+            let program = program.as_ref().map(|program| &*program.id);
+            log_refused(cx, id.as_deref(), program, &refusal, received);
+            cx.metrics.refused(&refusal);
+            ingress::refusal(&refusal, id.as_deref())
+        });
+        if cx.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+fn log_refused<P: Platform>(
+    cx: &Gateway<P>,
+    request: Option<&str>,
+    program: Option<&str>,
+    refusal: &Refusal,
+    received: Moment,
+) {
+    let line = RefusedLine {
+        request,
+        program,
+        outcome: refusal.outcome.as_str(),
+        why: &refusal.detail,
+        configuration: cx.in_force.load().table.version,
+        retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis()),
+        spent_ms: Moment::now().since(received).as_millis(),
+    };
+    cx.log.request("refused", &line);
+}
+
+async fn serve<P: Platform>(
+    cx: &Cx<P>,
+    received: Moment,
+    head: &request::Parts,
+    meta: CallMeta,
+    body: Incoming,
+) -> Result<Response<Body>> {
+    let (route, customer) = authorize(cx, head, &meta)?;
+    let waits = meta.time_left.unwrap_or(DEFAULT_TIME);
+    let gives_up = received + waits;
+    let deadline = received
+        + route
+            .timeout
+            .min(waits.saturating_sub(cx.cfg.answer_margin));
+    let body = read_body(cx, body, deadline).await?;
+    if let Some(customer) = &customer {
+        rate::admit(cx, customer).await?;
+    }
+    let service = Arc::clone(&route.target(target_seed(&meta)).service);
+    let call = Call {
+        method: head.method.clone(),
+        target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
+        body,
+        service,
+        urgency: urgency(&route, customer.as_deref(), &meta),
+        route,
+        customer,
+        received,
+        deadline,
+        gives_up,
+        meta,
+    };
+    let ran = run(cx, call).await;
+    ran
+}
+
+async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
+    let customer = call.customer.clone();
+    let reservation = reserve(cx, &call).await;
+    let answer = match reservation {
+        Ok(reservation) => dispatch::run(cx, Arc::new(call), reservation).await,
+        Err(refusal) => Err(refusal),
+    };
+    if let (Err(refusal), Some(customer)) = (&answer, &customer) {
+        if matches!(refusal.outcome, Outcome::NotRun | Outcome::BudgetSpent) {
+            rate::give_back(cx, customer);
+        }
+    }
+    answer
+}
+
+async fn reserve<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Option<account::Reservation<P>>> {
+    let (Some(program), Some(prompt)) = (&call.meta.program, &call.meta.prompt) else {
+        return Ok(None);
+    };
+    let Some(budget) = program.budget else {
+        return Ok(None);
+    };
+    account::reserve(cx, &program.id, budget, prompt.max_output)
+        .await
+        .map(Some)
+}
+
+/// Finds the route and the holder of the key.
+fn authorize<P: Platform>(
+    cx: &Gateway<P>,
+    head: &request::Parts,
+    meta: &CallMeta,
+) -> Result<(Arc<Route>, Option<Arc<Customer>>)> {
+    let in_force = cx.in_force.load();
+    let table = &in_force.table;
+    if table.is_unknown() {
+        let detail = "no configuration is known yet";
+        return Err(Refusal::not_run(detail, STARTING_RETRY));
+    }
+    if headers::section_bytes(&head.headers) > table.limits.max_header_bytes {
+        return Err(Refusal::new(Outcome::TooLarge, "the headers are too large"));
+    }
+    let route = table
+        .route(&meta.host, head.uri.path())
+        .ok_or_else(|| Refusal::new(Outcome::NoRoute, "no route leads there"))?;
+    if route.is_public || !table.needs_keys() {
+        return Ok((Arc::clone(route), None));
+    }
+    let customer = meta.key.as_ref().and_then(|key| table.customer(key));
+    let customer =
+        customer.ok_or_else(|| Refusal::new(Outcome::UnknownKey, "no customer holds the key"))?;
+    Ok((Arc::clone(route), Some(Arc::clone(customer))))
+}
+
+/// Bytes of a body that are counted as held until dropped.
+struct HeldBytes<'a, P> {
+    cx: &'a Gateway<P>,
+    bytes: usize,
+}
+
+impl<P> Drop for HeldBytes<'_, P> {
+    fn drop(&mut self) {
+        let held = &self.cx.held.body_bytes;
+        held.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
+async fn read_body<P: Platform>(
+    cx: &Gateway<P>,
+    body: Incoming,
+    deadline: Moment,
+) -> Result<Bytes> {
+    let limit = cx.in_force.load().table.limits.max_body_bytes;
+    let expected = http_body::Body::size_hint(&body).lower();
+    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
+    if expected > limit {
+        return Err(Refusal::new(Outcome::TooLarge, "the body is too large"));
+    }
+    let budget = usize::try_from(cx.cfg.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX);
+    let held = cx.held.body_bytes.fetch_add(expected, Ordering::AcqRel);
+    let _counted = HeldBytes {
+        cx,
+        bytes: expected,
+    };
+    if held + expected > budget {
+        let detail = "too many bodies are being received";
+        return Err(Refusal::not_run(detail, MEMORY_RETRY));
+    }
+    let read = async {
+        Body::collect(body, limit).await.map_err(|e| match e {
+            BodyError::TooLarge(_) => Refusal::new(Outcome::TooLarge, "the body is too large"),
+            e => Refusal::new(Outcome::Malformed, format!("the body broke off: {e}")),
+        })
+    };
+    let expire = async {
+        async_io::Timer::after(Moment::now().until(deadline)).await;
+        Err(Refusal::new(
+            Outcome::SlowSender,
+            "the body did not arrive in time",
+        ))
+    };
+    future::or(read, expire).await
+}
+
+/// Calls of one line of a program go to the same target of a split route.
+fn target_seed(meta: &CallMeta) -> u64 {
+    let line = meta.program.as_ref().map(|program| &*program.line);
+    super::hash_of(line.unwrap_or(&meta.id))
+}
+
+/// Rank at an engine: by priority, the customer's before the route's.
+fn urgency(route: &Route, customer: Option<&Customer>, meta: &CallMeta) -> Option<Urgency> {
+    meta.prompt.as_ref()?;
+    let rank = customer.and_then(|customer| customer.priority);
+    let rank = rank.unwrap_or(route.priority);
+    Some(Urgency(rank.saturating_add(BASE_URGENCY).min(MAX_URGENCY)))
+}
+
+/// Rank of the most urgent priority; ranks before it are for calls that rose.
+const BASE_URGENCY: u8 = 3;
+/// The last rank.
+const MAX_URGENCY: u8 = 9;
--- /dev/null
+++ b/src/gateway/event_stream.rs
@@ -0,0 +1,88 @@
+//! Splits a stream of events into whole events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// One whole event with its closing blank line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Id, if the event has one.
+    pub id: Option<u64>,
+    /// The event as it was sent.
+    pub bytes: Bytes,
+}
+
+/// The stream holds an event that is too large.
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+pub struct TooLarge;
+
+/// Collects bytes until an event is whole.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buf: BytesMut,
+}
+
+impl Splitter {
+    /// Adds received bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`TooLarge`].
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
+        self.buf.extend_from_slice(bytes);
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(TooLarge);
+        }
+        Ok(())
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        let end = event_end(&self.buf)?;
+        let bytes = self.buf.split_to(end).freeze();
+        Some(Event {
+            id: event_id(&bytes),
+            bytes,
+        })
+    }
+
+    /// True if an event has begun and is not whole.
+    pub fn is_partial(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Forgets an event that is not whole.
+    pub fn clear(&mut self) {
+        self.buf.clear();
+    }
+}
+
+/// Position after the blank line that ends the first event.
+fn event_end(buf: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in buf.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buf[line_start..index];
+        let is_blank = matches!(line, b"" | b"\r");
+        // Blank lines before an event belong to it.
+        if is_blank && line_start > 0 {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let text = lines
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .next_back()?;
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,173 @@
+//! What hosts tell each other: configuration, endpoints, hosts and rate tokens.
+//!
+//! A host that the store turns away learns from others. Each side sends what
+//! it has and gets what is newer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use jsonrpsee_core::RegisterMethodError;
+use jsonrpsee_core::server::RpcModule;
+use jsonrpsee_types::ErrorObjectOwned;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::context::Cx;
+use super::context::Gateway;
+use super::directory::Endpoint;
+use super::rate;
+use super::rate::BorrowRequest;
+use super::register;
+use super::roster::HostEntry;
+use crate::connection::peer::Peers;
+use crate::connection::platform::Platform;
+use crate::ids::HostId;
+use crate::ids::Version;
+use crate::units::Moment;
+
+/// Exchanges what two hosts know.
+pub const EXCHANGE_METHOD: &str = "gateway.exchange";
+/// Asks for rate tokens.
+pub const BORROW_METHOD: &str = "gateway.borrow";
+
+/// Hosts that are asked in one round while the store is out of reach.
+const URGENT_FANOUT: usize = 3;
+/// Pause between two looks at rates that run low.
+const REFILL_PERIOD: Duration = Duration::from_millis(200);
+
+/// What a host knows, by versions.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Known {
+    /// The host that tells.
+    pub host: HostId,
+    /// Its version of the configuration.
+    pub configuration: u64,
+    /// The store's version of its endpoints.
+    pub endpoints: Option<Version>,
+    /// Hosts that it knows.
+    pub hosts: usize,
+}
+
+/// What the other host has that is newer.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct News {
+    /// What the answering host knows.
+    pub known: Known,
+    /// The operators' text of a newer configuration.
+    pub configuration: Option<Arc<str>>,
+    /// Endpoints as of a newer version.
+    pub endpoints: Option<Vec<Endpoint>>,
+    /// Hosts, if the answering host knows more.
+    pub hosts: Option<Vec<(HostId, HostEntry)>>,
+}
+
+/// The methods that other hosts call.
+///
+/// # Panics
+///
+/// If a method name is registered twice, which the constants rule out.
+pub fn rpc_module<P: Platform>(cx: &Cx<P>) -> RpcModule<Cx<P>> {
+    let mut module = RpcModule::new(Arc::clone(cx));
+    register_methods(&mut module).expect("method names are distinct");
+    module
+}
+
+fn register_methods<P: Platform>(module: &mut RpcModule<Cx<P>>) -> Result<(), RegisterMethodError> {
+    module.register_method(EXCHANGE_METHOD, |params, cx, _| {
+        let known: Known = params.one()?;
+        Ok::<_, ErrorObjectOwned>(news_for(cx, &known))
+    })?;
+    module.register_method(BORROW_METHOD, |params, cx, _| {
+        let req: BorrowRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(rate::give(cx, &req))
+    })?;
+    Ok(())
+}
+
+fn known<P>(cx: &Gateway<P>) -> Known {
+    Known {
+        host: cx.cfg.place.host.clone(),
+        configuration: cx.in_force.load().table.version,
+        endpoints: cx.listed.lock().upto,
+        hosts: cx.roster.lock().len(),
+    }
+}
+
+fn news_for<P: Platform>(cx: &Gateway<P>, theirs: &Known) -> News {
+    cx.roster.lock().heard(&theirs.host, Moment::now());
+    let own = known(cx);
+    let in_force = cx.in_force.load();
+    let newer = in_force.table.version > theirs.configuration;
+    let endpoints = (own.endpoints > theirs.endpoints).then(|| {
+        let listed = cx.listed.lock();
+        let endpoints = listed.directory.endpoints();
+        endpoints
+            .map(|endpoint| Endpoint::clone(endpoint))
+            .collect()
+    });
+    let hosts = (own.hosts > theirs.hosts).then(|| cx.roster.lock().entries());
+    News {
+        configuration: newer.then(|| Arc::clone(&in_force.text)),
+        endpoints,
+        hosts,
+        known: own,
+    }
+}
+
+/// Exchanges with other hosts until the process ends.
+pub async fn run<P: Platform>(cx: Cx<P>) {
+    loop {
+        let is_urgent = !cx.contact.is_up() || cx.in_force.load().table.is_unknown();
+        let (fanout, pause) = if is_urgent {
+            (URGENT_FANOUT, cx.cfg.urgent_exchange_period)
+        } else {
+            (1, cx.cfg.exchange_period)
+        };
+        for to in chosen(&cx, fanout) {
+            let cx = Arc::clone(&cx);
+            let spawner = cx.spawner.clone();
+            spawner.detach(async move { exchange(&cx, to).await });
+        }
+        let jitter = rand::random_range(0.7..=1.3);
+        Timer::after(pause.mul_f64(jitter)).await;
+    }
+}
+
+/// Keeps buckets of customers with demand from running dry.
+pub async fn refill<P: Platform>(cx: Cx<P>) {
+    loop {
+        Timer::after(REFILL_PERIOD).await;
+        rate::refill_low(&cx).await;
+    }
+}
+
+fn chosen<P>(cx: &Gateway<P>, fanout: usize) -> Vec<std::net::SocketAddr> {
+    let others = cx.roster.lock().others(Moment::now());
+    let mut addresses: Vec<_> = others.into_iter().map(|(_, to, _)| to).collect();
+    if addresses.is_empty() {
+        addresses.extend(cx.cfg.seeds.iter().filter(|seed| **seed != cx.cfg.peers));
+    }
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(fanout);
+    addresses
+}
+
+async fn exchange<P: Platform>(cx: &Cx<P>, to: std::net::SocketAddr) {
+    let own = known(cx);
+    // A host that does not answer is noticed by its silence.
+    let Ok(news) = cx.peers.call::<_, News>(to, EXCHANGE_METHOD, &own).await else {
+        return;
+    };
+    cx.roster.lock().heard(&news.known.host, Moment::now());
+    if let Some(text) = &news.configuration {
+        register::take_configuration(cx, text, news.known.host.as_str());
+    }
+    if let (Some(upto), Some(endpoints)) = (news.known.endpoints, news.endpoints) {
+        register::take_endpoints(cx, upto, endpoints, news.known.host.as_str());
+    }
+    if let Some(hosts) = news.hosts {
+        register::take_hosts(cx, hosts);
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,100 @@
+//! Following the objects of a kind in the platform's store.
+
+use std::future::Future;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use crate::connection::platform::Changes;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::ids::Version;
+use crate::units::Moment;
+
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Least part of a pause that is left by chance, so that hosts spread.
+const MIN_JITTER: f64 = 0.6;
+/// Longest time that a waiting watch is relied upon.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Takes up what is followed.
+pub trait Follower: Send + Sync + 'static {
+    /// All objects of the kind.
+    fn listed(&self, listed: Changes) -> impl Future<Output = ()> + Send;
+
+    /// What has changed since.
+    fn changed(&self, changes: Changes) -> impl Future<Output = ()> + Send;
+
+    /// The store did not answer.
+    fn lost(&self, error: &PlatformError);
+
+    /// The store answers.
+    fn regained(&self);
+}
+
+/// Follows a kind until the process ends.
+pub async fn follow<P: Platform, F: Follower>(store: P, kind: &'static str, follower: F) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        // A version of its own listing is known while this is set.
+        let mut since = match store.list(kind, "").await {
+            Ok(listed) => {
+                follower.regained();
+                let upto = listed.upto;
+                follower.listed(listed).await;
+                pause = FIRST_PAUSE;
+                Some(upto)
+            }
+            Err(e) => {
+                follower.lost(&e);
+                wait(&mut pause).await;
+                None
+            }
+        };
+        while let Some(version) = since {
+            since = watch_once(&store, kind, &follower, version, &mut pause).await;
+        }
+    }
+}
+
+/// One watch; gives the version to go on from, or `None` to list again.
+async fn watch_once<P: Platform, F: Follower>(
+    store: &P,
+    kind: &str,
+    follower: &F,
+    since: Version,
+    pause: &mut Duration,
+) -> Option<Version> {
+    let started = Moment::now();
+    match store.watch(kind, since, WATCH_WAIT).await {
+        Ok(changes) => {
+            follower.regained();
+            *pause = FIRST_PAUSE;
+            let upto = changes.upto.max(since);
+            let is_empty = changes.objects.is_empty() && changes.removed.is_empty();
+            if !is_empty {
+                follower.changed(changes).await;
+            }
+            // A store that answers at once with nothing is not asked in a tight loop.
+            if is_empty && Moment::now().since(started) < FIRST_PAUSE {
+                Timer::after(FIRST_PAUSE).await;
+            }
+            Some(upto)
+        }
+        Err(PlatformError::HistoryLost) => None,
+        Err(e) => {
+            follower.lost(&e);
+            wait(pause).await;
+            Some(since)
+        }
+    }
+}
+
+async fn wait(pause: &mut Duration) {
+    let jitter = rand::random_range(MIN_JITTER..=1.0);
+    Timer::after(pause.mul_f64(jitter)).await;
+    *pause = (*pause * 2).min(MAX_PAUSE);
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and latency histograms of a gateway.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use super::refusal::Refusal;
+
+/// Upper bound of a histogram's first bucket, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+/// Growth from one bucket to the next.
+const BUCKET_GROWTH: f64 = 2.0;
+/// Buckets of a histogram.
+const BUCKETS: u16 = 15;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+/// Metrics of one gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Mutex<Registry>,
+    outcomes: Family<OutcomeLabels, Counter>,
+    /// Attempts at endpoints after the first of a request.
+    pub retries: Counter,
+    /// Streams that went on after a break.
+    pub resumed: Counter,
+    /// Tokens of rates that other hosts gave.
+    pub borrowed: Counter,
+    /// Grants of budgets taken from the store.
+    pub grants: Counter,
+    whole: Histogram,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_GROWTH, BUCKETS);
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("chicoryarch_gateway")),
+            outcomes: Family::default(),
+            retries: Counter::default(),
+            resumed: Counter::default(),
+            borrowed: Counter::default(),
+            grants: Counter::default(),
+            whole: Histogram::new(buckets),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl GatewayMetrics {
+    fn register(&self) {
+        let mut r = self.registry.lock();
+        r.register(
+            "requests",
+            "Ended requests by outcome",
+            self.outcomes.clone(),
+        );
+        r.register("retries", "Attempts after the first", self.retries.clone());
+        r.register(
+            "resumed",
+            "Streams that went on after a break",
+            self.resumed.clone(),
+        );
+        r.register(
+            "borrowed",
+            "Rate tokens that other hosts gave",
+            self.borrowed.clone(),
+        );
+        r.register(
+            "grants",
+            "Budget grants taken from the store",
+            self.grants.clone(),
+        );
+        r.register_with_unit(
+            "request",
+            "Time from receipt to the end of the answer",
+            Unit::Seconds,
+            self.whole.clone(),
+        );
+    }
+
+    /// Counts a refused request.
+    pub fn refused(&self, refusal: &Refusal) {
+        self.count(refusal.outcome.as_str());
+    }
+
+    /// Counts a request that ended, refused ones aside.
+    pub fn ended(&self, outcome: &'static str, whole: Duration) {
+        self.count(outcome);
+        self.whole.observe(whole.as_secs_f64());
+    }
+
+    fn count(&self, outcome: &'static str) {
+        let labels = OutcomeLabels { outcome };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    /// All metrics as OpenMetrics text.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to a string does not fail.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry.lock()).expect("writing to a string does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,49 @@
+//! Serving callers by the operators' routes, on a platform that holds the
+//! configuration, the list of endpoints and the records that must last.
+//!
+//! Any host serves any request by itself. What must be agreed among hosts is
+//! the rates of customers ([`quota`]) and the budgets of programs ([`budget`]).
+
+use sha2::Digest;
+use sha2::Sha256;
+
+pub mod account;
+pub mod answer;
+pub mod archive;
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod context;
+pub mod directory;
+pub mod dispatch;
+pub mod entry;
+pub mod event_stream;
+pub mod exchange;
+pub mod follow;
+pub mod metrics;
+pub mod placing;
+pub mod prefixes;
+pub mod quota;
+pub mod rate;
+pub mod refusal;
+pub mod register;
+pub mod relay;
+pub mod roster;
+pub mod routes;
+pub mod serve;
+
+/// Hash of a name that is the same at every host.
+fn hash_of(name: &str) -> u64 {
+    let digest = Sha256::digest(name);
+    let first: [u8; 8] = digest[..8].try_into().expect("a digest has 32 bytes");
+    u64::from_be_bytes(first)
+}
+
+/// A number in `0..1` from random bits.
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "the upper 53 bits fit a double exactly"
+)]
+fn fraction(seed: u64) -> f64 {
+    (seed >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/src/gateway/quota.rs
@@ -0,0 +1,217 @@
+//! Rates of customers over all hosts, as tokens that are never made twice.
+//!
+//! Each host refills its share of every customer's rate. A host that runs
+//! short asks others for tokens; what one gives, it no longer has. A process
+//! starts with empty buckets, since the one before it may have spent its own.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::routes::Rate;
+use crate::units::Moment;
+
+/// Weight of the newest second in a customer's demand.
+const DEMAND_WEIGHT: f64 = 0.5;
+/// Demand that a host keeps for itself when it gives tokens.
+const RESERVE: Duration = Duration::from_millis(250);
+/// Demand below which a bucket asks for more tokens.
+const LOW_WATER: Duration = Duration::from_millis(500);
+
+/// What this host may refill of every rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share(pub f64);
+
+/// Tokens of one customer at this host.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    refilled: Moment,
+    /// Requests a second lately.
+    demand: f64,
+    asked: f64,
+    counted_from: Moment,
+}
+
+impl Bucket {
+    const fn empty(now: Moment) -> Self {
+        Self {
+            tokens: 0.0,
+            refilled: now,
+            demand: 0.0,
+            asked: 0.0,
+            counted_from: now,
+        }
+    }
+
+    fn refill(&mut self, rate: Rate, share: Share, now: Moment) {
+        let passed = now.since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let added = rate.per_s * share.0 * passed;
+        self.tokens = (self.tokens + added).min(capacity(rate, share));
+        let counted = now.since(self.counted_from).as_secs_f64();
+        if counted >= 1.0 {
+            let newest = self.asked / counted;
+            self.demand += DEMAND_WEIGHT * (newest - self.demand);
+            self.asked = 0.0;
+            self.counted_from = now;
+        }
+    }
+
+    /// Demand, or what the second that is under way already shows.
+    fn current_demand(&self, now: Moment) -> f64 {
+        let counted = now.since(self.counted_from).as_secs_f64().max(0.25);
+        self.demand.max(self.asked / counted)
+    }
+}
+
+/// Most tokens that a host holds of a rate.
+fn capacity(rate: Rate, share: Share) -> f64 {
+    (rate.burst * share.0).max(1.0)
+}
+
+/// Whether a request is within its customer's rate here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Taken {
+    /// A token was taken.
+    Within,
+    /// This host has none; its own refill gives one after `wait`.
+    Short {
+        /// Time until the next token.
+        wait: Duration,
+    },
+}
+
+/// Buckets of all customers at one host.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: HashMap<Arc<str>, Bucket>,
+    started: Option<Moment>,
+}
+
+impl Quotas {
+    fn bucket(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        now: Moment,
+    ) -> &mut Bucket {
+        // A bucket that was not asked for has refilled since the start all the same.
+        let started = *self.started.get_or_insert(now);
+        let bucket = self
+            .buckets
+            .entry(Arc::clone(customer))
+            .or_insert_with(|| Bucket::empty(started));
+        bucket.refill(rate, share, now);
+        bucket
+    }
+
+    /// Starts the refill of every bucket.
+    pub fn start(&mut self, now: Moment) {
+        self.started.get_or_insert(now);
+    }
+
+    /// Takes a token for one request.
+    pub fn take(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) -> Taken {
+        let bucket = self.bucket(customer, rate, share, now);
+        bucket.asked += 1.0;
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Taken::Within;
+        }
+        let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
+        let seconds = ((1.0 - bucket.tokens) / per_s).min(MAX_WAIT.as_secs_f64());
+        Taken::Short {
+            wait: Duration::from_secs_f64(seconds),
+        }
+    }
+
+    /// Takes a token for a request that was already counted as asked.
+    pub fn take_again(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        now: Moment,
+    ) -> bool {
+        let bucket = self.bucket(customer, rate, share, now);
+        let has_token = bucket.tokens >= 1.0;
+        if has_token {
+            bucket.tokens -= 1.0;
+        }
+        has_token
+    }
+
+    /// Gives a token back for a request that was not run.
+    pub fn put_back(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) {
+        let most = capacity(rate, share);
+        let bucket = self.bucket(customer, rate, share, now);
+        bucket.tokens = (bucket.tokens + 1.0).min(most);
+    }
+
+    /// Tokens that this host would like from others; 0 if it has enough.
+    pub fn wanted(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) -> u32 {
+        let most = capacity(rate, share);
+        let bucket = self.bucket(customer, rate, share, now);
+        let demand = bucket.current_demand(now);
+        let low = (demand * LOW_WATER.as_secs_f64()).min(most / 2.0).max(1.0);
+        if demand > 0.0 && bucket.tokens < low {
+            whole(most - bucket.tokens)
+        } else {
+            0
+        }
+    }
+
+    /// Gives tokens to another host, beyond what this host needs itself.
+    pub fn give(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        wanted: u32,
+        now: Moment,
+    ) -> u32 {
+        let bucket = self.bucket(customer, rate, share, now);
+        let reserve = bucket.current_demand(now) * RESERVE.as_secs_f64();
+        let given = whole(bucket.tokens - reserve).min(wanted);
+        bucket.tokens -= f64::from(given);
+        given
+    }
+
+    /// Takes up tokens that another host gave; what does not fit is dropped.
+    pub fn receive(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        given: u32,
+        now: Moment,
+    ) {
+        let most = capacity(rate, share);
+        let bucket = self.bucket(customer, rate, share, now);
+        bucket.tokens = (bucket.tokens + f64::from(given)).min(most.max(f64::from(given)));
+    }
+
+    /// Customers with requests lately.
+    pub fn active(&self) -> Vec<Arc<str>> {
+        let wants = |bucket: &Bucket| bucket.demand > 0.0 || bucket.asked > 0.0;
+        self.buckets
+            .iter()
+            .filter(|(_, bucket)| wants(bucket))
+            .map(|(name, _)| Arc::clone(name))
+            .collect()
+    }
+}
+
+/// Longest time to come back that is told to a caller over its rate.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range first"
+)]
+fn whole(tokens: f64) -> u32 {
+    tokens.floor().clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/src/gateway/rate.rs
@@ -0,0 +1,222 @@
+//! Admission by customers' rates, with tokens borrowed from other hosts.
+
+use std::hash::BuildHasher;
+use std::hash::RandomState;
+use std::sync::Arc;
+
+use futures_lite::future;
+use parking_lot::Mutex;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::context::Gateway;
+use super::exchange::BORROW_METHOD;
+use super::quota::Quotas;
+use super::quota::Share;
+use super::quota::Taken;
+use super::refusal::Outcome;
+use super::refusal::Refusal;
+use super::refusal::Result;
+use super::routes::Customer;
+use super::routes::Rate;
+use crate::connection::peer::Peers;
+use crate::connection::platform::Platform;
+use crate::ids::HostId;
+use crate::units::Moment;
+
+/// Shards of the customers' buckets.
+const SHARDS: usize = 8;
+/// Hosts that are asked at once for tokens while a request waits.
+const ASKED_AT_ONCE: usize = 2;
+/// Rounds of asking while a request waits.
+const ROUNDS: usize = 2;
+
+/// Asks another host for rate tokens.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct BorrowRequest {
+    /// The host that asks.
+    pub from: HostId,
+    /// Customer whose rate it is.
+    pub customer: String,
+    /// Tokens that it would like.
+    pub wanted: u32,
+}
+
+/// Rate tokens that another host gives up.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct BorrowReply {
+    /// Tokens that are now the asker's.
+    pub given: u32,
+}
+
+/// Buckets of all customers, in shards.
+#[derive(Debug)]
+pub struct Rates {
+    shards: [Mutex<Quotas>; SHARDS],
+    hasher: RandomState,
+}
+
+impl Rates {
+    /// Empty buckets that fill from `now` on.
+    pub fn new(now: Moment) -> Self {
+        let rates = Self {
+            shards: Default::default(),
+            hasher: RandomState::new(),
+        };
+        for shard in &rates.shards {
+            shard.lock().start(now);
+        }
+        rates
+    }
+
+    fn shard(&self, customer: &str) -> &Mutex<Quotas> {
+        let hash = self.hasher.hash_one(customer);
+        let index = usize::try_from(hash % SHARDS as u64).unwrap_or_default();
+        &self.shards[index]
+    }
+
+    fn active(&self) -> Vec<Arc<str>> {
+        self.shards
+            .iter()
+            .flat_map(|shard| shard.lock().active())
+            .collect()
+    }
+}
+
+/// Refuses a request that its customer's rate does not allow.
+///
+/// # Errors
+///
+/// A refusal with the time until the rate allows one.
+pub async fn admit<P: Platform>(cx: &Gateway<P>, customer: &Customer) -> Result<()> {
+    let Some(rate) = customer.rate else {
+        return Ok(());
+    };
+    let share = current_share(cx);
+    let taken = {
+        let mut shard = cx.rates.shard(&customer.name).lock();
+        shard.take(&customer.name, rate, share, Moment::now())
+    };
+    let Taken::Short { wait } = taken else {
+        return Ok(());
+    };
+    for _ in 0..ROUNDS {
+        borrow(cx, &customer.name, rate).await;
+        let mut shard = cx.rates.shard(&customer.name).lock();
+        if shard.take_again(&customer.name, rate, share, Moment::now()) {
+            return Ok(());
+        }
+    }
+    Err(Refusal {
+        retry_after: Some(wait),
+        ..Refusal::new(Outcome::OverRate, "the customer's rate is used up")
+    })
+}
+
+/// Gives the token back of a request that did not run.
+pub fn give_back<P: Platform>(cx: &Gateway<P>, customer: &Customer) {
+    if let Some(rate) = customer.rate {
+        let share = current_share(cx);
+        let mut shard = cx.rates.shard(&customer.name).lock();
+        shard.put_back(&customer.name, rate, share, Moment::now());
+    }
+}
+
+/// Answers another host that asks for tokens.
+pub fn give<P: Platform>(cx: &Gateway<P>, req: &BorrowRequest) -> BorrowReply {
+    let now = Moment::now();
+    cx.roster.lock().heard(&req.from, now);
+    let share = current_share(cx);
+    let rate = rate_of(cx, &req.customer);
+    let given = rate.map_or(0, |rate| {
+        let customer: Arc<str> = req.customer.as_str().into();
+        let mut shard = cx.rates.shard(&customer).lock();
+        shard.give(&customer, rate, share, req.wanted, now)
+    });
+    BorrowReply { given }
+}
+
+/// Asks for tokens of every customer that runs short here.
+pub async fn refill_low<P: Platform>(cx: &Gateway<P>) {
+    for customer in cx.rates.active() {
+        let Some(rate) = rate_of(cx, &customer) else {
+            continue;
+        };
+        let share = current_share(cx);
+        let wanted = {
+            let mut shard = cx.rates.shard(&customer).lock();
+            shard.wanted(&customer, rate, share, Moment::now())
+        };
+        if wanted > 0 {
+            borrow(cx, &customer, rate).await;
+        }
+    }
+}
+
+fn current_share<P>(cx: &Gateway<P>) -> Share {
+    cx.roster.lock().share(Moment::now())
+}
+
+fn rate_of<P>(cx: &Gateway<P>, customer: &str) -> Option<Rate> {
+    let in_force = cx.in_force.load();
+    in_force.table.rate_of(customer)
+}
+
+/// Asks a few hosts, chosen at random, for tokens and keeps what they give.
+async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate) {
+    let now = Moment::now();
+    let limit = cx.cfg.silence_limit;
+    let mut others = cx.roster.lock().others(now);
+    others.retain(|(_, _, silent)| *silent < limit);
+    others.shuffle(&mut rand::rng());
+    others.truncate(ASKED_AT_ONCE);
+    let share = current_share(cx);
+    let wanted = {
+        let mut shard = cx.rates.shard(customer).lock();
+        shard.wanted(customer, rate, share, now).max(1)
+    };
+    let asked = u32::try_from(others.len().max(1)).unwrap_or(1);
+    let req = BorrowRequest {
+        from: cx.cfg.place.host.clone(),
+        customer: customer.to_string(),
+        wanted: wanted.div_ceil(asked),
+    };
+    let mut calls = others
+        .into_iter()
+        .map(|(host, to, _)| ask(cx, host, to, &req));
+    let given = match (calls.next(), calls.next()) {
+        (Some(first), Some(second)) => {
+            let (first, second) = future::zip(first, second).await;
+            first + second
+        }
+        (Some(only), None) => only.await,
+        _ => 0,
+    };
+    if given > 0 {
+        cx.metrics.borrowed.inc_by(u64::from(given));
+        let mut shard = cx.rates.shard(customer).lock();
+        shard.receive(customer, rate, share, given, Moment::now());
+    }
+}
+
+async fn ask<P: Platform>(
+    cx: &Gateway<P>,
+    host: HostId,
+    to: std::net::SocketAddr,
+    req: &BorrowRequest,
+) -> u32 {
+    let call = cx.peers.call::<_, BorrowReply>(to, BORROW_METHOD, req);
+    let expire = async {
+        async_io::Timer::after(cx.cfg.borrow_timeout).await;
+        None
+    };
+    // Tokens of a reply that is lost are lost too; none are made twice.
+    match future::or(async { call.await.ok() }, expire).await {
+        Some(reply) => {
+            cx.roster.lock().heard(&host, Moment::now());
+            reply.given
+        }
+        None => 0,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod cli;
 pub mod configs;
 pub mod connection;
+pub mod gateway;
 pub mod ids;
 pub mod load;
 pub mod operator;
+pub mod platform;
 pub mod process;
 pub mod request;
 pub mod units;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,19 +10,27 @@
 use chicoryarch::configs::host::DEFAULT_THREADS;
 use chicoryarch::configs::host::HostConfig;
 use chicoryarch::configs::host::LogConfig;
+use chicoryarch::gateway;
+use chicoryarch::platform;
 use chicoryarch::process::dev;
 use chicoryarch::process::drain::Drained;
 use chicoryarch::process::logs;
 use chicoryarch::process::serve;
 use chicoryarch::process::settings;
 use chicoryarch_net::Spawner;
+use miette::IntoDiagnostic;
 
 /// Exit code of a drain that cut requests off.
 const EXIT_CUT: u8 = 3;
+/// Worker threads of a host on the users' platform, whose machines have a
+/// fraction of a core.
+const GATEWAY_THREADS: usize = 1;
 
 fn main() -> miette::Result<ExitCode> {
     match command().run() {
         Command::Serve { config } => run_host(read_settings(&config)?),
+        Command::Gateway => run_gateway(),
+        Command::Archive => run_archive(),
         Command::Check { config } => {
             read_settings(&config)?;
             println!("{}: no fault found", config.display());
@@ -68,6 +76,27 @@
     Ok(exit_code(drained))
 }
 
+fn run_gateway() -> miette::Result<ExitCode> {
+    logs::start(&LogConfig::default());
+    stop_on_panic();
+    let path = platform::settings::path();
+    let cfg = platform::settings::read(&path)?.gateway()?;
+    cfg.check().into_diagnostic()?;
+    let spawner = Spawner::start(GATEWAY_THREADS);
+    async_io::block_on(gateway::serve::run(cfg, spawner, &path))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_archive() -> miette::Result<ExitCode> {
+    logs::start(&LogConfig::default());
+    stop_on_panic();
+    let path = platform::settings::path();
+    let cfg = platform::settings::read(&path)?.archive()?;
+    let spawner = Spawner::start(GATEWAY_THREADS);
+    async_io::block_on(gateway::archive::run(cfg, spawner))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_dev(port: u16) -> miette::Result<ExitCode> {
     logs::start(&LogConfig::default());
     let spawner = Spawner::start(DEFAULT_THREADS);
--- /dev/null
+++ b/src/platform/routes.rs
@@ -0,0 +1,238 @@
+//! The operators' configuration object.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::gateway::routes::CallerLimits;
+use crate::gateway::routes::Configuration;
+use crate::gateway::routes::Customer;
+use crate::gateway::routes::EngineSpec;
+use crate::gateway::routes::Parts;
+use crate::gateway::routes::Rate;
+use crate::gateway::routes::Route;
+use crate::gateway::routes::RouteKind;
+use crate::gateway::routes::ServiceSpec;
+use crate::gateway::routes::Target;
+use crate::gateway::routes::hash_key;
+
+/// Endpoints that an attempt may run on if a route says nothing.
+const DEFAULT_MAX_RUNS: u32 = 2;
+/// Longest time of a call if a route says nothing.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+/// Connections of an endpoint if its service says nothing.
+const DEFAULT_MAX_CONNECTIONS: usize = 64;
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteEntry>,
+    #[serde(default)]
+    services: Vec<ServiceEntry>,
+    limits: Option<LimitsEntry>,
+    tenants: Option<Vec<TenantEntry>>,
+}
+
+#[derive(Deserialize)]
+struct RouteEntry {
+    name: String,
+    host: String,
+    path_prefix: String,
+    /// `safe`, `unsafe` or `streaming`: whether calls may be repeated.
+    route_type: String,
+    timeout_ms: Option<u64>,
+    /// Time within which an answer earns its full worth, not a timeout.
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    /// Services among which the calls are split.
+    backends: Option<Vec<SplitEntry>>,
+    /// Endpoints that one attempt of a caller may run on.
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    sticky: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct SplitEntry {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct ServiceEntry {
+    name: String,
+    max_connections: Option<usize>,
+    engine: Option<EngineEntry>,
+}
+
+#[derive(Deserialize)]
+struct EngineEntry {
+    kv_capacity_tokens: u64,
+    /// Tokens in one event of a stream.
+    stream_stride: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct LimitsEntry {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    idle_timeout_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct TenantEntry {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    /// Requests a second over all hosts; 0 means no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum RoutesError {
+    /// It is not the expected document.
+    #[error("the configuration cannot be read: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A route names no service.
+    #[error("route `{0}` names no service")]
+    NoService(String),
+    /// A route is of a kind that is not known.
+    #[error("route `{name}` is of the unknown kind `{kind}`")]
+    UnknownKind {
+        /// The route.
+        name: String,
+        /// Its kind.
+        kind: String,
+    },
+}
+
+/// Result of decoding a configuration.
+pub type Result<T> = std::result::Result<T, RoutesError>;
+
+/// Decodes the value of the operators' configuration object.
+///
+/// # Errors
+///
+/// [`RoutesError`]; the platform admits only valid configurations.
+pub fn decode(value: &[u8]) -> Result<Configuration> {
+    let document: Document = serde_json::from_slice(value)?;
+    let routes: Result<Vec<Route>> = document.routes.into_iter().map(route).collect();
+    let services = document.services.into_iter().map(service).collect();
+    let keys = document.tenants.map(|tenants| {
+        let of_tenant = |tenant: TenantEntry| {
+            let customer = Arc::new(customer(&tenant));
+            let hashed = tenant.api_keys.into_iter();
+            hashed.map(move |key| (hash_key(key.as_bytes()), Arc::clone(&customer)))
+        };
+        tenants.into_iter().flat_map(of_tenant).collect()
+    });
+    let parts = Parts {
+        version: document.version,
+        routes: routes?,
+        services,
+        keys,
+        limits: limits(document.limits),
+    };
+    Ok(parts.into())
+}
+
+fn route(entry: RouteEntry) -> Result<Route> {
+    let kind = match entry.route_type.as_str() {
+        "safe" => RouteKind::Idempotent,
+        "unsafe" => RouteKind::Once,
+        "streaming" => RouteKind::Stream {
+            resumable: entry.resumable,
+        },
+        _ => {
+            return Err(RoutesError::UnknownKind {
+                name: entry.name,
+                kind: entry.route_type,
+            });
+        }
+    };
+    let mut targets: Vec<Target> = entry
+        .backends
+        .unwrap_or_default()
+        .into_iter()
+        .map(|split| Target {
+            service: split.service.into(),
+            weight: split.weight.max(0.0),
+        })
+        .collect();
+    if targets.is_empty() {
+        let Some(service) = entry.service else {
+            return Err(RoutesError::NoService(entry.name));
+        };
+        targets.push(Target {
+            service: service.into(),
+            weight: 1.0,
+        });
+    }
+    let timeout = Duration::from_millis(entry.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
+    let objective = entry
+        .target_latency_ms
+        .and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    Ok(Route {
+        name: entry.name.into(),
+        host: entry.host.into(),
+        path_prefix: entry.path_prefix.into(),
+        kind,
+        targets,
+        timeout,
+        objective: objective.unwrap_or(timeout),
+        priority: entry.priority,
+        max_runs: entry.max_attempts.unwrap_or(DEFAULT_MAX_RUNS).max(1),
+        is_public: entry.public,
+        is_sticky: entry.sticky,
+    })
+}
+
+fn service(entry: ServiceEntry) -> (Arc<str>, ServiceSpec) {
+    let spec = ServiceSpec {
+        max_connections: entry.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+        engine: entry.engine.map(|engine| EngineSpec {
+            memory_tokens: engine.kv_capacity_tokens,
+            tokens_per_event: engine.stream_stride.unwrap_or(1).max(1),
+        }),
+    };
+    (entry.name.into(), spec)
+}
+
+fn customer(entry: &TenantEntry) -> Customer {
+    let rate = (entry.rate_per_s > 0.0).then_some(Rate {
+        per_s: entry.rate_per_s,
+        burst: entry.burst.max(0.0),
+    });
+    Customer {
+        name: entry.name.as_str().into(),
+        priority: entry.priority,
+        rate,
+    }
+}
+
+fn limits(entry: Option<LimitsEntry>) -> CallerLimits {
+    let default = CallerLimits::default();
+    let Some(entry) = entry else {
+        return default;
+    };
+    CallerLimits {
+        max_header_bytes: entry.max_header_bytes.unwrap_or(default.max_header_bytes),
+        max_body_bytes: entry.max_body_bytes.unwrap_or(default.max_body_bytes),
+        idle_timeout: entry
+            .idle_timeout_ms
+            .map_or(default.idle_timeout, Duration::from_millis),
+    }
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,196 @@
+//! The platform's settings file: lines of the form `key=value`.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::configs::gateway::ArchiveConfig;
+use crate::configs::gateway::GatewayConfig;
+use crate::configs::gateway::HostPlace;
+use crate::configs::gateway::StoreConfig;
+
+/// Environment variable that names the settings file.
+pub const PATH_VARIABLE: &str = "CHICORYARCH_SETTINGS";
+/// Settings file if the variable is not set.
+pub const DEFAULT_PATH: &str = "/etc/chicoryarch/settings.conf";
+
+/// Why the settings are refused.
+#[derive(Debug, miette::Diagnostic, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read the platform's settings {path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system answered.
+        source: std::io::Error,
+    },
+    /// A field that the role needs is not there.
+    #[error("the platform's settings lack `{0}`")]
+    Missing(&'static str),
+    /// A field cannot be read.
+    #[error("the platform's settings have `{field}={value}`, which cannot be read")]
+    Wrong {
+        /// The field.
+        field: &'static str,
+        /// Its text.
+        value: String,
+    },
+}
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+/// Where the settings file is.
+pub fn path() -> PathBuf {
+    std::env::var_os(PATH_VARIABLE).map_or_else(|| PathBuf::from(DEFAULT_PATH), PathBuf::from)
+}
+
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// [`SettingsError::Unreadable`].
+pub fn read(path: &Path) -> Result<Fields> {
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(Fields::parse(&text))
+}
+
+/// The fields of a settings file by name.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Fields(HashMap<String, String>);
+
+impl Fields {
+    /// Splits the text of a settings file; lines without `=` are ignored.
+    pub fn parse(text: &str) -> Self {
+        let fields = text.lines().filter_map(|line| {
+            let (name, value) = line.split_once('=')?;
+            Some((name.trim().to_owned(), value.trim().to_owned()))
+        });
+        Self(fields.collect())
+    }
+
+    fn text(&self, field: &'static str) -> Result<&str> {
+        self.0
+            .get(field)
+            .map(String::as_str)
+            .filter(|value| !value.is_empty())
+            .ok_or(SettingsError::Missing(field))
+    }
+
+    fn required<T: FromStr>(&self, field: &'static str) -> Result<T> {
+        let value = self.text(field)?;
+        value.parse().map_err(|_| SettingsError::Wrong {
+            field,
+            value: value.to_owned(),
+        })
+    }
+
+    fn optional<T: FromStr>(&self, field: &'static str) -> Result<Option<T>> {
+        match self.required(field) {
+            Ok(value) => Ok(Some(value)),
+            Err(SettingsError::Missing(_)) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn millis(&self, field: &'static str, default: Duration) -> Result<Duration> {
+        Ok(self.optional(field)?.map_or(default, Duration::from_millis))
+    }
+
+    fn seconds(&self, field: &'static str, default: Duration) -> Result<Duration> {
+        let seconds: Option<f64> = self.optional(field)?;
+        Ok(seconds
+            .and_then(|s| Duration::try_from_secs_f64(s).ok())
+            .unwrap_or(default))
+    }
+
+    fn addresses(&self, field: &'static str) -> Result<Vec<SocketAddr>> {
+        let Ok(text) = self.text(field) else {
+            return Ok(Vec::new());
+        };
+        let parse = |part: &str| {
+            part.trim().parse().map_err(|_| SettingsError::Wrong {
+                field,
+                value: part.to_owned(),
+            })
+        };
+        text.split(',').map(parse).collect()
+    }
+
+    fn place(&self) -> Result<HostPlace> {
+        Ok(HostPlace {
+            host: self.required("node_name")?,
+            data_centre: self.required("zone")?,
+            first_start: self.optional("bootstrap")?.unwrap_or(false),
+        })
+    }
+
+    fn store(&self) -> Result<StoreConfig> {
+        let default = StoreConfig::default();
+        Ok(StoreConfig {
+            address: self.required("provider.address")?,
+            writes_per_s: self
+                .optional("provider.writes_per_s")?
+                .unwrap_or(default.writes_per_s),
+            reads_per_s: self
+                .optional("provider.reads_per_s")?
+                .unwrap_or(default.reads_per_s),
+            max_value_bytes: self
+                .optional("provider.value_bytes")?
+                .unwrap_or(default.max_value_bytes),
+            ..default
+        })
+    }
+
+    /// Settings of a host that serves callers.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] that names the field.
+    pub fn gateway(&self) -> Result<GatewayConfig> {
+        let default = GatewayConfig::default();
+        Ok(GatewayConfig {
+            place: self.place()?,
+            callers: self.required("listen.front")?,
+            ready: self.required("listen.ready")?,
+            peers: self.required("listen.control")?,
+            seeds: self.addresses("seeds")?,
+            store: self.store()?,
+            memory_bytes: self
+                .optional::<u64>("limits.memory_mb")?
+                .map_or(default.memory_bytes, |mb| mb << 20),
+            max_descriptors: self
+                .optional("limits.max_fds")?
+                .unwrap_or(default.max_descriptors),
+            grace: self.seconds("bounds.grace_s", default.grace)?,
+            rate_window: self.seconds("bounds.quota_window_s", default.rate_window)?,
+            lapse_grace: self.millis("bounds.drain_ms", default.lapse_grace)?,
+            ..default
+        })
+    }
+
+    /// Settings of a host that keeps the archive.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] that names the field.
+    pub fn archive(&self) -> Result<ArchiveConfig> {
+        let default = ArchiveConfig::default();
+        Ok(ArchiveConfig {
+            place: self.place()?,
+            store: self.store()?,
+            folder: self.required("data_dir")?,
+            disk_bytes: self
+                .optional::<u64>("limits.disk_mb")?
+                .map_or(default.disk_bytes, |mb| mb << 20),
+            ..default
+        })
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod distribution;
 pub mod drain;
 pub mod endpoints;
+pub mod events;
 pub mod journals;
 pub mod layout;
 pub mod limit_view;
