--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -1,26 +1,40 @@
 //! Reservations of programs' budgets, with grants from the platform's store.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::BuildHasher;
 use std::hash::RandomState;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::budget;
 use super::budget::Account;
+use super::budget::Purse;
 use super::budget::Record;
 use super::context::Cx;
 use super::context::Gateway;
+use super::exchange;
+use super::exchange::DRAW_METHOD;
+use super::exchange::PUT_BACK_METHOD;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
+use super::roster;
+use super::roster::Founders;
+use super::roster::Home;
+use super::roster::Peer;
 use crate::connection::platform;
 use crate::connection::platform::Expect;
 use crate::connection::platform::Platform;
 use crate::connection::platform::PlatformError;
 use crate::connection::platform::Written;
+use crate::ids::HostId;
+use crate::ids::Version;
 use crate::process::events::unix_ms;
 use crate::units::Moment;
 
@@ -35,19 +49,74 @@
 /// Time to come back if the store does not confirm a grant.
 const STORE_RETRY: Duration = Duration::from_millis(500);
 
-#[derive(Debug)]
+/// Programs that are remembered after their purse was forgotten, 8 bytes each.
+/// Beyond them every program begins with a record.
+const MAX_FORGOTTEN: usize = 200_000;
+
+#[derive(Serialize)]
+struct GrantLine<'a> {
+    program: &'a str,
+    budget: u64,
+    /// Tokens that the purse lacked.
+    wanted: u64,
+    tokens: u64,
+    /// Tokens granted to all hosts so far.
+    granted: u64,
+}
+
+/// Draws tokens from a program's purse at its home.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DrawRequest {
+    /// The program.
+    pub program: String,
+    /// Its budget.
+    pub budget: u64,
+    /// Tokens that the host lacks for a turn.
+    pub wanted: u64,
+}
+
+/// Answer to a draw.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum DrawReply {
+    /// The tokens are now the asker's.
+    Drawn,
+    /// The budget does not hold them.
+    Spent,
+    /// The store did not confirm a grant.
+    Unavailable(String),
+}
+
+/// Puts unspent tokens back into a program's purse.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PutBackRequest {
+    /// The program.
+    pub program: String,
+    /// Unspent tokens.
+    pub tokens: u64,
+}
+
+#[derive(Debug, Default)]
 struct ProgramAccount {
     account: Account,
-    /// Held while a grant is fetched, so that one fetch serves all that wait.
+    /// Present if this host is or was the program's home.
+    purse: Option<Purse>,
+    /// Where the account's tokens were drawn from, if not here.
+    drawn_at: Option<Peer>,
+    /// Held while tokens are fetched, so that one fetch serves all that wait.
     fetching: Arc<async_lock::Mutex<()>>,
     used: Moment,
 }
 
-/// Accounts of programs with turns at this host.
+/// Accounts and purses of programs at this host.
 #[derive(Debug)]
 pub struct Accounts {
     shards: [Mutex<HashMap<Arc<str>, ProgramAccount>>; SHARDS],
     hasher: RandomState,
+    /// Set at the hosts of the system's first start only.
+    founders: OnceLock<Founders>,
+    /// Programs whose purse was forgotten here, by hash: their allowance is
+    /// not given out again.
+    forgotten: Mutex<HashSet<u64>>,
 }
 
 impl Default for Accounts {
@@ -55,38 +124,63 @@
         Self {
             shards: Default::default(),
             hasher: RandomState::new(),
+            founders: OnceLock::new(),
+            forgotten: Mutex::default(),
         }
     }
 }
 
 impl Accounts {
+    /// Lets this process give out the allowances of programs whose home it is
+    /// among the hosts of the first start.
+    pub fn set_founders(&self, founders: Founders) {
+        // The hosts are agreed once, so a second value is the same.
+        let _first = self.founders.set(founders);
+    }
+
     fn with<T>(&self, program: &Arc<str>, act: impl FnOnce(&mut ProgramAccount) -> T) -> T {
         let now = Moment::now();
         let hash = self.hasher.hash_one(program);
         let index = usize::try_from(hash % SHARDS as u64).unwrap_or_default();
         let mut shard = self.shards[index].lock();
         if shard.len() > SWEEP_ABOVE {
-            shard.retain(|_, account| now.since(account.used) < IDLE_LIFE);
-        }
-        let account = shard
-            .entry(Arc::clone(program))
-            .or_insert_with(|| ProgramAccount {
-                account: Account::default(),
-                fetching: Arc::default(),
-                used: now,
+            shard.retain(|program, account| {
+                let is_kept = now.since(account.used) < IDLE_LIFE;
+                if !is_kept && account.purse.is_some() {
+                    self.forgotten.lock().insert(super::hash_of(program));
+                }
+                is_kept
             });
+        }
+        let account = shard.entry(Arc::clone(program)).or_default();
         account.used = now;
         act(account)
     }
 
-    fn reserve(&self, program: &Arc<str>, turn: u64) -> bool {
-        self.with(program, |account| account.account.reserve(turn))
+    fn reserve(&self, program: &Arc<str>, turn: u64) -> std::result::Result<(), u64> {
+        self.with(program, |account| match account.account.reserve(turn) {
+            true => Ok(()),
+            false => Err(account.account.lacks(turn)),
+        })
+    }
+
+    /// True if this process alone may give out the program's allowance.
+    fn has_allowance(&self, own: &HostId, program: &str) -> bool {
+        let Some(founders) = self.founders.get() else {
+            return false;
+        };
+        let key = super::hash_of(program);
+        if roster::highest(founders.hosts.iter(), key) != Some(own) {
+            return false;
+        }
+        let forgotten = self.forgotten.lock();
+        forgotten.len() < MAX_FORGOTTEN && !forgotten.contains(&key)
     }
 }
 
 /// Tokens reserved for one turn; what was not handed to the caller goes back.
 #[derive(Debug)]
-pub struct Reservation<P> {
+pub struct Reservation<P: Platform> {
     cx: Cx<P>,
     program: Arc<str>,
     reserved: u64,
@@ -94,13 +188,33 @@
     pub handed: u64,
 }
 
-impl<P> Drop for Reservation<P> {
+impl<P: Platform> Drop for Reservation<P> {
     fn drop(&mut self) {
         let Self {
             reserved, handed, ..
         } = *self;
-        let accounts = &self.cx.accounts;
-        accounts.with(&self.program, |a| a.account.settle(reserved, handed));
+        let returned = self.cx.accounts.with(&self.program, |a| {
+            a.account.settle(reserved, handed);
+            let tokens = a.account.take_rest();
+            match (&a.drawn_at, &mut a.purse) {
+                (Some(home), _) => Some((home.clone(), tokens)),
+                (None, Some(purse)) => {
+                    purse.put(tokens);
+                    None
+                }
+                (None, None) => None,
+            }
+        });
+        if let Some((home, tokens)) = returned.filter(|(_, tokens)| *tokens > 0) {
+            let cx = Arc::clone(&self.cx);
+            let program = self.program.to_string();
+            self.cx.spawner.detach(async move {
+                let req = PutBackRequest { program, tokens };
+                // Tokens that do not arrive stay spent.
+                let _arrived: Option<()> =
+                    exchange::call_in_time(&cx, &home, PUT_BACK_METHOD, &req).await;
+            });
+        }
     }
 }
 
@@ -123,64 +237,143 @@
         reserved: turn,
         handed: 0,
     };
-    if cx.accounts.reserve(&program, turn) {
+    if cx.accounts.reserve(&program, turn).is_ok() {
         return Ok(reservation());
     }
     let fetching = cx.accounts.with(&program, |a| Arc::clone(&a.fetching));
     let _only_fetch = fetching.lock().await;
-    if cx.accounts.reserve(&program, turn) {
+    let Err(wanted) = cx.accounts.reserve(&program, turn) else {
         return Ok(reservation());
-    }
-    let granted = fetch_grant(cx, &program, budget, turn).await?;
-    cx.metrics.grants.inc();
+    };
+    let req = DrawRequest {
+        program: program.to_string(),
+        budget,
+        wanted,
+    };
+    let drawn_at = draw(cx, &req).await?;
     let reserved = cx.accounts.with(&program, |account| {
-        account.account.add(granted);
+        account.account.add(wanted);
+        account.drawn_at = drawn_at;
         account.account.reserve(turn)
     });
     if reserved {
         Ok(reservation())
     } else {
-        let detail = "other turns of the program took the grant";
+        let detail = "another turn of the program took the tokens";
         Err(Refusal::not_run(detail, STORE_RETRY))
     }
 }
 
-/// Takes a grant from the program's record.
+/// Draws tokens at the program's home, or here if the home does not answer.
+async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Option<Peer>> {
+    let key = super::hash_of(&req.program);
+    let home = cx.roster.lock().home(key, Moment::now());
+    if let Home::Other(peer) = home {
+        let reply = exchange::call_in_time::<_, _, DrawReply>(cx, &peer, DRAW_METHOD, req).await;
+        match reply {
+            Some(DrawReply::Drawn) => return Ok(Some(peer)),
+            Some(DrawReply::Spent) => return Err(spent()),
+            // The home may be turned away by a store that answers this host.
+            Some(DrawReply::Unavailable(_)) | None => (),
+        }
+    }
+    match draw_here(cx, req).await {
+        DrawReply::Drawn => Ok(None),
+        DrawReply::Spent => Err(spent()),
+        DrawReply::Unavailable(why) => Err(Refusal::not_run(
+            format!("the program's budget cannot be granted: {why}"),
+            STORE_RETRY,
+        )),
+    }
+}
+
+fn spent() -> Refusal {
+    Refusal::new(Outcome::BudgetSpent, "the program's budget is spent")
+}
+
+/// Draws tokens from the purse at this host.
+pub async fn draw_here<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> DrawReply {
+    let program: Arc<str> = req.program.as_str().into();
+    let own = &cx.cfg.place.host;
+    let from_purse = |added: u64| {
+        cx.accounts.with(&program, |account| {
+            let purse = account.purse.get_or_insert_with(|| {
+                let has_allowance = cx.accounts.has_allowance(own, &req.program);
+                Purse::open(req.budget, has_allowance)
+            });
+            purse.put(added);
+            purse.draw(req.wanted)
+        })
+    };
+    let mut added = 0;
+    for _ in 0..MAX_CONFLICTS {
+        let Err(missing) = from_purse(added) else {
+            return DrawReply::Drawn;
+        };
+        added = match fetch_grant(cx, &program, req.budget, missing).await {
+            Ok(Some(tokens)) => tokens,
+            Ok(None) => return DrawReply::Spent,
+            Err(e) => return DrawReply::Unavailable(e.to_string()),
+        };
+        cx.metrics.grants.inc();
+    }
+    DrawReply::Unavailable("other turns of the program took every grant".to_owned())
+}
+
+/// Puts unspent tokens back into the purse at this host.
+pub fn put_back_here<P: Platform>(cx: &Cx<P>, req: &PutBackRequest) {
+    let program: Arc<str> = req.program.as_str().into();
+    cx.accounts
+        .with(&program, |account| match &mut account.purse {
+            Some(purse) => purse.put(req.tokens),
+            // The purse was drawn from before this process started.
+            None => log::debug!("unspent tokens of an unknown program are dropped"),
+        });
+}
+
+/// Takes a grant from the program's record; `None` if the budget is spent.
 async fn fetch_grant<P: Platform>(
     cx: &Gateway<P>,
     program: &str,
     budget: u64,
-    turn: u64,
-) -> Result<u64> {
-    let spent = || Refusal::new(Outcome::BudgetSpent, "the program's budget is spent");
+    wanted: u64,
+) -> platform::Result<Option<u64>> {
     let name = object_name(program);
     // A program's first grant finds no record, which saves the read.
-    let mut known: Option<(crate::ids::Version, Record)> = None;
+    let mut known: Option<(Version, Record)> = None;
     for _ in 0..MAX_CONFLICTS {
         let record = known.map(|(_, record)| record);
-        let grant = budget::next_grant(record, budget, turn, unix_ms()).ok_or_else(spent)?;
+        let Some(grant) = budget::next_grant(record, budget, wanted, unix_ms()) else {
+            if known.is_some() {
+                return Ok(None);
+            }
+            known = platform::read_value(&cx.store, budget::KIND, &name).await?;
+            if known.is_none() {
+                return Ok(None);
+            }
+            continue;
+        };
         let expect = known.map_or(Expect::Absent, |(version, _)| Expect::At(version));
         let written =
             platform::write_value(&cx.store, budget::KIND, &name, expect, &grant.record).await;
-        match written.map_err(|e| no_store(&e))? {
-            Written::Done(_) => return Ok(grant.tokens),
-            Written::Conflict => (),
+        if matches!(written?, Written::Done(_)) {
+            let line = GrantLine {
+                program,
+                budget,
+                wanted,
+                tokens: grant.tokens,
+                granted: grant.record.granted,
+            };
+            cx.log.request("budget-granted", &line);
+            return Ok(Some(grant.tokens));
         }
-        known = platform::read_value(&cx.store, budget::KIND, &name)
-            .await
-            .map_err(|e| no_store(&e))?;
+        known = platform::read_value(&cx.store, budget::KIND, &name).await?;
     }
-    Err(Refusal::not_run(
-        "other hosts changed the program's budget at the same time",
-        STORE_RETRY,
+    Err(PlatformError::Unavailable(
+        "other hosts changed the record at the same time".to_owned(),
     ))
 }
 
-fn no_store(error: &PlatformError) -> Refusal {
-    let detail = format!("the program's budget cannot be granted: {error}");
-    Refusal::not_run(detail, STORE_RETRY)
-}
-
 /// Name of a program's record: its id, which may hold any character, in hex.
 fn object_name(program: &str) -> String {
     hex::encode(program)
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,10 +1,13 @@
 //! Budgets of programs: tokens that all turns of a program may generate,
 //! through any host.
 //!
-//! Each program has one record in the platform's store with the tokens that
-//! were granted to hosts. A host takes a grant by a conditional write before
-//! it spends from it, so grants never exceed the budget, whatever host dies or
-//! is cut off. Tokens of a grant that its host did not spend stay spent.
+//! A program's home host holds its purse, from which the hosts of its turns
+//! draw. A purse begins with an allowance that no record shows; everything
+//! beyond it is granted by a record in the platform's store, changed by
+//! conditional writes. Only one process can ever give out a program's
+//! allowance, and every record counts it as spent, so allowance and grants
+//! never exceed the budget, whichever hosts die, restart or are cut off.
+//! Tokens that were drawn and lost on the way stay spent.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -12,7 +15,10 @@
 /// Kind of the records, one object for each program.
 pub const KIND: &str = "chicoryarch-budgets";
 
-/// Part of the remaining budget that a host takes at once, as a divisor.
+/// Part of a budget that its first home gives out without a record, as a
+/// divisor. Programs that end by themselves seldom use more.
+const ALLOWANCE_DIVISOR: u64 = 2;
+/// Part of the remaining budget that a home is granted at once, as a divisor.
 const GRANT_DIVISOR: u64 = 2;
 
 /// What the platform's store holds of a program's budget.
@@ -33,14 +39,20 @@
     pub record: Record,
 }
 
-/// The next grant of a program, or `None` if its budget holds no such turn.
-pub fn next_grant(record: Option<Record>, budget: u64, turn: u64, now_ms: u64) -> Option<Grant> {
-    let granted = record.map_or(0, |record| record.granted);
+/// Tokens of a budget that may be given out without a record.
+pub const fn allowance(budget: u64) -> u64 {
+    budget / ALLOWANCE_DIVISOR
+}
+
+/// The next grant of at least `wanted` tokens, or `None` if the budget does
+/// not hold them. A program without a record may have spent its allowance.
+pub fn next_grant(record: Option<Record>, budget: u64, wanted: u64, now_ms: u64) -> Option<Grant> {
+    let granted = record.map_or(allowance(budget), |record| record.granted);
     let left = budget.saturating_sub(granted);
-    if left < turn {
+    if left < wanted {
         return None;
     }
-    let tokens = (left / GRANT_DIVISOR).max(turn);
+    let tokens = (left / GRANT_DIVISOR).max(wanted);
     let record = Record {
         granted: granted + tokens,
         at_ms: now_ms,
@@ -48,6 +60,40 @@
     Some(Grant { tokens, record })
 }
 
+/// Tokens of one program that its home may still hand out.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Purse {
+    available: u64,
+}
+
+impl Purse {
+    /// A purse with the allowance, if this process alone may give it out.
+    pub fn open(budget: u64, has_allowance: bool) -> Self {
+        let available = if has_allowance { allowance(budget) } else { 0 };
+        Self { available }
+    }
+
+    /// Takes tokens out, or tells how many are missing.
+    ///
+    /// # Errors
+    ///
+    /// The tokens that a grant must add first.
+    pub fn draw(&mut self, wanted: u64) -> std::result::Result<(), u64> {
+        match self.available.checked_sub(wanted) {
+            Some(left) => {
+                self.available = left;
+                Ok(())
+            }
+            None => Err(wanted - self.available),
+        }
+    }
+
+    /// Puts granted or unspent tokens in.
+    pub fn put(&mut self, tokens: u64) {
+        self.available += tokens;
+    }
+}
+
 /// Tokens of one program at this host.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Account {
@@ -77,8 +123,22 @@
         self.spent += handed;
     }
 
-    /// Tokens that may still be reserved.
-    pub const fn left(&self) -> u64 {
+    /// Tokens that a turn lacks here.
+    pub const fn lacks(&self, turn: u64) -> u64 {
+        turn.saturating_sub(self.left())
+    }
+
+    /// Takes out what is left, unless turns are under way that may need it.
+    pub fn take_rest(&mut self) -> u64 {
+        if self.reserved > 0 {
+            return 0;
+        }
+        let rest = self.left();
+        self.granted -= rest;
+        rest
+    }
+
+    const fn left(&self) -> u64 {
         self.granted.saturating_sub(self.spent + self.reserved)
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,17 +3,22 @@
 //! A host that the store turns away learns from others. Each side sends what
 //! it has and gets what is newer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::future;
 use jsonrpsee_core::RegisterMethodError;
 use jsonrpsee_core::server::RpcModule;
 use jsonrpsee_types::ErrorObjectOwned;
-use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
+use super::account;
+use super::account::DrawRequest;
+use super::account::PutBackRequest;
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::Endpoint;
@@ -21,6 +26,7 @@
 use super::rate::BorrowRequest;
 use super::register;
 use super::roster::HostEntry;
+use super::roster::Peer;
 use crate::connection::peer::Peers;
 use crate::connection::platform::Platform;
 use crate::ids::HostId;
@@ -29,6 +35,10 @@
 
 /// Exchanges what two hosts know.
 pub const EXCHANGE_METHOD: &str = "gateway.exchange";
+/// Draws tokens from a program's purse.
+pub const DRAW_METHOD: &str = "gateway.draw";
+/// Puts unspent tokens back into a program's purse.
+pub const PUT_BACK_METHOD: &str = "gateway.put_back";
 /// Asks for rate tokens.
 pub const BORROW_METHOD: &str = "gateway.borrow";
 
@@ -79,6 +89,14 @@
         let known: Known = params.one()?;
         Ok::<_, ErrorObjectOwned>(news_for(cx, &known))
     })?;
+    module.register_async_method(DRAW_METHOD, |params, cx, _| async move {
+        let req: DrawRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(account::draw_here(&cx, &req).await)
+    })?;
+    module.register_method(PUT_BACK_METHOD, |params, cx, _| {
+        let req: PutBackRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(account::put_back_here(cx, &req))
+    })?;
     module.register_method(BORROW_METHOD, |params, cx, _| {
         let req: BorrowRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(rate::give(cx, &req))
@@ -96,7 +114,7 @@
 }
 
 fn news_for<P: Platform>(cx: &Gateway<P>, theirs: &Known) -> News {
-    cx.roster.lock().heard(&theirs.host, Moment::now());
+    cx.roster.lock().heard(&theirs.host);
     let own = known(cx);
     let in_force = cx.in_force.load();
     let newer = in_force.table.version > theirs.configuration;
@@ -143,24 +161,50 @@
     }
 }
 
-fn chosen<P>(cx: &Gateway<P>, fanout: usize) -> Vec<std::net::SocketAddr> {
+fn chosen<P>(cx: &Gateway<P>, fanout: usize) -> Vec<SocketAddr> {
     let others = cx.roster.lock().others(Moment::now());
-    let mut addresses: Vec<_> = others.into_iter().map(|(_, to, _)| to).collect();
+    let mut addresses: Vec<_> = others.into_iter().map(|peer| peer.address).collect();
     if addresses.is_empty() {
         addresses.extend(cx.cfg.seeds.iter().filter(|seed| **seed != cx.cfg.peers));
     }
-    addresses.shuffle(&mut rand::rng());
     addresses.truncate(fanout);
     addresses
 }
 
-async fn exchange<P: Platform>(cx: &Cx<P>, to: std::net::SocketAddr) {
+/// Calls another host on the way of a request; one that does not answer in
+/// time is passed over for a while.
+pub async fn call_in_time<P, Q, R>(
+    cx: &Gateway<P>,
+    peer: &Peer,
+    method: &'static str,
+    req: &Q,
+) -> Option<R>
+where
+    P: Platform,
+    Q: Serialize + Sync,
+    R: DeserializeOwned + Send,
+{
+    let call = cx.peers.call::<_, R>(peer.address, method, req);
+    let expire = async {
+        Timer::after(cx.cfg.borrow_timeout).await;
+        None
+    };
+    let reply = future::or(async { call.await.ok() }, expire).await;
+    let mut roster = cx.roster.lock();
+    match reply {
+        Some(_) => roster.heard(&peer.host),
+        None => roster.suspect(&peer.host, Moment::now()),
+    }
+    reply
+}
+
+async fn exchange<P: Platform>(cx: &Cx<P>, to: SocketAddr) {
     let own = known(cx);
-    // A host that does not answer is noticed by its silence.
+    // A host that does not answer is asked again in a later round.
     let Ok(news) = cx.peers.call::<_, News>(to, EXCHANGE_METHOD, &own).await else {
         return;
     };
-    cx.roster.lock().heard(&news.known.host, Moment::now());
+    cx.roster.lock().heard(&news.known.host);
     if let Some(text) = &news.configuration {
         register::take_configuration(cx, text, news.known.host.as_str());
     }
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -6,11 +6,11 @@
 
 use futures_lite::future;
 use parking_lot::Mutex;
-use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::context::Gateway;
+use super::exchange;
 use super::exchange::BORROW_METHOD;
 use super::quota::Quotas;
 use super::quota::Share;
@@ -18,9 +18,9 @@
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
+use super::roster::Peer;
 use super::routes::Customer;
 use super::routes::Rate;
-use crate::connection::peer::Peers;
 use crate::connection::platform::Platform;
 use crate::ids::HostId;
 use crate::units::Moment;
@@ -126,7 +126,7 @@
 /// Answers another host that asks for tokens.
 pub fn give<P: Platform>(cx: &Gateway<P>, req: &BorrowRequest) -> BorrowReply {
     let now = Moment::now();
-    cx.roster.lock().heard(&req.from, now);
+    cx.roster.lock().heard(&req.from);
     let share = current_share(cx);
     let rate = rate_of(cx, &req.customer);
     let given = rate.map_or(0, |rate| {
@@ -166,10 +166,7 @@
 /// Asks a few hosts, chosen at random, for tokens and keeps what they give.
 async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate) {
     let now = Moment::now();
-    let limit = cx.cfg.silence_limit;
     let mut others = cx.roster.lock().others(now);
-    others.retain(|(_, _, silent)| *silent < limit);
-    others.shuffle(&mut rand::rng());
     others.truncate(ASKED_AT_ONCE);
     let share = current_share(cx);
     let wanted = {
@@ -182,9 +179,7 @@
         customer: customer.to_string(),
         wanted: wanted.div_ceil(asked),
     };
-    let mut calls = others
-        .into_iter()
-        .map(|(host, to, _)| ask(cx, host, to, &req));
+    let mut calls = others.into_iter().map(|peer| ask(cx, peer, &req));
     let given = match (calls.next(), calls.next()) {
         (Some(first), Some(second)) => {
             let (first, second) = future::zip(first, second).await;
@@ -200,23 +195,8 @@
     }
 }
 
-async fn ask<P: Platform>(
-    cx: &Gateway<P>,
-    host: HostId,
-    to: std::net::SocketAddr,
-    req: &BorrowRequest,
-) -> u32 {
-    let call = cx.peers.call::<_, BorrowReply>(to, BORROW_METHOD, req);
-    let expire = async {
-        async_io::Timer::after(cx.cfg.borrow_timeout).await;
-        None
-    };
+async fn ask<P: Platform>(cx: &Gateway<P>, peer: Peer, req: &BorrowRequest) -> u32 {
     // Tokens of a reply that is lost are lost too; none are made twice.
-    match future::or(async { call.await.ok() }, expire).await {
-        Some(reply) => {
-            cx.roster.lock().heard(&host, Moment::now());
-            reply.given
-        }
-        None => 0,
-    }
+    let reply = exchange::call_in_time::<_, _, BorrowReply>(cx, &peer, BORROW_METHOD, req).await;
+    reply.map_or(0, |reply| reply.given)
 }
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -12,6 +12,7 @@
 use super::directory::Endpoint;
 use super::follow::Follower;
 use super::roster;
+use super::roster::Founders;
 use super::roster::HostEntry;
 use crate::connection::platform;
 use crate::connection::platform::Changes;
@@ -117,7 +118,7 @@
             // Others have room for this host already.
             roster.share_from(now);
         }
-        roster.put(host, entry, now);
+        roster.put(host, entry);
     }
 }
 
@@ -254,12 +255,11 @@
 
 impl<P: Platform> HostsFollower<P> {
     fn take(&self, objects: &[Object]) {
-        let now = Moment::now();
         let mut roster = self.0.roster.lock();
         for object in objects {
             let entry = platform::decode::<HostEntry>(roster::KIND, object);
             match (object.name.parse::<HostId>(), entry) {
-                (Ok(host), Ok(entry)) => roster.put(host, entry, now),
+                (Ok(host), Ok(entry)) => roster.put(host, entry),
                 _ => log::warn!("the entry of host {} cannot be read", object.name),
             }
         }
@@ -292,22 +292,55 @@
 
 /// Writes this host's entry, again and again until the store has it.
 pub async fn enter<P: Platform>(cx: Cx<P>) {
-    let entry = HostEntry {
+    let mut entry = HostEntry {
         peers: cx.cfg.peers,
         data_centre: cx.cfg.place.data_centre.clone(),
         incarnation: Incarnation(unix_ms()),
+        is_founder: cx.cfg.place.first_start,
     };
-    while !enter_once(&cx, &entry).await {
+    while !enter_once(&cx, &mut entry).await {
         Timer::after(REGISTER_RETRY).await;
     }
+    if entry.is_founder {
+        Timer::after(cx.cfg.join_notice).await;
+        while !agree_founders(&cx).await {
+            Timer::after(REGISTER_RETRY).await;
+        }
+    }
+}
+
+/// Takes up the hosts of the first start, which the first writer sets.
+async fn agree_founders<P: Platform>(cx: &Cx<P>) -> bool {
+    let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
+    match platform::read_value::<Founders>(&cx.store, kind, name).await {
+        Ok(Some((_, founders))) => {
+            cx.log.state("founders-agreed", &founders);
+            cx.accounts.set_founders(founders);
+            true
+        }
+        Ok(None) => {
+            let founders = cx.roster.lock().founders();
+            let written =
+                platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await;
+            if let Err(e) = written {
+                log::debug!("the hosts of the first start are not written yet: {e}");
+            }
+            // What is stored now holds, whoever wrote it.
+            false
+        }
+        Err(_) => false,
+    }
 }
 
-async fn enter_once<P: Platform>(cx: &Cx<P>, entry: &HostEntry) -> bool {
+async fn enter_once<P: Platform>(cx: &Cx<P>, entry: &mut HostEntry) -> bool {
     let name = cx.cfg.place.host.as_str();
     let before = platform::read_value::<HostEntry>(&cx.store, roster::KIND, name).await;
     let Ok(before) = before else {
         return false;
     };
+    // A process before this one may have given out allowances.
+    entry.is_founder &= before.is_none();
+    let entry = &*entry;
     let expect = before
         .as_ref()
         .map_or(Expect::Absent, |(version, _)| Expect::At(*version));
@@ -323,7 +356,7 @@
         cx.cfg.join_notice
     };
     let mut roster = cx.roster.lock();
-    roster.put(cx.cfg.place.host.clone(), entry.clone(), now);
+    roster.put(cx.cfg.place.host.clone(), entry.clone());
     roster.share_from(now + notice);
     drop(roster);
     cx.log.state("host-entered", entry);
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -25,16 +26,65 @@
     pub data_centre: DataCentre,
     /// Start of its process.
     pub incarnation: Incarnation,
+    /// True if the process is the host's first since the system began.
+    pub is_founder: bool,
+}
+
+/// Kind of the object that names the hosts of the system's first start.
+pub const FOUNDERS_KIND: &str = "chicoryarch-founders";
+/// Name of that object.
+pub const FOUNDERS_NAME: &str = "first";
+
+/// The hosts of the system's first start, agreed once and for all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Founders {
+    /// Their names.
+    pub hosts: Vec<HostId>,
 }
 
 /// A host as this one knows it.
 #[derive(Clone, Debug)]
 struct Known {
     entry: HostEntry,
-    /// When this host last had an answer or a message from it.
-    heard: Moment,
+    /// Set while it is passed over because it did not answer.
+    suspect_until: Option<Moment>,
 }
 
+/// Another host that can be called.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Its name.
+    pub host: HostId,
+    /// Where it listens for other hosts.
+    pub address: SocketAddr,
+}
+
+/// The host that stands highest for a key; every host finds the same one.
+pub fn highest<'a>(hosts: impl Iterator<Item = &'a HostId>, key: u64) -> Option<&'a HostId> {
+    hosts.max_by_key(|host| mix(super::hash_of(host.as_str()) ^ key))
+}
+
+/// Spreads the bits of a number, as in the finalizer of SplitMix64.
+const fn mix(mut bits: u64) -> u64 {
+    bits ^= bits >> 30;
+    bits = bits.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits ^= bits >> 27;
+    bits = bits.wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// Where what belongs to a key is held.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Home {
+    /// At another host.
+    Other(Peer),
+    /// At this host.
+    Own,
+}
+
+/// Time for which a host that did not answer is passed over.
+const SUSPICION: Duration = Duration::from_secs(1);
+
 /// All hosts that take callers, this one included.
 #[derive(Debug)]
 pub struct Roster {
@@ -55,12 +105,16 @@
     }
 
     /// Takes up a host's entry.
-    pub fn put(&mut self, host: HostId, entry: HostEntry, now: Moment) {
+    pub fn put(&mut self, host: HostId, entry: HostEntry) {
         match self.hosts.get_mut(&host) {
             Some(known) if known.entry.incarnation > entry.incarnation => (),
             Some(known) if known.entry == entry => (),
             _ => {
-                self.hosts.insert(host, Known { entry, heard: now });
+                let known = Known {
+                    entry,
+                    suspect_until: None,
+                };
+                self.hosts.insert(host, known);
             }
         }
     }
@@ -73,9 +127,43 @@
     }
 
     /// Notes a sign of life of a host.
-    pub fn heard(&mut self, host: &HostId, now: Moment) {
+    pub fn heard(&mut self, host: &HostId) {
         if let Some(known) = self.hosts.get_mut(host) {
-            known.heard = now;
+            known.suspect_until = None;
+        }
+    }
+
+    /// Passes a host over for a while, since it did not answer.
+    pub fn suspect(&mut self, host: &HostId, now: Moment) {
+        if let Some(known) = self.hosts.get_mut(host) {
+            known.suspect_until = Some(now + SUSPICION);
+        }
+    }
+
+    /// The host that holds what belongs to a key, among those that answer.
+    pub fn home(&self, key: u64, now: Moment) -> Home {
+        let usable = self.hosts.iter().filter(|(host, known)| {
+            **host == self.own || known.suspect_until.is_none_or(|until| until <= now)
+        });
+        let home = highest(usable.map(|(host, _)| host), key);
+        let other = home.filter(|host| **host != self.own);
+        match other.and_then(|host| Some((host, self.hosts.get(host)?))) {
+            Some((host, known)) => Home::Other(Peer {
+                host: host.clone(),
+                address: known.entry.peers,
+            }),
+            None => Home::Own,
+        }
+    }
+
+    /// Hosts whose process is their first.
+    pub fn founders(&self) -> Founders {
+        let founders = self
+            .hosts
+            .iter()
+            .filter(|(_, known)| known.entry.is_founder);
+        Founders {
+            hosts: founders.map(|(host, _)| host.clone()).collect(),
         }
     }
 
@@ -94,12 +182,22 @@
         Share(1.0 / f64::from(hosts))
     }
 
-    /// Other hosts, with the time since each was heard of.
-    pub fn others(&self, now: Moment) -> Vec<(HostId, SocketAddr, Duration)> {
+    /// Other hosts; those that answer come first.
+    pub fn others(&self, now: Moment) -> Vec<Peer> {
         let others = self.hosts.iter().filter(|(host, _)| **host != self.own);
-        others
-            .map(|(host, known)| (host.clone(), known.entry.peers, now.since(known.heard)))
-            .collect()
+        let mut others: Vec<_> = others
+            .map(|(host, known)| {
+                let is_suspect = known.suspect_until.is_some_and(|until| until > now);
+                let peer = Peer {
+                    host: host.clone(),
+                    address: known.entry.peers,
+                };
+                (is_suspect, peer)
+            })
+            .collect();
+        others.shuffle(&mut rand::rng());
+        others.sort_by_key(|(is_suspect, _)| *is_suspect);
+        others.into_iter().map(|(_, peer)| peer).collect()
     }
 
     /// All entries, to be told to other hosts.
