--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -79,7 +79,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum DrawReply {
     /// The tokens are now the asker's.
-    Drawn,
+    Drawn {
+        /// True if the home had not heard of the program.
+        is_new: bool,
+    },
     /// The budget does not hold them.
     Spent,
     /// The store did not confirm a grant.
@@ -186,6 +189,8 @@
     reserved: u64,
     /// Tokens handed to the caller so far.
     pub handed: u64,
+    /// True if no host is known to have seen the program before.
+    pub is_first_turn: bool,
 }
 
 impl<P: Platform> Drop for Reservation<P> {
@@ -231,54 +236,66 @@
     turn: u64,
 ) -> Result<Reservation<P>> {
     let program: Arc<str> = program.into();
-    let reservation = || Reservation {
+    let reservation = |is_first_turn| Reservation {
         cx: Arc::clone(cx),
         program: Arc::clone(&program),
         reserved: turn,
         handed: 0,
+        is_first_turn,
     };
     if cx.accounts.reserve(&program, turn).is_ok() {
-        return Ok(reservation());
+        return Ok(reservation(false));
     }
     let fetching = cx.accounts.with(&program, |a| Arc::clone(&a.fetching));
     let _only_fetch = fetching.lock().await;
     let Err(wanted) = cx.accounts.reserve(&program, turn) else {
-        return Ok(reservation());
+        return Ok(reservation(false));
     };
     let req = DrawRequest {
         program: program.to_string(),
         budget,
         wanted,
     };
-    let drawn_at = draw(cx, &req).await?;
+    let drawn = draw(cx, &req).await?;
     let reserved = cx.accounts.with(&program, |account| {
         account.account.add(wanted);
-        account.drawn_at = drawn_at;
+        account.drawn_at = drawn.at;
         account.account.reserve(turn)
     });
     if reserved {
-        Ok(reservation())
+        Ok(reservation(drawn.is_new))
     } else {
         let detail = "another turn of the program took the tokens";
         Err(Refusal::not_run(detail, STORE_RETRY))
     }
 }
 
+/// Tokens that were drawn from a purse.
+struct Drawn {
+    /// The home, if it is another host.
+    at: Option<Peer>,
+    /// True if the home had not heard of the program.
+    is_new: bool,
+}
+
 /// Draws tokens at the program's home, or here if the home does not answer.
-async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Option<Peer>> {
+async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Drawn> {
     let key = super::hash_of(&req.program);
     let home = cx.roster.lock().home(key, Moment::now());
     if let Home::Other(peer) = home {
         let reply = exchange::call_in_time::<_, _, DrawReply>(cx, &peer, DRAW_METHOD, req).await;
         match reply {
-            Some(DrawReply::Drawn) => return Ok(Some(peer)),
+            Some(DrawReply::Drawn { is_new }) => {
+                let at = Some(peer);
+                return Ok(Drawn { at, is_new });
+            }
             Some(DrawReply::Spent) => return Err(spent()),
             // The home may be turned away by a store that answers this host.
             Some(DrawReply::Unavailable(_)) | None => (),
         }
     }
     match draw_here(cx, req).await {
-        DrawReply::Drawn => Ok(None),
+        DrawReply::Drawn { is_new } => Ok(Drawn { at: None, is_new }),
         DrawReply::Spent => Err(spent()),
         DrawReply::Unavailable(why) => Err(Refusal::not_run(
             format!("the program's budget cannot be granted: {why}"),
@@ -295,6 +312,9 @@
 pub async fn draw_here<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> DrawReply {
     let program: Arc<str> = req.program.as_str().into();
     let own = &cx.cfg.place.host;
+    let is_new = cx
+        .accounts
+        .with(&program, |account| account.purse.is_none());
     let from_purse = |added: u64| {
         cx.accounts.with(&program, |account| {
             let purse = account.purse.get_or_insert_with(|| {
@@ -308,7 +328,7 @@
     let mut added = 0;
     for _ in 0..MAX_CONFLICTS {
         let Err(missing) = from_purse(added) else {
-            return DrawReply::Drawn;
+            return DrawReply::Drawn { is_new };
         };
         added = match fetch_grant(cx, &program, req.budget, missing).await {
             Ok(Some(tokens)) => tokens,
@@ -334,29 +354,23 @@
 /// Takes a grant from the program's record; `None` if the budget is spent.
 async fn fetch_grant<P: Platform>(
     cx: &Gateway<P>,
-    program: &str,
+    program: &Arc<str>,
     budget: u64,
     wanted: u64,
 ) -> platform::Result<Option<u64>> {
     let name = object_name(program);
     // A program's first grant finds no record, which saves the read.
-    let mut known: Option<(Version, Record)> = None;
+    let mut known = seen(cx, program);
     for _ in 0..MAX_CONFLICTS {
         let record = known.map(|(_, record)| record);
         let Some(grant) = budget::next_grant(record, budget, wanted, unix_ms()) else {
-            if known.is_some() {
-                return Ok(None);
-            }
-            known = platform::read_value(&cx.store, budget::KIND, &name).await?;
-            if known.is_none() {
-                return Ok(None);
-            }
-            continue;
+            return Ok(None);
         };
         let expect = known.map_or(Expect::Absent, |(version, _)| Expect::At(version));
         let written =
-            platform::write_value(&cx.store, budget::KIND, &name, expect, &grant.record).await;
-        if matches!(written?, Written::Done(_)) {
+            platform::write_value(&cx.store, budget::KIND, &name, expect, &grant.record).await?;
+        if let Written::Done(version) = written {
+            note(cx, program, version, grant.record);
             let line = GrantLine {
                 program,
                 budget,
@@ -368,12 +382,29 @@
             return Ok(Some(grant.tokens));
         }
         known = platform::read_value(&cx.store, budget::KIND, &name).await?;
+        if let Some((version, record)) = known {
+            note(cx, program, version, record);
+        }
     }
     Err(PlatformError::Unavailable(
         "other hosts changed the record at the same time".to_owned(),
     ))
 }
 
+fn seen<P>(cx: &Gateway<P>, program: &Arc<str>) -> Option<(Version, Record)> {
+    cx.accounts.with(program, |account| {
+        account.purse.and_then(|purse| purse.seen())
+    })
+}
+
+fn note<P>(cx: &Gateway<P>, program: &Arc<str>, version: Version, record: Record) {
+    cx.accounts.with(program, |account| {
+        if let Some(purse) = &mut account.purse {
+            purse.note(version, record);
+        }
+    });
+}
+
 /// Name of a program's record: its id, which may hold any character, in hex.
 fn object_name(program: &str) -> String {
     hex::encode(program)
--- a/src/gateway/archive.rs
+++ b/src/gateway/archive.rs
@@ -63,7 +63,7 @@
 /// One change of the operators, without its content, which may hold keys.
 #[derive(Debug, Serialize)]
 struct TrailLine<'a> {
-    at_ms: u64,
+    taken_ms: u64,
     object: &'a str,
     version: Version,
     digest: String,
@@ -122,7 +122,7 @@
 ///
 /// [`ArchiveError`] if it cannot start.
 pub async fn run(cfg: ArchiveConfig, spawner: Spawner) -> Result<()> {
-    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    let mut signals = Signals::new([Signal::Int, Signal::Term, Signal::Hup])?;
     let log = EventLog::start(cfg.place.host.as_str(), LOG_LINES_PER_S);
     let client = Client::new(spawner.clone(), ClientConfig::default());
     let store = ObjectStore::new(client, cfg.store.clone());
@@ -144,7 +144,10 @@
     };
     spawner.detach(follow::follow(store.clone(), kinds::RETIREMENTS, retirer));
     spawner.detach(sweep_budgets(store, cfg));
-    let _ended = signals.next().await;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        let detail = "the settings hold from the next start on";
+        log.state("reload", &ArchiveLine { detail });
+    }
     log.state("stopped", &ArchiveLine { detail: "archive" });
     Ok(())
 }
@@ -175,7 +178,7 @@
                 continue;
             }
             let line = TrailLine {
-                at_ms: unix_ms(),
+                taken_ms: unix_ms(),
                 object: &object.name,
                 version: object.version,
                 digest: hex::encode(Sha256::digest(&object.value)),
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::Version;
+
 /// Kind of the records, one object for each program.
 pub const KIND: &str = "chicoryarch-budgets";
 
@@ -64,13 +66,28 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Purse {
     available: u64,
+    /// The record as last seen, which only grows.
+    seen: Option<(Version, Record)>,
 }
 
 impl Purse {
     /// A purse with the allowance, if this process alone may give it out.
     pub fn open(budget: u64, has_allowance: bool) -> Self {
         let available = if has_allowance { allowance(budget) } else { 0 };
-        Self { available }
+        Self {
+            available,
+            seen: None,
+        }
+    }
+
+    /// The record as last seen.
+    pub const fn seen(&self) -> Option<(Version, Record)> {
+        self.seen
+    }
+
+    /// Notes the record's present state.
+    pub fn note(&mut self, version: Version, record: Record) {
+        self.seen = Some((version, record));
     }
 
     /// Takes tokens out, or tells how many are missing.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -25,11 +25,13 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::dispatch;
+use super::quota::Step;
 use super::rate;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
 use super::routes::Customer;
+use super::routes::KeyHash;
 use super::routes::Route;
 use crate::connection::headers;
 use crate::connection::platform::Platform;
@@ -48,6 +50,7 @@
 #[derive(Serialize)]
 struct RefusedLine<'a> {
     request: Option<&'a str>,
+    customer: Option<&'a str>,
     program: Option<&'a str>,
     outcome: &'static str,
     why: &'a str,
@@ -74,13 +77,14 @@
         let meta = ingress::read(&head);
         let id = meta.as_ref().ok().map(|meta| meta.id.clone());
         let program = meta.as_ref().ok().and_then(|meta| meta.program.clone());
+        let key = meta.as_ref().ok().and_then(|meta| meta.key);
         let answer = match meta {
             Ok(meta) => serve(cx, received, &head, meta, body).await,
             Err(refusal) => Err(refusal),
         };
         let mut response = answer.unwrap_or_else(|refusal| {
             let program = program.as_ref().map(|program| &*program.id);
-            log_refused(cx, id.as_deref(), program, &refusal, received);
+            log_refused(cx, id.as_deref(), key.as_ref(), program, &refusal, received);
             cx.metrics.refused(&refusal);
             ingress::refusal(&refusal, id.as_deref())
         });
@@ -95,16 +99,20 @@
 fn log_refused<P: Platform>(
     cx: &Gateway<P>,
     request: Option<&str>,
+    key: Option<&KeyHash>,
     program: Option<&str>,
     refusal: &Refusal,
     received: Moment,
 ) {
+    let in_force = cx.in_force.load();
+    let customer = key.and_then(|key| in_force.table.customer(key));
     let line = RefusedLine {
         request,
+        customer: customer.map(|customer| &*customer.name),
         program,
         outcome: refusal.outcome.as_str(),
         why: &refusal.detail,
-        configuration: cx.in_force.load().table.version,
+        configuration: in_force.table.version,
         retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis()),
         spent_ms: Moment::now().since(received).as_millis(),
     };
@@ -126,9 +134,6 @@
             .timeout
             .min(waits.saturating_sub(cx.cfg.answer_margin));
     let body = read_body(cx, body, deadline).await?;
-    if let Some(customer) = &customer {
-        rate::admit(cx, customer).await?;
-    }
     let service = Arc::clone(&route.target(target_seed(&meta)).service);
     let call = Call {
         method: head.method.clone(),
@@ -143,21 +148,24 @@
         gives_up,
         meta,
     };
-    let ran = run(cx, call).await;
-    ran
+    run(cx, call).await
 }
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
-    let customer = call.customer.clone();
-    let reservation = reserve(cx, &call).await;
-    let answer = match reservation {
-        Ok(reservation) => dispatch::run(cx, Arc::new(call), reservation).await,
-        Err(refusal) => Err(refusal),
+    let reservation = reserve(cx, &call).await?;
+    let step = match &reservation {
+        Some(reservation) if reservation.is_first_turn => Step::First,
+        _ => Step::Later,
     };
-    if let (Err(refusal), Some(customer)) = (&answer, &customer) {
-        if matches!(refusal.outcome, Outcome::NotRun | Outcome::BudgetSpent) {
-            rate::give_back(cx, customer);
-        }
+    let customer = call.customer.clone();
+    if let Some(customer) = &customer {
+        rate::admit(cx, customer, step).await?;
+    }
+    let answer = dispatch::run(cx, Arc::new(call), reservation).await;
+    if let (Err(refusal), Some(customer)) = (&answer, &customer)
+        && refusal.outcome == Outcome::NotRun
+    {
+        rate::give_back(cx, customer);
     }
     answer
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -15,9 +15,14 @@
 const DEMAND_WEIGHT: f64 = 0.5;
 /// Demand that a host keeps for itself when it gives tokens.
 const RESERVE: Duration = Duration::from_millis(250);
+/// Part of a bucket above which it asks for no more tokens.
+const LOW_SHARE: f64 = 0.7;
 /// Demand below which a bucket asks for more tokens.
 const LOW_WATER: Duration = Duration::from_millis(500);
 
+/// Part of a bucket that is kept for programs that have begun.
+const RESERVED_FOR_BEGUN: f64 = 0.4;
+
 /// What this host may refill of every rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share(pub f64);
@@ -70,6 +75,24 @@
     (rate.burst * share.0).max(1.0)
 }
 
+/// Whether a request begins a program.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// It begins one: nothing is lost yet if it is refused.
+    First,
+    /// It belongs to one that has begun, or to none.
+    Later,
+}
+
+/// Tokens that must be there for a request. Programs begin only from the upper
+/// part of a bucket, so that those that have begun are not refused midway.
+fn needed(rate: Rate, share: Share, step: Step) -> f64 {
+    match step {
+        Step::First => (capacity(rate, share) * RESERVED_FOR_BEGUN).max(1.0),
+        Step::Later => 1.0,
+    }
+}
+
 /// Whether a request is within its customer's rate here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Taken {
@@ -113,15 +136,23 @@
     }
 
     /// Takes a token for one request.
-    pub fn take(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) -> Taken {
+    pub fn take(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        step: Step,
+        now: Moment,
+    ) -> Taken {
         let bucket = self.bucket(customer, rate, share, now);
         bucket.asked += 1.0;
-        if bucket.tokens >= 1.0 {
+        let needed = needed(rate, share, step);
+        if bucket.tokens >= needed {
             bucket.tokens -= 1.0;
             return Taken::Within;
         }
         let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
-        let seconds = ((1.0 - bucket.tokens) / per_s).min(MAX_WAIT.as_secs_f64());
+        let seconds = ((needed - bucket.tokens) / per_s).min(MAX_WAIT.as_secs_f64());
         Taken::Short {
             wait: Duration::from_secs_f64(seconds),
         }
@@ -133,10 +164,11 @@
         customer: &Arc<str>,
         rate: Rate,
         share: Share,
+        step: Step,
         now: Moment,
     ) -> bool {
         let bucket = self.bucket(customer, rate, share, now);
-        let has_token = bucket.tokens >= 1.0;
+        let has_token = bucket.tokens >= needed(rate, share, step);
         if has_token {
             bucket.tokens -= 1.0;
         }
@@ -155,7 +187,9 @@
         let most = capacity(rate, share);
         let bucket = self.bucket(customer, rate, share, now);
         let demand = bucket.current_demand(now);
-        let low = (demand * LOW_WATER.as_secs_f64()).min(most / 2.0).max(1.0);
+        let low = (demand * LOW_WATER.as_secs_f64())
+            .min(most * LOW_SHARE)
+            .max(1.0);
         if demand > 0.0 && bucket.tokens < low {
             whole(most - bucket.tokens)
         } else {
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -14,6 +14,7 @@
 use super::exchange::BORROW_METHOD;
 use super::quota::Quotas;
 use super::quota::Share;
+use super::quota::Step;
 use super::quota::Taken;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
@@ -89,14 +90,14 @@
 /// # Errors
 ///
 /// A refusal with the time until the rate allows one.
-pub async fn admit<P: Platform>(cx: &Gateway<P>, customer: &Customer) -> Result<()> {
+pub async fn admit<P: Platform>(cx: &Gateway<P>, customer: &Customer, step: Step) -> Result<()> {
     let Some(rate) = customer.rate else {
         return Ok(());
     };
     let share = current_share(cx);
     let taken = {
         let mut shard = cx.rates.shard(&customer.name).lock();
-        shard.take(&customer.name, rate, share, Moment::now())
+        shard.take(&customer.name, rate, share, step, Moment::now())
     };
     let Taken::Short { wait } = taken else {
         return Ok(());
@@ -104,13 +105,17 @@
     for _ in 0..ROUNDS {
         borrow(cx, &customer.name, rate).await;
         let mut shard = cx.rates.shard(&customer.name).lock();
-        if shard.take_again(&customer.name, rate, share, Moment::now()) {
+        if shard.take_again(&customer.name, rate, share, step, Moment::now()) {
             return Ok(());
         }
     }
+    let why = match step {
+        Step::First => "what is left of the customer's rate is kept for programs that have begun",
+        Step::Later => "the customer's rate is used up",
+    };
     Err(Refusal {
         retry_after: Some(wait),
-        ..Refusal::new(Outcome::OverRate, "the customer's rate is used up")
+        ..Refusal::new(Outcome::OverRate, why)
     })
 }
 
