--- /dev/null
+++ b/crates/standins/src/fleet/objects.rs
@@ -0,0 +1,358 @@
+//! Stand-in for the platform's metadata store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use chicoryarch_net::Body;
+use chicoryarch_net::Spawner;
+use chicoryarch_net::server::Handler;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::listen::Listening;
+
+/// Path under which objects are.
+const ROOT: &str = "/v1/objects/";
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Pause between two looks of a waiting watch.
+const WATCH_POLL: Duration = Duration::from_millis(5);
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+    /// Every call is refused.
+    pub is_out: bool,
+    /// Writes that are done and not answered.
+    pub lost_answers: u32,
+    /// Objects on a page of a list; 0 for no bound.
+    pub page: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    spec: Value,
+    status: Value,
+    revision: u64,
+    create_revision: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<(String, String), Stored>,
+    revision: u64,
+    history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    faults: StoreFaults,
+    calls: u64,
+}
+
+/// A running store; clones share it.
+#[derive(Clone, Debug)]
+pub struct ObjectsStandin {
+    listening: Listening,
+    state: Arc<Mutex<State>>,
+}
+
+impl ObjectsStandin {
+    /// Starts an empty store; port 0 lets the kernel choose.
+    ///
+    /// # Errors
+    ///
+    /// What the operating system answered to the bind.
+    pub async fn start(spawner: &Spawner, address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::<Mutex<State>>::default();
+        let api = Api(Arc::clone(&state));
+        let listening = Listening::start(spawner, address, api).await?;
+        Ok(Self { listening, state })
+    }
+
+    /// The address that it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.listening.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Writes an object as an operator or endpoint does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.state.lock().put(kind, name, spec);
+    }
+
+    /// Removes an object as an operator or endpoint does.
+    pub fn delete(&self, kind: &str, name: &str) {
+        self.state.lock().delete(kind, name);
+    }
+
+    /// Value of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let id = (kind.to_owned(), name.to_owned());
+        let state = self.state.lock();
+        state.objects.get(&id).map(|stored| stored.spec.clone())
+    }
+
+    /// Status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let id = (kind.to_owned(), name.to_owned());
+        let state = self.state.lock();
+        state.objects.get(&id).map(|stored| stored.status.clone())
+    }
+
+    /// Forgets all changes until now.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+fn object(name: &str, stored: &Stored) -> Value {
+    json!({
+        "metadata": {
+            "name": name,
+            "revision": stored.revision,
+            "create_revision": stored.create_revision,
+            "finalizers": [],
+            "deleting": false,
+        },
+        "spec": stored.spec,
+        "status": stored.status,
+    })
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        self.revision += 1;
+        let revision = self.revision;
+        let id = (kind.to_owned(), name.to_owned());
+        let stored = self.objects.entry(id).or_insert_with(|| Stored {
+            spec: Value::Null,
+            status: Value::Null,
+            revision,
+            create_revision: revision,
+        });
+        stored.spec = spec;
+        stored.revision = revision;
+        let object = object(name, stored);
+        self.note(kind, object.clone(), false);
+        object
+    }
+
+    fn delete(&mut self, kind: &str, name: &str) -> bool {
+        let id = (kind.to_owned(), name.to_owned());
+        let Some(stored) = self.objects.remove(&id) else {
+            return false;
+        };
+        self.revision += 1;
+        self.note(kind, object(name, &stored), true);
+        true
+    }
+
+    fn note(&mut self, kind: &str, object: Value, deleted: bool) {
+        self.history.push(Change {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            object,
+            deleted,
+        });
+    }
+
+    fn list(&self, kind: &str, after: Option<&str>) -> Value {
+        let of_kind = self
+            .objects
+            .iter()
+            .filter(|((k, name), _)| k == kind && after.is_none_or(|after| name.as_str() > after));
+        let mut items: Vec<Value> = of_kind
+            .map(|((_, name), stored)| object(name, stored))
+            .collect();
+        let page = self.faults.page;
+        let truncated = page > 0 && items.len() > page;
+        if truncated {
+            items.truncate(page);
+        }
+        json!({"items": items, "truncated": truncated, "store_revision": self.revision})
+    }
+
+    fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+        let news = self.history.iter();
+        news.filter(|change| change.kind == kind && change.revision > since)
+            .map(|change| json!({"object": change.object, "deleted": change.deleted}))
+            .collect()
+    }
+
+    /// Carries out a write and gives its answer.
+    fn write(&mut self, call: &Call, body: &Value) -> (StatusCode, Value) {
+        let name = match (&call.name, body["metadata"]["name"].as_str()) {
+            (Some(name), _) => name.clone(),
+            (None, Some(name)) => name.to_owned(),
+            (None, None) => return (StatusCode::BAD_REQUEST, Value::Null),
+        };
+        let id = (call.kind.clone(), name.clone());
+        let known = self.objects.get(&id).cloned();
+        let expected = body["metadata"]["revision"].as_u64().or(call.revision);
+        let conflict = |stored: &Stored| (StatusCode::CONFLICT, object(&name, stored));
+        match (&call.method, known) {
+            (&Method::POST, Some(stored)) => conflict(&stored),
+            (&Method::POST, None) => {
+                let created = self.put(&call.kind, &name, body["spec"].clone());
+                (StatusCode::OK, created)
+            }
+            (_, None) => (StatusCode::NOT_FOUND, Value::Null),
+            (_, Some(stored)) if expected.is_some_and(|e| e != stored.revision) => {
+                conflict(&stored)
+            }
+            (&Method::DELETE, Some(_)) => {
+                self.delete(&call.kind, &name);
+                (StatusCode::OK, Value::Null)
+            }
+            (_, Some(_)) if call.is_status => {
+                let stored = self.objects.get_mut(&id).expect("it is there");
+                stored.status = body["status"].clone();
+                (StatusCode::OK, object(&name, stored))
+            }
+            (_, Some(_)) => {
+                let changed = self.put(&call.kind, &name, body["spec"].clone());
+                (StatusCode::OK, changed)
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Call {
+    method: Method,
+    kind: String,
+    name: Option<String>,
+    is_status: bool,
+    after: Option<String>,
+    watch: Option<u64>,
+    wait: Duration,
+    revision: Option<u64>,
+}
+
+impl Call {
+    fn read(req: &Request<Incoming>) -> Option<Self> {
+        let mut parts = req.uri().path().strip_prefix(ROOT)?.split('/');
+        let kind = parts.next()?.to_owned();
+        let name = parts.next().map(ToOwned::to_owned);
+        let is_status = parts.next() == Some("status");
+        let query = req.uri().query().unwrap_or_default();
+        let field = |wanted: &str| {
+            let mut fields = query.split('&').filter_map(|pair| pair.split_once('='));
+            let (_, value) = fields.find(|(name, _)| *name == wanted)?;
+            Some(value.to_owned())
+        };
+        let number = |wanted: &str| field(wanted)?.parse::<u64>().ok();
+        Some(Self {
+            method: req.method().clone(),
+            kind,
+            name,
+            is_status,
+            after: field("after"),
+            watch: number("watch"),
+            wait: Duration::from_millis(number("wait_ms").unwrap_or_default()),
+            revision: number("revision"),
+        })
+    }
+}
+
+#[derive(Clone)]
+struct Api(Arc<Mutex<State>>);
+
+impl Handler for Api {
+    async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
+        let is_out = {
+            let mut state = self.0.lock();
+            state.calls += 1;
+            state.faults.is_out
+        };
+        let Some(call) = Call::read(&req).filter(|_| !is_out) else {
+            return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+        };
+        if call.method == Method::GET {
+            return self.read(&call).await;
+        }
+        let body = Body::collect(req.into_body(), MAX_BODY_BYTES).await;
+        let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or(Value::Null);
+        let (status, answer, is_lost) = {
+            let mut state = self.0.lock();
+            let (status, answer) = state.write(&call, &body);
+            let is_lost = state.faults.lost_answers > 0;
+            state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
+            (status, answer, is_lost)
+        };
+        if is_lost {
+            futures_lite::future::pending::<()>().await;
+        }
+        reply(status, &answer)
+    }
+}
+
+impl Api {
+    async fn read(&self, call: &Call) -> Response<Body> {
+        if let Some(name) = &call.name {
+            let id = (call.kind.clone(), name.clone());
+            let state = self.0.lock();
+            return match state.objects.get(&id) {
+                Some(stored) => reply(StatusCode::OK, &object(name, stored)),
+                None => reply(StatusCode::NOT_FOUND, &Value::Null),
+            };
+        }
+        let Some(since) = call.watch else {
+            let listed = self.0.lock().list(&call.kind, call.after.as_deref());
+            return reply(StatusCode::OK, &listed);
+        };
+        let mut waited = Duration::ZERO;
+        loop {
+            {
+                let state = self.0.lock();
+                if state.faults.is_out {
+                    return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+                }
+                if since < state.forgotten {
+                    return reply(StatusCode::GONE, &Value::Null);
+                }
+                let events = state.events(&call.kind, since);
+                if !events.is_empty() || waited >= call.wait {
+                    let answer = json!({"events": events, "store_revision": state.revision});
+                    return reply(StatusCode::OK, &answer);
+                }
+            }
+            Timer::after(WATCH_POLL).await;
+            waited += WATCH_POLL;
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Body> {
+    let mut response = Response::new(Body::from(body.to_string()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod digest;
 pub mod engine;
+pub mod fleet;
 pub mod headers;
 mod lagging;
 pub mod listen;
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -6,20 +6,25 @@
 use std::hash::RandomState;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_io::Timer;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::budget;
 use super::budget::Account;
+use super::budget::GrantSize;
 use super::budget::Purse;
 use super::budget::Record;
 use super::context::Cx;
 use super::context::Gateway;
 use super::exchange;
 use super::exchange::DRAW_METHOD;
+use super::exchange::HAND_OVER_METHOD;
 use super::exchange::PUT_BACK_METHOD;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
@@ -42,6 +47,12 @@
 const SHARDS: usize = 16;
 /// Writers that may come between before a grant is given up.
 const MAX_CONFLICTS: usize = 8;
+/// Homes that are asked for tokens before this host acts as home.
+const HOMES_TRIED: usize = 2;
+/// Time for which unused tokens stay at a host, for the program's next turn.
+const KEPT_IDLE: Duration = Duration::from_secs(3);
+/// Pause between two returns of idle tokens.
+const TIDY_PERIOD: Duration = Duration::from_millis(500);
 /// Time after which an idle account is forgotten.
 const IDLE_LIFE: Duration = Duration::from_secs(120);
 /// Accounts in a shard above which idle ones are forgotten.
@@ -73,6 +84,8 @@
     pub budget: u64,
     /// Tokens that the host lacks for a turn.
     pub wanted: u64,
+    /// Most tokens of the turn.
+    pub turn: u64,
 }
 
 /// Answer to a draw.
@@ -80,9 +93,13 @@
 pub enum DrawReply {
     /// The tokens are now the asker's.
     Drawn {
+        /// What was wanted, and more if plenty was left.
+        tokens: u64,
         /// True if the home had not heard of the program.
         is_new: bool,
     },
+    /// The host is about to end and has handed its purses over.
+    Leaving,
     /// The budget does not hold them.
     Spent,
     /// The store did not confirm a grant.
@@ -98,6 +115,13 @@
     pub tokens: u64,
 }
 
+/// Hands purses over to the host that is their home now.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct HandOverRequest {
+    /// Programs with the tokens of their purses.
+    pub purses: Vec<(String, u64)>,
+}
+
 #[derive(Debug, Default)]
 struct ProgramAccount {
     account: Account,
@@ -120,6 +144,8 @@
     /// Programs whose purse was forgotten here, by hash: their allowance is
     /// not given out again.
     forgotten: Mutex<HashSet<u64>>,
+    /// Set once the purses were handed over at the end of the process.
+    is_closed: AtomicBool,
 }
 
 impl Default for Accounts {
@@ -129,6 +155,7 @@
             hasher: RandomState::new(),
             founders: OnceLock::new(),
             forgotten: Mutex::default(),
+            is_closed: AtomicBool::new(false),
         }
     }
 }
@@ -160,6 +187,14 @@
         act(account)
     }
 
+    fn each(&self, mut act: impl FnMut(&Arc<str>, &mut ProgramAccount)) {
+        for shard in &self.shards {
+            for (program, account) in shard.lock().iter_mut() {
+                act(program, account);
+            }
+        }
+    }
+
     fn reserve(&self, program: &Arc<str>, turn: u64) -> std::result::Result<(), u64> {
         self.with(program, |account| match account.account.reserve(turn) {
             true => Ok(()),
@@ -187,8 +222,7 @@
     cx: Cx<P>,
     program: Arc<str>,
     reserved: u64,
-    /// Tokens handed to the caller so far.
-    pub handed: u64,
+    handed: u64,
     /// True if no host is known to have seen the program before.
     pub is_first_turn: bool,
 }
@@ -198,28 +232,20 @@
         let Self {
             reserved, handed, ..
         } = *self;
-        let returned = self.cx.accounts.with(&self.program, |a| {
-            a.account.settle(reserved, handed);
-            let tokens = a.account.take_rest();
-            match (&a.drawn_at, &mut a.purse) {
-                (Some(home), _) => Some((home.clone(), tokens)),
-                (None, Some(purse)) => {
-                    purse.put(tokens);
-                    None
-                }
-                (None, None) => None,
-            }
-        });
-        if let Some((home, tokens)) = returned.filter(|(_, tokens)| *tokens > 0) {
-            let cx = Arc::clone(&self.cx);
-            let program = self.program.to_string();
-            self.cx.spawner.detach(async move {
-                let req = PutBackRequest { program, tokens };
-                // Tokens that do not arrive stay spent.
-                let _arrived: Option<()> =
-                    exchange::call_in_time(&cx, &home, PUT_BACK_METHOD, &req).await;
-            });
+        let accounts = &self.cx.accounts;
+        accounts.with(&self.program, |a| a.account.settle(reserved, handed));
+    }
+}
+
+impl<P: Platform> Reservation<P> {
+    /// Counts tokens that go to the caller; false if the reservation does not
+    /// hold them.
+    pub const fn hand(&mut self, tokens: u64) -> bool {
+        if self.handed + tokens > self.reserved {
+            return false;
         }
+        self.handed += tokens;
+        true
     }
 }
 
@@ -236,34 +262,46 @@
     turn: u64,
 ) -> Result<Reservation<P>> {
     let program: Arc<str> = program.into();
-    let reservation = |is_first_turn| Reservation {
+    let reservation = |reserved, is_first_turn| Reservation {
         cx: Arc::clone(cx),
         program: Arc::clone(&program),
-        reserved: turn,
+        reserved,
         handed: 0,
         is_first_turn,
     };
     if cx.accounts.reserve(&program, turn).is_ok() {
-        return Ok(reservation(false));
+        return Ok(reservation(turn, false));
     }
     let fetching = cx.accounts.with(&program, |a| Arc::clone(&a.fetching));
     let _only_fetch = fetching.lock().await;
     let Err(wanted) = cx.accounts.reserve(&program, turn) else {
-        return Ok(reservation(false));
+        return Ok(reservation(turn, false));
     };
     let req = DrawRequest {
         program: program.to_string(),
         budget,
         wanted,
+        turn,
+    };
+    let drawn = match draw(cx, &req).await {
+        Ok(drawn) => drawn,
+        Err(refusal) if refusal.outcome == Outcome::NotRun => {
+            // A host that is cut off goes on with what it holds; the stream is
+            // broken off if that is not enough.
+            let rest = cx
+                .accounts
+                .with(&program, |account| account.account.reserve_rest(turn));
+            return rest.map(|rest| reservation(rest, false)).ok_or(refusal);
+        }
+        Err(refusal) => return Err(refusal),
     };
-    let drawn = draw(cx, &req).await?;
     let reserved = cx.accounts.with(&program, |account| {
-        account.account.add(wanted);
+        account.account.add(drawn.tokens);
         account.drawn_at = drawn.at;
         account.account.reserve(turn)
     });
     if reserved {
-        Ok(reservation(drawn.is_new))
+        Ok(reservation(turn, drawn.is_new))
     } else {
         let detail = "another turn of the program took the tokens";
         Err(Refusal::not_run(detail, STORE_RETRY))
@@ -272,46 +310,66 @@
 
 /// Tokens that were drawn from a purse.
 struct Drawn {
+    tokens: u64,
     /// The home, if it is another host.
     at: Option<Peer>,
     /// True if the home had not heard of the program.
     is_new: bool,
 }
 
-/// Draws tokens at the program's home, or here if the home does not answer.
+/// Draws tokens at the program's home, or here if no home answers.
 async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Drawn> {
     let key = super::hash_of(&req.program);
-    let home = cx.roster.lock().home(key, Moment::now());
-    if let Home::Other(peer) = home {
+    for _ in 0..HOMES_TRIED {
+        let home = cx.roster.lock().home(key, Moment::now());
+        let Home::Other(peer) = home else {
+            break;
+        };
         let reply = exchange::call_in_time::<_, _, DrawReply>(cx, &peer, DRAW_METHOD, req).await;
         match reply {
-            Some(DrawReply::Drawn { is_new }) => {
+            Some(DrawReply::Drawn { tokens, is_new }) => {
                 let at = Some(peer);
-                return Ok(Drawn { at, is_new });
+                return Ok(Drawn { tokens, at, is_new });
             }
             Some(DrawReply::Spent) => return Err(spent()),
+            // Another home is asked next.
+            Some(DrawReply::Leaving) => {
+                cx.roster.lock().suspect(&peer.host, Moment::now());
+            }
+            None => (),
             // The home may be turned away by a store that answers this host.
-            Some(DrawReply::Unavailable(_)) | None => (),
+            Some(DrawReply::Unavailable(_)) => break,
         }
     }
     match draw_here(cx, req).await {
-        DrawReply::Drawn { is_new } => Ok(Drawn { at: None, is_new }),
+        DrawReply::Drawn { tokens, is_new } => Ok(Drawn {
+            tokens,
+            at: None,
+            is_new,
+        }),
         DrawReply::Spent => Err(spent()),
-        DrawReply::Unavailable(why) => Err(Refusal::not_run(
-            format!("the program's budget cannot be granted: {why}"),
-            STORE_RETRY,
-        )),
+        DrawReply::Leaving => Err(no_grant("the host is about to end")),
+        DrawReply::Unavailable(why) => Err(no_grant(&why)),
     }
 }
 
+fn no_grant(why: &str) -> Refusal {
+    let detail = format!("the program's budget cannot be granted: {why}");
+    Refusal::not_run(detail, STORE_RETRY)
+}
+
 fn spent() -> Refusal {
     Refusal::new(Outcome::BudgetSpent, "the program's budget is spent")
 }
 
 /// Draws tokens from the purse at this host.
 pub async fn draw_here<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> DrawReply {
+    if cx.accounts.is_closed.load(Ordering::Acquire) {
+        return DrawReply::Leaving;
+    }
     let program: Arc<str> = req.program.as_str().into();
     let own = &cx.cfg.place.host;
+    let size = grant_size(cx, &program);
     let is_new = cx
         .accounts
         .with(&program, |account| account.purse.is_none());
@@ -322,15 +380,17 @@
                 Purse::open(req.budget, has_allowance)
             });
             purse.put(added);
-            purse.draw(req.wanted)
+            purse.draw(req.wanted)?;
+            Ok(req.wanted + purse.draw_spare(req.turn))
         })
     };
     let mut added = 0;
     for _ in 0..MAX_CONFLICTS {
-        let Err(missing) = from_purse(added) else {
-            return DrawReply::Drawn { is_new };
+        let missing = match from_purse(added) {
+            Ok(tokens) => return DrawReply::Drawn { tokens, is_new },
+            Err(missing) => missing,
         };
-        added = match fetch_grant(cx, &program, req.budget, missing).await {
+        added = match fetch_grant(cx, &program, req.budget, missing, size).await {
             Ok(Some(tokens)) => tokens,
             Ok(None) => return DrawReply::Spent,
             Err(e) => return DrawReply::Unavailable(e.to_string()),
@@ -340,6 +400,107 @@
     DrawReply::Unavailable("other turns of the program took every grant".to_owned())
 }
 
+fn grant_size<P>(cx: &Gateway<P>, program: &str) -> GrantSize {
+    let key = super::hash_of(program);
+    if cx.roster.lock().is_rightful_home(key) {
+        GrantSize::Ample
+    } else {
+        GrantSize::Exact
+    }
+}
+
+/// Takes up purses that another host hands over.
+pub fn take_over<P: Platform>(cx: &Cx<P>, req: HandOverRequest) {
+    for (program, tokens) in req.purses {
+        let program: Arc<str> = program.into();
+        cx.accounts.with(&program, |account| {
+            // The allowance of a purse that is handed over is within it.
+            account.purse.get_or_insert_default().put(tokens);
+        });
+    }
+}
+
+/// Returns idle tokens to their homes until the process ends.
+pub async fn run<P: Platform>(cx: Cx<P>) {
+    loop {
+        Timer::after(TIDY_PERIOD).await;
+        return_idle(&cx).await;
+        hand_over(&cx, Which::Misplaced).await;
+    }
+}
+
+/// Hands over all purses when the process is about to end.
+pub async fn close<P: Platform>(cx: &Cx<P>) {
+    cx.accounts.is_closed.store(true, Ordering::Release);
+    hand_over(cx, Which::All).await;
+}
+
+/// Purses to hand over.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Which {
+    /// All of them.
+    All,
+    /// Those whose home is another host that answers.
+    Misplaced,
+}
+
+/// Puts tokens that no turn has used lately back into their purses.
+async fn return_idle<P: Platform>(cx: &Cx<P>) {
+    let now = Moment::now();
+    let mut returned = Vec::new();
+    cx.accounts.each(|program, account| {
+        if now.since(account.used) < KEPT_IDLE {
+            return;
+        }
+        let tokens = account.account.take_rest();
+        match (&account.drawn_at, &mut account.purse) {
+            (Some(home), _) if tokens > 0 => {
+                returned.push((home.clone(), program.to_string(), tokens));
+            }
+            (None, Some(purse)) => purse.put(tokens),
+            _ => (),
+        }
+    });
+    for (home, program, tokens) in returned {
+        let req = PutBackRequest { program, tokens };
+        // Tokens that do not arrive stay spent.
+        let _arrived: Option<()> = exchange::call_in_time(cx, &home, PUT_BACK_METHOD, &req).await;
+    }
+}
+
+async fn hand_over<P: Platform>(cx: &Cx<P>, which: Which) {
+    let now = Moment::now();
+    let mut purses: HashMap<HostId, (Peer, HandOverRequest)> = HashMap::new();
+    cx.accounts.each(|program, account| {
+        let Some(purse) = &mut account.purse else {
+            return;
+        };
+        let key = super::hash_of(program);
+        let home = {
+            let roster = cx.roster.lock();
+            match which {
+                Which::All => roster.next_home(key, now),
+                Which::Misplaced => roster.home(key, now),
+            }
+        };
+        let Home::Other(peer) = home else {
+            return;
+        };
+        let tokens = purse.empty();
+        if tokens > 0 {
+            let empty = HandOverRequest { purses: Vec::new() };
+            let (_, req) = purses
+                .entry(peer.host.clone())
+                .or_insert_with(|| (peer, empty));
+            req.purses.push((program.to_string(), tokens));
+        }
+    });
+    for (peer, req) in purses.into_values() {
+        // Purses that do not arrive stay spent.
+        let _arrived: Option<()> = exchange::call_in_time(cx, &peer, HAND_OVER_METHOD, &req).await;
+    }
+}
+
 /// Puts unspent tokens back into the purse at this host.
 pub fn put_back_here<P: Platform>(cx: &Cx<P>, req: &PutBackRequest) {
     let program: Arc<str> = req.program.as_str().into();
@@ -357,13 +518,14 @@
     program: &Arc<str>,
     budget: u64,
     wanted: u64,
+    size: GrantSize,
 ) -> platform::Result<Option<u64>> {
     let name = object_name(program);
     // A program's first grant finds no record, which saves the read.
     let mut known = seen(cx, program);
     for _ in 0..MAX_CONFLICTS {
         let record = known.map(|(_, record)| record);
-        let Some(grant) = budget::next_grant(record, budget, wanted, unix_ms()) else {
+        let Some(grant) = budget::next_grant(record, budget, wanted, size, unix_ms()) else {
             return Ok(None);
         };
         let expect = known.map_or(Expect::Absent, |(version, _)| Expect::At(version));
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -23,6 +23,12 @@
 /// Part of the remaining budget that a home is granted at once, as a divisor.
 const GRANT_DIVISOR: u64 = 2;
 
+/// Part of a turn's most that a cut-off host must hold to begin it, as a
+/// divisor. Turns seldom generate the most that they may.
+const MIN_REST: u64 = 3;
+/// Turns that a purse must hold before a draw takes a spare one along.
+const SPARE_ABOVE: u64 = 3;
+
 /// What the platform's store holds of a program's budget.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -46,15 +52,33 @@
     budget / ALLOWANCE_DIVISOR
 }
 
+/// How much a grant takes beyond what is wanted now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GrantSize {
+    /// Nothing: the host stands in for the program's home for a moment.
+    Exact,
+    /// A part of the rest, so that the home seldom asks.
+    Ample,
+}
+
 /// The next grant of at least `wanted` tokens, or `None` if the budget does
 /// not hold them. A program without a record may have spent its allowance.
-pub fn next_grant(record: Option<Record>, budget: u64, wanted: u64, now_ms: u64) -> Option<Grant> {
+pub fn next_grant(
+    record: Option<Record>,
+    budget: u64,
+    wanted: u64,
+    size: GrantSize,
+    now_ms: u64,
+) -> Option<Grant> {
     let granted = record.map_or(allowance(budget), |record| record.granted);
     let left = budget.saturating_sub(granted);
     if left < wanted {
         return None;
     }
-    let tokens = (left / GRANT_DIVISOR).max(wanted);
+    let tokens = match size {
+        GrantSize::Exact => wanted,
+        GrantSize::Ample => (left / GRANT_DIVISOR).max(wanted),
+    };
     let record = Record {
         granted: granted + tokens,
         at_ms: now_ms,
@@ -105,6 +129,20 @@
         }
     }
 
+    /// Takes out everything, for another host.
+    pub fn empty(&mut self) -> u64 {
+        std::mem::take(&mut self.available)
+    }
+
+    /// Takes out tokens that spare the asker a later draw, if plenty is left.
+    pub fn draw_spare(&mut self, wanted: u64) -> u64 {
+        if self.available < wanted * SPARE_ABOVE {
+            return 0;
+        }
+        self.available -= wanted;
+        wanted
+    }
+
     /// Puts granted or unspent tokens in.
     pub fn put(&mut self, tokens: u64) {
         self.available += tokens;
@@ -134,6 +172,16 @@
         self.granted += tokens;
     }
 
+    /// Reserves what is left, if that is a good part of a turn.
+    pub fn reserve_rest(&mut self, turn: u64) -> Option<u64> {
+        let rest = self.left();
+        if rest * MIN_REST < turn {
+            return None;
+        }
+        self.reserved += rest;
+        Some(rest)
+    }
+
     /// Ends a reservation with what the caller was handed.
     pub fn settle(&mut self, reserved: u64, handed: u64) {
         self.reserved = self.reserved.saturating_sub(reserved);
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -45,6 +45,19 @@
     pub started_ms: u64,
 }
 
+/// An endpoint as one host tells it to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldEndpoint {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Set if its entry is missing: milliseconds until it counts as gone.
+    pub gone_in_ms: Option<u64>,
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     endpoint: Arc<Endpoint>,
@@ -63,6 +76,9 @@
 impl Directory {
     /// Notes that the store is back after an outage.
     pub fn store_regained(&mut self, now: Moment, grace: Duration) {
+        if self.known.is_empty() {
+            return;
+        }
         self.grace_until = Some(now + grace);
     }
 
@@ -86,6 +102,31 @@
         }
     }
 
+    /// The endpoints as other hosts are told them.
+    pub fn told(&self, now: Moment) -> Vec<ToldEndpoint> {
+        let told = |known: &Known| ToldEndpoint {
+            endpoint: Endpoint::clone(&known.endpoint),
+            gone_in_ms: known.gone_at.map(|at| millis(now.until(at))),
+        };
+        self.known.values().map(told).collect()
+    }
+
+    /// Replaces the whole listing by what another host told.
+    pub fn replace_told(&mut self, told: Vec<ToldEndpoint>, now: Moment) {
+        self.known.clear();
+        for ToldEndpoint {
+            endpoint,
+            gone_in_ms,
+        } in told
+        {
+            let known = Known {
+                endpoint: Arc::new(endpoint),
+                gone_at: gone_in_ms.map(|ms| now + Duration::from_millis(ms)),
+            };
+            self.known.insert(known.endpoint.id.clone(), known);
+        }
+    }
+
     /// Takes up an entry that was written.
     pub fn put(&mut self, endpoint: Endpoint) {
         let known = Known {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,10 +18,11 @@
 
 use super::account;
 use super::account::DrawRequest;
+use super::account::HandOverRequest;
 use super::account::PutBackRequest;
 use super::context::Cx;
 use super::context::Gateway;
-use super::directory::Endpoint;
+use super::directory::ToldEndpoint;
 use super::rate;
 use super::rate::BorrowRequest;
 use super::register;
@@ -39,6 +40,8 @@
 pub const DRAW_METHOD: &str = "gateway.draw";
 /// Puts unspent tokens back into a program's purse.
 pub const PUT_BACK_METHOD: &str = "gateway.put_back";
+/// Hands purses over to the host that is their home now.
+pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
 /// Asks for rate tokens.
 pub const BORROW_METHOD: &str = "gateway.borrow";
 
@@ -68,7 +71,7 @@
     /// The operators' text of a newer configuration.
     pub configuration: Option<Arc<str>>,
     /// Endpoints as of a newer version.
-    pub endpoints: Option<Vec<Endpoint>>,
+    pub endpoints: Option<Vec<ToldEndpoint>>,
     /// Hosts, if the answering host knows more.
     pub hosts: Option<Vec<(HostId, HostEntry)>>,
 }
@@ -97,6 +100,10 @@
         let req: PutBackRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(account::put_back_here(cx, &req))
     })?;
+    module.register_method(HAND_OVER_METHOD, |params, cx, _| {
+        let req: HandOverRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(account::take_over(cx, req))
+    })?;
     module.register_method(BORROW_METHOD, |params, cx, _| {
         let req: BorrowRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(rate::give(cx, &req))
@@ -120,10 +127,7 @@
     let newer = in_force.table.version > theirs.configuration;
     let endpoints = (own.endpoints > theirs.endpoints).then(|| {
         let listed = cx.listed.lock();
-        let endpoints = listed.directory.endpoints();
-        endpoints
-            .map(|endpoint| Endpoint::clone(endpoint))
-            .collect()
+        listed.directory.told(Moment::now())
     });
     let hosts = (own.hosts > theirs.hosts).then(|| cx.roster.lock().entries());
     News {
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -10,6 +10,7 @@
 use super::context::Gateway;
 use super::context::InForce;
 use super::directory::Endpoint;
+use super::directory::ToldEndpoint;
 use super::follow::Follower;
 use super::roster;
 use super::roster::Founders;
@@ -93,7 +94,7 @@
 pub fn take_endpoints<P: Platform>(
     cx: &Gateway<P>,
     upto: Version,
-    endpoints: Vec<Endpoint>,
+    endpoints: Vec<ToldEndpoint>,
     from: &str,
 ) {
     let count = endpoints.len();
@@ -102,7 +103,7 @@
         if listed.upto >= Some(upto) {
             return;
         }
-        listed.directory.replace(endpoints, Moment::now());
+        listed.directory.replace_told(endpoints, Moment::now());
         listed.upto = Some(upto);
     }
     cx.refresh_pools();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -102,6 +102,8 @@
     Broken(String),
     /// The caller has gone.
     CallerGone,
+    /// The program's budget does not hold the next event.
+    OverBudget,
     /// The call's time is up.
     TimedOut,
 }
@@ -137,6 +139,11 @@
                     self.log(&place, "caller-gone", "");
                     return;
                 }
+                End::OverBudget => {
+                    self.log(&place, "over-budget", "");
+                    tx.fail("the program's budget is spent").await;
+                    return;
+                }
                 End::TimedOut => {
                     self.log(&place, "timed-out", "");
                     tx.fail("the call's time is up").await;
@@ -188,38 +195,42 @@
                     if let Err(e) = self.splitter.feed(&bytes) {
                         return End::Broken(e.to_string());
                     }
-                    if self.send_events(tx).await.is_err() {
-                        return End::CallerGone;
+                    if let Some(end) = self.send_events(tx).await {
+                        return end;
                     }
                 }
             }
         }
     }
 
-    async fn send_events(
-        &mut self,
-        tx: &BodySender,
-    ) -> Result<(), chicoryarch_net::body::ReaderGone> {
+    /// Sends whole events on; gives why the stream ends here, if it does.
+    async fn send_events(&mut self, tx: &BodySender) -> Option<End> {
         while let Some(event) = self.splitter.next_event() {
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
-            self.count_event();
-            tx.send(event.bytes).await?;
+            if !self.count_event() {
+                return Some(End::OverBudget);
+            }
+            if tx.send(event.bytes).await.is_err() {
+                return Some(End::CallerGone);
+            }
         }
-        Ok(())
+        None
     }
 
-    fn count_event(&mut self) {
+    /// Counts an event against the program's budget; false if it does not fit.
+    fn count_event(&mut self) -> bool {
         self.events += 1;
         self.first
             .get_or_insert_with(|| Moment::now().since(self.call.received));
         let in_force = self.cx.in_force.load();
         let spec = in_force.table.service(&self.call.service);
         let engine = spec.and_then(|spec| spec.engine);
-        if let (Some(reservation), Some(engine)) = (self.reservation.as_mut(), engine) {
-            reservation.handed += engine.tokens_per_event;
+        match (self.reservation.as_mut(), engine) {
+            (Some(reservation), Some(engine)) => reservation.hand(engine.tokens_per_event),
+            _ => true,
         }
     }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -50,6 +50,12 @@
     suspect_until: Option<Moment>,
 }
 
+impl Known {
+    fn answers(&self, now: Moment) -> bool {
+        self.suspect_until.is_none_or(|until| until <= now)
+    }
+}
+
 /// Another host that can be called.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -142,9 +148,24 @@
 
     /// The host that holds what belongs to a key, among those that answer.
     pub fn home(&self, key: u64, now: Moment) -> Home {
-        let usable = self.hosts.iter().filter(|(host, known)| {
-            **host == self.own || known.suspect_until.is_none_or(|until| until <= now)
-        });
+        self.home_among(key, |host, known| *host == self.own || known.answers(now))
+    }
+
+    /// The host that holds what belongs to a key once this host has ended.
+    pub fn next_home(&self, key: u64, now: Moment) -> Home {
+        self.home_among(key, |host, known| *host != self.own && known.answers(now))
+    }
+
+    /// True if this host is home even if every listed host answers.
+    pub fn is_rightful_home(&self, key: u64) -> bool {
+        self.home_among(key, |_, _| true) == Home::Own
+    }
+
+    fn home_among(&self, key: u64, is_usable: impl Fn(&HostId, &Known) -> bool) -> Home {
+        let usable = self
+            .hosts
+            .iter()
+            .filter(|(host, known)| is_usable(host, known));
         let home = highest(usable.map(|(host, _)| host), key);
         let other = home.filter(|host| **host != self.own);
         match other.and_then(|host| Some((host, self.hosts.get(host)?))) {
@@ -187,7 +208,7 @@
         let others = self.hosts.iter().filter(|(host, _)| **host != self.own);
         let mut others: Vec<_> = others
             .map(|(host, known)| {
-                let is_suspect = known.suspect_until.is_some_and(|until| until > now);
+                let is_suspect = !known.answers(now);
                 let peer = Peer {
                     host: host.clone(),
                     address: known.entry.peers,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,6 +27,7 @@
 use parking_lot::Mutex;
 use serde::Serialize;
 
+use super::account;
 use super::account::Accounts;
 use super::context::Cx;
 use super::context::Gateway;
@@ -221,6 +222,7 @@
     spawner.detach(follow::follow(store(), roster::KIND, hosts));
     spawner.detach(register::enter(Arc::clone(cx)));
     spawner.detach(register::expire_endpoints(Arc::clone(cx)));
+    spawner.detach(account::run(Arc::clone(cx)));
     spawner.detach(exchange::run(Arc::clone(cx)));
     spawner.detach(exchange::refill(Arc::clone(cx)));
 }
@@ -245,6 +247,7 @@
     while control.requests() > 0 && Moment::now() < give_up {
         Timer::after(RECOUNT).await;
     }
+    account::close(cx).await;
     let requests = control.requests();
     cx.log.state("stopped", &DrainLine { requests });
     // The log's thread gathers lines before it writes them.
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -4,6 +4,7 @@
 
 use chicoryarch::gateway::budget;
 use chicoryarch::gateway::budget::Account;
+use chicoryarch::gateway::budget::GrantSize;
 use chicoryarch::gateway::budget::Purse;
 use chicoryarch::gateway::budget::Record;
 use chicoryarch::ids::Version;
@@ -14,7 +15,7 @@
 
 #[test]
 fn a_program_without_a_record_counts_its_allowance_as_spent() {
-    let grant = budget::next_grant(None, 1000, 135, 7).expect("half is left");
+    let grant = budget::next_grant(None, 1000, 135, GrantSize::Ample, 7).expect("half is left");
     assert_eq!(grant.tokens, 250);
     assert_eq!(grant.record.granted, 750);
     assert_eq!(grant.record.at_ms, 7);
@@ -26,8 +27,11 @@
         granted: 900,
         at_ms: 0,
     };
-    assert_eq!(budget::next_grant(Some(record), 1000, 101, 0), None);
-    assert!(budget::next_grant(Some(record), 1000, 100, 0).is_some());
+    assert_eq!(
+        budget::next_grant(Some(record), 1000, 101, GrantSize::Exact, 0),
+        None
+    );
+    assert!(budget::next_grant(Some(record), 1000, 100, GrantSize::Ample, 0).is_some());
 }
 
 #[test]
@@ -113,7 +117,11 @@
         let stale = purse.seen();
         let fresh = self.record;
         let record = fresh.or(stale).map(|(_, record)| record);
-        let Some(grant) = budget::next_grant(record, budget, missing, 0) else {
+        let size = match self.rng.random_bool(0.5) {
+            true => GrantSize::Ample,
+            false => GrantSize::Exact,
+        };
+        let Some(grant) = budget::next_grant(record, budget, missing, size, 0) else {
             return false;
         };
         if !is_store_up {
@@ -126,6 +134,16 @@
         purse.draw(wanted).is_ok()
     }
 
+    /// A host hands the program's purse to another one.
+    fn hand_over(&mut self, from: usize, to: usize) {
+        let Some(tokens) = self.purses.get_mut(&from).map(Purse::empty) else {
+            return;
+        };
+        if self.rng.random_bool(0.9) {
+            self.purses.entry(to).or_default().put(tokens);
+        }
+    }
+
     fn kill(&mut self, host: usize) {
         self.purses.remove(&host);
         self.accounts.remove(&host);
@@ -150,6 +168,10 @@
             if world.rng.random_bool(0.03) {
                 world.kill(host);
             }
+            if world.rng.random_bool(0.05) {
+                let to = world.rng.random_range(0..5);
+                world.hand_over(host, to);
+            }
             prop_assert!(world.handed <= world.budget, "{} of {}", world.handed, world.budget);
         }
     }
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -26,6 +26,11 @@
     directory.store_regained(at(10_000), GRACE);
     directory.remove("e", at(10_100));
     assert_eq!(directory.len(), 1);
+    let told = directory.told(at(10_500));
+    assert_eq!(told[0].gone_in_ms, Some(1_500));
+    let mut other = Directory::default();
+    other.replace_told(told, at(50_000));
+    assert!(other.expire(at(51_500)));
     assert!(!directory.expire(at(11_900)));
     assert!(directory.expire(at(12_000)));
     assert!(directory.is_empty());
--- /dev/null
+++ b/tests/gateway_processes/budget.rs
@@ -0,0 +1,115 @@
+//! Budgets of programs over hosts, kills and outages.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::objects::StoreFaults;
+use http::StatusCode;
+
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+
+/// Tokens in one event, as the tests' configuration says.
+const TOKENS_PER_EVENT: u64 = 10;
+const ENGINE: Behaviour = Behaviour {
+    events: 5,
+    pause: Duration::from_millis(1),
+    lost_answers: 0,
+    broken_streams: 0,
+    refused: 0,
+    foreign_answers: 0,
+};
+const BUDGET: u64 = 420;
+
+fn turn(fleet: &Fleet, gateway: &Gateway, id: &str) -> StatusCode {
+    let headers = [
+        ("request-id", id),
+        ("program-id", "p"),
+        ("session-id", "s"),
+        ("token-usage", "100,50"),
+        ("token-budget", "420"),
+    ];
+    fleet.call(gateway, "/turns/", &headers).status
+}
+
+fn assert_within_budget(sent_events: u64) {
+    assert!(
+        sent_events * TOKENS_PER_EVENT <= BUDGET,
+        "{sent_events} events"
+    );
+}
+
+#[test]
+fn a_program_that_loops_is_stopped_within_its_budget() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let gateway = fleet.gateway("g1");
+    let mut statuses = Vec::new();
+    for n in 0..12 {
+        statuses.push(turn(&fleet, &gateway, &format!("r{n}")));
+    }
+    assert_eq!(statuses.last(), Some(&StatusCode::PAYMENT_REQUIRED));
+    assert!(statuses.iter().filter(|s| **s == 200).count() >= 4);
+    assert_within_budget(engine.sent_events());
+}
+
+#[test]
+fn kills_and_other_hosts_give_a_program_no_new_budget() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let mut gateways = [fleet.gateway("g1"), fleet.gateway("g2")];
+    for round in 0..6 {
+        for (index, gateway) in gateways.iter().enumerate() {
+            let id = format!("r{round}-{index}");
+            let status = turn(&fleet, gateway, &id);
+            assert!(status == 200 || status == 402 || status == 503, "{status}");
+        }
+        let addresses = gateways[round % 2].addresses;
+        gateways[round % 2].kill();
+        let name = format!("g{}", round % 2 + 1);
+        let store = fleet.store.addr();
+        gateways[round % 2] = fleet.start_gateway_at(&name, addresses, store, &[], false);
+        gateways[round % 2].wait_ready(&fleet);
+    }
+    let last = turn(&fleet, &gateways[0], "last");
+    assert_eq!(last, 402);
+    assert_within_budget(engine.sent_events());
+}
+
+#[test]
+fn a_lost_answer_of_the_store_neither_loses_nor_doubles_a_grant() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let gateway = fleet.gateway("g1");
+    fleet.store.set_faults(StoreFaults {
+        lost_answers: 1,
+        ..StoreFaults::default()
+    });
+    for n in 0..12 {
+        let status = turn(&fleet, &gateway, &format!("r{n}"));
+        assert!(status == 200 || status == 402, "{status}");
+    }
+    assert_within_budget(engine.sent_events());
+}
+
+#[test]
+fn without_the_store_a_program_that_needs_a_grant_is_refused_as_not_run() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let gateway = fleet.gateway("g1");
+    fleet.store.set_faults(StoreFaults {
+        is_out: true,
+        ..StoreFaults::default()
+    });
+    let mut refused = 0;
+    for n in 0..8 {
+        match turn(&fleet, &gateway, &format!("r{n}")).as_u16() {
+            200 => (),
+            503 => refused += 1,
+            other => panic!("{other}"),
+        }
+    }
+    assert!(refused > 0);
+    assert_eq!(engine.runs().len(), 8 - refused);
+    assert_within_budget(engine.sent_events());
+}
--- /dev/null
+++ b/tests/gateway_processes/configuration.rs
@@ -0,0 +1,74 @@
+//! Configuration and endpoints reach every host.
+
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use serde_json::json;
+
+use super::fleet::Fleet;
+use super::fleet::configuration;
+use super::fleet::free_address;
+use super::fleet::wait_until;
+
+fn with_route(version: u64) -> serde_json::Value {
+    let mut changed = configuration(version);
+    let route = json!({"name": "new", "host": "h", "path_prefix": "/new/",
+                       "route_type": "safe", "timeout_ms": 3000, "service": "plain"});
+    changed["routes"]
+        .as_array_mut()
+        .expect("a list")
+        .push(route);
+    changed
+}
+
+#[test]
+fn a_host_that_the_store_turns_away_learns_from_others() {
+    let fleet = Fleet::new();
+    let endpoint = fleet.endpoint("e1", "plain", Behaviour::default());
+    let near = fleet.gateway("g1");
+    let far = fleet.start_gateway("g2", free_address(), &[near.addresses.peers]);
+    far.wait_ready(&fleet);
+    let call = |id: &str| fleet.call(&far, "/new/", &[("request-id", id)]).status;
+    assert_eq!(call("r1"), 404);
+    fleet.store.put("config", "main", with_route(5));
+    wait_until("the new route is there", || call("r2") == 200);
+    fleet.store.delete("servers", "e1");
+    wait_until("the endpoint is gone", || call("r3") == 503);
+    assert!(!endpoint.runs().is_empty());
+}
+
+#[test]
+fn a_host_lists_again_when_the_store_forgot_its_history() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "plain", Behaviour::default());
+    let gateway = fleet.gateway("g1");
+    fleet.store.put("config", "main", with_route(5));
+    fleet.store.forget_history();
+    let call = || fleet.call(&gateway, "/new/", &[("request-id", "r")]).status;
+    wait_until("the new route is there", || call() == 200);
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "plain", Behaviour::default());
+    let gateway = fleet.gateway("g1");
+    let call = |id: &str| fleet.call(&gateway, "/new/", &[("request-id", id)]).status;
+    fleet.store.put("config", "main", with_route(5));
+    wait_until("the new route is there", || call("r1") == 200);
+    fleet.store.put("config", "main", configuration(4));
+    let calls = fleet.store.calls();
+    wait_until("the store was asked again", || fleet.store.calls() > calls);
+    assert_eq!(call("r2"), 200);
+}
+
+#[test]
+fn before_any_configuration_callers_are_told_to_come_back() {
+    let fleet = Fleet::new();
+    let gateway = fleet.start_gateway("g1", free_address(), &[]);
+    wait_until("the gateway answers", || {
+        fleet.get(gateway.addresses.ready, "/v1/readyz").is_some()
+    });
+    assert!(!gateway.is_ready(&fleet));
+    let answer = fleet.call(&gateway, "/safe/", &[("request-id", "r1")]);
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+}
--- /dev/null
+++ b/tests/gateway_processes/fleet.rs
@@ -0,0 +1,260 @@
+//! A store, endpoints and gateways for one test.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use chicoryarch_net::Body;
+use chicoryarch_net::Client;
+use chicoryarch_net::Spawner;
+use chicoryarch_net::client::ClientConfig;
+use chicoryarch_standins::fleet::EndpointStandin;
+use chicoryarch_standins::fleet::ObjectsStandin;
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+
+/// Longest time that anything in a test may take; only a hang reaches it.
+pub(crate) const HANG_GUARD: Duration = Duration::from_secs(30);
+const RECHECK: Duration = Duration::from_millis(10);
+
+/// An address of this machine that nobody listens on.
+pub(crate) fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// Looks until a condition holds.
+pub(crate) fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < HANG_GUARD, "waited for {what}");
+        std::thread::sleep(RECHECK);
+    }
+}
+
+/// Store and endpoints of one test.
+pub(crate) struct Fleet {
+    pub(crate) spawner: Spawner,
+    pub(crate) store: ObjectsStandin,
+    client: Client,
+    folder: TempDir,
+}
+
+impl Fleet {
+    pub(crate) fn new() -> Self {
+        let spawner = Spawner::start(2);
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let store = async_io::block_on(ObjectsStandin::start(&spawner, any)).expect("a store");
+        store.put("config", "main", configuration(1));
+        Self {
+            client: Client::new(spawner.clone(), ClientConfig::default()),
+            folder: tempfile::tempdir().expect("a folder"),
+            spawner,
+            store,
+        }
+    }
+
+    /// Starts an endpoint and lists it.
+    pub(crate) fn endpoint(
+        &self,
+        id: &str,
+        service: &str,
+        behaviour: Behaviour,
+    ) -> EndpointStandin {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let endpoint = EndpointStandin::start(&self.spawner, any, id, behaviour);
+        let endpoint = async_io::block_on(endpoint).expect("an endpoint");
+        self.list(id, service, endpoint.addr(), "ready");
+        endpoint
+    }
+
+    /// Writes an endpoint's entry.
+    pub(crate) fn list(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        let entry = json!({
+            "service": service, "address": address, "zone": "a", "version": "v1",
+            "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+        });
+        self.store.put("servers", id, entry);
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub(crate) fn gateway(&self, name: &str) -> Gateway {
+        let gateway = self.start_gateway(name, self.store.addr(), &[]);
+        gateway.wait_ready(self);
+        gateway
+    }
+
+    pub(crate) fn start_gateway(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Gateway {
+        let addresses = Addresses {
+            callers: free_address(),
+            ready: free_address(),
+            peers: free_address(),
+        };
+        self.start_gateway_at(name, addresses, store, seeds, true)
+    }
+
+    pub(crate) fn start_gateway_at(
+        &self,
+        name: &str,
+        addresses: Addresses,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        is_first: bool,
+    ) -> Gateway {
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let settings = format!(
+            "node_name={name}\nzone=a\nlisten.front={}\nlisten.ready={}\nlisten.control={}\n\
+             seeds={}\nbootstrap={is_first}\nlimits.memory_mb=110\nbounds.grace_s=8\n\
+             provider.address={store}\n",
+            addresses.callers,
+            addresses.ready,
+            addresses.peers,
+            seeds.join(",")
+        );
+        let path = self.folder.path().join(format!("{name}.conf"));
+        fs::write(&path, settings).expect("the folder takes files");
+        let child = Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
+            .arg("gateway")
+            .env("CHICORYARCH_SETTINGS", &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the process starts");
+        Gateway { child, addresses }
+    }
+
+    pub(crate) fn get(&self, address: SocketAddr, path: &str) -> Option<StatusCode> {
+        let req = Request::get(path)
+            .header("host", "x")
+            .body(Body::empty())
+            .expect("a valid request");
+        let sent = self.client.send_fresh(address, req, HANG_GUARD);
+        async_io::block_on(sent).ok().map(|r| r.status())
+    }
+
+    /// Sends a request and reads its answer; `None` if there is none.
+    pub(crate) fn call(&self, to: &Gateway, path: &str, headers: &[(&str, &str)]) -> Answer {
+        let mut req = Request::post(path)
+            .header("host", "h")
+            .header("deadline-ms", "5000")
+            .header("credential", "key-1");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Body::from("body")).expect("a valid request");
+        let sent = self
+            .client
+            .send_fresh(to.addresses.callers, req, HANG_GUARD);
+        let response = async_io::block_on(sent).expect("an answer");
+        let (head, body) = response.into_parts();
+        let body = async_io::block_on(Body::collect(body, 1 << 20)).ok();
+        Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        }
+    }
+}
+
+/// An answer; the body is `None` if it broke off.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Option<Bytes>,
+}
+
+/// Where a gateway listens.
+#[derive(Clone, Copy)]
+pub(crate) struct Addresses {
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// A gateway's process; killed when dropped.
+pub(crate) struct Gateway {
+    child: Child,
+    pub(crate) addresses: Addresses,
+}
+
+impl Gateway {
+    pub(crate) fn wait_ready(&self, fleet: &Fleet) {
+        wait_until("the gateway is ready", || self.is_ready(fleet));
+    }
+
+    pub(crate) fn is_ready(&self, fleet: &Fleet) -> bool {
+        fleet.get(self.addresses.ready, "/v1/readyz") == Some(StatusCode::OK)
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("the process is there");
+    }
+
+    pub(crate) fn kill(&mut self) {
+        // Fails only if the process has ended by itself.
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Waits for the end of the process and tells whether it succeeded.
+    pub(crate) fn wait(&mut self) -> bool {
+        let mut status = None;
+        wait_until("the process ends", || {
+            status = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for");
+            status.is_some()
+        });
+        status.is_some_and(|status| status.success())
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The operators' configuration of the tests.
+pub(crate) fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "safe", "host": "h", "path_prefix": "/safe/", "route_type": "safe",
+             "timeout_ms": 3000, "service": "plain", "max_attempts": 2},
+            {"name": "once", "host": "h", "path_prefix": "/once/", "route_type": "unsafe",
+             "timeout_ms": 3000, "service": "plain", "max_attempts": 2},
+            {"name": "open", "host": "h", "path_prefix": "/open/", "route_type": "safe",
+             "timeout_ms": 3000, "service": "plain", "public": true},
+            {"name": "turns", "host": "h", "path_prefix": "/turns/", "route_type": "streaming",
+             "timeout_ms": 8000, "service": "engine", "max_attempts": 1, "resumable": true},
+        ],
+        "services": [
+            {"name": "plain", "max_connections": 20},
+            {"name": "engine", "max_connections": 20,
+             "engine": {"kv_capacity_tokens": 100_000, "stream_stride": 10}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "customer-1", "api_keys": ["key-1"]}],
+    })
+}
--- /dev/null
+++ b/tests/gateway_processes/main.rs
@@ -0,0 +1,9 @@
+//! Gateways as separate processes before stand-ins of the platform.
+
+mod budget;
+mod calls;
+mod configuration;
+mod fleet;
+mod shutdown;
+mod store;
+mod streams;
--- /dev/null
+++ b/tests/gateway_processes/shutdown.rs
@@ -0,0 +1,55 @@
+//! Graceful ends and signals.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use http::StatusCode;
+use rustix::process::Signal;
+
+use super::fleet::Fleet;
+use super::fleet::wait_until;
+
+const SLOW: Behaviour = Behaviour {
+    events: 0,
+    pause: Duration::from_millis(1500),
+    lost_answers: 0,
+    broken_streams: 0,
+    refused: 0,
+    foreign_answers: 0,
+};
+
+#[test]
+fn a_request_under_way_is_answered_before_the_process_ends() {
+    let fleet = Fleet::new();
+    let endpoint = fleet.endpoint("e1", "plain", SLOW);
+    let mut gateway = fleet.gateway("g1");
+    let status = std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.call(&gateway, "/once/", &[("request-id", "r1")]));
+        wait_until("the call runs", || !endpoint.runs().is_empty());
+        gateway.signal(Signal::TERM);
+        wait_until("readiness fails", || {
+            fleet.get(gateway.addresses.ready, "/v1/readyz")
+                == Some(StatusCode::SERVICE_UNAVAILABLE)
+        });
+        let late = fleet.call(&gateway, "/safe/", &[("request-id", "r2")]);
+        assert_eq!(late.status, 200);
+        assert_eq!(late.headers["connection"], "close");
+        call.join().expect("the caller's thread").status
+    });
+    assert_eq!(status, 200);
+    assert!(gateway.wait());
+}
+
+#[test]
+fn a_hang_up_loses_nothing() {
+    let fleet = Fleet::new();
+    let endpoint = fleet.endpoint("e1", "plain", SLOW);
+    let gateway = fleet.gateway("g1");
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.call(&gateway, "/once/", &[("request-id", "r1")]));
+        wait_until("the call runs", || !endpoint.runs().is_empty());
+        gateway.signal(Signal::HUP);
+        assert_eq!(call.join().expect("the caller's thread").status, 200);
+    });
+    assert!(gateway.is_ready(&fleet));
+}
--- /dev/null
+++ b/tests/gateway_processes/store.rs
@@ -0,0 +1,87 @@
+//! The client of the platform's store.
+
+use std::time::Duration;
+
+use chicoryarch::configs::gateway::StoreConfig;
+use chicoryarch::connection::platform;
+use chicoryarch::connection::platform::Expect;
+use chicoryarch::connection::platform::Platform;
+use chicoryarch::connection::platform::PlatformError;
+use chicoryarch::connection::platform::Written;
+use chicoryarch::platform::ObjectStore;
+use chicoryarch_net::Client;
+use chicoryarch_net::client::ClientConfig;
+use chicoryarch_standins::fleet::objects::StoreFaults;
+use serde_json::json;
+
+use super::fleet::Fleet;
+
+fn client(fleet: &Fleet) -> ObjectStore {
+    let cfg = StoreConfig {
+        address: fleet.store.addr(),
+        timeout: Duration::from_millis(200),
+        ..StoreConfig::default()
+    };
+    ObjectStore::new(
+        Client::new(fleet.spawner.clone(), ClientConfig::default()),
+        cfg,
+    )
+}
+
+#[test]
+fn a_list_is_read_over_all_its_pages() {
+    let fleet = Fleet::new();
+    for n in 0..7 {
+        fleet.store.put("things", &format!("t{n}"), json!({"n": n}));
+    }
+    fleet.store.set_faults(StoreFaults {
+        page: 3,
+        ..StoreFaults::default()
+    });
+    let listed = async_io::block_on(client(&fleet).list("things", "")).expect("a list");
+    assert_eq!(listed.objects.len(), 7);
+}
+
+#[test]
+fn a_watch_tells_changes_removals_and_lost_history() {
+    let fleet = Fleet::new();
+    let store = client(&fleet);
+    fleet.store.put("things", "a", json!(1));
+    let from = async_io::block_on(store.list("things", ""))
+        .expect("a list")
+        .upto;
+    fleet.store.put("things", "b", json!(2));
+    fleet.store.delete("things", "a");
+    let wait = Duration::from_secs(1);
+    let changes = async_io::block_on(store.watch("things", from, wait)).expect("changes");
+    assert_eq!(changes.objects[0].name, "b");
+    assert_eq!(changes.removed, ["a"]);
+    fleet.store.forget_history();
+    let lost = async_io::block_on(store.watch("things", from, wait));
+    assert_eq!(lost, Err(PlatformError::HistoryLost));
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_known_to_have_been_done() {
+    let fleet = Fleet::new();
+    let store = client(&fleet);
+    let lose_one = || {
+        fleet.store.set_faults(StoreFaults {
+            lost_answers: 1,
+            ..StoreFaults::default()
+        });
+    };
+    lose_one();
+    let write = |expect, value: u64| {
+        async_io::block_on(platform::write_value(&store, "things", "a", expect, &value))
+    };
+    let Ok(Written::Done(first)) = write(Expect::Absent, 1) else {
+        panic!("the object was written");
+    };
+    lose_one();
+    assert!(matches!(write(Expect::At(first), 2), Ok(Written::Done(_))));
+    assert_eq!(write(Expect::At(first), 3), Ok(Written::Conflict));
+    assert_eq!(write(Expect::Absent, 4), Ok(Written::Conflict));
+    let read = async_io::block_on(platform::read_value::<u64>(&store, "things", "a"));
+    assert_eq!(read.expect("a read").map(|(_, value)| value), Some(2));
+}
--- /dev/null
+++ b/tests/gateway_processes/streams.rs
@@ -0,0 +1,62 @@
+//! Streams of events.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+
+use super::fleet::Fleet;
+
+const ENGINE: Behaviour = Behaviour {
+    events: 5,
+    pause: Duration::from_millis(5),
+    lost_answers: 0,
+    broken_streams: 0,
+    refused: 0,
+    foreign_answers: 0,
+};
+
+fn whole() -> String {
+    (1..=5)
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+#[test]
+fn a_stream_is_passed_on_whole() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let gateway = fleet.gateway("g1");
+    let answer = fleet.call(&gateway, "/turns/", &[("request-id", "r1")]);
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.as_deref(), Some(whole().as_bytes()));
+}
+
+#[test]
+fn a_stream_that_breaks_within_an_event_goes_on_in_the_same_answer() {
+    let fleet = Fleet::new();
+    let breaking = Behaviour {
+        broken_streams: 1,
+        ..ENGINE
+    };
+    let engine = fleet.endpoint("e1", "engine", breaking);
+    let gateway = fleet.gateway("g1");
+    let answer = fleet.call(&gateway, "/turns/", &[("request-id", "r1")]);
+    assert_eq!(answer.body.as_deref(), Some(whole().as_bytes()));
+    let after: Vec<_> = engine.runs().iter().map(|run| run.after).collect();
+    assert_eq!(after, [None, Some(1)]);
+}
+
+#[test]
+fn a_stream_that_keeps_breaking_does_not_look_whole() {
+    let fleet = Fleet::new();
+    let breaking = Behaviour {
+        broken_streams: 100,
+        events: 50,
+        ..ENGINE
+    };
+    fleet.endpoint("e1", "engine", breaking);
+    let gateway = fleet.gateway("g1");
+    let answer = fleet.call(&gateway, "/turns/", &[("request-id", "r1")]);
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, None);
+}
