Serve programs in a data centre that is cut off; return unused tokens at once unless plenty is left

A cut-off data centre now gives each program one turn's tokens, which the promise on budgets allows beyond the budget, and draws them from the purse afterwards. Calls prefer endpoints of their own data centre, and a call that may be repeated may run at the only endpoint again.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -46,8 +46,10 @@
     /// Largest value, in bytes; from the platform.
     pub max_value_bytes: usize,
     /// Longest time for one call. An answer takes milliseconds, and a slow
-    /// store still answers well within a second.
+    /// store still answers within half a second.
     pub timeout: Duration,
+    /// Longest time for the first attempt of a write; later ones take longer.
+    pub write_timeout: Duration,
     /// Longest time that a watch waits for a change.
     pub watch_wait: Duration,
     /// Pause before a call is repeated.
@@ -63,7 +65,8 @@
             writes_per_s: 100.0,
             reads_per_s: 500.0,
             max_value_bytes: 1 << 20,
-            timeout: Duration::from_millis(800),
+            timeout: Duration::from_millis(500),
+            write_timeout: Duration::from_millis(150),
             watch_wait: Duration::from_secs(10),
             retry_interval: Duration::from_millis(50),
             settle_timeout: Duration::from_secs(2),
@@ -107,6 +110,11 @@
     pub borrow_timeout: Duration,
     /// Time after which a connection without acknowledgements is given up.
     pub silence_limit: Duration,
+    /// Longest time for a grant from the store on the way of a request.
+    pub grant_timeout: Duration,
+    /// Time without a word from another data centre after which a host that
+    /// the store does not answer either counts as cut off with its own.
+    pub isolation_after: Duration,
     /// Longest time to connect to an endpoint.
     pub connect_timeout: Duration,
     /// Time for which a leaving host still takes connections, until the
@@ -139,6 +147,8 @@
             urgent_exchange_period: Duration::from_millis(150),
             borrow_timeout: Duration::from_millis(60),
             silence_limit: Duration::from_secs(2),
+            grant_timeout: Duration::from_millis(450),
+            isolation_after: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(250),
             drain_notice: Duration::from_millis(2500),
             drain_margin: Duration::from_millis(500),
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::future;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,9 +27,11 @@
 use super::exchange::DRAW_METHOD;
 use super::exchange::HAND_OVER_METHOD;
 use super::exchange::PUT_BACK_METHOD;
+use super::isolation;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
+use super::register;
 use super::roster;
 use super::roster::Founders;
 use super::roster::Home;
@@ -93,8 +96,8 @@
 pub enum DrawReply {
     /// The tokens are now the asker's.
     Drawn {
-        /// What was wanted, and more if plenty was left.
-        tokens: u64,
+        /// True if the asker may keep what it does not need at once.
+        is_ample: bool,
         /// True if the home had not heard of the program.
         is_new: bool,
     },
@@ -118,8 +121,19 @@
 /// Hands purses over to the host that is their home now.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HandOverRequest {
-    /// Programs with the tokens of their purses.
-    pub purses: Vec<(String, u64)>,
+    /// The purses.
+    pub purses: Vec<HandedPurse>,
+}
+
+/// A purse on its way to another host.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct HandedPurse {
+    /// The program.
+    pub program: String,
+    /// Its budget.
+    pub budget: u64,
+    /// Tokens in the purse.
+    pub tokens: u64,
 }
 
 #[derive(Debug, Default)]
@@ -129,6 +143,8 @@
     purse: Option<Purse>,
     /// Where the account's tokens were drawn from, if not here.
     drawn_at: Option<Peer>,
+    /// True if unused tokens stay here for the program's next turn.
+    keeps_rest: bool,
     /// Held while tokens are fetched, so that one fetch serves all that wait.
     fetching: Arc<async_lock::Mutex<()>>,
     used: Moment,
@@ -232,11 +248,54 @@
         let Self {
             reserved, handed, ..
         } = *self;
-        let accounts = &self.cx.accounts;
-        accounts.with(&self.program, |a| a.account.settle(reserved, handed));
+        let returned = self.cx.accounts.with(&self.program, |account| {
+            account.account.settle(reserved, handed);
+            if account.keeps_rest && account.drawn_at.is_some() {
+                return None;
+            }
+            account.return_rest()
+        });
+        if let Some((home, tokens)) = returned {
+            let cx = Arc::clone(&self.cx);
+            let program = self.program.to_string();
+            self.cx
+                .spawner
+                .detach(async move { put_back(&cx, &home, program, tokens).await });
+        }
+    }
+}
+
+impl ProgramAccount {
+    /// The purse, opened with the allowance if this process alone may give it.
+    fn open_purse<P>(&mut self, cx: &Gateway<P>, program: &str, budget: u64) -> &mut Purse {
+        self.purse.get_or_insert_with(|| {
+            let has_allowance = cx.accounts.has_allowance(&cx.cfg.place.host, program);
+            Purse::open(budget, has_allowance)
+        })
+    }
+
+    /// Takes out unused tokens: those drawn here go into the purse, others are
+    /// given with the home that they belong to.
+    fn return_rest(&mut self) -> Option<(Peer, u64)> {
+        let tokens = self.account.take_rest();
+        match (&self.drawn_at, &mut self.purse) {
+            (Some(home), _) if tokens > 0 => Some((home.clone(), tokens)),
+            (None, Some(purse)) => {
+                purse.put(tokens);
+                None
+            }
+            _ => None,
+        }
     }
 }
 
+/// Puts unused tokens into the purse at their home; those that do not arrive
+/// stay spent.
+async fn put_back<P: Platform>(cx: &Cx<P>, home: &Peer, program: String, tokens: u64) {
+    let req = PutBackRequest { program, tokens };
+    let _arrived: Option<()> = exchange::call_in_time(cx, home, PUT_BACK_METHOD, &req).await;
+}
+
 impl<P: Platform> Reservation<P> {
     /// Counts tokens that go to the caller; false if the reservation does not
     /// hold them.
@@ -286,18 +345,21 @@
     let drawn = match draw(cx, &req).await {
         Ok(drawn) => drawn,
         Err(refusal) if refusal.outcome == Outcome::NotRun => {
-            // A host that is cut off goes on with what it holds; the stream is
+            // A host that is cut off goes on with what there is; the stream is
             // broken off if that is not enough.
-            let rest = cx
-                .accounts
-                .with(&program, |account| account.account.reserve_rest(turn));
+            let given = isolation::draw(cx, &req).await;
+            let rest = cx.accounts.with(&program, |account| {
+                account.account.add(given);
+                account.account.reserve_rest(turn)
+            });
             return rest.map(|rest| reservation(rest, false)).ok_or(refusal);
         }
         Err(refusal) => return Err(refusal),
     };
     let reserved = cx.accounts.with(&program, |account| {
-        account.account.add(drawn.tokens);
+        account.account.add(wanted);
         account.drawn_at = drawn.at;
+        account.keeps_rest = drawn.is_ample;
         account.account.reserve(turn)
     });
     if reserved {
@@ -309,16 +371,22 @@
 }
 
 /// Tokens that were drawn from a purse.
-struct Drawn {
-    tokens: u64,
+#[derive(Clone, Debug)]
+pub struct Drawn {
+    /// True if this host may keep what it does not need at once.
+    pub is_ample: bool,
     /// The home, if it is another host.
-    at: Option<Peer>,
+    pub at: Option<Peer>,
     /// True if the home had not heard of the program.
-    is_new: bool,
+    pub is_new: bool,
 }
 
 /// Draws tokens at the program's home, or here if no home answers.
-async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Drawn> {
+///
+/// # Errors
+///
+/// As [`reserve`].
+pub async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> Result<Drawn> {
     let key = super::hash_of(&req.program);
     for _ in 0..HOMES_TRIED {
         let home = cx.roster.lock().home(key, Moment::now());
@@ -326,10 +394,17 @@
             break;
         };
         let reply = exchange::call_in_time::<_, _, DrawReply>(cx, &peer, DRAW_METHOD, req).await;
+        if let Some(reply) = &reply {
+            isolation::note(cx, &req.program, reply);
+        }
         match reply {
-            Some(DrawReply::Drawn { tokens, is_new }) => {
+            Some(DrawReply::Drawn { is_ample, is_new }) => {
                 let at = Some(peer);
-                return Ok(Drawn { tokens, at, is_new });
+                return Ok(Drawn {
+                    is_ample,
+                    at,
+                    is_new,
+                });
             }
             Some(DrawReply::Spent) => return Err(spent()),
             // Another home is asked next.
@@ -342,8 +417,8 @@
         }
     }
     match draw_here(cx, req).await {
-        DrawReply::Drawn { tokens, is_new } => Ok(Drawn {
-            tokens,
+        DrawReply::Drawn { is_ample, is_new } => Ok(Drawn {
+            is_ample,
             at: None,
             is_new,
         }),
@@ -368,32 +443,43 @@
         return DrawReply::Leaving;
     }
     let program: Arc<str> = req.program.as_str().into();
-    let own = &cx.cfg.place.host;
     let size = grant_size(cx, &program);
     let is_new = cx
         .accounts
         .with(&program, |account| account.purse.is_none());
     let from_purse = |added: u64| {
         cx.accounts.with(&program, |account| {
-            let purse = account.purse.get_or_insert_with(|| {
-                let has_allowance = cx.accounts.has_allowance(own, &req.program);
-                Purse::open(req.budget, has_allowance)
-            });
+            let purse = account.open_purse(cx, &program, req.budget);
             purse.put(added);
             purse.draw(req.wanted)?;
-            Ok(req.wanted + purse.draw_spare(req.turn))
+            Ok(purse.is_ample(req.turn))
         })
     };
     let mut added = 0;
     for _ in 0..MAX_CONFLICTS {
         let missing = match from_purse(added) {
-            Ok(tokens) => return DrawReply::Drawn { tokens, is_new },
+            Ok(is_ample) => return DrawReply::Drawn { is_ample, is_new },
             Err(missing) => missing,
         };
-        added = match fetch_grant(cx, &program, req.budget, missing, size).await {
+        if !cx.contact.is_up() {
+            return DrawReply::Unavailable("the store does not answer this host".to_owned());
+        }
+        let grant = fetch_grant(cx, &program, req.budget, missing, size);
+        let expire = async {
+            Timer::after(cx.cfg.grant_timeout).await;
+            // A grant that is stored later stays spent.
+            Err(PlatformError::UnknownOutcome)
+        };
+        added = match future::or(grant, expire).await {
             Ok(Some(tokens)) => tokens,
-            Ok(None) => return DrawReply::Spent,
-            Err(e) => return DrawReply::Unavailable(e.to_string()),
+            Ok(None) => {
+                cx.spent.add(&program, Moment::now());
+                return DrawReply::Spent;
+            }
+            Err(e) => {
+                register::doubt_store(cx);
+                return DrawReply::Unavailable(e.to_string());
+            }
         };
         cx.metrics.grants.inc();
     }
@@ -411,12 +497,13 @@
 
 /// Takes up purses that another host hands over.
 pub fn take_over<P: Platform>(cx: &Cx<P>, req: HandOverRequest) {
-    for (program, tokens) in req.purses {
-        let program: Arc<str> = program.into();
-        cx.accounts.with(&program, |account| {
-            // The allowance of a purse that is handed over is within it.
-            account.purse.get_or_insert_default().put(tokens);
-        });
+    for handed in req.purses {
+        let program: Arc<str> = handed.program.into();
+        let purse = |account: &mut ProgramAccount| {
+            let purse = account.open_purse(cx, &program, handed.budget);
+            purse.put(handed.tokens);
+        };
+        cx.accounts.with(&program, purse);
     }
 }
 
@@ -452,19 +539,12 @@
         if now.since(account.used) < KEPT_IDLE {
             return;
         }
-        let tokens = account.account.take_rest();
-        match (&account.drawn_at, &mut account.purse) {
-            (Some(home), _) if tokens > 0 => {
-                returned.push((home.clone(), program.to_string(), tokens));
-            }
-            (None, Some(purse)) => purse.put(tokens),
-            _ => (),
+        if let Some((home, tokens)) = account.return_rest() {
+            returned.push((home, program.to_string(), tokens));
         }
     });
     for (home, program, tokens) in returned {
-        let req = PutBackRequest { program, tokens };
-        // Tokens that do not arrive stay spent.
-        let _arrived: Option<()> = exchange::call_in_time(cx, &home, PUT_BACK_METHOD, &req).await;
+        put_back(cx, &home, program, tokens).await;
     }
 }
 
@@ -492,7 +572,11 @@
             let (_, req) = purses
                 .entry(peer.host.clone())
                 .or_insert_with(|| (peer, empty));
-            req.purses.push((program.to_string(), tokens));
+            req.purses.push(HandedPurse {
+                program: program.to_string(),
+                budget: purse.budget(),
+                tokens,
+            });
         }
     });
     for (peer, req) in purses.into_values() {
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -26,8 +26,8 @@
 /// Part of a turn's most that a cut-off host must hold to begin it, as a
 /// divisor. Turns seldom generate the most that they may.
 const MIN_REST: u64 = 3;
-/// Turns that a purse must hold before a draw takes a spare one along.
-const SPARE_ABOVE: u64 = 3;
+/// Turns that a purse must hold so that hosts may keep unused tokens.
+const AMPLE_TURNS: u64 = 4;
 
 /// What the platform's store holds of a program's budget.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -89,6 +89,7 @@
 /// Tokens of one program that its home may still hand out.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Purse {
+    budget: u64,
     available: u64,
     /// The record as last seen, which only grows.
     seen: Option<(Version, Record)>,
@@ -99,11 +100,17 @@
     pub fn open(budget: u64, has_allowance: bool) -> Self {
         let available = if has_allowance { allowance(budget) } else { 0 };
         Self {
+            budget,
             available,
             seen: None,
         }
     }
 
+    /// The program's budget.
+    pub const fn budget(&self) -> u64 {
+        self.budget
+    }
+
     /// The record as last seen.
     pub const fn seen(&self) -> Option<(Version, Record)> {
         self.seen
@@ -134,13 +141,9 @@
         std::mem::take(&mut self.available)
     }
 
-    /// Takes out tokens that spare the asker a later draw, if plenty is left.
-    pub fn draw_spare(&mut self, wanted: u64) -> u64 {
-        if self.available < wanted * SPARE_ABOVE {
-            return 0;
-        }
-        self.available -= wanted;
-        wanted
+    /// True if hosts may keep tokens that they do not need at once.
+    pub const fn is_ample(&self, turn: u64) -> bool {
+        self.available >= turn * AMPLE_TURNS
     }
 
     /// Puts granted or unspent tokens in.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use chicoryarch_net::Client;
@@ -16,6 +17,8 @@
 use super::account::Accounts;
 use super::directory::Directory;
 use super::directory::Endpoint;
+use super::isolation::IsolatedPurses;
+use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
 use super::placing::Pool;
 use super::rate::Rates;
@@ -24,8 +27,10 @@
 use crate::configs::gateway::GatewayConfig;
 use crate::connection::peer::HttpPeers;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::ids::Version;
 use crate::process::events::EventLog;
+use crate::units::Moment;
 
 /// The configuration in force with the text that other hosts are told.
 #[derive(Debug, Default)]
@@ -38,17 +43,39 @@
 
 /// Whether this host reaches the platform's store.
 #[derive(Debug, Default)]
-pub struct StoreContact(AtomicBool);
+pub struct StoreContact {
+    is_up: AtomicBool,
+    was_up: AtomicBool,
+    is_probed: AtomicBool,
+}
 
 impl StoreContact {
     /// True if the last call had an answer.
     pub fn is_up(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.is_up.load(Ordering::Acquire)
+    }
+
+    /// True if any call since the start had an answer.
+    pub fn was_up(&self) -> bool {
+        self.was_up.load(Ordering::Acquire)
+    }
+
+    /// Starts a probe; false if one is under way.
+    pub fn begin_probe(&self) -> bool {
+        !self.is_probed.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends a probe.
+    pub fn end_probe(&self) {
+        self.is_probed.store(false, Ordering::Release);
     }
 
     /// Notes the outcome of a call; true if it differs from the one before.
     pub fn set(&self, is_up: bool) -> bool {
-        self.0.swap(is_up, Ordering::AcqRel) != is_up
+        if is_up {
+            self.was_up.store(true, Ordering::Release);
+        }
+        self.is_up.swap(is_up, Ordering::AcqRel) != is_up
     }
 }
 
@@ -85,6 +112,21 @@
     pub upto: Option<Version>,
 }
 
+/// Signs of life from other data centres.
+#[derive(Debug, Default)]
+pub struct OutsideContact(Mutex<Moment>);
+
+impl OutsideContact {
+    /// Notes a message from a host of another data centre.
+    pub fn heard(&self, now: Moment) {
+        *self.0.lock() = now;
+    }
+
+    fn silent_for(&self, now: Moment) -> Duration {
+        now.since(*self.0.lock())
+    }
+}
+
 /// Requests and bytes of bodies that this host holds.
 #[derive(Debug, Default)]
 pub struct Held {
@@ -103,6 +145,8 @@
     pub store: P,
     /// Whether the store answers.
     pub contact: StoreContact,
+    /// Signs of life from other data centres.
+    pub outside: OutsideContact,
     /// Connections to endpoints.
     pub client: Client,
     /// Calls to other hosts.
@@ -119,6 +163,10 @@
     pub rates: Rates,
     /// Budgets of programs.
     pub accounts: Accounts,
+    /// What this host gave out while its data centre was cut off.
+    pub isolated: IsolatedPurses,
+    /// Programs whose budget is spent.
+    pub spent: SpentPrograms,
     /// What is held for callers.
     pub held: Held,
     /// Set once the process is to end.
@@ -145,6 +193,22 @@
         !self.is_draining() && is_configured && has_endpoints
     }
 
+    /// True if this host's data centre is cut off from all others and from
+    /// the store, as far as this host can tell.
+    pub fn is_isolated(&self) -> bool {
+        let silent = self.outside.silent_for(Moment::now());
+        !self.contact.is_up() && silent >= self.cfg.isolation_after
+    }
+
+    /// Notes a message from a host.
+    pub fn heard(&self, host: &HostId) {
+        let mut roster = self.roster.lock();
+        roster.heard(host);
+        if roster.is_elsewhere(host, &self.cfg.place.data_centre) {
+            self.outside.heard(Moment::now());
+        }
+    }
+
     /// Puts the listed endpoints into the pools.
     pub fn refresh_pools(&self) {
         let endpoints: Vec<Arc<Endpoint>> = {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -146,14 +146,16 @@
 
 fn choose<P: Platform>(cx: &Gateway<P>, call: &Call, tried: &Tried) -> Result<Place> {
     let ids = tried.ids();
-    place_for(cx, call, &ids).ok_or_else(|| {
-        if tried.ran.is_empty() {
-            let detail = format!("no endpoint of service {} takes work", call.service);
-            Refusal::not_run(detail, ABSENT_RETRY)
-        } else {
-            Refusal::new(Outcome::UnknownResult, "no other endpoint takes work")
-        }
-    })
+    if let Some(place) = place_for(cx, call, &ids) {
+        return Ok(place);
+    }
+    let Some(last) = tried.ran.last() else {
+        let detail = format!("no endpoint of service {} takes work", call.service);
+        return Err(Refusal::not_run(detail, ABSENT_RETRY));
+    };
+    // A call that may be repeated may run at the same endpoint again.
+    place_among(cx, call, &[], Some(&last.id))
+        .ok_or_else(|| Refusal::new(Outcome::UnknownResult, "no other endpoint takes work"))
 }
 
 /// Counts the rest of a broken stream at an endpoint.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::ToldEndpoint;
+use super::isolation;
 use super::rate;
 use super::rate::BorrowRequest;
 use super::register;
@@ -40,6 +41,8 @@
 pub const DRAW_METHOD: &str = "gateway.draw";
 /// Puts unspent tokens back into a program's purse.
 pub const PUT_BACK_METHOD: &str = "gateway.put_back";
+/// Draws tokens from what a cut-off data centre may give out.
+pub const DRAW_ISOLATED_METHOD: &str = "gateway.draw_isolated";
 /// Hands purses over to the host that is their home now.
 pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
 /// Asks for rate tokens.
@@ -61,6 +64,8 @@
     pub endpoints: Option<Version>,
     /// Hosts that it knows.
     pub hosts: usize,
+    /// Programs whose budget it learnt lately to be spent, by hash.
+    pub spent: Vec<u64>,
 }
 
 /// What the other host has that is newer.
@@ -96,6 +101,10 @@
         let req: DrawRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(account::draw_here(&cx, &req).await)
     })?;
+    module.register_method(DRAW_ISOLATED_METHOD, |params, cx, _| {
+        let req: DrawRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(isolation::draw_here(cx, &req))
+    })?;
     module.register_method(PUT_BACK_METHOD, |params, cx, _| {
         let req: PutBackRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(account::put_back_here(cx, &req))
@@ -117,11 +126,13 @@
         configuration: cx.in_force.load().table.version,
         endpoints: cx.listed.lock().upto,
         hosts: cx.roster.lock().len(),
+        spent: cx.spent.recent(Moment::now()),
     }
 }
 
 fn news_for<P: Platform>(cx: &Gateway<P>, theirs: &Known) -> News {
-    cx.roster.lock().heard(&theirs.host);
+    cx.heard(&theirs.host);
+    cx.spent.learn(&theirs.spent, Moment::now());
     let own = known(cx);
     let in_force = cx.in_force.load();
     let newer = in_force.table.version > theirs.configuration;
@@ -194,10 +205,9 @@
         None
     };
     let reply = future::or(async { call.await.ok() }, expire).await;
-    let mut roster = cx.roster.lock();
     match reply {
-        Some(_) => roster.heard(&peer.host),
-        None => roster.suspect(&peer.host, Moment::now()),
+        Some(_) => cx.heard(&peer.host),
+        None => cx.roster.lock().suspect(&peer.host, Moment::now()),
     }
     reply
 }
@@ -208,7 +218,8 @@
     let Ok(news) = cx.peers.call::<_, News>(to, EXCHANGE_METHOD, &own).await else {
         return;
     };
-    cx.roster.lock().heard(&news.known.host);
+    cx.heard(&news.known.host);
+    cx.spent.learn(&news.known.spent, Moment::now());
     if let Some(text) = &news.configuration {
         register::take_configuration(cx, text, news.known.host.as_str());
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod follow;
+pub mod isolation;
 pub mod metrics;
 pub mod placing;
 pub mod prefixes;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -22,8 +22,9 @@
 const FIRST_WORK_MS: f64 = 100.0;
 /// Prompt tokens that an engine is taken to read in a millisecond.
 const FIRST_PREFILL_PER_MS: f64 = 40.0;
-/// Added to the cost of an endpoint in another data centre, in milliseconds.
-const CROSSING_MS: f64 = 1.0;
+/// Added to the cost of an endpoint in another data centre, as a part of a
+/// call's time. Calls that stay are not lost when the data centres part.
+const CROSSING_SHARE: f64 = 0.15;
 
 /// Load that an endpoint told in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -223,7 +224,7 @@
         cost += missing / FIRST_PREFILL_PER_MS;
     }
     if &*member.endpoint.data_centre != home {
-        cost += CROSSING_MS;
+        cost += CROSSING_SHARE * work_ms;
     }
     if now < member.avoid_until {
         cost += 1000.0 * work_ms;
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -146,7 +146,7 @@
 /// Answers another host that asks for tokens.
 pub fn give<P: Platform>(cx: &Gateway<P>, req: &BorrowRequest) -> BorrowReply {
     let now = Moment::now();
-    cx.roster.lock().heard(&req.from);
+    cx.heard(&req.from);
     let share = current_share(cx);
     let rate = rate_of(cx, &req.customer);
     let given = rate.map_or(0, |rate| {
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -33,6 +33,8 @@
 
 /// Pause before this host's entry is written again.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
+/// Pause between two probes of a store that does not answer.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
 /// Pause between two looks for endpoints whose grace is over.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -155,6 +157,30 @@
     }
 }
 
+/// Finds out whether the store answers this host, after a call without an
+/// answer. A watch that waits would show it only much later.
+pub fn doubt_store<P: Platform>(cx: &Cx<P>) {
+    if cx.contact.begin_probe() {
+        cx.spawner.detach(probe(Arc::clone(cx)));
+    }
+}
+
+async fn probe<P: Platform>(cx: Cx<P>) {
+    loop {
+        match cx.store.read(kinds::CONFIGURATION, kinds::CURRENT).await {
+            Ok(object) => {
+                store_regained(&cx);
+                cx.contact.end_probe();
+                let follower = ConfigurationFollower(Arc::clone(&cx));
+                follower.take(object.as_slice());
+                return;
+            }
+            Err(e) => store_lost(&cx, &e),
+        }
+        Timer::after(PROBE_PERIOD).await;
+    }
+}
+
 /// Follows the operators' configuration.
 #[derive(Debug)]
 pub struct ConfigurationFollower<P>(pub Cx<P>);
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -139,6 +139,19 @@
         }
     }
 
+    /// True if a host is known to stand in another data centre.
+    pub fn is_elsewhere(&self, host: &HostId, own: &DataCentre) -> bool {
+        let known = self.hosts.get(host);
+        known.is_some_and(|known| known.entry.data_centre != *own)
+    }
+
+    /// The host of this data centre that holds what belongs to a key while
+    /// the data centre is cut off. It does not pass over hosts that are
+    /// silent, so that there is only one.
+    pub fn local_home(&self, key: u64, own: &DataCentre) -> Home {
+        self.home_among(key, |_, known| known.entry.data_centre == *own)
+    }
+
     /// Passes a host over for a while, since it did not answer.
     pub fn suspect(&mut self, host: &HostId, now: Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -36,6 +36,9 @@
 use super::entry::CallerPort;
 use super::exchange;
 use super::follow;
+use super::isolation;
+use super::isolation::IsolatedPurses;
+use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
 use super::rate::Rates;
 use super::register;
@@ -195,6 +198,9 @@
         rates: Rates::new(now),
         accounts: Accounts::default(),
         held: super::context::Held::default(),
+        isolated: IsolatedPurses::default(),
+        spent: SpentPrograms::default(),
+        outside: super::context::OutsideContact::default(),
         is_draining: false.into(),
         log: EventLog::start(cfg.place.host.as_str(), cfg.log_lines_per_s),
         metrics: GatewayMetrics::default(),
@@ -223,6 +229,7 @@
     spawner.detach(register::enter(Arc::clone(cx)));
     spawner.detach(register::expire_endpoints(Arc::clone(cx)));
     spawner.detach(account::run(Arc::clone(cx)));
+    spawner.detach(isolation::run(Arc::clone(cx)));
     spawner.detach(exchange::run(Arc::clone(cx)));
     spawner.detach(exchange::refill(Arc::clone(cx)));
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -170,10 +170,12 @@
     ) -> Result<Written> {
         let deadline = Moment::now() + self.cfg.settle_timeout;
         let mut uncertain = false;
+        let mut timeout = self.cfg.write_timeout;
         loop {
             let sent = self
-                .exchange(method.clone(), target, body.clone(), self.cfg.timeout)
+                .exchange(method.clone(), target, body.clone(), timeout)
                 .await;
+            timeout = (timeout * 2).min(self.cfg.timeout);
             match sent {
                 Ok(answer) => return written(&method, &answer, nonce, uncertain),
                 Err(Failure::NotApplied(detail)) if !uncertain => {
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -140,7 +140,12 @@
             return;
         };
         if self.rng.random_bool(0.9) {
-            self.purses.entry(to).or_default().put(tokens);
+            let has_allowance = self.founder == Some(to);
+            let budget = self.budget;
+            let purse = self.purses.entry(to);
+            purse
+                .or_insert_with(|| Purse::open(budget, has_allowance))
+                .put(tokens);
         }
     }
 
--- a/tests/gateway_processes/calls.rs
+++ b/tests/gateway_processes/calls.rs
@@ -76,8 +76,8 @@
         ..Behaviour::default()
     };
     let first = fleet.endpoint("e1", "plain", lossy);
-    let gateway = fleet.gateway("g1");
     let second = fleet.endpoint("e2", "plain", Behaviour::default());
+    let gateway = fleet.gateway("g1");
     let mut asked = 0;
     super::fleet::wait_until("the first endpoint lost an answer", || {
         asked += 1;
@@ -91,6 +91,20 @@
     });
 }
 
+#[test]
+fn a_call_that_may_be_repeated_runs_again_at_the_only_endpoint() {
+    let fleet = Fleet::new();
+    let lossy = Behaviour {
+        lost_answers: 1,
+        ..Behaviour::default()
+    };
+    let endpoint = fleet.endpoint("e1", "plain", lossy);
+    let gateway = fleet.gateway("g1");
+    let answer = fleet.call(&gateway, "/safe/", &[("request-id", "r1")]);
+    assert_eq!(answer.status, 200);
+    assert_eq!(endpoint.runs().len(), 2);
+}
+
 #[test]
 fn an_endpoint_that_refuses_is_passed_over_even_for_once_only_calls() {
     let fleet = Fleet::new();
