--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -349,7 +349,8 @@
             // broken off if that is not enough.
             let given = isolation::draw(cx, &req).await;
             let rest = cx.accounts.with(&program, |account| {
-                account.account.add(given);
+                let in_purse = account.purse.as_mut().map_or(0, Purse::empty);
+                account.account.add(given + in_purse);
                 account.account.reserve_rest(turn)
             });
             return rest.map(|rest| reservation(rest, false)).ok_or(refusal);
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -349,11 +349,19 @@
             let founders = cx.roster.lock().founders();
             let written =
                 platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await;
-            if let Err(e) = written {
-                log::debug!("the hosts of the first start are not written yet: {e}");
+            match written {
+                Ok(Written::Done(_)) => {
+                    cx.log.state("founders-agreed", &founders);
+                    cx.accounts.set_founders(founders);
+                    true
+                }
+                // What another host wrote holds, and is read next.
+                Ok(Written::Conflict) => false,
+                Err(e) => {
+                    log::debug!("the hosts of the first start are not written yet: {e}");
+                    false
+                }
             }
-            // What is stored now holds, whoever wrote it.
-            false
         }
         Err(_) => false,
     }
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -113,3 +113,29 @@
     assert_eq!(engine.runs().len(), 8 - refused);
     assert_within_budget(engine.sent_events());
 }
+
+#[test]
+fn a_host_that_is_cut_off_uses_every_token_that_it_holds() {
+    let fleet = Fleet::new();
+    let short = Behaviour {
+        events: 2,
+        ..ENGINE
+    };
+    let engine = fleet.endpoint("e1", "engine", short);
+    let gateway = fleet.gateway("g1");
+    super::fleet::wait_until("the first hosts are agreed", || {
+        fleet.store.spec("chicoryarch-founders", "first").is_some()
+    });
+    // The host takes up the answer to its write.
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.store.set_faults(StoreFaults {
+        is_out: true,
+        ..StoreFaults::default()
+    });
+    let served = |n: u64| turn(&fleet, &gateway, &format!("r{n}")) == 200;
+    let served = (0..40).filter(|n| served(*n)).count();
+    // Half of the budget and one turn's most of 50 are there, and a turn of 20
+    // tokens begins while a third of its most is left.
+    assert!(served >= 12, "{served} turns");
+    assert_within_budget(engine.sent_events());
+}
