--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 
 pub mod ctl;
+pub mod explain;
 pub mod load;
 
 /// Form in which answers are printed.
@@ -45,6 +46,13 @@
         #[bpaf(long("config"), argument("FILE"))]
         config: PathBuf,
     },
+    /// Checks a settings file of the users' platform and prints what holds.
+    #[bpaf(command("check-platform"))]
+    CheckPlatform {
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Serves callers on the users' platform until it is told to stop.
     ///
     /// The platform's settings file is named by an environment variable.
@@ -96,6 +104,21 @@
         #[bpaf(positional("AFTER"))]
         after: PathBuf,
     },
+    /// Prints what the logs of any hosts say of a request or program, by time.
+    ///
+    /// Example: chicoryarch explain 9c41d07be2a35f68 host-1.log host-2.log
+    #[bpaf(command("explain"))]
+    Explain {
+        /// table or json
+        #[bpaf(long("output"), argument("FORM"), fallback(Output::Table))]
+        output: Output,
+        /// Id of the request or program
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs of the hosts
+        #[bpaf(positional("FILE"), some("a log is expected"))]
+        files: Vec<PathBuf>,
+    },
     /// Sends one query or command to a host.
     ///
     /// Example: chicoryarch ctl --address 127.0.0.1:8082 --secret-file ops show hosts
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -107,11 +107,13 @@
     })?;
     module.register_method(PUT_BACK_METHOD, |params, cx, _| {
         let req: PutBackRequest = params.one()?;
-        Ok::<_, ErrorObjectOwned>(account::put_back_here(cx, &req))
+        account::put_back_here(cx, &req);
+        Ok::<_, ErrorObjectOwned>(())
     })?;
     module.register_method(HAND_OVER_METHOD, |params, cx, _| {
         let req: HandOverRequest = params.one()?;
-        Ok::<_, ErrorObjectOwned>(account::take_over(cx, req))
+        account::take_over(cx, req);
+        Ok::<_, ErrorObjectOwned>(())
     })?;
     module.register_method(BORROW_METHOD, |params, cx, _| {
         let req: BorrowRequest = params.one()?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use chicoryarch::cli::Command;
 use chicoryarch::cli::command;
 use chicoryarch::cli::ctl;
+use chicoryarch::cli::explain;
 use chicoryarch::cli::load;
 use chicoryarch::configs::host::DEFAULT_THREADS;
 use chicoryarch::configs::host::HostConfig;
@@ -29,6 +30,11 @@
 fn main() -> miette::Result<ExitCode> {
     match command().run() {
         Command::Serve { config } => run_host(read_settings(&config)?),
+        Command::CheckPlatform { file } => check_platform(&file),
+        Command::Explain { output, id, files } => {
+            print!("{}", explain::run(&id, &files, output)?);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Gateway => run_gateway(),
         Command::Archive => run_archive(),
         Command::Check { config } => {
@@ -76,6 +82,21 @@
     Ok(exit_code(drained))
 }
 
+fn check_platform(file: &Path) -> miette::Result<ExitCode> {
+    let fields = platform::settings::read(file)?;
+    if fields.has_disk() {
+        println!("{:#?}", fields.archive()?);
+    } else {
+        let cfg = fields.gateway()?;
+        cfg.check().into_diagnostic()?;
+        println!("{cfg:#?}");
+    }
+    for field in fields.ignored() {
+        println!("ignored: {field}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_gateway() -> miette::Result<ExitCode> {
     logs::start(&LogConfig::default());
     stop_on_panic();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -17,6 +17,28 @@
 /// Settings file if the variable is not set.
 pub const DEFAULT_PATH: &str = "/etc/chicoryarch/settings.conf";
 
+/// Fields that some role reads.
+const READ: [&str; 18] = [
+    "bootstrap",
+    "bounds.drain_ms",
+    "bounds.grace_s",
+    "bounds.quota_window_s",
+    "data_dir",
+    "limits.disk_mb",
+    "limits.max_fds",
+    "limits.memory_mb",
+    "listen.control",
+    "listen.front",
+    "listen.ready",
+    "node_name",
+    "provider.address",
+    "provider.reads_per_s",
+    "provider.value_bytes",
+    "provider.writes_per_s",
+    "seeds",
+    "zone",
+];
+
 /// Why the settings are refused.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub enum SettingsError {
@@ -76,6 +98,19 @@
         Self(fields.collect())
     }
 
+    /// True if the host has a folder for data.
+    pub fn has_disk(&self) -> bool {
+        self.text("data_dir").is_ok()
+    }
+
+    /// Names of the fields that no role reads, in order.
+    pub fn ignored(&self) -> Vec<&str> {
+        let names = self.0.keys().map(String::as_str);
+        let mut ignored: Vec<&str> = names.filter(|name| !READ.contains(name)).collect();
+        ignored.sort_unstable();
+        ignored
+    }
+
     fn text(&self, field: &'static str) -> Result<&str> {
         self.0
             .get(field)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod engines_replaced;
 mod event_stream;
+mod explain;
 mod ingress;
 mod one_host_busy;
 mod quota;
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -41,3 +41,10 @@
     let field = "provider.address";
     assert!(matches!(wrong, Err(SettingsError::Wrong { field: f, .. }) if f == field));
 }
+
+#[test]
+fn fields_that_nobody_reads_are_told() {
+    let fields = Fields::parse(FRONT);
+    assert_eq!(fields.ignored(), ["a.field.of.tomorrow"]);
+    assert!(!fields.has_disk());
+}
