--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -71,10 +71,7 @@
         let start = line.find('{')?;
         let fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
         let names = |subject: &&str| fields.get(*subject).and_then(Value::as_str) == Some(id);
-        SUBJECTS
-            .iter()
-            .any(|subject| names(subject))
-            .then_some(fields)
+        SUBJECTS.iter().any(names).then_some(fields)
     });
     let mut lines: Vec<_> = lines.collect();
     lines.sort_by_key(|fields| fields.get("at_ms").and_then(Value::as_u64));
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -492,7 +492,7 @@
     if cx.roster.lock().is_rightful_home(key) {
         GrantSize::Ample
     } else {
-        GrantSize::Exact
+        GrantSize::Modest
     }
 }
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -21,7 +21,9 @@
 /// divisor. Programs that end by themselves seldom use more.
 const ALLOWANCE_DIVISOR: u64 = 2;
 /// Part of the remaining budget that a home is granted at once, as a divisor.
-const GRANT_DIVISOR: u64 = 2;
+const AMPLE_DIVISOR: u64 = 2;
+/// The same for a host that stands in for a home.
+const MODEST_DIVISOR: u64 = 4;
 
 /// Part of a turn's most that a cut-off host must hold to begin it, as a
 /// divisor. Turns seldom generate the most that they may.
@@ -55,10 +57,11 @@
 /// How much a grant takes beyond what is wanted now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum GrantSize {
-    /// Nothing: the host stands in for the program's home for a moment.
-    Exact,
-    /// A part of the rest, so that the home seldom asks.
+    /// Half of the rest, so that the home seldom asks.
     Ample,
+    /// A quarter of the rest: the host stands in for the program's home, and
+    /// what it holds is lost if it ends before the home is back.
+    Modest,
 }
 
 /// The next grant of at least `wanted` tokens, or `None` if the budget does
@@ -75,10 +78,11 @@
     if left < wanted {
         return None;
     }
-    let tokens = match size {
-        GrantSize::Exact => wanted,
-        GrantSize::Ample => (left / GRANT_DIVISOR).max(wanted),
+    let divisor = match size {
+        GrantSize::Ample => AMPLE_DIVISOR,
+        GrantSize::Modest => MODEST_DIVISOR,
     };
+    let tokens = (left / divisor).max(wanted);
     let record = Record {
         granted: granted + tokens,
         at_ms: now_ms,
