Refill small rates at few hosts; remove hosts that are gone for good

With 64 hosts a burst of 5 gave each host a bucket of one token: more than the rate allows in sum, and too little at any host to begin a program. A rate is refilled by as many hosts as its burst gives 8 tokens each, one at least in each data centre, and the others borrow there. Entries of hosts that were silent for 20 s are removed by one other host; a host that finds its own gone enters again with the notice of a new one.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -102,6 +102,9 @@
     pub lapse_grace: Duration,
     /// Time in which every host learns of a new one.
     pub join_notice: Duration,
+    /// Silence after which a host is taken for gone for good. Cuts and
+    /// restarts last a few seconds.
+    pub host_gone_after: Duration,
     /// Pause between two exchanges with another host.
     pub exchange_period: Duration,
     /// The same while the store is out of reach.
@@ -143,6 +146,7 @@
             rate_window: Duration::from_secs(5),
             lapse_grace: Duration::from_secs(2),
             join_notice: Duration::from_secs(3),
+            host_gone_after: Duration::from_secs(20),
             exchange_period: Duration::from_millis(500),
             urgent_exchange_period: Duration::from_millis(150),
             borrow_timeout: Duration::from_millis(60),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -163,7 +163,12 @@
         for to in chosen(&cx, fanout) {
             let cx = Arc::clone(&cx);
             let spawner = cx.spawner.clone();
-            spawner.detach(async move { exchange(&cx, to).await });
+            spawner.detach(async move {
+                match to {
+                    Chosen::Host(peer) => exchange(&cx, &peer).await,
+                    Chosen::Seed(address) => exchange_with(&cx, address).await.map_or((), drop),
+                }
+            });
         }
         let jitter = rand::random_range(0.7..=1.3);
         Timer::after(pause.mul_f64(jitter)).await;
@@ -178,14 +183,22 @@
     }
 }
 
-fn chosen<P>(cx: &Gateway<P>, fanout: usize) -> Vec<SocketAddr> {
-    let others = cx.roster.lock().others(Moment::now());
-    let mut addresses: Vec<_> = others.into_iter().map(|peer| peer.address).collect();
-    if addresses.is_empty() {
-        addresses.extend(cx.cfg.seeds.iter().filter(|seed| **seed != cx.cfg.peers));
+/// Whom to exchange with.
+enum Chosen {
+    /// A host that is listed.
+    Host(Peer),
+    /// An address from the settings, while no other host is known.
+    Seed(SocketAddr),
+}
+
+fn chosen<P>(cx: &Gateway<P>, fanout: usize) -> Vec<Chosen> {
+    let mut others = cx.roster.lock().others(Moment::now());
+    if others.is_empty() {
+        let seeds = cx.cfg.seeds.iter().filter(|seed| **seed != cx.cfg.peers);
+        return seeds.copied().take(fanout).map(Chosen::Seed).collect();
     }
-    addresses.truncate(fanout);
-    addresses
+    others.truncate(fanout);
+    others.into_iter().map(Chosen::Host).collect()
 }
 
 /// Calls another host on the way of a request; one that does not answer in
@@ -214,12 +227,18 @@
     reply
 }
 
-async fn exchange<P: Platform>(cx: &Cx<P>, to: SocketAddr) {
+/// Exchanges with a listed host; one that does not answer is passed over.
+pub async fn exchange<P: Platform>(cx: &Cx<P>, peer: &Peer) {
+    if exchange_with(cx, peer.address).await.is_none() {
+        cx.roster.lock().suspect(&peer.host, Moment::now());
+    }
+}
+
+async fn exchange_with<P: Platform>(cx: &Cx<P>, to: SocketAddr) -> Option<()> {
     let own = known(cx);
+    let call = cx.peers.call::<_, News>(to, EXCHANGE_METHOD, &own);
     // A host that does not answer is asked again in a later round.
-    let Ok(news) = cx.peers.call::<_, News>(to, EXCHANGE_METHOD, &own).await else {
-        return;
-    };
+    let news = call.await.ok()?;
     cx.heard(&news.known.host);
     cx.spent.learn(&news.known.spent, Moment::now());
     if let Some(text) = &news.configuration {
@@ -231,4 +250,5 @@
     if let Some(hosts) = news.hosts {
         register::take_hosts(cx, hosts);
     }
+    Some(())
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -58,7 +58,8 @@
         let passed = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
         let added = rate.per_s * share.0 * passed;
-        self.tokens = (self.tokens + added).min(capacity(rate, share));
+        let most = self.capacity(rate, share, now);
+        self.tokens = (self.tokens + added).min(most);
         let counted = now.since(self.counted_from).as_secs_f64();
         if counted >= 1.0 {
             let newest = self.asked / counted;
@@ -68,6 +69,27 @@
         }
     }
 
+    /// Most tokens that are held here: a share of the burst, or as many as the
+    /// demand needs at a host that only borrows.
+    fn capacity(&self, rate: Rate, share: Share, now: Moment) -> f64 {
+        let held = if share.0 > 0.0 {
+            rate.burst * share.0
+        } else {
+            self.current_demand(now) * LOW_WATER.as_secs_f64()
+        };
+        held.max(1.0)
+    }
+
+    /// Tokens that must be there for a request. Programs begin only from the
+    /// upper part of a bucket, so that those that have begun are not refused
+    /// midway.
+    fn needed(&self, rate: Rate, share: Share, step: Step, now: Moment) -> f64 {
+        match step {
+            Step::First => (self.capacity(rate, share, now) * RESERVED_FOR_BEGUN).max(1.0),
+            Step::Later => 1.0,
+        }
+    }
+
     /// Demand, or what the second that is under way already shows.
     fn current_demand(&self, now: Moment) -> f64 {
         let counted = now.since(self.counted_from).as_secs_f64().max(0.25);
@@ -75,11 +97,6 @@
     }
 }
 
-/// Most tokens that a host holds of a rate.
-fn capacity(rate: Rate, share: Share) -> f64 {
-    (rate.burst * share.0).max(1.0)
-}
-
 /// Whether a request begins a program.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -89,15 +106,6 @@
     Later,
 }
 
-/// Tokens that must be there for a request. Programs begin only from the upper
-/// part of a bucket, so that those that have begun are not refused midway.
-fn needed(rate: Rate, share: Share, step: Step) -> f64 {
-    match step {
-        Step::First => (capacity(rate, share) * RESERVED_FOR_BEGUN).max(1.0),
-        Step::Later => 1.0,
-    }
-}
-
 /// Whether a request is within its customer's rate here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Taken {
@@ -156,7 +164,7 @@
     ) -> Taken {
         let bucket = self.bucket(customer, rate, share, now);
         bucket.asked += 1.0;
-        let needed = needed(rate, share, step);
+        let needed = bucket.needed(rate, share, step, now);
         if bucket.tokens >= needed {
             bucket.tokens -= 1.0;
             return Taken::Within;
@@ -178,7 +186,7 @@
         now: Moment,
     ) -> bool {
         let bucket = self.bucket(customer, rate, share, now);
-        let has_token = bucket.tokens >= needed(rate, share, step);
+        let has_token = bucket.tokens >= bucket.needed(rate, share, step, now);
         if has_token {
             bucket.tokens -= 1.0;
         }
@@ -207,15 +215,15 @@
 
     /// Gives a token back for a request that was not run.
     pub fn put_back(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) {
-        let most = capacity(rate, share);
         let bucket = self.bucket(customer, rate, share, now);
+        let most = bucket.capacity(rate, share, now);
         bucket.tokens = (bucket.tokens + 1.0).min(most);
     }
 
     /// Tokens that this host would like from others; 0 if it has enough.
     pub fn wanted(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) -> u32 {
-        let most = capacity(rate, share);
         let bucket = self.bucket(customer, rate, share, now);
+        let most = bucket.capacity(rate, share, now);
         let demand = bucket.current_demand(now);
         let low = (demand * LOW_WATER.as_secs_f64())
             .min(most * LOW_SHARE)
@@ -252,8 +260,8 @@
         given: u32,
         now: Moment,
     ) {
-        let most = capacity(rate, share);
         let bucket = self.bucket(customer, rate, share, now);
+        let most = bucket.capacity(rate, share, now);
         bucket.tokens = (bucket.tokens + f64::from(given)).min(most.max(f64::from(given)));
     }
 
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -95,7 +95,7 @@
     let Some(rate) = customer.rate else {
         return Ok(());
     };
-    let share = current_share(cx);
+    let share = current_share(cx, &customer.name, rate);
     let taken = {
         let mut shard = cx.rates.shard(&customer.name).lock();
         shard.take(&customer.name, rate, share, step, Moment::now())
@@ -137,7 +137,7 @@
 /// Gives the token back of a request that did not run.
 pub fn give_back<P: Platform>(cx: &Gateway<P>, customer: &Customer) {
     if let Some(rate) = customer.rate {
-        let share = current_share(cx);
+        let share = current_share(cx, &customer.name, rate);
         let mut shard = cx.rates.shard(&customer.name).lock();
         shard.put_back(&customer.name, rate, share, Moment::now());
     }
@@ -147,9 +147,9 @@
 pub fn give<P: Platform>(cx: &Gateway<P>, req: &BorrowRequest) -> BorrowReply {
     let now = Moment::now();
     cx.heard(&req.from);
-    let share = current_share(cx);
     let rate = rate_of(cx, &req.customer);
     let given = rate.map_or(0, |rate| {
+        let share = current_share(cx, &req.customer, rate);
         let customer: Arc<str> = req.customer.as_str().into();
         let mut shard = cx.rates.shard(&customer).lock();
         shard.give(&customer, rate, share, req.wanted, now)
@@ -163,7 +163,7 @@
         let Some(rate) = rate_of(cx, &customer) else {
             continue;
         };
-        let share = current_share(cx);
+        let share = current_share(cx, &customer, rate);
         let wanted = {
             let mut shard = cx.rates.shard(&customer).lock();
             shard.wanted(&customer, rate, share, Moment::now())
@@ -174,8 +174,9 @@
     }
 }
 
-fn current_share<P>(cx: &Gateway<P>) -> Share {
-    cx.roster.lock().share(Moment::now())
+fn current_share<P>(cx: &Gateway<P>, customer: &str, rate: Rate) -> Share {
+    let key = super::hash_of(customer);
+    cx.roster.lock().share(key, rate, Moment::now())
 }
 
 fn rate_of<P>(cx: &Gateway<P>, customer: &str) -> Option<Rate> {
@@ -186,9 +187,10 @@
 /// Asks a few hosts, chosen at random, for tokens and keeps what they give.
 async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate) {
     let now = Moment::now();
-    let mut others = cx.roster.lock().others(now);
+    let key = super::hash_of(customer);
+    let mut others = cx.roster.lock().lenders(key, rate, now);
     others.truncate(ASKED_AT_ONCE);
-    let share = current_share(cx);
+    let share = current_share(cx, customer, rate);
     let wanted = {
         let mut shard = cx.rates.shard(customer).lock();
         shard.wanted(customer, rate, share, now).max(1)
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -11,6 +11,7 @@
 use super::context::InForce;
 use super::directory::Endpoint;
 use super::directory::ToldEndpoint;
+use super::exchange;
 use super::follow::Follower;
 use super::roster;
 use super::roster::Founders;
@@ -35,6 +36,8 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 /// Pause between two probes of a store that does not answer.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Pause between two looks for hosts that are gone.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
 /// Pause between two looks for endpoints whose grace is over.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -53,6 +56,11 @@
     changed: Vec<String>,
 }
 
+#[derive(Serialize)]
+struct HostLine<'a> {
+    name: &'a str,
+}
+
 #[derive(Serialize)]
 struct StoreLine<'a> {
     why: &'a str,
@@ -301,11 +309,18 @@
     async fn changed(&self, changes: Changes) {
         self.take(&changes.objects);
         let mut roster = self.0.roster.lock();
+        let mut is_own_gone = false;
         for name in &changes.removed {
             if let Ok(host) = name.parse::<HostId>() {
+                is_own_gone |= host == self.0.cfg.place.host;
                 roster.remove(&host);
             }
         }
+        drop(roster);
+        if is_own_gone {
+            // Others took this host for gone while it was cut off.
+            self.0.spawner.detach(enter_again(Arc::clone(&self.0)));
+        }
     }
 
     fn lost(&self, error: &PlatformError) {
@@ -336,6 +351,18 @@
     }
 }
 
+async fn enter_again<P: Platform>(cx: Cx<P>) {
+    let mut entry = HostEntry {
+        peers: cx.cfg.peers,
+        data_centre: cx.cfg.place.data_centre.clone(),
+        incarnation: Incarnation(unix_ms()),
+        is_founder: false,
+    };
+    while !enter_once(&cx, &mut entry).await {
+        Timer::after(REGISTER_RETRY).await;
+    }
+}
+
 /// Takes up the hosts of the first start, which the first writer sets.
 async fn agree_founders<P: Platform>(cx: &Cx<P>) -> bool {
     let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
@@ -398,6 +425,38 @@
     true
 }
 
+/// Removes entries of hosts that are gone for good, and asks silent ones
+/// whether they are back.
+pub async fn look_after_hosts<P: Platform>(cx: Cx<P>) {
+    loop {
+        Timer::after(LOOK_PERIOD).await;
+        let silent = cx.roster.lock().silent();
+        for peer in silent {
+            exchange::exchange(&cx, &peer).await;
+        }
+        let gone = cx.roster.lock().gone(cx.cfg.host_gone_after, Moment::now());
+        if cx.contact.is_up() {
+            for host in gone {
+                remove_host(&cx, &host).await;
+            }
+        }
+    }
+}
+
+async fn remove_host<P: Platform>(cx: &Cx<P>, host: &HostId) {
+    let name = host.as_str();
+    let read = cx.store.read(roster::KIND, name).await;
+    let removed = match read {
+        Ok(Some(object)) => cx.store.remove(roster::KIND, name, object.version).await,
+        Ok(None) => Ok(Written::Conflict),
+        Err(e) => Err(e),
+    };
+    match removed {
+        Ok(_) => cx.log.state("host-removed", &HostLine { name }),
+        Err(e) => log::debug!("the entry of {name} is removed later: {e}"),
+    }
+}
+
 /// Drops endpoints whose entries did not come back after an outage.
 pub async fn expire_endpoints<P: Platform>(cx: Cx<P>) {
     loop {
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::quota::Share;
+use super::routes::Rate;
 use crate::ids::DataCentre;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -46,6 +47,10 @@
 #[derive(Clone, Debug)]
 struct Known {
     entry: HostEntry,
+    /// Hash of its name.
+    hash: u64,
+    /// Since when it has not answered this host.
+    silent_since: Option<Moment>,
     /// Set while it is passed over because it did not answer.
     suspect_until: Option<Moment>,
 }
@@ -88,6 +93,18 @@
     Own,
 }
 
+/// Fewest tokens of a burst that a host which refills a rate should hold.
+const MIN_HELD_TOKENS: f64 = 8.0;
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range first"
+)]
+fn holders_of(rate: Rate) -> usize {
+    (rate.burst / MIN_HELD_TOKENS).clamp(1.0, f64::from(u16::MAX)) as usize
+}
+
 /// Time for which a host that did not answer is passed over.
 const SUSPICION: Duration = Duration::from_secs(1);
 
@@ -118,6 +135,8 @@
             _ => {
                 let known = Known {
                     entry,
+                    hash: super::hash_of(host.as_str()),
+                    silent_since: None,
                     suspect_until: None,
                 };
                 self.hosts.insert(host, known);
@@ -136,6 +155,7 @@
     pub fn heard(&mut self, host: &HostId) {
         if let Some(known) = self.hosts.get_mut(host) {
             known.suspect_until = None;
+            known.silent_since = None;
         }
     }
 
@@ -156,6 +176,7 @@
     pub fn suspect(&mut self, host: &HostId, now: Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
             known.suspect_until = Some(now + SUSPICION);
+            known.silent_since.get_or_insert(now);
         }
     }
 
@@ -179,9 +200,8 @@
             .hosts
             .iter()
             .filter(|(host, known)| is_usable(host, known));
-        let home = highest(usable.map(|(host, _)| host), key);
-        let other = home.filter(|host| **host != self.own);
-        match other.and_then(|host| Some((host, self.hosts.get(host)?))) {
+        let home = usable.max_by_key(|(_, known)| mix(known.hash ^ key));
+        match home.filter(|(host, _)| **host != self.own) {
             Some((host, known)) => Home::Other(Peer {
                 host: host.clone(),
                 address: known.entry.peers,
@@ -207,13 +227,77 @@
         self.share_from.get_or_insert(at);
     }
 
-    /// Part of every rate that this host refills.
-    pub fn share(&self, now: Moment) -> Share {
+    /// Part of a customer's rate that this host refills.
+    pub fn share(&self, customer: u64, rate: Rate, now: Moment) -> Share {
         if self.share_from.is_none_or(|at| now < at) {
             return Share(0.0);
         }
-        let hosts = u32::try_from(self.hosts.len().max(1)).unwrap_or(u32::MAX);
-        Share(1.0 / f64::from(hosts))
+        let holders = self.holders(customer, rate);
+        if !holders.contains(&&self.own) {
+            return Share(0.0);
+        }
+        Share(1.0 / f64::from(u32::try_from(holders.len()).unwrap_or(u32::MAX)))
+    }
+
+    /// Hosts that refill a customer's rate: enough tokens for each to be of
+    /// use, and one at least in each data centre, which may be cut off.
+    pub fn holders(&self, customer: u64, rate: Rate) -> Vec<&HostId> {
+        let mut ranked: Vec<(u64, &HostId, &Known)> = self
+            .hosts
+            .iter()
+            .map(|(host, known)| (mix(known.hash ^ customer), host, known))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+        let wanted = holders_of(rate);
+        let mut centres: Vec<&DataCentre> = Vec::new();
+        let mut holders = Vec::new();
+        let mut others = Vec::new();
+        for (_, host, known) in ranked {
+            if centres.contains(&&known.entry.data_centre) {
+                others.push(host);
+            } else {
+                centres.push(&known.entry.data_centre);
+                holders.push(host);
+            }
+        }
+        let missing = wanted.saturating_sub(holders.len());
+        holders.extend(others.into_iter().take(missing));
+        holders
+    }
+
+    /// Hosts to ask for tokens of a customer's rate; those that answer come
+    /// first.
+    pub fn lenders(&self, customer: u64, rate: Rate, now: Moment) -> Vec<Peer> {
+        let holders = self.holders(customer, rate);
+        let mut lenders = self.others(now);
+        lenders.retain(|peer| holders.contains(&&peer.host));
+        lenders
+    }
+
+    /// Hosts that this one looks after and that have been silent for a while.
+    pub fn gone(&self, silent_for: Duration, now: Moment) -> Vec<HostId> {
+        let is_gone = |known: &Known| {
+            let silent = known.silent_since.map(|since| now.since(since));
+            silent.is_some_and(|silent| silent >= silent_for)
+        };
+        let gone = self.hosts.iter().filter(|(host, known)| {
+            is_gone(known) && self.home(known.hash, now) == Home::Own && **host != self.own
+        });
+        gone.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Silent hosts, which are asked again to learn whether they are back.
+    pub fn silent(&self) -> Vec<Peer> {
+        let silent = self
+            .hosts
+            .iter()
+            .filter(|(_, known)| known.silent_since.is_some());
+        silent
+            .map(|(host, known)| Peer {
+                host: host.clone(),
+                address: known.entry.peers,
+            })
+            .collect()
     }
 
     /// Other hosts; those that answer come first.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -228,6 +228,7 @@
     spawner.detach(follow::follow(store(), roster::KIND, hosts));
     spawner.detach(register::enter(Arc::clone(cx)));
     spawner.detach(register::expire_endpoints(Arc::clone(cx)));
+    spawner.detach(register::look_after_hosts(Arc::clone(cx)));
     spawner.detach(account::run(Arc::clone(cx)));
     spawner.detach(isolation::run(Arc::clone(cx)));
     spawner.detach(exchange::run(Arc::clone(cx)));
