Learn pace and errors of endpoints; give up slow attempts of calls that may be repeated

An endpoint's error rate and pace raise its cost and fade within seconds; a call that may be repeated goes elsewhere after 1.5 times its objective; a call that may not be goes on a connection that was in use within half a second, or on a new one. Tests: half_the_engines_slow. A process test failed once since two tests could get one port: ports now come from a counter outside the system's own range.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -87,6 +87,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Body>,
+    parked: Instant,
     expires: Instant,
 }
 
@@ -128,7 +129,23 @@
         req: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
-        within(timeout, self.exchange(to, req)).await
+        within(timeout, self.exchange(to, req, Duration::MAX)).await
+    }
+
+    /// Like [`Client::send`], on a connection that was idle for at most
+    /// `max_idle`, or on a new one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_recent(
+        &self,
+        to: SocketAddr,
+        req: Request<Body>,
+        timeout: Duration,
+        max_idle: Duration,
+    ) -> Result<Response<Incoming>> {
+        within(timeout, self.exchange(to, req, max_idle)).await
     }
 
     /// Like [`Client::send`], on a new connection.
@@ -150,8 +167,13 @@
         self.idle.lock().remove(&to);
     }
 
-    async fn exchange(&self, to: SocketAddr, mut req: Request<Body>) -> Result<Response<Incoming>> {
-        while let Some(mut sender) = self.take_idle(to) {
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        mut req: Request<Body>,
+        max_idle: Duration,
+    ) -> Result<Response<Incoming>> {
+        while let Some(mut sender) = self.take_idle(to, max_idle) {
             match sender.try_send_request(req).await {
                 Ok(response) => return Ok(self.park(to, sender, response)),
                 Err(mut failure) => match failure.take_message() {
@@ -178,11 +200,19 @@
         }
     }
 
-    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, to: SocketAddr, max_idle: Duration) -> Option<SendRequest<Body>> {
         let mut idle = self.idle.lock();
         let parked = idle.get_mut(&to)?;
         let now = Instant::now();
-        while let Some(IdleConnection { sender, expires }) = parked.pop() {
+        while let Some(idle) = parked.pop() {
+            if now.duration_since(idle.parked) > max_idle {
+                // Those below it have been idle for longer.
+                parked.push(idle);
+                return None;
+            }
+            let IdleConnection {
+                sender, expires, ..
+            } = idle;
             if now < expires && sender.is_ready() && !sender.is_closed() {
                 return Some(sender);
             }
@@ -210,8 +240,12 @@
             let mut idle = idle.lock();
             let parked = idle.entry(to).or_default();
             if parked.len() < max_idle {
-                let expires = Instant::now() + keep.mul_f64(IDLE_SHARE);
-                parked.push(IdleConnection { sender, expires });
+                let now = Instant::now();
+                parked.push(IdleConnection {
+                    sender,
+                    parked: now,
+                    expires: now + keep.mul_f64(IDLE_SHARE),
+                });
             }
         });
         response
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use super::placing::Pool;
 use super::routes::Customer;
 use super::routes::Route;
+use super::routes::RouteKind;
 use crate::connection::platform::Platform;
 use crate::platform::endpoints;
 use crate::platform::endpoints::Verdict;
@@ -116,9 +117,10 @@
     call: &Call,
     place: &Place,
     resume_after: Option<u64>,
+    limit: Moment,
 ) -> Attempted {
     let now = Moment::now();
-    let left = now.until(call.deadline);
+    let left = now.until(limit);
     let attempt = endpoints::Attempt {
         method: &call.method,
         target: &call.target,
@@ -139,7 +141,17 @@
             };
         }
     };
-    match cx.client.send(place.endpoint.address, req, left).await {
+    let to = place.endpoint.address;
+    let sent = match call.route.kind {
+        // A connection that the endpoint dropped meanwhile would lose the call.
+        RouteKind::Once => {
+            cx.client
+                .send_recent(to, req, left, MAX_IDLE_FOR_ONCE)
+                .await
+        }
+        _ => cx.client.send(to, req, left).await,
+    };
+    match sent {
         Ok(response) => judge(call, place, response),
         Err(e) if e.is_not_sent() => Attempted::NotRun {
             why: e.to_string(),
@@ -150,6 +162,9 @@
     }
 }
 
+/// Longest idle time of a connection on which a call that may not be repeated
+/// is sent. Endpoints at times drop idle connections without notice.
+const MAX_IDLE_FOR_ONCE: Duration = Duration::from_millis(500);
 /// Shortest time that an endpoint is given.
 const MIN_TIME: Duration = Duration::from_millis(1);
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -33,6 +33,9 @@
 const FULL_RETRY: Duration = Duration::from_millis(400);
 /// Time to come back when no endpoint is known.
 const ABSENT_RETRY: Duration = Duration::from_millis(800);
+/// Time that an endpoint is given for a call that may be repeated, as a part of
+/// the call's objective.
+const PATIENCE: f64 = 1.5;
 /// Time below which no further attempt is made.
 const MIN_ATTEMPT: Duration = Duration::from_millis(20);
 
@@ -77,7 +80,8 @@
     loop {
         check_time(&call, &tried)?;
         let place = choose(cx, &call, &tried)?;
-        let sent = attempt::send(cx, &call, &place, call.meta.resume_after).await;
+        let limit = attempt_limit(&call, &tried);
+        let sent = attempt::send(cx, &call, &place, call.meta.resume_after, limit).await;
         let why = match sent {
             Attempted::Answered(response) => match receive(cx, &call, place, *response).await {
                 Received::Whole(response) => return Ok(response),
@@ -100,8 +104,12 @@
             }
             Attempted::TimedOut => {
                 log_attempt(cx, &call, &place, &tried, "timed-out", "");
-                place.end(Ended::Failed);
-                return Err(Refusal::new(Outcome::TimedOut, "no answer in time"));
+                tried.ran.push(Arc::clone(&place.endpoint));
+                place.end(Ended::Errored);
+                if !may_repeat(&call, &tried) || has_no_time(&call) {
+                    return Err(Refusal::new(Outcome::TimedOut, "no answer in time"));
+                }
+                "no answer in time".to_owned()
             }
             Attempted::Unknown { why } => {
                 log_attempt(cx, &call, &place, &tried, "unknown", &why);
@@ -117,8 +125,23 @@
     }
 }
 
+/// When an attempt is given up. A call that may be repeated does not wait for
+/// one endpoint until its own deadline.
+fn attempt_limit(call: &Call, tried: &Tried) -> Moment {
+    let is_last = tried.ran.len() + 1 >= usize::try_from(call.route.max_runs).unwrap_or(1);
+    if call.route.kind != RouteKind::Idempotent || is_last {
+        return call.deadline;
+    }
+    let patience = call.route.objective.mul_f64(PATIENCE);
+    call.deadline.min(Moment::now() + patience)
+}
+
+fn has_no_time(call: &Call) -> bool {
+    Moment::now() + MIN_ATTEMPT >= call.deadline
+}
+
 fn check_time(call: &Call, tried: &Tried) -> Result<()> {
-    if Moment::now() + MIN_ATTEMPT < call.deadline {
+    if !has_no_time(call) {
         return Ok(());
     }
     if tried.ran.is_empty() {
@@ -247,7 +270,7 @@
     match attempt::read_whole(body, answer::MAX_WHOLE_BYTES, call.deadline).await {
         Ok(body) => {
             let ended = match head.status.is_server_error() {
-                true => Ended::Failed,
+                true => Ended::Errored,
                 false => Ended::Answered,
             };
             answer::log_ended(cx, call, &place, head.status);
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -20,8 +20,19 @@
 const MEAN_WEIGHT: f64 = 0.2;
 /// Work that a call is taken to be before any has ended, in milliseconds.
 const FIRST_WORK_MS: f64 = 100.0;
-/// Prompt tokens that an engine is taken to read in a millisecond.
-const FIRST_PREFILL_PER_MS: f64 = 40.0;
+/// Prompt tokens that an engine is taken to read in a millisecond; engines
+/// read some tens to a hundred.
+const PREFILL_PER_MS: f64 = 40.0;
+/// Weight of the newest call in an endpoint's pace and error rate.
+const MEMBER_WEIGHT: f64 = 0.15;
+/// Pace above which an endpoint counts as slow: calls differ by that much.
+const SLOW_PACE: f64 = 1.5;
+/// Highest pace that is learnt, so that an endpoint recovers soon.
+const MAX_PACE: f64 = 8.0;
+/// Time in which a learnt error rate or pace loses most of its weight.
+const LEARNT_LIFE: Duration = Duration::from_secs(4);
+/// Cost of a failed call, in calls: it is repeated, or its program is lost.
+const ERROR_COST: f64 = 10.0;
 /// Added to the cost of an endpoint in another data centre, as a part of a
 /// call's time. Calls that stay are not lost when the data centres part.
 const CROSSING_SHARE: f64 = 0.15;
@@ -42,6 +53,8 @@
 pub enum Ended {
     /// It answered.
     Answered,
+    /// It answered with an error of its own.
+    Errored,
     /// It refused for want of room.
     Full,
     /// It failed, hung or answered wrongly.
@@ -73,6 +86,11 @@
     told: Option<Moment>,
     avoid_until: Moment,
     failures: u32,
+    /// Time of its calls against the mean of the service.
+    pace: f64,
+    /// Part of its calls that failed lately.
+    error_rate: f64,
+    learnt: Moment,
     prefixes: Prefixes,
 }
 
@@ -85,6 +103,9 @@
             told: None,
             avoid_until: Moment::default(),
             failures: 0,
+            pace: 1.0,
+            error_rate: 0.0,
+            learnt: Moment::default(),
             prefixes: Prefixes::default(),
         }
     }
@@ -93,6 +114,25 @@
         self.endpoint.state == EndpointState::Ready
     }
 
+    /// Learns from a call; what was learnt before fades with time.
+    fn learn(&mut self, pace: Option<f64>, is_error: bool, now: Moment) {
+        let fade = self.fade(now);
+        self.error_rate *= fade;
+        self.pace = 1.0 + (self.pace - 1.0) * fade;
+        let error = if is_error { 1.0 } else { 0.0 };
+        self.error_rate += MEMBER_WEIGHT * (error - self.error_rate);
+        if let Some(pace) = pace {
+            self.pace += MEMBER_WEIGHT * (pace.min(MAX_PACE) - self.pace);
+        }
+        self.learnt = now;
+    }
+
+    /// Weight that is left of what was learnt.
+    fn fade(&self, now: Moment) -> f64 {
+        let age = now.since(self.learnt).as_secs_f64() / LEARNT_LIFE.as_secs_f64();
+        (-age).exp()
+    }
+
     /// Requests there, with the told part fading as it grows old.
     fn load(&self, now: Moment) -> f64 {
         let age = self.told.map_or(LOAD_LIFE, |told| now.since(told));
@@ -166,8 +206,9 @@
 
     /// Ends a request that [`Pool::choose`] counted.
     pub fn ended(&mut self, id: &str, ended: Ended, spent: Duration, now: Moment) {
-        if ended == Ended::Answered {
-            let spent_ms = spent.as_secs_f64() * 1000.0;
+        let spent_ms = spent.as_secs_f64() * 1000.0;
+        let pace = (ended == Ended::Answered).then(|| spent_ms / self.work_ms.max(1.0));
+        if pace.is_some() {
             self.work_ms += MEAN_WEIGHT * (spent_ms - self.work_ms);
         }
         let Some(member) = self.members.get_mut(id) else {
@@ -175,7 +216,11 @@
         };
         member.running = member.running.saturating_sub(1);
         match ended {
-            Ended::Answered => member.failures = 0,
+            Ended::Answered => {
+                member.failures = 0;
+                member.learn(pace, false, now);
+            }
+            Ended::Errored => member.learn(None, true, now),
             Ended::Abandoned => (),
             Ended::Full => {
                 member.others = member.others.max(member.endpoint.slots);
@@ -183,6 +228,7 @@
             }
             Ended::Failed => {
                 member.failures += 1;
+                member.learn(None, true, now);
                 let doubled = AVOID * 2u32.saturating_pow(member.failures.min(4) - 1);
                 member.avoid_until = now + doubled.min(MAX_AVOID);
             }
@@ -216,12 +262,16 @@
     let slots = f64::from(member.endpoint.slots);
     let load = member.load(now);
     let queued = (load + 1.0 - slots).max(0.0);
-    let mut cost = work_ms * (queued + 0.25 * load) / slots;
+    let fade = member.fade(now);
+    let pace = 1.0 + (member.pace - 1.0) * fade;
+    let mut cost = work_ms * pace.max(1.0) * (queued + 0.25 * load) / slots;
+    cost += work_ms * (pace - SLOW_PACE).max(0.0);
+    cost += work_ms * ERROR_COST * member.error_rate * fade;
     if !want.parts.is_empty() {
         let missing = member.prefixes.missing(want.parts, now);
         #[allow(clippy::cast_precision_loss, reason = "prompts have few tokens")]
         let missing = missing as f64;
-        cost += missing / FIRST_PREFILL_PER_MS;
+        cost += missing / PREFILL_PER_MS;
     }
     if &*member.endpoint.data_centre != home {
         cost += CROSSING_SHARE * work_ms;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -241,7 +241,7 @@
             self.resumes += 1;
             let place = dispatch::place_to_resume(&self.cx, &self.call, broken_at)?;
             let after = self.last_event.or(self.call.meta.resume_after);
-            let sent = attempt::send(&self.cx, &self.call, &place, after);
+            let sent = attempt::send(&self.cx, &self.call, &place, after, self.call.deadline);
             let gone = async {
                 tx.reader_gone().await;
                 Attempted::TimedOut
--- /dev/null
+++ b/tests/gateway/half_the_engines_slow.rs
@@ -0,0 +1,74 @@
+//! Load: some endpoints of a service turn slow or fail part of their calls
+//! while they look healthy.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryarch::gateway::placing::Ended;
+use chicoryarch::gateway::placing::Pool;
+use chicoryarch::gateway::placing::Want;
+
+use super::support::at;
+use super::support::endpoint;
+
+const HOME: &str = "a";
+const ENDPOINTS: usize = 6;
+
+/// Plays calls 20 ms apart and counts where the last 200 of 400 went.
+fn play(ended: impl Fn(usize, usize) -> (Ended, u64)) -> HashMap<usize, usize> {
+    let mut pool = Pool::default();
+    pool.replace((0..ENDPOINTS).map(|n| Arc::new(endpoint(&n.to_string(), 4))));
+    let mut under_way: Vec<(u64, Box<str>, Ended, u64)> = Vec::new();
+    let mut chosen = HashMap::new();
+    for call in 0..400 {
+        let now = u64::try_from(call).expect("few calls") * 20;
+        let (done, left): (Vec<_>, Vec<_>) =
+            under_way.into_iter().partition(|(ends, ..)| *ends <= now);
+        under_way = left;
+        for (ends, id, ended, spent) in done {
+            pool.ended(&id, ended, Duration::from_millis(spent), at(ends));
+        }
+        let to = pool.choose(&Want::default(), HOME, at(now)).expect("one");
+        let index: usize = to.id.parse().expect("a number");
+        if call >= 200 {
+            *chosen.entry(index).or_default() += 1;
+        }
+        let (ended, spent) = ended(index, call);
+        under_way.push((now + spent, to.id.clone(), ended, spent));
+    }
+    chosen
+}
+
+fn share(chosen: &HashMap<usize, usize>, endpoints: std::ops::Range<usize>) -> usize {
+    endpoints
+        .map(|n| chosen.get(&n).copied().unwrap_or(0))
+        .sum()
+}
+
+#[test]
+fn slow_endpoints_get_few_calls() {
+    let chosen = play(|index, _| {
+        let spent = if index < 3 { 320 } else { 80 };
+        (Ended::Answered, spent)
+    });
+    assert!(share(&chosen, 0..3) < 50, "{chosen:?}");
+}
+
+#[test]
+fn an_endpoint_that_fails_part_of_its_calls_gets_few() {
+    let chosen = play(|index, call| match index == 0 && call % 5 < 2 {
+        true => (Ended::Errored, 80),
+        false => (Ended::Answered, 80),
+    });
+    assert!(share(&chosen, 0..1) < 17, "{chosen:?}");
+}
+
+#[test]
+fn equal_endpoints_share_the_calls() {
+    let chosen = play(|_, _| (Ended::Answered, 80));
+    for index in 0..ENDPOINTS {
+        let calls = share(&chosen, index..index + 1);
+        assert!((15..60).contains(&calls), "{chosen:?}");
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod engines_replaced;
 mod event_stream;
 mod explain;
+mod half_the_engines_slow;
 mod ingress;
 mod one_host_busy;
 mod quota;
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -6,6 +6,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,10 +33,20 @@
 pub(crate) const HANG_GUARD: Duration = Duration::from_secs(30);
 const RECHECK: Duration = Duration::from_millis(10);
 
-/// An address of this machine that nobody listens on.
+/// Ports below those that the system gives to outgoing connections, which
+/// could take a port between this look and the gateway's start.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 10_000;
+
+/// An address of this machine that nobody listens on and no other test gets.
 pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("its address");
+        }
+    }
 }
 
 /// Looks until a condition holds.
