Let three hosts of a data centre follow the store for the others

Three scouts by rank in each data centre watch now, the others ask one of them every 300 ms and follow the store themselves when none answers; changes gather for a moment, watches wait 25 s.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -67,7 +67,7 @@
             max_value_bytes: 1 << 20,
             timeout: Duration::from_millis(500),
             write_timeout: Duration::from_millis(150),
-            watch_wait: Duration::from_secs(10),
+            watch_wait: Duration::from_secs(25),
             retry_interval: Duration::from_millis(50),
             settle_timeout: Duration::from_secs(2),
         }
@@ -107,6 +107,10 @@
     pub host_gone_after: Duration,
     /// Pause between two exchanges with another host.
     pub exchange_period: Duration,
+    /// The same at a host that follows others rather than the store.
+    pub follow_period: Duration,
+    /// Hosts of a data centre that follow the store; the others follow them.
+    pub scouts: usize,
     /// The same while the store is out of reach.
     pub urgent_exchange_period: Duration,
     /// Longest time for a call to another host on the way of a request.
@@ -148,6 +152,8 @@
             join_notice: Duration::from_secs(3),
             host_gone_after: Duration::from_secs(20),
             exchange_period: Duration::from_millis(500),
+            follow_period: Duration::from_millis(300),
+            scouts: 3,
             urgent_exchange_period: Duration::from_millis(150),
             borrow_timeout: Duration::from_millis(60),
             silence_limit: Duration::from_secs(2),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -164,7 +164,7 @@
 
 /// Longest idle time of a connection on which a call that may not be repeated
 /// is sent. Endpoints at times drop idle connections without notice.
-const MAX_IDLE_FOR_ONCE: Duration = Duration::from_millis(500);
+const MAX_IDLE_FOR_ONCE: Duration = Duration::from_secs(1);
 /// Shortest time that an endpoint is given.
 const MIN_TIME: Duration = Duration::from_millis(1);
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,6 +22,7 @@
 use super::metrics::GatewayMetrics;
 use super::placing::Pool;
 use super::rate::Rates;
+use super::roster::Peer;
 use super::roster::Roster;
 use super::routes::Configuration;
 use crate::configs::gateway::GatewayConfig;
@@ -127,6 +128,25 @@
     }
 }
 
+/// What this host last heard from a scout that follows the store.
+#[derive(Debug, Default)]
+pub struct Scouting(Mutex<Option<Moment>>);
+
+impl Scouting {
+    /// Notes the word of a scout that reaches the store.
+    pub fn heard(&self, now: Moment) {
+        *self.0.lock() = Some(now);
+    }
+
+    fn is_current(&self, now: Moment) -> bool {
+        let heard = *self.0.lock();
+        heard.is_some_and(|heard| now.since(heard) < SCOUT_LIFE)
+    }
+}
+
+/// Time for which the word of a scout is relied upon.
+const SCOUT_LIFE: Duration = Duration::from_secs(1);
+
 /// Requests and bytes of bodies that this host holds.
 #[derive(Debug, Default)]
 pub struct Held {
@@ -147,6 +167,8 @@
     pub contact: StoreContact,
     /// Signs of life from other data centres.
     pub outside: OutsideContact,
+    /// Word from hosts that follow the store.
+    pub scouting: Scouting,
     /// Connections to endpoints.
     pub client: Client,
     /// Calls to other hosts.
@@ -200,6 +222,21 @@
         !self.contact.is_up() && silent >= self.cfg.isolation_after
     }
 
+    /// True if this host follows the store itself: it is among the scouts of
+    /// its data centre, or none of them is known to be current.
+    pub fn follows_store(&self) -> bool {
+        let now = Moment::now();
+        let scouts = self.scouts(now);
+        let is_scout = scouts.iter().any(|peer| peer.host == self.cfg.place.host);
+        is_scout || scouts.is_empty() || !self.scouting.is_current(now)
+    }
+
+    /// Hosts of this data centre that follow the store for the others.
+    pub fn scouts(&self, now: Moment) -> Vec<Peer> {
+        let roster = self.roster.lock();
+        roster.scouts(&self.cfg.place.data_centre, self.cfg.scouts, now)
+    }
+
     /// Notes a message from a host.
     pub fn heard(&self, host: &HostId) {
         let mut roster = self.roster.lock();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use jsonrpsee_core::RegisterMethodError;
 use jsonrpsee_core::server::RpcModule;
 use jsonrpsee_types::ErrorObjectOwned;
+use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -50,6 +51,8 @@
 
 /// Hosts that are asked in one round while the store is out of reach.
 const URGENT_FANOUT: usize = 3;
+/// Part of a follower's exchanges that go to any host.
+const OUTSIDE_SHARE: f64 = 0.25;
 /// Pause between two looks at rates that run low.
 const REFILL_PERIOD: Duration = Duration::from_millis(200);
 
@@ -64,6 +67,8 @@
     pub endpoints: Option<Version>,
     /// Hosts that it knows.
     pub hosts: usize,
+    /// True if it follows the store and the store answers it.
+    pub is_current: bool,
     /// Programs whose budget it learnt lately to be spent, by hash.
     pub spent: Vec<u64>,
 }
@@ -122,12 +127,20 @@
     Ok(())
 }
 
-fn known<P>(cx: &Gateway<P>) -> Known {
+fn is_scout<P: Platform>(cx: &Gateway<P>) -> bool {
+    let scouts = cx.scouts(Moment::now());
+    scouts.iter().any(|peer| peer.host == cx.cfg.place.host)
+}
+
+fn known<P: Platform>(cx: &Gateway<P>) -> Known {
+    let hosts = cx.roster.lock().len();
+    let endpoints = cx.listed.lock().upto;
     Known {
         host: cx.cfg.place.host.clone(),
         configuration: cx.in_force.load().table.version,
-        endpoints: cx.listed.lock().upto,
-        hosts: cx.roster.lock().len(),
+        endpoints,
+        hosts,
+        is_current: cx.contact.is_up() && is_scout(cx),
         spent: cx.spent.recent(Moment::now()),
     }
 }
@@ -157,8 +170,11 @@
         let is_urgent = !cx.contact.is_up() || cx.in_force.load().table.is_unknown();
         let (fanout, pause) = if is_urgent {
             (URGENT_FANOUT, cx.cfg.urgent_exchange_period)
-        } else {
+        } else if is_scout(&cx) {
             (1, cx.cfg.exchange_period)
+        } else {
+            ask_scout(&cx);
+            (0, cx.cfg.follow_period)
         };
         for to in chosen(&cx, fanout) {
             let cx = Arc::clone(&cx);
@@ -175,6 +191,24 @@
     }
 }
 
+/// Asks a host that follows the store, and now and then any other, so that
+/// word of hosts and spent budgets passes between data centres.
+fn ask_scout<P: Platform>(cx: &Cx<P>) {
+    let now = Moment::now();
+    let scout = cx.scouts(now).choose(&mut rand::rng()).cloned();
+    let any = || {
+        let others = cx.roster.lock().others(now);
+        others.into_iter().next()
+    };
+    let is_outside = rand::random_bool(OUTSIDE_SHARE);
+    let Some(peer) = (if is_outside { any() } else { scout }) else {
+        return;
+    };
+    let asking = Arc::clone(cx);
+    cx.spawner
+        .detach(async move { exchange(&asking, &peer).await });
+}
+
 /// Keeps buckets of customers with demand from running dry.
 pub async fn refill<P: Platform>(cx: Cx<P>) {
     loop {
@@ -240,6 +274,9 @@
     // A host that does not answer is asked again in a later round.
     let news = call.await.ok()?;
     cx.heard(&news.known.host);
+    if news.known.is_current {
+        cx.scouting.heard(Moment::now());
+    }
     cx.spent.learn(&news.known.spent, Moment::now());
     if let Some(text) = &news.configuration {
         register::take_configuration(cx, text, news.known.host.as_str());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,8 +17,10 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Least part of a pause that is left by chance, so that hosts spread.
 const MIN_JITTER: f64 = 0.6;
-/// Longest time that a waiting watch is relied upon.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest time that a watch waits; the platform allows thirty seconds.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause between two looks at whether this host follows the store.
+const RECHECK: Duration = Duration::from_millis(100);
 
 /// Takes up what is followed.
 pub trait Follower: Send + Sync + 'static {
@@ -33,12 +35,23 @@
 
     /// The store answers.
     fn regained(&self);
+
+    /// True while this host follows the store itself.
+    fn is_wanted(&self) -> bool {
+        true
+    }
+
+    /// Pause after a change, in which further ones gather.
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Follows a kind until the process ends.
 pub async fn follow<P: Platform, F: Follower>(store: P, kind: &'static str, follower: F) {
     let mut pause = FIRST_PAUSE;
     loop {
+        until_wanted(&follower).await;
         // A version of its own listing is known while this is set.
         let mut since = match store.list(kind, "").await {
             Ok(listed) => {
@@ -55,6 +68,7 @@
             }
         };
         while let Some(version) = since {
+            until_wanted(&follower).await;
             since = watch_once(&store, kind, &follower, version, &mut pause).await;
         }
     }
@@ -77,6 +91,7 @@
             let is_empty = changes.objects.is_empty() && changes.removed.is_empty();
             if !is_empty {
                 follower.changed(changes).await;
+                Timer::after(follower.pause()).await;
             }
             // A store that answers at once with nothing is not asked in a tight loop.
             if is_empty && Moment::now().since(started) < FIRST_PAUSE {
@@ -93,6 +108,12 @@
     }
 }
 
+async fn until_wanted(follower: &impl Follower) {
+    while !follower.is_wanted() {
+        Timer::after(RECHECK).await;
+    }
+}
+
 async fn wait(pause: &mut Duration) {
     let jitter = rand::random_range(MIN_JITTER..=1.0);
     Timer::after(pause.mul_f64(jitter)).await;
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -36,6 +36,14 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 /// Pause between two probes of a store that does not answer.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Pauses after a change, in which further ones gather: each saves a call to
+/// the store. They are small parts of the time in which changes must be in
+/// force.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(50);
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(250);
+const HOSTS_PAUSE: Duration = Duration::from_millis(700);
+/// Time that the first hosts give the one that writes their names.
+const FOUNDERS_WAIT: Duration = Duration::from_millis(800);
 /// Pause between two looks for hosts that are gone.
 const LOOK_PERIOD: Duration = Duration::from_secs(2);
 /// Pause between two looks for endpoints whose grace is over.
@@ -220,6 +228,14 @@
     fn regained(&self) {
         store_regained(&self.0);
     }
+
+    fn is_wanted(&self) -> bool {
+        self.0.follows_store()
+    }
+
+    fn pause(&self) -> Duration {
+        CONFIGURATION_PAUSE
+    }
 }
 
 /// Follows the list of endpoints.
@@ -274,6 +290,14 @@
     fn regained(&self) {
         store_regained(&self.0);
     }
+
+    fn is_wanted(&self) -> bool {
+        self.0.follows_store()
+    }
+
+    fn pause(&self) -> Duration {
+        ENDPOINTS_PAUSE
+    }
 }
 
 fn decode(object: &Object) -> Option<Endpoint> {
@@ -330,6 +354,14 @@
     fn regained(&self) {
         store_regained(&self.0);
     }
+
+    fn is_wanted(&self) -> bool {
+        self.0.follows_store()
+    }
+
+    fn pause(&self) -> Duration {
+        HOSTS_PAUSE
+    }
 }
 
 /// Writes this host's entry, again and again until the store has it.
@@ -345,6 +377,10 @@
     }
     if entry.is_founder {
         Timer::after(cx.cfg.join_notice).await;
+        let key = super::hash_of(roster::FOUNDERS_NAME);
+        if !cx.roster.lock().is_rightful_home(key) {
+            Timer::after(FOUNDERS_WAIT).await;
+        }
         while !agree_founders(&cx).await {
             Timer::after(REGISTER_RETRY).await;
         }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -210,6 +210,27 @@
         }
     }
 
+    /// Hosts of a data centre that follow the store for the others, among
+    /// those that answer.
+    pub fn scouts(&self, own: &DataCentre, count: usize, now: Moment) -> Vec<Peer> {
+        let mut ranked: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|(host, known)| {
+                let answers = **host == self.own || known.answers(now);
+                known.entry.data_centre == *own && answers
+            })
+            .map(|(host, known)| (mix(known.hash), host, known))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+        ranked.truncate(count);
+        let peer = |(_, host, known): (u64, &HostId, &Known)| Peer {
+            host: host.clone(),
+            address: known.entry.peers,
+        };
+        ranked.into_iter().map(peer).collect()
+    }
+
     /// Hosts whose process is their first.
     pub fn founders(&self) -> Founders {
         let founders = self
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -200,6 +200,7 @@
         held: super::context::Held::default(),
         isolated: IsolatedPurses::default(),
         spent: SpentPrograms::default(),
+        scouting: super::context::Scouting::default(),
         outside: super::context::OutsideContact::default(),
         is_draining: false.into(),
         log: EventLog::start(cfg.place.host.as_str(), cfg.log_lines_per_s),
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -142,3 +142,26 @@
     let (_, known) = roster.entries().pop().expect("one host");
     assert_eq!(known.incarnation, Incarnation(5));
 }
+
+#[test]
+fn few_hosts_of_a_data_centre_follow_the_store_for_all() {
+    let own = "dc-1".parse().expect("a name");
+    let mut followed = std::collections::HashSet::new();
+    for index in 0..40 {
+        let scouts = roster(index, 40).scouts(&own, 3, at(0));
+        assert_eq!(scouts.len(), 3);
+        followed.extend(scouts.into_iter().map(|peer| peer.host));
+    }
+    assert_eq!(followed.len(), 3);
+}
+
+#[test]
+fn a_silent_scout_is_replaced() {
+    let own = "dc-1".parse().expect("a name");
+    let mut roster = roster(0, 40);
+    let before = roster.scouts(&own, 3, at(0));
+    roster.suspect(&before[0].host, at(0));
+    let after = roster.scouts(&own, 3, at(10));
+    assert!(!after.contains(&before[0]));
+    assert_eq!(after.len(), 3);
+}
