Add a fault soak of gateways as separate processes

Kills, stops, hang-ups, pauses, a loopback proxy before the store, store and endpoint faults; checked: at most once, true refusals, keys, budgets, whole answers, served again.

--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,201 @@
+//! The deployment of a soak and what goes wrong in it.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use chicoryarch_standins::fleet::EndpointStandin;
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::endpoint::Run;
+use chicoryarch_standins::fleet::objects::StoreFaults;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use super::callers;
+use super::fleet::Addresses;
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+use super::fleet::configuration;
+use super::fleet::free_address;
+use super::proxy::Mode;
+use super::proxy::Proxy;
+
+const GATEWAYS: usize = 3;
+/// Events of a stream.
+pub(crate) const EVENTS: u64 = 4;
+
+/// A store, endpoints, and gateways that reach the store through proxies.
+pub(crate) struct World {
+    rng: ChaCha8Rng,
+    fleet: Fleet,
+    endpoints: Vec<EndpointStandin>,
+    proxies: Vec<Proxy>,
+    gateways: Vec<Gateway>,
+    version: u64,
+}
+
+fn behaviour(is_engine: bool) -> Behaviour {
+    Behaviour {
+        events: if is_engine { EVENTS } else { 0 },
+        pause: Duration::from_millis(5),
+        ..Behaviour::default()
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let fleet = Fleet::new();
+        let endpoints = vec![
+            fleet.endpoint("p1", "plain", behaviour(false)),
+            fleet.endpoint("p2", "plain", behaviour(false)),
+            fleet.endpoint("e1", "engine", behaviour(true)),
+            fleet.endpoint("e2", "engine", behaviour(true)),
+        ];
+        let start = || Proxy::start(&fleet.spawner, fleet.store.addr());
+        let proxies: Vec<Proxy> = (0..GATEWAYS).map(|_| start()).collect();
+        let gateways: Vec<Gateway> = proxies
+            .iter()
+            .enumerate()
+            .map(|(n, proxy)| {
+                let addresses = Addresses {
+                    callers: free_address(),
+                    ready: free_address(),
+                    peers: free_address(),
+                };
+                fleet.start_gateway_at(&name(n), addresses, proxy.address(), &[], true)
+            })
+            .collect();
+        for gateway in &gateways {
+            gateway.wait_ready(&fleet);
+        }
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fleet,
+            endpoints,
+            proxies,
+            gateways,
+            version: 1,
+        }
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let gateways = self.gateways.iter();
+        gateways.map(|gateway| gateway.addresses.callers).collect()
+    }
+
+    /// Requests that endpoints ran.
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.endpoints
+            .iter()
+            .flat_map(EndpointStandin::runs)
+            .collect()
+    }
+
+    /// Injects faults, which come in series and overlap, for a while, and ends
+    /// those that last.
+    pub(crate) fn inject(&mut self, played: Duration) {
+        let end = Instant::now() + played;
+        while Instant::now() < end {
+            self.fault();
+            thread::sleep(Duration::from_millis(self.rng.random_range(20..400)));
+        }
+        for proxy in &self.proxies {
+            proxy.set(Mode::Pass);
+        }
+        self.fleet.store.set_faults(StoreFaults::default());
+        for (n, endpoint) in self.endpoints.iter().enumerate() {
+            endpoint.set_behaviour(behaviour(n >= 2));
+        }
+        for gateway in &self.gateways {
+            gateway.signal(Signal::CONT);
+        }
+    }
+
+    fn fault(&mut self) {
+        let gateway = self.rng.random_range(0..GATEWAYS);
+        match self.rng.random_range(0..12) {
+            0 => self.restart(gateway, Signal::KILL),
+            1 => self.restart(gateway, Signal::TERM),
+            2 => self.gateways[gateway].signal(Signal::STOP),
+            3 | 4 => {
+                for gateway in &self.gateways {
+                    gateway.signal(Signal::CONT);
+                }
+            }
+            5 => self.gateways[gateway].signal(Signal::HUP),
+            6 | 7 => {
+                let mode = match self.rng.random_range(0..6) {
+                    0 => Mode::Delay(Duration::from_millis(self.rng.random_range(1..300))),
+                    1 => Mode::OneWay,
+                    2 => Mode::Reset,
+                    3 => Mode::Silent,
+                    _ => Mode::Pass,
+                };
+                self.proxies[gateway].set(mode);
+            }
+            8 => self.fleet.store.set_faults(StoreFaults {
+                is_out: self.rng.random_bool(0.4),
+                lost_answers: self.rng.random_range(0..3),
+                page: self.rng.random_range(0..3),
+            }),
+            9 => self.fleet.store.forget_history(),
+            10 => {
+                self.version += 1;
+                let changed = configuration(self.version);
+                self.fleet.store.put("config", "main", changed);
+            }
+            _ => {
+                let n = self.rng.random_range(0..self.endpoints.len());
+                let few = |rng: &mut ChaCha8Rng| rng.random_range(0..3);
+                let faulty = Behaviour {
+                    lost_answers: few(&mut self.rng),
+                    broken_streams: few(&mut self.rng),
+                    refused: few(&mut self.rng),
+                    foreign_answers: few(&mut self.rng),
+                    ..behaviour(n >= 2)
+                };
+                self.endpoints[n].set_behaviour(faulty);
+            }
+        }
+    }
+
+    /// Ends a gateway and starts it again at its addresses.
+    fn restart(&mut self, n: usize, signal: Signal) {
+        self.gateways[n].signal(Signal::CONT);
+        let addresses = self.gateways[n].addresses;
+        if signal == Signal::TERM {
+            self.gateways[n].signal(signal);
+            // A process that has not ended by then is killed.
+            thread::sleep(Duration::from_millis(self.rng.random_range(0..800)));
+        }
+        self.gateways[n].kill();
+        let store = self.proxies[n].address();
+        let started = self
+            .fleet
+            .start_gateway_at(&name(n), addresses, store, &[], false);
+        self.gateways[n] = started;
+    }
+
+    /// True if every gateway serves calls within a time.
+    pub(crate) fn is_served_within(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let mut calls = 0;
+        self.addresses().into_iter().all(|address| {
+            while Instant::now() < end {
+                calls += 1;
+                if callers::is_served(address, calls) {
+                    return true;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+            false
+        })
+    }
+}
+
+fn name(n: usize) -> String {
+    format!("g{n}")
+}
