--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -26,7 +26,7 @@
 const RESERVED_FOR_BEGUN: f64 = 0.75;
 /// Longest time that a request of a program that has begun waits for a token;
 /// a small part of the time that any such request may take.
-const MAX_TOKEN_WAIT: Duration = Duration::from_millis(300);
+const MAX_TOKEN_WAIT: Duration = Duration::from_millis(500);
 
 /// What this host may refill of every rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -3,6 +3,7 @@
 use std::hash::BuildHasher;
 use std::hash::RandomState;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future;
@@ -31,6 +32,8 @@
 const SHARDS: usize = 8;
 /// Hosts that are asked at once for tokens while a request waits.
 const ASKED_AT_ONCE: usize = 2;
+/// Hosts that are asked one after the other for a token that is there soon.
+const ASKED_AHEAD: usize = 4;
 /// Rounds of asking while a request waits.
 const ROUNDS: usize = 2;
 
@@ -43,6 +46,8 @@
     pub customer: String,
     /// Tokens that it would like.
     pub wanted: u32,
+    /// True if a token that is there soon will do.
+    pub may_wait: bool,
 }
 
 /// Rate tokens that another host gives up.
@@ -50,6 +55,8 @@
 pub struct BorrowReply {
     /// Tokens that are now the asker's.
     pub given: u32,
+    /// Time until they are there, in milliseconds.
+    pub after_ms: u64,
 }
 
 /// Buckets of all customers, in shards.
@@ -103,8 +110,9 @@
     let Taken::Short { mut wait } = taken else {
         return Ok(());
     };
-    for _ in 0..ROUNDS {
-        borrow(cx, &customer.name, rate).await;
+    let lenders = lenders(cx, &customer.name, rate);
+    for asked in lenders.chunks(ASKED_AT_ONCE).take(ROUNDS) {
+        borrow(cx, &customer.name, rate, asked).await;
         let mut shard = cx.rates.shard(&customer.name).lock();
         if shard.take_again(&customer.name, rate, share, step, Moment::now()) {
             return Ok(());
@@ -123,6 +131,10 @@
             }
             Taken::Short { wait: longer } => wait = longer,
         }
+        if let Some(soon) = borrow_ahead(cx, &customer.name, &lenders).await {
+            Timer::after(soon).await;
+            return Ok(());
+        }
     }
     let why = match step {
         Step::First => "what is left of the customer's rate is kept for programs that have begun",
@@ -148,13 +160,20 @@
     let now = Moment::now();
     cx.heard(&req.from);
     let rate = rate_of(cx, &req.customer);
-    let given = rate.map_or(0, |rate| {
+    let (given, after_ms) = rate.map_or((0, 0), |rate| {
         let share = current_share(cx, &req.customer, rate);
         let customer: Arc<str> = req.customer.as_str().into();
         let mut shard = cx.rates.shard(&customer).lock();
-        shard.give(&customer, rate, share, req.wanted, now)
+        let given = shard.give(&customer, rate, share, req.wanted, now);
+        if given > 0 || !req.may_wait {
+            return (given, 0);
+        }
+        match shard.take_ahead(&customer, rate, share, now) {
+            Taken::Soon { wait } => (1, u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            Taken::Short { .. } | Taken::Within => (0, 0),
+        }
     });
-    BorrowReply { given }
+    BorrowReply { given, after_ms }
 }
 
 /// Asks for tokens of every customer that runs short here.
@@ -169,7 +188,9 @@
             shard.wanted(&customer, rate, share, Moment::now())
         };
         if wanted > 0 {
-            borrow(cx, &customer, rate).await;
+            let mut lenders = lenders(cx, &customer, rate);
+            lenders.truncate(ASKED_AT_ONCE);
+            borrow(cx, &customer, rate, &lenders).await;
         }
     }
 }
@@ -184,31 +205,34 @@
     in_force.table.rate_of(customer)
 }
 
-/// Asks a few hosts, chosen at random, for tokens and keeps what they give.
-async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate) {
-    let now = Moment::now();
+/// Hosts that may have tokens, in random order; those that answer come first.
+fn lenders<P>(cx: &Gateway<P>, customer: &str, rate: Rate) -> Vec<Peer> {
     let key = super::hash_of(customer);
-    let mut others = cx.roster.lock().lenders(key, rate, now);
-    others.truncate(ASKED_AT_ONCE);
+    cx.roster.lock().lenders(key, rate, Moment::now())
+}
+
+/// Asks one or two hosts at once for tokens and keeps what they give.
+async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate, lenders: &[Peer]) {
+    let now = Moment::now();
     let share = current_share(cx, customer, rate);
     let wanted = {
         let mut shard = cx.rates.shard(customer).lock();
         shard.wanted(customer, rate, share, now).max(1)
     };
-    let asked = u32::try_from(others.len().max(1)).unwrap_or(1);
+    let asked = u32::try_from(lenders.len().max(1)).unwrap_or(1);
     let req = BorrowRequest {
         from: cx.cfg.place.host.clone(),
         customer: customer.to_string(),
         wanted: wanted.div_ceil(asked),
+        may_wait: false,
     };
-    let mut calls = others.into_iter().map(|peer| ask(cx, peer, &req));
-    let given = match (calls.next(), calls.next()) {
-        (Some(first), Some(second)) => {
-            let (first, second) = future::zip(first, second).await;
+    let given = match lenders {
+        [] => 0,
+        [only] => ask(cx, only, &req).await,
+        [first, second, ..] => {
+            let (first, second) = future::zip(ask(cx, first, &req), ask(cx, second, &req)).await;
             first + second
         }
-        (Some(only), None) => only.await,
-        _ => 0,
     };
     if given > 0 {
         cx.metrics.borrowed.inc_by(u64::from(given));
@@ -217,8 +241,30 @@
     }
 }
 
-async fn ask<P: Platform>(cx: &Gateway<P>, peer: Peer, req: &BorrowRequest) -> u32 {
+/// Takes a token that another host's refill gives soon; tells when.
+async fn borrow_ahead<P: Platform>(
+    cx: &Gateway<P>,
+    customer: &str,
+    lenders: &[Peer],
+) -> Option<Duration> {
+    let req = BorrowRequest {
+        from: cx.cfg.place.host.clone(),
+        customer: customer.to_string(),
+        wanted: 1,
+        may_wait: true,
+    };
+    for peer in lenders.iter().take(ASKED_AHEAD) {
+        let reply =
+            exchange::call_in_time::<_, _, BorrowReply>(cx, peer, BORROW_METHOD, &req).await;
+        if let Some(reply) = reply.filter(|reply| reply.given > 0) {
+            return Some(Duration::from_millis(reply.after_ms));
+        }
+    }
+    None
+}
+
+async fn ask<P: Platform>(cx: &Gateway<P>, peer: &Peer, req: &BorrowRequest) -> u32 {
     // Tokens of a reply that is lost are lost too; none are made twice.
-    let reply = exchange::call_in_time::<_, _, BorrowReply>(cx, &peer, BORROW_METHOD, req).await;
+    let reply = exchange::call_in_time::<_, _, BorrowReply>(cx, peer, BORROW_METHOD, req).await;
     reply.map_or(0, |reply| reply.given)
 }
