Ask a home that needs a grant with patience; keep grants whose askers left

With a slow store a home needed longer than 60 ms for a grant, so askers took it for silent, let a stand-in take another grant, and so on; grants that ended after their time were lost. A home now says that it needs a grant and is asked again with patience; a late grant reaches the purse; draws of one program wait for one grant; no request waits for a rate token longer than a quarter of its time.

--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -37,6 +37,8 @@
     pub lost_answers: u32,
     /// Objects on a page of a list; 0 for no bound.
     pub page: usize,
+    /// Time that a write takes.
+    pub write_time: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -300,6 +302,8 @@
             return self.read(&call).await;
         }
         let body = Body::collect(req.into_body(), MAX_BODY_BYTES).await;
+        let write_time = self.0.lock().faults.write_time;
+        Timer::after(write_time).await;
         let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or(Value::Null);
         let (status, answer, is_lost) = {
             let mut state = self.0.lock();
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -157,7 +157,7 @@
             urgent_exchange_period: Duration::from_millis(150),
             borrow_timeout: Duration::from_millis(60),
             silence_limit: Duration::from_secs(2),
-            grant_timeout: Duration::from_millis(450),
+            grant_timeout: Duration::from_millis(400),
             isolation_after: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(250),
             drain_notice: Duration::from_millis(2500),
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -89,6 +89,8 @@
     pub wanted: u64,
     /// Most tokens of the turn.
     pub turn: u64,
+    /// True if the asker waits for a grant of the store.
+    pub may_wait: bool,
 }
 
 /// Answer to a draw.
@@ -101,6 +103,8 @@
         /// True if the home had not heard of the program.
         is_new: bool,
     },
+    /// The purse needs a grant of the store first.
+    Granting,
     /// The host is about to end and has handed its purses over.
     Leaving,
     /// The budget does not hold them.
@@ -145,6 +149,8 @@
     drawn_at: Option<Peer>,
     /// True if unused tokens stay here for the program's next turn.
     keeps_rest: bool,
+    /// Held while a grant for the purse is fetched.
+    granting: Arc<async_lock::Mutex<()>>,
     /// Held while tokens are fetched, so that one fetch serves all that wait.
     fetching: Arc<async_lock::Mutex<()>>,
     used: Moment,
@@ -341,6 +347,7 @@
         budget,
         wanted,
         turn,
+        may_wait: false,
     };
     let drawn = match draw(cx, &req).await {
         Ok(drawn) => drawn,
@@ -394,7 +401,7 @@
         let Home::Other(peer) = home else {
             break;
         };
-        let reply = exchange::call_in_time::<_, _, DrawReply>(cx, &peer, DRAW_METHOD, req).await;
+        let reply = draw_at(cx, &peer, req).await;
         if let Some(reply) = &reply {
             isolation::note(cx, &req.program, reply);
         }
@@ -414,21 +421,40 @@
             }
             None => (),
             // The home may be turned away by a store that answers this host.
-            Some(DrawReply::Unavailable(_)) => break,
+            Some(DrawReply::Granting | DrawReply::Unavailable(_)) => break,
         }
     }
-    match draw_here(cx, req).await {
+    let waiting = DrawRequest {
+        may_wait: true,
+        ..req.clone()
+    };
+    match draw_here(cx, &waiting).await {
         DrawReply::Drawn { is_ample, is_new } => Ok(Drawn {
             is_ample,
             at: None,
             is_new,
         }),
         DrawReply::Spent => Err(spent()),
-        DrawReply::Leaving => Err(no_grant("the host is about to end")),
+        DrawReply::Granting | DrawReply::Leaving => Err(no_grant("the host is about to end")),
         DrawReply::Unavailable(why) => Err(no_grant(&why)),
     }
 }
 
+/// Asks a home, and again with patience if it needs a grant first: a home that
+/// waits for the store is not one that does not answer.
+async fn draw_at<P: Platform>(cx: &Cx<P>, peer: &Peer, req: &DrawRequest) -> Option<DrawReply> {
+    let reply = exchange::call_in_time::<_, _, DrawReply>(cx, peer, DRAW_METHOD, req).await?;
+    if !matches!(reply, DrawReply::Granting) {
+        return Some(reply);
+    }
+    let waiting = DrawRequest {
+        may_wait: true,
+        ..req.clone()
+    };
+    let limit = cx.cfg.grant_timeout + cx.cfg.borrow_timeout;
+    exchange::call_within(cx, peer, DRAW_METHOD, &waiting, limit).await
+}
+
 fn no_grant(why: &str) -> Refusal {
     let detail = format!("the program's budget cannot be granted: {why}");
     Refusal::not_run(detail, STORE_RETRY)
@@ -438,53 +464,112 @@
     Refusal::new(Outcome::BudgetSpent, "the program's budget is spent")
 }
 
-/// Draws tokens from the purse at this host.
+/// Draws tokens from the purse at this host, after a grant if it is needed and
+/// the asker may wait for one.
 pub async fn draw_here<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> DrawReply {
     if cx.accounts.is_closed.load(Ordering::Acquire) {
         return DrawReply::Leaving;
     }
     let program: Arc<str> = req.program.as_str().into();
-    let size = grant_size(cx, &program);
     let is_new = cx
         .accounts
         .with(&program, |account| account.purse.is_none());
-    let from_purse = |added: u64| {
-        cx.accounts.with(&program, |account| {
-            let purse = account.open_purse(cx, &program, req.budget);
-            purse.put(added);
-            purse.draw(req.wanted)?;
-            Ok(purse.is_ample(req.turn))
-        })
+    let Err(missing) = draw_from_purse(cx, &program, req) else {
+        return drawn(cx, &program, req, is_new);
     };
-    let mut added = 0;
+    if !cx.contact.is_up() {
+        return DrawReply::Unavailable("the store does not answer this host".to_owned());
+    }
+    if !req.may_wait {
+        return DrawReply::Granting;
+    }
+    match wait_for_grant(cx, &program, req, missing).await {
+        Ok(()) => drawn(cx, &program, req, is_new),
+        Err(reply) => reply,
+    }
+}
+
+fn drawn<P>(cx: &Gateway<P>, program: &Arc<str>, req: &DrawRequest, is_new: bool) -> DrawReply {
+    let is_ample = cx.accounts.with(program, |account| {
+        let purse = account.purse.as_ref();
+        purse.is_some_and(|purse| purse.is_ample(req.turn))
+    });
+    DrawReply::Drawn { is_ample, is_new }
+}
+
+/// Draws from the purse, or tells how many tokens are missing.
+fn draw_from_purse<P>(
+    cx: &Gateway<P>,
+    program: &Arc<str>,
+    req: &DrawRequest,
+) -> std::result::Result<(), u64> {
+    cx.accounts.with(program, |account| {
+        account.open_purse(cx, program, req.budget).draw(req.wanted)
+    })
+}
+
+/// Waits until grants let the purse hold what is wanted, and draws it. Draws
+/// of one program wait for each other, so that one grant serves them all.
+async fn wait_for_grant<P: Platform>(
+    cx: &Cx<P>,
+    program: &Arc<str>,
+    req: &DrawRequest,
+    mut missing: u64,
+) -> std::result::Result<(), DrawReply> {
+    let granting = cx.accounts.with(program, |a| Arc::clone(&a.granting));
+    let _only_grant = granting.lock().await;
     for _ in 0..MAX_CONFLICTS {
-        let missing = match from_purse(added) {
-            Ok(is_ample) => return DrawReply::Drawn { is_ample, is_new },
-            Err(missing) => missing,
-        };
-        if !cx.contact.is_up() {
-            return DrawReply::Unavailable("the store does not answer this host".to_owned());
+        match draw_from_purse(cx, program, req) {
+            Ok(()) => return Ok(()),
+            Err(lacks) => missing = missing.min(lacks),
         }
-        let grant = fetch_grant(cx, &program, req.budget, missing, size);
+        let (tx, rx) = async_channel::bounded(1);
+        let grant = grant_into_purse(Arc::clone(cx), Arc::clone(program), req.budget, missing);
+        // The grant goes on if nobody waits any more: its tokens reach the purse.
+        cx.spawner.detach(async move {
+            let _nobody_waits = tx.try_send(grant.await);
+        });
         let expire = async {
             Timer::after(cx.cfg.grant_timeout).await;
-            // A grant that is stored later stays spent.
             Err(PlatformError::UnknownOutcome)
         };
-        added = match future::or(grant, expire).await {
-            Ok(Some(tokens)) => tokens,
-            Ok(None) => {
-                cx.spent.add(&program, Moment::now());
-                return DrawReply::Spent;
+        let outcome = async {
+            rx.recv()
+                .await
+                .unwrap_or(Err(PlatformError::UnknownOutcome))
+        };
+        match future::or(outcome, expire).await {
+            Ok(true) => (),
+            Ok(false) => {
+                cx.spent.add(program, Moment::now());
+                return Err(DrawReply::Spent);
             }
             Err(e) => {
                 register::doubt_store(cx);
-                return DrawReply::Unavailable(e.to_string());
+                return Err(DrawReply::Unavailable(e.to_string()));
             }
-        };
-        cx.metrics.grants.inc();
+        }
     }
-    DrawReply::Unavailable("other turns of the program took every grant".to_owned())
+    let why = "other turns of the program took every grant";
+    Err(DrawReply::Unavailable(why.to_owned()))
+}
+
+/// Puts a grant into the purse; false if the budget is spent.
+async fn grant_into_purse<P: Platform>(
+    cx: Cx<P>,
+    program: Arc<str>,
+    budget: u64,
+    wanted: u64,
+) -> platform::Result<bool> {
+    let size = grant_size(&cx, &program);
+    let Some(tokens) = fetch_grant(&cx, &program, budget, wanted, size).await? else {
+        return Ok(false);
+    };
+    cx.metrics.grants.inc();
+    cx.accounts.with(&program, |account| {
+        account.open_purse(&cx, &program, budget).put(tokens);
+    });
+    Ok(true)
 }
 
 fn grant_size<P>(cx: &Gateway<P>, program: &str) -> GrantSize {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -159,7 +159,7 @@
     };
     let customer = call.customer.clone();
     if let Some(customer) = &customer {
-        rate::admit(cx, customer, step).await?;
+        rate::admit(cx, customer, step, call.deadline).await?;
     }
     let answer = dispatch::run(cx, Arc::new(call), reservation).await;
     if let (Err(refusal), Some(customer)) = (&answer, &customer)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -243,6 +243,22 @@
     method: &'static str,
     req: &Q,
 ) -> Option<R>
+where
+    P: Platform,
+    Q: Serialize + Sync,
+    R: DeserializeOwned + Send,
+{
+    call_within(cx, peer, method, req, cx.cfg.borrow_timeout).await
+}
+
+/// Like [`call_in_time`], with a time limit of the caller's.
+pub async fn call_within<P, Q, R>(
+    cx: &Gateway<P>,
+    peer: &Peer,
+    method: &'static str,
+    req: &Q,
+    limit: Duration,
+) -> Option<R>
 where
     P: Platform,
     Q: Serialize + Sync,
@@ -250,7 +266,7 @@
 {
     let call = cx.peers.call::<_, R>(peer.address, method, req);
     let expire = async {
-        Timer::after(cx.cfg.borrow_timeout).await;
+        Timer::after(limit).await;
         None
     };
     let reply = future::or(async { call.await.ok() }, expire).await;
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -73,6 +73,7 @@
             budget: given.budget,
             wanted: given.tokens,
             turn: given.tokens,
+            may_wait: false,
         };
         given.into_iter().map(draw).collect()
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -193,20 +193,21 @@
         has_token
     }
 
-    /// Takes a token that this host's refill gives soon, for a request of a
-    /// program that has begun.
+    /// Takes a token that this host's refill gives within `patience`, for a
+    /// request of a program that has begun.
     pub fn take_ahead(
         &mut self,
         customer: &Arc<str>,
         rate: Rate,
         share: Share,
+        patience: Duration,
         now: Moment,
     ) -> Taken {
         let bucket = self.bucket(customer, rate, share, now);
         let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
         let seconds = ((1.0 - bucket.tokens) / per_s).clamp(0.0, MAX_WAIT.as_secs_f64());
         let wait = Duration::from_secs_f64(seconds);
-        if wait > MAX_TOKEN_WAIT {
+        if wait > patience.min(MAX_TOKEN_WAIT) {
             return Taken::Short { wait };
         }
         bucket.tokens -= 1.0;
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -32,6 +32,9 @@
 const SHARDS: usize = 8;
 /// Hosts that are asked at once for tokens while a request waits.
 const ASKED_AT_ONCE: usize = 2;
+/// Part of the time left that a request may wait for a token; the rest is for
+/// its endpoint.
+const WAIT_SHARE: f64 = 0.25;
 /// Hosts that are asked one after the other for a token that is there soon.
 const ASKED_AHEAD: usize = 4;
 /// Rounds of asking while a request waits.
@@ -46,8 +49,8 @@
     pub customer: String,
     /// Tokens that it would like.
     pub wanted: u32,
-    /// True if a token that is there soon will do.
-    pub may_wait: bool,
+    /// Milliseconds for which the asker can wait for a token.
+    pub patience_ms: u64,
 }
 
 /// Rate tokens that another host gives up.
@@ -98,7 +101,12 @@
 /// # Errors
 ///
 /// A refusal with the time until the rate allows one.
-pub async fn admit<P: Platform>(cx: &Gateway<P>, customer: &Customer, step: Step) -> Result<()> {
+pub async fn admit<P: Platform>(
+    cx: &Gateway<P>,
+    customer: &Customer,
+    step: Step,
+    deadline: Moment,
+) -> Result<()> {
     let Some(rate) = customer.rate else {
         return Ok(());
     };
@@ -119,9 +127,10 @@
         }
     }
     if step == Step::Later {
+        let patience = Moment::now().until(deadline).mul_f64(WAIT_SHARE);
         let taken = {
             let mut shard = cx.rates.shard(&customer.name).lock();
-            shard.take_ahead(&customer.name, rate, share, Moment::now())
+            shard.take_ahead(&customer.name, rate, share, patience, Moment::now())
         };
         match taken {
             Taken::Within => return Ok(()),
@@ -131,7 +140,7 @@
             }
             Taken::Short { wait: longer } => wait = longer,
         }
-        if let Some(soon) = borrow_ahead(cx, &customer.name, &lenders).await {
+        if let Some(soon) = borrow_ahead(cx, &customer.name, &lenders, patience).await {
             Timer::after(soon).await;
             return Ok(());
         }
@@ -165,10 +174,11 @@
         let customer: Arc<str> = req.customer.as_str().into();
         let mut shard = cx.rates.shard(&customer).lock();
         let given = shard.give(&customer, rate, share, req.wanted, now);
-        if given > 0 || !req.may_wait {
+        if given > 0 || req.patience_ms == 0 {
             return (given, 0);
         }
-        match shard.take_ahead(&customer, rate, share, now) {
+        let patience = Duration::from_millis(req.patience_ms);
+        match shard.take_ahead(&customer, rate, share, patience, now) {
             Taken::Soon { wait } => (1, u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
             Taken::Short { .. } | Taken::Within => (0, 0),
         }
@@ -224,7 +234,7 @@
         from: cx.cfg.place.host.clone(),
         customer: customer.to_string(),
         wanted: wanted.div_ceil(asked),
-        may_wait: false,
+        patience_ms: 0,
     };
     let given = match lenders {
         [] => 0,
@@ -246,12 +256,13 @@
     cx: &Gateway<P>,
     customer: &str,
     lenders: &[Peer],
+    patience: Duration,
 ) -> Option<Duration> {
     let req = BorrowRequest {
         from: cx.cfg.place.host.clone(),
         customer: customer.to_string(),
         wanted: 1,
-        may_wait: true,
+        patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
     };
     for peer in lenders.iter().take(ASKED_AHEAD) {
         let reply =
--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -64,7 +64,7 @@
 fn a_request_of_a_begun_program_waits_shortly_for_the_next_token() {
     let mut quotas = Quotas::default();
     quotas.start(at(0));
-    let ahead = |quotas: &mut Quotas| quotas.take_ahead(&customer(), RATE, share(), at(0));
+    let ahead = |quotas: &mut Quotas| quotas.take_ahead(&customer(), RATE, share(), WINDOW, at(0));
     let waits: Vec<_> = (0..5).map(|_| ahead(&mut quotas)).collect();
     let soon = |ms| Taken::Soon {
         wait: Duration::from_millis(ms),
@@ -73,6 +73,17 @@
     assert!(matches!(waits[4], Taken::Short { .. }));
 }
 
+#[test]
+fn a_request_with_little_time_does_not_wait_for_a_token() {
+    let mut quotas = Quotas::default();
+    quotas.start(at(0));
+    let patience = Duration::from_millis(100);
+    let ahead = quotas.take_ahead(&customer(), RATE, share(), patience, at(0));
+    assert!(matches!(ahead, Taken::Short { .. }));
+    let ahead = quotas.take_ahead(&customer(), RATE, share(), patience, at(50));
+    assert!(matches!(ahead, Taken::Soon { .. }));
+}
+
 #[test]
 fn what_a_host_gives_it_no_longer_has() {
     let mut quotas = Quotas::default();
@@ -101,7 +112,7 @@
         match taken {
             Taken::Within => self.admit(now),
             Taken::Short { .. } | Taken::Soon { .. } => {
-                let ahead = self.hosts[host].take_ahead(&customer(), RATE, share(), now);
+                let ahead = self.hosts[host].take_ahead(&customer(), RATE, share(), WINDOW, now);
                 if let Taken::Soon { wait } = ahead {
                     self.admit(now + wait);
                 }
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -139,3 +139,39 @@
     assert!(served >= 12, "{served} turns");
     assert_within_budget(engine.sent_events());
 }
+
+#[test]
+fn a_home_that_waits_for_a_slow_store_is_not_taken_for_silent() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let gateways = [fleet.gateway("g1"), fleet.gateway("g2")];
+    super::fleet::wait_until("the first hosts are agreed", || {
+        fleet.store.spec("chicoryarch-founders", "first").is_some()
+    });
+    // Both hosts take up the first hosts and each other.
+    std::thread::sleep(Duration::from_millis(2000));
+    fleet.store.set_faults(StoreFaults {
+        write_time: Duration::from_millis(120),
+        ..StoreFaults::default()
+    });
+    for program in 0..6 {
+        let program = format!("p{program}");
+        for n in 0..5 {
+            let id = format!("{program}-{n}");
+            let headers = [
+                ("request-id", id.as_str()),
+                ("program-id", &program),
+                ("token-usage", "100,50"),
+                ("token-budget", "420"),
+            ];
+            assert_eq!(fleet.call(&gateways[1], "/turns/", &headers).status, 200);
+        }
+        let name = hex::encode(&program);
+        let record = fleet
+            .store
+            .spec("chicoryarch-budgets", &name)
+            .expect("a grant");
+        // The allowance, and half of the rest once.
+        assert_eq!(record["value"]["granted"], 315, "{program}");
+    }
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -140,6 +140,7 @@
                 is_out: self.rng.random_bool(0.4),
                 lost_answers: self.rng.random_range(0..3),
                 page: self.rng.random_range(0..3),
+                write_time: Duration::from_millis(self.rng.random_range(0..100)),
             }),
             9 => self.fleet.store.forget_history(),
             10 => {
