--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,7 +17,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::account;
 use super::account::DrawRequest;
 use super::account::HandOverRequest;
 use super::account::PutBackRequest;
@@ -25,6 +24,7 @@
 use super::context::Gateway;
 use super::directory::ToldEndpoint;
 use super::isolation;
+use super::purse_home;
 use super::rate;
 use super::rate::BorrowRequest;
 use super::register;
@@ -104,7 +104,7 @@
     })?;
     module.register_async_method(DRAW_METHOD, |params, cx, _| async move {
         let req: DrawRequest = params.one()?;
-        Ok::<_, ErrorObjectOwned>(account::draw_here(&cx, &req).await)
+        Ok::<_, ErrorObjectOwned>(purse_home::draw_here(&cx, &req).await)
     })?;
     module.register_method(DRAW_ISOLATED_METHOD, |params, cx, _| {
         let req: DrawRequest = params.one()?;
@@ -112,12 +112,12 @@
     })?;
     module.register_method(PUT_BACK_METHOD, |params, cx, _| {
         let req: PutBackRequest = params.one()?;
-        account::put_back_here(cx, &req);
+        purse_home::put_back_here(cx, &req);
         Ok::<_, ErrorObjectOwned>(())
     })?;
     module.register_method(HAND_OVER_METHOD, |params, cx, _| {
         let req: HandOverRequest = params.one()?;
-        account::take_over(cx, req);
+        purse_home::take_over(cx, req);
         Ok::<_, ErrorObjectOwned>(())
     })?;
     module.register_method(BORROW_METHOD, |params, cx, _| {
--- /dev/null
+++ b/src/gateway/hosts.rs
@@ -0,0 +1,162 @@
+//! This host's entry in the platform's store, and those of hosts that are gone.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use serde::Serialize;
+
+use super::context::Cx;
+use super::exchange;
+use super::roster;
+use super::roster::Founders;
+use super::roster::HostEntry;
+use crate::connection::platform;
+use crate::connection::platform::Expect;
+use crate::connection::platform::Platform;
+use crate::connection::platform::Written;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::process::events::unix_ms;
+use crate::units::Moment;
+
+/// Pause before this host's entry is written again.
+const REGISTER_RETRY: Duration = Duration::from_millis(300);
+/// Time that the first hosts give the one that writes their names.
+const FOUNDERS_WAIT: Duration = Duration::from_millis(800);
+/// Pause between two looks for hosts that are gone.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
+#[derive(Serialize)]
+struct HostLine<'a> {
+    name: &'a str,
+}
+
+/// Writes this host's entry, again and again until the store has it.
+pub async fn enter<P: Platform>(cx: Cx<P>) {
+    let mut entry = HostEntry {
+        peers: cx.cfg.peers,
+        data_centre: cx.cfg.place.data_centre.clone(),
+        incarnation: Incarnation(unix_ms()),
+        is_founder: cx.cfg.place.first_start,
+    };
+    while !enter_once(&cx, &mut entry).await {
+        Timer::after(REGISTER_RETRY).await;
+    }
+    if entry.is_founder {
+        Timer::after(cx.cfg.join_notice).await;
+        let key = super::hash_of(roster::FOUNDERS_NAME);
+        if !cx.roster.lock().is_rightful_home(key) {
+            Timer::after(FOUNDERS_WAIT).await;
+        }
+        while !agree_founders(&cx).await {
+            Timer::after(REGISTER_RETRY).await;
+        }
+    }
+}
+
+/// Writes this host's entry again after others took the host for gone.
+pub async fn enter_again<P: Platform>(cx: Cx<P>) {
+    let mut entry = HostEntry {
+        peers: cx.cfg.peers,
+        data_centre: cx.cfg.place.data_centre.clone(),
+        incarnation: Incarnation(unix_ms()),
+        is_founder: false,
+    };
+    while !enter_once(&cx, &mut entry).await {
+        Timer::after(REGISTER_RETRY).await;
+    }
+}
+
+/// Takes up the hosts of the first start, which the first writer sets.
+async fn agree_founders<P: Platform>(cx: &Cx<P>) -> bool {
+    let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
+    match platform::read_value::<Founders>(&cx.store, kind, name).await {
+        Ok(Some((_, founders))) => {
+            cx.log.state("founders-agreed", &founders);
+            cx.accounts.set_founders(founders);
+            true
+        }
+        Ok(None) => {
+            let founders = cx.roster.lock().founders();
+            let written =
+                platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await;
+            match written {
+                Ok(Written::Done(_)) => {
+                    cx.log.state("founders-agreed", &founders);
+                    cx.accounts.set_founders(founders);
+                    true
+                }
+                // What another host wrote holds, and is read next.
+                Ok(Written::Conflict) => false,
+                Err(e) => {
+                    log::debug!("the hosts of the first start are not written yet: {e}");
+                    false
+                }
+            }
+        }
+        Err(_) => false,
+    }
+}
+
+async fn enter_once<P: Platform>(cx: &Cx<P>, entry: &mut HostEntry) -> bool {
+    let name = cx.cfg.place.host.as_str();
+    let before = platform::read_value::<HostEntry>(&cx.store, roster::KIND, name).await;
+    let Ok(before) = before else {
+        return false;
+    };
+    // A process before this one may have given out allowances.
+    entry.is_founder &= before.is_none();
+    let entry = &*entry;
+    let expect = before
+        .as_ref()
+        .map_or(Expect::Absent, |(version, _)| Expect::At(*version));
+    let written = platform::write_value(&cx.store, roster::KIND, name, expect, entry).await;
+    if !matches!(written, Ok(Written::Done(_))) {
+        return false;
+    }
+    let now = Moment::now();
+    let is_known = cx.cfg.place.first_start || before.is_some();
+    let notice = if is_known {
+        Duration::ZERO
+    } else {
+        cx.cfg.join_notice
+    };
+    let mut roster = cx.roster.lock();
+    roster.put(cx.cfg.place.host.clone(), entry.clone());
+    roster.share_from(now + notice);
+    drop(roster);
+    cx.log.state("host-entered", entry);
+    true
+}
+
+/// Removes entries of hosts that are gone for good, and asks silent ones
+/// whether they are back.
+pub async fn look_after_hosts<P: Platform>(cx: Cx<P>) {
+    loop {
+        Timer::after(LOOK_PERIOD).await;
+        let silent = cx.roster.lock().silent();
+        for peer in silent {
+            exchange::exchange(&cx, &peer).await;
+        }
+        let gone = cx.roster.lock().gone(cx.cfg.host_gone_after, Moment::now());
+        if cx.contact.is_up() {
+            for host in gone {
+                remove_host(&cx, &host).await;
+            }
+        }
+    }
+}
+
+async fn remove_host<P: Platform>(cx: &Cx<P>, host: &HostId) {
+    let name = host.as_str();
+    let read = cx.store.read(roster::KIND, name).await;
+    let removed = match read {
+        Ok(Some(object)) => cx.store.remove(roster::KIND, name, object.version).await,
+        Ok(None) => Ok(Written::Conflict),
+        Err(e) => Err(e),
+    };
+    match removed {
+        Ok(_) => cx.log.state("host-removed", &HostLine { name }),
+        Err(e) => log::debug!("the entry of {name} is removed later: {e}"),
+    }
+}
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -1,5 +1,6 @@
 //! What this host believes, taken up from the store and from other hosts.
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,29 +12,22 @@
 use super::context::InForce;
 use super::directory::Endpoint;
 use super::directory::ToldEndpoint;
-use super::exchange;
 use super::follow::Follower;
+use super::hosts;
 use super::roster;
-use super::roster::Founders;
 use super::roster::HostEntry;
 use crate::connection::platform;
 use crate::connection::platform::Changes;
-use crate::connection::platform::Expect;
 use crate::connection::platform::Object;
 use crate::connection::platform::Platform;
 use crate::connection::platform::PlatformError;
-use crate::connection::platform::Written;
 use crate::ids::HostId;
-use crate::ids::Incarnation;
 use crate::ids::Version;
 use crate::platform::kinds;
 use crate::platform::registry;
 use crate::platform::routes;
-use crate::process::events::unix_ms;
 use crate::units::Moment;
 
-/// Pause before this host's entry is written again.
-const REGISTER_RETRY: Duration = Duration::from_millis(300);
 /// Pause between two probes of a store that does not answer.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
 /// Pauses after a change, in which further ones gather: each saves a call to
@@ -42,10 +36,6 @@
 const CONFIGURATION_PAUSE: Duration = Duration::from_millis(50);
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(250);
 const HOSTS_PAUSE: Duration = Duration::from_millis(700);
-/// Time that the first hosts give the one that writes their names.
-const FOUNDERS_WAIT: Duration = Duration::from_millis(800);
-/// Pause between two looks for hosts that are gone.
-const LOOK_PERIOD: Duration = Duration::from_secs(2);
 /// Pause between two looks for endpoints whose grace is over.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -64,11 +54,6 @@
     changed: Vec<String>,
 }
 
-#[derive(Serialize)]
-struct HostLine<'a> {
-    name: &'a str,
-}
-
 #[derive(Serialize)]
 struct StoreLine<'a> {
     why: &'a str,
@@ -187,8 +172,7 @@
             Ok(object) => {
                 store_regained(&cx);
                 cx.contact.end_probe();
-                let follower = ConfigurationFollower(Arc::clone(&cx));
-                follower.take(object.as_slice());
+                OperatorsConfiguration::take(&cx, object.as_slice());
                 return;
             }
             Err(e) => store_lost(&cx, &e),
@@ -197,54 +181,96 @@
     }
 }
 
-/// Follows the operators' configuration.
+/// What a kind of objects means to this host.
+pub trait Subject: Send + Sync + 'static {
+    /// Pause after a change, in which further ones gather.
+    const PAUSE: Duration;
+
+    /// Takes up all objects of the kind.
+    fn listed<P: Platform>(cx: &Cx<P>, listed: Changes);
+
+    /// Takes up what has changed.
+    fn changed<P: Platform>(cx: &Cx<P>, changes: Changes);
+}
+
+/// Follows a kind of objects while this host follows the store.
 #[derive(Debug)]
-pub struct ConfigurationFollower<P>(pub Cx<P>);
+pub struct StoreFollower<P, S> {
+    cx: Cx<P>,
+    subject: PhantomData<fn() -> S>,
+}
 
-impl<P: Platform> ConfigurationFollower<P> {
-    fn take(&self, objects: &[Object]) {
-        for object in objects.iter().filter(|o| o.name == kinds::CURRENT) {
-            match std::str::from_utf8(&object.value) {
-                Ok(text) => take_configuration(&self.0, text, FROM_STORE),
-                Err(e) => log::error!("the configuration is not text: {e}"),
-            }
+impl<P, S> StoreFollower<P, S> {
+    /// A follower for a host.
+    pub fn new(cx: &Cx<P>) -> Self {
+        Self {
+            cx: Arc::clone(cx),
+            subject: PhantomData,
         }
     }
 }
 
-impl<P: Platform> Follower for ConfigurationFollower<P> {
+impl<P: Platform, S: Subject> Follower for StoreFollower<P, S> {
     async fn listed(&self, listed: Changes) {
-        self.take(&listed.objects);
+        S::listed(&self.cx, listed);
     }
 
     async fn changed(&self, changes: Changes) {
-        self.take(&changes.objects);
+        S::changed(&self.cx, changes);
     }
 
     fn lost(&self, error: &PlatformError) {
-        store_lost(&self.0, error);
+        store_lost(&self.cx, error);
     }
 
     fn regained(&self) {
-        store_regained(&self.0);
+        store_regained(&self.cx);
     }
 
     fn is_wanted(&self) -> bool {
-        self.0.follows_store()
+        self.cx.follows_store()
     }
 
     fn pause(&self) -> Duration {
-        CONFIGURATION_PAUSE
+        S::PAUSE
     }
 }
 
-/// Follows the list of endpoints.
+/// The operators' configuration.
 #[derive(Debug)]
-pub struct EndpointsFollower<P>(pub Cx<P>);
+pub struct OperatorsConfiguration;
 
-impl<P: Platform> Follower for EndpointsFollower<P> {
-    async fn listed(&self, listed: Changes) {
-        let cx = &self.0;
+impl OperatorsConfiguration {
+    fn take<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
+        for object in objects.iter().filter(|o| o.name == kinds::CURRENT) {
+            match std::str::from_utf8(&object.value) {
+                Ok(text) => take_configuration(cx, text, FROM_STORE),
+                Err(e) => log::error!("the configuration is not text: {e}"),
+            }
+        }
+    }
+}
+
+impl Subject for OperatorsConfiguration {
+    const PAUSE: Duration = CONFIGURATION_PAUSE;
+
+    fn listed<P: Platform>(cx: &Cx<P>, listed: Changes) {
+        Self::take(cx, &listed.objects);
+    }
+
+    fn changed<P: Platform>(cx: &Cx<P>, changes: Changes) {
+        Self::take(cx, &changes.objects);
+    }
+}
+
+/// The list of endpoints.
+#[derive(Debug)]
+pub struct ListedEndpoints;
+
+impl Subject for ListedEndpoints {
+    const PAUSE: Duration = ENDPOINTS_PAUSE;
+
+    fn listed<P: Platform>(cx: &Cx<P>, listed: Changes) {
         let endpoints: Vec<Endpoint> = listed.objects.iter().filter_map(decode).collect();
         let count = endpoints.len();
         {
@@ -259,8 +285,7 @@
         log_endpoints(cx, listed.upto, count, FROM_STORE, Vec::new());
     }
 
-    async fn changed(&self, changes: Changes) {
-        let cx = &self.0;
+    fn changed<P: Platform>(cx: &Cx<P>, changes: Changes) {
         let now = Moment::now();
         let mut names = Vec::new();
         let count = {
@@ -282,22 +307,6 @@
         cx.refresh_pools();
         log_endpoints(cx, changes.upto, count, FROM_STORE, names);
     }
-
-    fn lost(&self, error: &PlatformError) {
-        store_lost(&self.0, error);
-    }
-
-    fn regained(&self) {
-        store_regained(&self.0);
-    }
-
-    fn is_wanted(&self) -> bool {
-        self.0.follows_store()
-    }
-
-    fn pause(&self) -> Duration {
-        ENDPOINTS_PAUSE
-    }
 }
 
 fn decode(object: &Object) -> Option<Endpoint> {
@@ -308,13 +317,13 @@
     endpoint
 }
 
-/// Follows the hosts' own entries.
+/// The hosts' own entries.
 #[derive(Debug)]
-pub struct HostsFollower<P>(pub Cx<P>);
+pub struct ListedHosts;
 
-impl<P: Platform> HostsFollower<P> {
-    fn take(&self, objects: &[Object]) {
-        let mut roster = self.0.roster.lock();
+impl ListedHosts {
+    fn take<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
+        let mut roster = cx.roster.lock();
         for object in objects {
             let entry = platform::decode::<HostEntry>(roster::KIND, object);
             match (object.name.parse::<HostId>(), entry) {
@@ -325,172 +334,29 @@
     }
 }
 
-impl<P: Platform> Follower for HostsFollower<P> {
-    async fn listed(&self, listed: Changes) {
-        self.take(&listed.objects);
+impl Subject for ListedHosts {
+    const PAUSE: Duration = HOSTS_PAUSE;
+
+    fn listed<P: Platform>(cx: &Cx<P>, listed: Changes) {
+        Self::take(cx, &listed.objects);
     }
 
-    async fn changed(&self, changes: Changes) {
-        self.take(&changes.objects);
-        let mut roster = self.0.roster.lock();
+    fn changed<P: Platform>(cx: &Cx<P>, changes: Changes) {
+        Self::take(cx, &changes.objects);
+        let mut roster = cx.roster.lock();
         let mut is_own_gone = false;
         for name in &changes.removed {
             if let Ok(host) = name.parse::<HostId>() {
-                is_own_gone |= host == self.0.cfg.place.host;
+                is_own_gone |= host == cx.cfg.place.host;
                 roster.remove(&host);
             }
         }
         drop(roster);
         if is_own_gone {
             // Others took this host for gone while it was cut off.
-            self.0.spawner.detach(enter_again(Arc::clone(&self.0)));
+            cx.spawner.detach(hosts::enter_again(Arc::clone(cx)));
         }
     }
-
-    fn lost(&self, error: &PlatformError) {
-        store_lost(&self.0, error);
-    }
-
-    fn regained(&self) {
-        store_regained(&self.0);
-    }
-
-    fn is_wanted(&self) -> bool {
-        self.0.follows_store()
-    }
-
-    fn pause(&self) -> Duration {
-        HOSTS_PAUSE
-    }
-}
-
-/// Writes this host's entry, again and again until the store has it.
-pub async fn enter<P: Platform>(cx: Cx<P>) {
-    let mut entry = HostEntry {
-        peers: cx.cfg.peers,
-        data_centre: cx.cfg.place.data_centre.clone(),
-        incarnation: Incarnation(unix_ms()),
-        is_founder: cx.cfg.place.first_start,
-    };
-    while !enter_once(&cx, &mut entry).await {
-        Timer::after(REGISTER_RETRY).await;
-    }
-    if entry.is_founder {
-        Timer::after(cx.cfg.join_notice).await;
-        let key = super::hash_of(roster::FOUNDERS_NAME);
-        if !cx.roster.lock().is_rightful_home(key) {
-            Timer::after(FOUNDERS_WAIT).await;
-        }
-        while !agree_founders(&cx).await {
-            Timer::after(REGISTER_RETRY).await;
-        }
-    }
-}
-
-async fn enter_again<P: Platform>(cx: Cx<P>) {
-    let mut entry = HostEntry {
-        peers: cx.cfg.peers,
-        data_centre: cx.cfg.place.data_centre.clone(),
-        incarnation: Incarnation(unix_ms()),
-        is_founder: false,
-    };
-    while !enter_once(&cx, &mut entry).await {
-        Timer::after(REGISTER_RETRY).await;
-    }
-}
-
-/// Takes up the hosts of the first start, which the first writer sets.
-async fn agree_founders<P: Platform>(cx: &Cx<P>) -> bool {
-    let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
-    match platform::read_value::<Founders>(&cx.store, kind, name).await {
-        Ok(Some((_, founders))) => {
-            cx.log.state("founders-agreed", &founders);
-            cx.accounts.set_founders(founders);
-            true
-        }
-        Ok(None) => {
-            let founders = cx.roster.lock().founders();
-            let written =
-                platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await;
-            match written {
-                Ok(Written::Done(_)) => {
-                    cx.log.state("founders-agreed", &founders);
-                    cx.accounts.set_founders(founders);
-                    true
-                }
-                // What another host wrote holds, and is read next.
-                Ok(Written::Conflict) => false,
-                Err(e) => {
-                    log::debug!("the hosts of the first start are not written yet: {e}");
-                    false
-                }
-            }
-        }
-        Err(_) => false,
-    }
-}
-
-async fn enter_once<P: Platform>(cx: &Cx<P>, entry: &mut HostEntry) -> bool {
-    let name = cx.cfg.place.host.as_str();
-    let before = platform::read_value::<HostEntry>(&cx.store, roster::KIND, name).await;
-    let Ok(before) = before else {
-        return false;
-    };
-    // A process before this one may have given out allowances.
-    entry.is_founder &= before.is_none();
-    let entry = &*entry;
-    let expect = before
-        .as_ref()
-        .map_or(Expect::Absent, |(version, _)| Expect::At(*version));
-    let written = platform::write_value(&cx.store, roster::KIND, name, expect, entry).await;
-    if !matches!(written, Ok(Written::Done(_))) {
-        return false;
-    }
-    let now = Moment::now();
-    let is_known = cx.cfg.place.first_start || before.is_some();
-    let notice = if is_known {
-        Duration::ZERO
-    } else {
-        cx.cfg.join_notice
-    };
-    let mut roster = cx.roster.lock();
-    roster.put(cx.cfg.place.host.clone(), entry.clone());
-    roster.share_from(now + notice);
-    drop(roster);
-    cx.log.state("host-entered", entry);
-    true
-}
-
-/// Removes entries of hosts that are gone for good, and asks silent ones
-/// whether they are back.
-pub async fn look_after_hosts<P: Platform>(cx: Cx<P>) {
-    loop {
-        Timer::after(LOOK_PERIOD).await;
-        let silent = cx.roster.lock().silent();
-        for peer in silent {
-            exchange::exchange(&cx, &peer).await;
-        }
-        let gone = cx.roster.lock().gone(cx.cfg.host_gone_after, Moment::now());
-        if cx.contact.is_up() {
-            for host in gone {
-                remove_host(&cx, &host).await;
-            }
-        }
-    }
-}
-
-async fn remove_host<P: Platform>(cx: &Cx<P>, host: &HostId) {
-    let name = host.as_str();
-    let read = cx.store.read(roster::KIND, name).await;
-    let removed = match read {
-        Ok(Some(object)) => cx.store.remove(roster::KIND, name, object.version).await,
-        Ok(None) => Ok(Written::Conflict),
-        Err(e) => Err(e),
-    };
-    match removed {
-        Ok(_) => cx.log.state("host-removed", &HostLine { name }),
-        Err(e) => log::debug!("the entry of {name} is removed later: {e}"),
-    }
 }
 
 /// Drops endpoints whose entries did not come back after an outage.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,7 +27,6 @@
 use parking_lot::Mutex;
 use serde::Serialize;
 
-use super::account;
 use super::account::Accounts;
 use super::context::Cx;
 use super::context::Gateway;
@@ -36,15 +35,18 @@
 use super::entry::CallerPort;
 use super::exchange;
 use super::follow;
+use super::hosts;
 use super::isolation;
 use super::isolation::IsolatedPurses;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
+use super::purse_home;
 use super::rate::Rates;
 use super::register;
-use super::register::ConfigurationFollower;
-use super::register::EndpointsFollower;
-use super::register::HostsFollower;
+use super::register::ListedEndpoints;
+use super::register::ListedHosts;
+use super::register::OperatorsConfiguration;
+use super::register::StoreFollower;
 use super::roster;
 use super::roster::Roster;
 use super::routes::CallerLimits;
@@ -221,16 +223,16 @@
 fn start_tasks(cx: &Cx<ObjectStore>) {
     let spawner = &cx.spawner;
     let store = || cx.store.clone();
-    let configuration = ConfigurationFollower(Arc::clone(cx));
+    let configuration = StoreFollower::<_, OperatorsConfiguration>::new(cx);
     spawner.detach(follow::follow(store(), kinds::CONFIGURATION, configuration));
-    let endpoints = EndpointsFollower(Arc::clone(cx));
+    let endpoints = StoreFollower::<_, ListedEndpoints>::new(cx);
     spawner.detach(follow::follow(store(), kinds::ENDPOINTS, endpoints));
-    let hosts = HostsFollower(Arc::clone(cx));
-    spawner.detach(follow::follow(store(), roster::KIND, hosts));
-    spawner.detach(register::enter(Arc::clone(cx)));
+    let listed_hosts = StoreFollower::<_, ListedHosts>::new(cx);
+    spawner.detach(follow::follow(store(), roster::KIND, listed_hosts));
+    spawner.detach(hosts::enter(Arc::clone(cx)));
     spawner.detach(register::expire_endpoints(Arc::clone(cx)));
-    spawner.detach(register::look_after_hosts(Arc::clone(cx)));
-    spawner.detach(account::run(Arc::clone(cx)));
+    spawner.detach(hosts::look_after_hosts(Arc::clone(cx)));
+    spawner.detach(purse_home::run(Arc::clone(cx)));
     spawner.detach(isolation::run(Arc::clone(cx)));
     spawner.detach(exchange::run(Arc::clone(cx)));
     spawner.detach(exchange::refill(Arc::clone(cx)));
@@ -256,7 +258,7 @@
     while control.requests() > 0 && Moment::now() < give_up {
         Timer::after(RECOUNT).await;
     }
-    account::close(cx).await;
+    purse_home::close(cx).await;
     let requests = control.requests();
     cx.log.state("stopped", &DrainLine { requests });
     // The log's thread gathers lines before it writes them.
