Place calls by how their time grows with load

Change: a line through recent calls' times over load gives the weight of load; reading a prompt counts for those that it holds up; an unknown load is taken to be that of the endpoints around.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -7,11 +7,11 @@
 use http::response;
 use serde::Serialize;
 
-use super::attempt;
 use super::attempt::Call;
 use super::attempt::Place;
 use super::context::Gateway;
 use crate::connection::platform::Platform;
+use crate::platform::endpoints;
 use crate::units::Moment;
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -32,7 +32,7 @@
 pub fn whole(head: &response::Parts, body: Bytes) -> Response<Body> {
     let mut response = Response::new(Body::from_bytes(body));
     *response.status_mut() = head.status;
-    *response.headers_mut() = attempt::answer_headers(head);
+    *response.headers_mut() = endpoints::answer_headers(head);
     response
 }
 
@@ -44,7 +44,7 @@
         program: call.meta.program.as_ref().map(|program| &*program.id),
         route: &call.route.name,
         service: &call.service,
-        endpoint: &place.endpoint.id,
+        endpoint: &place.endpoint().id,
         status: status.as_u16(),
         spent_ms: spent.as_millis(),
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::client::ClientError;
-use http::HeaderMap;
 use http::Method;
 use http::Response;
 use http::response;
@@ -18,6 +17,7 @@
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::placing::Ended;
+use super::placing::Placed;
 use super::placing::Pool;
 use super::routes::Customer;
 use super::routes::Route;
@@ -58,23 +58,27 @@
 #[derive(Debug)]
 pub struct Place {
     pool: Arc<Mutex<Pool>>,
-    /// The endpoint.
-    pub endpoint: Arc<Endpoint>,
+    placed: Placed,
     started: Moment,
     ended: Ended,
 }
 
 impl Place {
     /// Wraps a choice of the pool.
-    pub fn new(pool: Arc<Mutex<Pool>>, endpoint: Arc<Endpoint>) -> Self {
+    pub fn new(pool: Arc<Mutex<Pool>>, placed: Placed) -> Self {
         Self {
             pool,
-            endpoint,
+            placed,
             started: Moment::now(),
             ended: Ended::Abandoned,
         }
     }
 
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.placed.endpoint
+    }
+
     /// Notes how the request ended.
     pub fn end(mut self, ended: Ended) {
         self.ended = ended;
@@ -86,7 +90,7 @@
         let now = Moment::now();
         let spent = now.since(self.started);
         let mut pool = self.pool.lock();
-        pool.ended(&self.endpoint.id, self.ended, spent, now);
+        pool.ended(&self.placed, self.ended, spent, now);
     }
 }
 
@@ -126,7 +130,7 @@
         target: &call.target,
         headers: &call.meta.forwarded,
         body: &call.body,
-        endpoint: &place.endpoint,
+        endpoint: place.endpoint(),
         customer: call.customer.as_ref().map(|customer| &*customer.name),
         time_left: now.until(call.gives_up).min(left.max(MIN_TIME)),
         urgency: call.urgency,
@@ -141,7 +145,7 @@
             };
         }
     };
-    let to = place.endpoint.address;
+    let to = place.endpoint().address;
     let sent = match call.route.kind {
         // A connection that the endpoint dropped meanwhile would lose the call.
         RouteKind::Once => {
@@ -192,7 +196,7 @@
 fn tell_load(place: &Place, head: &response::Parts) {
     if let Some(load) = endpoints::load(head) {
         let mut pool = place.pool.lock();
-        pool.told(&place.endpoint.id, load, Moment::now());
+        pool.told(&place.endpoint().id, load, Moment::now());
     }
 }
 
@@ -217,8 +221,3 @@
     };
     futures_lite::future::or(read, expire).await
 }
-
-/// Headers that go back to the caller.
-pub fn answer_headers(head: &response::Parts) -> HeaderMap {
-    endpoints::answer_headers(head)
-}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -95,7 +95,7 @@
             },
             Attempted::NotRun { why, is_full } => {
                 log_attempt(cx, &call, &place, &tried, "not-run", &why);
-                tried.refused.push(place.endpoint.id.clone());
+                tried.refused.push(place.endpoint().id.clone());
                 place.end(if is_full { Ended::Full } else { Ended::Failed });
                 if tried.refused.len() >= MAX_REFUSED {
                     return Err(refused_everywhere(&tried, &why));
@@ -104,7 +104,7 @@
             }
             Attempted::TimedOut => {
                 log_attempt(cx, &call, &place, &tried, "timed-out", "");
-                tried.ran.push(Arc::clone(&place.endpoint));
+                tried.ran.push(Arc::clone(place.endpoint()));
                 place.end(Ended::Errored);
                 if !may_repeat(&call, &tried) || has_no_time(&call) {
                     return Err(Refusal::new(Outcome::TimedOut, "no answer in time"));
@@ -113,7 +113,7 @@
             }
             Attempted::Unknown { why } => {
                 log_attempt(cx, &call, &place, &tried, "unknown", &why);
-                tried.ran.push(Arc::clone(&place.endpoint));
+                tried.ran.push(Arc::clone(place.endpoint()));
                 place.end(Ended::Failed);
                 why
             }
@@ -208,13 +208,8 @@
     only: Option<&str>,
 ) -> Option<Place> {
     let pool = cx.pools.get(&call.service)?;
-    let affinity = call
-        .route
-        .is_sticky
-        .then_some(call.meta.affinity.as_deref());
     let want = Want {
         parts: call.meta.prompt.as_ref().map_or(&[], |p| &p.parts),
-        affinity: affinity.flatten().map(super::hash_of),
         tried,
         only,
     };
@@ -234,7 +229,7 @@
     let line = AttemptLine {
         request: &call.meta.id,
         service: &call.service,
-        endpoint: &place.endpoint.id,
+        endpoint: &place.endpoint().id,
         attempt: tried.refused.len() + tried.ran.len() + 1,
         outcome,
         why,
@@ -278,7 +273,7 @@
             Received::Whole(answer::whole(&head, body))
         }
         Err(why) => {
-            let endpoint = Arc::clone(&place.endpoint);
+            let endpoint = Arc::clone(place.endpoint());
             place.end(Ended::Failed);
             Received::Broken { why, endpoint }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod follow;
 pub mod hosts;
 pub mod isolation;
+pub mod load_curve;
 pub mod metrics;
 pub mod placing;
 pub mod prefixes;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -4,8 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use super::directory::Endpoint;
 use super::directory::EndpointState;
+use super::load_curve::LoadCurve;
 use super::prefixes::Prefixes;
 use crate::gateway::call::PromptPart;
 use crate::units::Moment;
@@ -16,13 +21,19 @@
 const AVOID: Duration = Duration::from_secs(1);
 /// Longest time for which an endpoint that keeps failing is passed over.
 const MAX_AVOID: Duration = Duration::from_secs(8);
-/// Weight of the newest value in a running mean.
+/// Weight of the newest value in the mean load of a data centre's endpoints.
 const MEAN_WEIGHT: f64 = 0.2;
 /// Work that a call is taken to be before any has ended, in milliseconds.
 const FIRST_WORK_MS: f64 = 100.0;
+/// Part of a call's time that a full endpoint is taken to add, before calls
+/// show how it grows.
+const ASSUMED_GROWTH: f64 = 0.25;
 /// Prompt tokens that an engine is taken to read in a millisecond; engines
 /// read some tens to a hundred.
 const PREFILL_PER_MS: f64 = 40.0;
+/// Part of a prompt's reading by which each running request is held up: it is
+/// read in chunks between their tokens.
+const HELD_UP: f64 = 0.25;
 /// Weight of the newest call in an endpoint's pace and error rate.
 const MEMBER_WEIGHT: f64 = 0.15;
 /// Pace above which an endpoint counts as slow: calls differ by that much.
@@ -34,8 +45,11 @@
 /// Cost of a failed call, in calls: it is repeated, or its program is lost.
 const ERROR_COST: f64 = 10.0;
 /// Added to the cost of an endpoint in another data centre, as a part of a
-/// call's time. Calls that stay are not lost when the data centres part.
-const CROSSING_SHARE: f64 = 0.15;
+/// call's time without load. Calls that stay are not lost when the data
+/// centres part.
+const CROSSING_SHARE: f64 = 0.2;
+/// Costs that differ by less count as equal, in milliseconds.
+const TIE_MS: f64 = 0.5;
 
 /// Load that an endpoint told in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,8 +82,6 @@
 pub struct Want<'a> {
     /// Parts of its prompt in order.
     pub parts: &'a [PromptPart],
-    /// Hash of the object that it concerns.
-    pub affinity: Option<u64>,
     /// Endpoints that were tried.
     pub tried: &'a [Box<str>],
     /// The one endpoint that may run it, leaving or not.
@@ -133,32 +145,55 @@
         (-age).exp()
     }
 
-    /// Requests there, with the told part fading as it grows old.
-    fn load(&self, now: Moment) -> f64 {
+    /// Requests there. As what it told grows old, it is taken to be as loaded
+    /// as the endpoints around it.
+    fn load(&self, around: f64, now: Moment) -> f64 {
         let age = self.told.map_or(LOAD_LIFE, |told| now.since(told));
         let fresh = 1.0 - age.as_secs_f64() / LOAD_LIFE.as_secs_f64();
-        f64::from(self.running) + f64::from(self.others) * fresh.max(0.0)
+        let fresh = fresh.max(0.0);
+        let others = f64::from(self.others) * fresh + around * (1.0 - fresh);
+        f64::from(self.running) + others
     }
 }
 
+/// A request that is counted at an endpoint.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Requests there for each of its slots, as far as this host knew.
+    load: f64,
+}
+
 /// Endpoints of one service.
 #[derive(Debug)]
 pub struct Pool {
     members: HashMap<Box<str>, Member>,
-    /// Running mean of a call's time at an endpoint, in milliseconds.
-    work_ms: f64,
+    /// Time of calls by load.
+    curve: LoadCurve,
+    /// Mean number of requests of other hosts at an endpoint, by data centre.
+    around: HashMap<Box<str>, f64>,
+    /// Decides among equal endpoints.
+    rng: ChaCha8Rng,
 }
 
 impl Default for Pool {
     fn default() -> Self {
+        Self::seeded(rand::random())
+    }
+}
+
+impl Pool {
+    /// A pool whose choices among equal endpoints follow from a seed.
+    pub fn seeded(seed: u64) -> Self {
         Self {
             members: HashMap::new(),
-            work_ms: FIRST_WORK_MS,
+            curve: LoadCurve::new(FIRST_WORK_MS, ASSUMED_GROWTH),
+            around: HashMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
-}
 
-impl Pool {
     /// Takes up the endpoints of the service.
     pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>) {
         let mut kept = HashMap::new();
@@ -177,8 +212,14 @@
     }
 
     /// Chooses an endpoint and counts a request there.
-    pub fn choose(&mut self, want: &Want<'_>, home: &str, now: Moment) -> Option<Arc<Endpoint>> {
-        let work_ms = self.work_ms;
+    pub fn choose(&mut self, want: &Want<'_>, home: &str, now: Moment) -> Option<Placed> {
+        let view = View {
+            curve: &self.curve,
+            around: &self.around,
+            home,
+            now,
+        };
+        let rng = &mut self.rng;
         let usable = self.members.values_mut().filter(|member| {
             let id = &member.endpoint.id;
             match want.only {
@@ -186,14 +227,17 @@
                 None => member.is_ready() && !want.tried.contains(id),
             }
         });
-        let cost = |member: &Member| cost(member, want, home, work_ms, now);
+        // Equal endpoints share the calls at random rather than by their order.
+        let mut cost = |member: &Member| view.cost(member, want) + rng.random_range(0.0..TIE_MS);
         let best = usable
             .map(|member| (cost(member), member))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let (_, member) = best?;
+        let load = view.load(member) / f64::from(member.endpoint.slots);
         member.running += 1;
         member.prefixes.touch(want.parts, now);
-        Some(Arc::clone(&member.endpoint))
+        let endpoint = Arc::clone(&member.endpoint);
+        Some(Placed { endpoint, load })
     }
 
     /// Takes up the load that an endpoint told.
@@ -201,17 +245,21 @@
         if let Some(member) = self.members.get_mut(id) {
             member.others = (load.running + load.waiting).saturating_sub(member.running);
             member.told = Some(now);
+            let place = member.endpoint.data_centre.clone();
+            let around = self.around.entry(place).or_default();
+            *around += MEAN_WEIGHT * (f64::from(member.others) - *around);
         }
     }
 
     /// Ends a request that [`Pool::choose`] counted.
-    pub fn ended(&mut self, id: &str, ended: Ended, spent: Duration, now: Moment) {
+    pub fn ended(&mut self, placed: &Placed, ended: Ended, spent: Duration, now: Moment) {
         let spent_ms = spent.as_secs_f64() * 1000.0;
-        let pace = (ended == Ended::Answered).then(|| spent_ms / self.work_ms.max(1.0));
-        if pace.is_some() {
-            self.work_ms += MEAN_WEIGHT * (spent_ms - self.work_ms);
-        }
-        let Some(member) = self.members.get_mut(id) else {
+        let pace = (ended == Ended::Answered).then(|| {
+            let expected_ms = self.curve.time_ms(placed.load);
+            self.curve.add(placed.load, spent_ms);
+            spent_ms / expected_ms.max(1.0)
+        });
+        let Some(member) = self.members.get_mut(&placed.endpoint.id) else {
             return;
         };
         member.running = member.running.saturating_sub(1);
@@ -235,50 +283,56 @@
         }
     }
 
-    /// Part of the service's places that are taken, as far as this host knows.
-    pub fn taken(&self, now: Moment) -> f64 {
-        let ready = || {
-            let members = self.members.values();
-            members.filter(|member| member.is_ready())
-        };
-        let slots: f64 = ready().map(|m| f64::from(m.endpoint.slots)).sum();
-        let load: f64 = ready().map(|member| member.load(now)).sum();
-        if slots > 0.0 { load / slots } else { 1.0 }
-    }
-
-    /// True if no endpoint takes work.
-    pub fn is_empty(&self) -> bool {
-        !self.members.values().any(Member::is_ready)
-    }
-
     /// True if an endpoint is listed, leaving or not.
     pub fn has(&self, id: &str) -> bool {
         self.members.contains_key(id)
     }
 }
 
-/// Expected delay of a call at an endpoint, in milliseconds.
-fn cost(member: &Member, want: &Want<'_>, home: &str, work_ms: f64, now: Moment) -> f64 {
-    let slots = f64::from(member.endpoint.slots);
-    let load = member.load(now);
-    let queued = (load + 1.0 - slots).max(0.0);
-    let fade = member.fade(now);
-    let pace = 1.0 + (member.pace - 1.0) * fade;
-    let mut cost = work_ms * pace.max(1.0) * (queued + 0.25 * load) / slots;
-    cost += work_ms * (pace - SLOW_PACE).max(0.0);
-    cost += work_ms * ERROR_COST * member.error_rate * fade;
-    if !want.parts.is_empty() {
-        let missing = member.prefixes.missing(want.parts, now);
-        #[allow(clippy::cast_precision_loss, reason = "prompts have few tokens")]
-        let missing = missing as f64;
-        cost += missing / PREFILL_PER_MS;
-    }
-    if &*member.endpoint.data_centre != home {
-        cost += CROSSING_SHARE * work_ms;
+/// What a host knows when it chooses.
+struct View<'a> {
+    curve: &'a LoadCurve,
+    around: &'a HashMap<Box<str>, f64>,
+    home: &'a str,
+    now: Moment,
+}
+
+impl View<'_> {
+    /// Requests at an endpoint.
+    fn load(&self, member: &Member) -> f64 {
+        let around = self.around.get(&member.endpoint.data_centre);
+        member.load(around.copied().unwrap_or_default(), self.now)
     }
-    if now < member.avoid_until {
-        cost += 1000.0 * work_ms;
+
+    /// Expected delay of a call at an endpoint and of the calls that it slows
+    /// down there, in milliseconds.
+    fn cost(&self, member: &Member, want: &Want<'_>) -> f64 {
+        let now = self.now;
+        let idle_ms = self.curve.idle_ms();
+        let slots = f64::from(member.endpoint.slots);
+        let load = self.load(member);
+        let queued = (load + 1.0 - slots).max(0.0);
+        let fade = member.fade(now);
+        let pace = 1.0 + (member.pace - 1.0) * fade;
+        // The call is slowed down by those that run, and they by it.
+        let slowed_ms = 2.0 * self.curve.growth_ms() * load / slots;
+        let queued_ms = self.curve.mean_ms() * queued / slots;
+        let mut cost = pace.max(1.0) * (slowed_ms + queued_ms);
+        cost += idle_ms * (pace - SLOW_PACE).max(0.0);
+        cost += idle_ms * ERROR_COST * member.error_rate * fade;
+        if !want.parts.is_empty() {
+            let missing = member.prefixes.missing(want.parts, now);
+            #[allow(clippy::cast_precision_loss, reason = "prompts have few tokens")]
+            let missing = missing as f64;
+            // Those that run wait while the prompt is read.
+            cost += missing / PREFILL_PER_MS * (1.0 + HELD_UP * load);
+        }
+        if *member.endpoint.data_centre != *self.home {
+            cost += CROSSING_SHARE * idle_ms;
+        }
+        if now < member.avoid_until {
+            cost += 1000.0 * self.curve.mean_ms();
+        }
+        cost
     }
-    // Equal endpoints share the calls at random rather than by their order.
-    cost + super::fraction(rand::random()) * 0.5
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use super::placing::Ended;
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
+use crate::platform::endpoints;
 use crate::units::Moment;
 
 /// Events that wait for a slow caller.
@@ -74,7 +75,7 @@
     reservation: Option<Reservation<P>>,
 ) -> Response<Body> {
     let (tx, body) = Body::channel(WAITING_EVENTS);
-    let mut headers = attempt::answer_headers(&open.head);
+    let mut headers = endpoints::answer_headers(&open.head);
     // The stream may go on at another engine, whose events differ in length.
     headers.remove(header::CONTENT_LENGTH);
     let mut response = Response::new(body);
@@ -151,7 +152,7 @@
                 }
                 End::Broken(why) => {
                     self.log(&place, "broken", &why);
-                    let broken_at = place.endpoint.id.clone();
+                    let broken_at = place.endpoint().id.clone();
                     place.end(Ended::Failed);
                     match self.resume(&tx, &broken_at).await {
                         Some(next) => (body, place) = next,
@@ -275,7 +276,7 @@
             program: program.map(|program| &*program.id),
             line: program.map(|program| &*program.line),
             route: &self.call.route.name,
-            endpoint: &place.endpoint.id,
+            endpoint: &place.endpoint().id,
             events: self.events,
             resumes: self.resumes,
             first_ms: self.first.map(|first| first.as_millis()),
--- a/tests/gateway/engines_replaced.rs
+++ b/tests/gateway/engines_replaced.rs
@@ -43,8 +43,11 @@
         };
         let now = at(turn * 1000);
         let chosen = pool.choose(&want, HOME, now).expect("an engine");
-        pool.ended(&chosen.id, Ended::Answered, TURN, now);
-        assert_eq!(*first.get_or_insert(chosen.id.clone()), chosen.id);
+        pool.ended(&chosen, Ended::Answered, TURN, now);
+        assert_eq!(
+            *first.get_or_insert(chosen.endpoint.id.clone()),
+            chosen.endpoint.id
+        );
     }
 }
 
@@ -63,7 +66,7 @@
             ..Want::default()
         };
         let chosen = pool.choose(&want, HOME, at(turn)).expect("an engine");
-        assert_eq!(&*chosen.id, "new");
+        assert_eq!(&*chosen.endpoint.id, "new");
     }
 }
 
@@ -77,20 +80,24 @@
         ..Want::default()
     };
     let chosen = pool.choose(&want, HOME, at(0)).expect("an engine");
-    pool.ended(&chosen.id, Ended::Answered, TURN, at(100));
-    let other = if &*chosen.id == "e0" { "e1" } else { "e0" };
+    pool.ended(&chosen, Ended::Answered, TURN, at(100));
+    let other = if &*chosen.endpoint.id == "e0" {
+        "e1"
+    } else {
+        "e0"
+    };
     // The other engine reads the prompt as well, then the first starts again.
     let both = Want {
         only: Some(other),
         ..want
     };
-    pool.choose(&both, HOME, at(200)).expect("the other engine");
-    pool.ended(other, Ended::Answered, TURN, at(300));
+    let second = pool.choose(&both, HOME, at(200)).expect("the other engine");
+    pool.ended(&second, Ended::Answered, TURN, at(300));
     let again = Endpoint {
         started_ms: 2,
-        ..endpoint(&chosen.id, 8)
+        ..endpoint(&chosen.endpoint.id, 8)
     };
     pool.replace([Arc::new(again), Arc::new(endpoint(other, 8))].into_iter());
     let next = pool.choose(&want, HOME, at(400)).expect("an engine");
-    assert_eq!(&*next.id, other);
+    assert_eq!(&*next.endpoint.id, other);
 }
--- a/tests/gateway/half_the_engines_slow.rs
+++ b/tests/gateway/half_the_engines_slow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chicoryarch::gateway::placing::Ended;
+use chicoryarch::gateway::placing::Placed;
 use chicoryarch::gateway::placing::Pool;
 use chicoryarch::gateway::placing::Want;
 
@@ -19,23 +20,23 @@
 fn play(ended: impl Fn(usize, usize) -> (Ended, u64)) -> HashMap<usize, usize> {
     let mut pool = Pool::default();
     pool.replace((0..ENDPOINTS).map(|n| Arc::new(endpoint(&n.to_string(), 4))));
-    let mut under_way: Vec<(u64, Box<str>, Ended, u64)> = Vec::new();
+    let mut under_way: Vec<(u64, Placed, Ended, u64)> = Vec::new();
     let mut chosen = HashMap::new();
     for call in 0..400 {
         let now = u64::try_from(call).expect("few calls") * 20;
         let (done, left): (Vec<_>, Vec<_>) =
             under_way.into_iter().partition(|(ends, ..)| *ends <= now);
         under_way = left;
-        for (ends, id, ended, spent) in done {
-            pool.ended(&id, ended, Duration::from_millis(spent), at(ends));
+        for (ends, placed, ended, spent) in done {
+            pool.ended(&placed, ended, Duration::from_millis(spent), at(ends));
         }
         let to = pool.choose(&Want::default(), HOME, at(now)).expect("one");
-        let index: usize = to.id.parse().expect("a number");
+        let index: usize = to.endpoint.id.parse().expect("a number");
         if call >= 200 {
             *chosen.entry(index).or_default() += 1;
         }
         let (ended, spent) = ended(index, call);
-        under_way.push((now + spent, to.id.clone(), ended, spent));
+        under_way.push((now + spent, to, ended, spent));
     }
     chosen
 }
--- a/tests/gateway/one_host_busy.rs
+++ b/tests/gateway/one_host_busy.rs
@@ -30,7 +30,7 @@
     pool.told("e0", full, at(0));
     for _ in 0..6 {
         let chosen = pool.choose(&Want::default(), HOME, at(10)).expect("one");
-        assert_ne!(&*chosen.id, "e0");
+        assert_ne!(&*chosen.endpoint.id, "e0");
     }
 }
 
@@ -45,7 +45,7 @@
     pool.told("e0", full, at(0));
     let chosen: Vec<_> = (0..9)
         .filter_map(|_| pool.choose(&Want::default(), HOME, at(5_000)))
-        .map(|endpoint| endpoint.id.clone())
+        .map(|placed| placed.endpoint.id.clone())
         .collect();
     assert_eq!(chosen.iter().filter(|id| ***id == *"e0").count(), 3);
 }
@@ -54,10 +54,10 @@
 fn an_endpoint_that_failed_is_passed_over_for_a_while() {
     let mut pool = pool();
     let first = pool.choose(&Want::default(), HOME, at(0)).expect("one");
-    pool.ended(&first.id, Ended::Failed, Duration::ZERO, at(0));
+    pool.ended(&first, Ended::Failed, Duration::ZERO, at(0));
     for _ in 0..6 {
         let chosen = pool.choose(&Want::default(), HOME, at(100)).expect("one");
-        assert_ne!(chosen.id, first.id);
+        assert_ne!(chosen.endpoint.id, first.endpoint.id);
     }
     assert!(pool.choose(&Want::default(), HOME, at(100)).is_some());
 }
