One way to settle conditional writes for both platform clients; scale-free growth

The store's client is split by job. Placing: the assumed growth counts in samples relative to the mean load, since with 64 slots the fixed weight hid every growth; endpoints stand in the order of their ids, so that a seed repeats its choices (a test of the model failed once: the order of a hash map decided ties).

--- a/src/connection/platform/http.rs
+++ b/src/connection/platform/http.rs
@@ -1,15 +1,13 @@
 //! The platform's object API over HTTP.
 //!
-//! Reads that fail for any reason report the platform as unavailable. A write
-//! is sent again only under its own condition and after a read back has shown
-//! that it had not taken effect.
+//! Reads that fail for any reason report the platform as unavailable; writes
+//! are settled as [`super::settle`] says.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chicoryarch_net::Client;
-use http::Method;
 
 use super::Changes;
 use super::Expect;
@@ -21,21 +19,22 @@
 use super::PlatformError;
 use super::Result;
 use super::Written;
+use super::settle;
 use crate::configs::platform::PlatformConfig;
 use crate::ids::HostId;
 use crate::ids::Version;
 
 pub mod counters;
 mod exchange;
-mod settle;
 mod wire;
+mod write;
 
 use counters::CallKind;
 use counters::PlatformCounters;
 use exchange::Exchange;
 use exchange::Limits;
-use settle::Change;
-use settle::ConditionalWrite;
+use write::Change;
+use write::Write;
 
 /// Header that tells the platform which host calls.
 const HOST_HEADER: &str = "chicoryarch-host";
@@ -121,26 +120,31 @@
             return Err(PlatformError::TooLarge(value.len()));
         }
         let change = Change::Store {
+            expect,
             nonce,
             value: Bytes::from(value),
         };
-        let write = ConditionalWrite {
-            kind,
-            name,
-            expect,
-            change,
-        };
-        self.apply(&write).await
+        self.settle(kind, name, change).await
     }
 
     async fn delete(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
-        let write = ConditionalWrite {
+        self.settle(kind, name, Change::Remove { at }).await
+    }
+
+    async fn settle(&self, kind: &str, name: &str, change: Change) -> Result<Written> {
+        let limits = settle::Limits {
+            first_timeout: self.cfg.timeout,
+            timeout: self.cfg.timeout,
+            retry_interval: self.cfg.retry_interval,
+            settle_timeout: self.cfg.settle_timeout,
+        };
+        let write = Write {
+            platform: self,
             kind,
             name,
-            expect: Expect::At(at),
-            change: Change::Remove,
+            change,
         };
-        self.apply(&write).await
+        settle::settle(&write, limits).await
     }
 }
 
@@ -188,21 +192,3 @@
         result
     }
 }
-
-impl Change {
-    /// Method of the request that makes the change.
-    fn method(&self) -> Method {
-        match self {
-            Self::Remove => Method::DELETE,
-            Self::Store { .. } => Method::PUT,
-        }
-    }
-
-    /// Kind under which the change is counted.
-    fn call_kind(&self) -> CallKind {
-        match self {
-            Self::Remove => CallKind::Remove,
-            Self::Store { .. } => CallKind::Write,
-        }
-    }
-}
--- a/src/connection/platform/http/exchange.rs
+++ b/src/connection/platform/http/exchange.rs
@@ -19,27 +19,10 @@
 use super::counters::CallKind;
 use super::counters::PlatformCounters;
 use super::wire;
-use crate::connection::platform::PlatformError;
+use crate::connection::platform::settle::Failure;
 use crate::ids::HostId;
 use crate::ids::Version;
 
-/// Why a request got no usable answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum Failure {
-    /// The platform did not carry it out.
-    NotApplied(String),
-    /// The platform may have carried it out.
-    Uncertain(String),
-}
-
-impl From<Failure> for PlatformError {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::NotApplied(detail) | Failure::Uncertain(detail) => Self::Unavailable(detail),
-        }
-    }
-}
-
 /// Result of one request.
 pub(super) type Result<T> = std::result::Result<T, Failure>;
 
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod http;
 pub mod memory;
+pub mod settle;
 
 /// Largest value of an object, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
--- a/src/gateway/load_curve.rs
+++ b/src/gateway/load_curve.rs
@@ -3,7 +3,9 @@
 /// Weight that is left of a sample after each newer one.
 const SAMPLE_FADE: f64 = 0.99;
 /// Samples that the assumed growth counts as.
-const PRIOR_WEIGHT: f64 = 2.0;
+const PRIOR_SAMPLES: f64 = 10.0;
+/// How far these stand from the mean load, as a part of it.
+const PRIOR_DISTANCE: f64 = 0.5;
 /// Least part of a call's mean time that is taken to be its time without load.
 const MIN_IDLE_SHARE: f64 = 0.2;
 
@@ -74,7 +76,11 @@
         let mean = self.load / self.weight;
         let spread = self.load_squared - self.load * mean;
         let joint = self.load_time - self.time * mean;
-        let growth = (joint + PRIOR_WEIGHT * assumed) / (spread + PRIOR_WEIGHT);
+        let prior = PRIOR_SAMPLES * (PRIOR_DISTANCE * mean).powi(2);
+        if spread + prior <= 0.0 {
+            return assumed;
+        }
+        let growth = (joint + prior * assumed) / (spread + prior);
         growth.max(assumed)
     }
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -1,5 +1,6 @@
 //! Choice of an endpoint by what this host knows of each one's load.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -168,7 +169,8 @@
 /// Endpoints of one service.
 #[derive(Debug)]
 pub struct Pool {
-    members: HashMap<Box<str>, Member>,
+    /// In the order of their ids, so that a seed gives the same choices.
+    members: BTreeMap<Box<str>, Member>,
     /// Time of calls by load.
     curve: LoadCurve,
     /// Mean number of requests of other hosts at an endpoint, by data centre.
@@ -187,7 +189,7 @@
     /// A pool whose choices among equal endpoints follow from a seed.
     pub fn seeded(seed: u64) -> Self {
         Self {
-            members: HashMap::new(),
+            members: BTreeMap::new(),
             curve: LoadCurve::new(FIRST_WORK_MS, ASSUMED_GROWTH),
             around: HashMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -196,7 +198,7 @@
 
     /// Takes up the endpoints of the service.
     pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>) {
-        let mut kept = HashMap::new();
+        let mut kept = BTreeMap::new();
         for endpoint in endpoints {
             let same = self
                 .members
@@ -304,8 +306,8 @@
         member.load(around.copied().unwrap_or_default(), self.now)
     }
 
-    /// Expected delay of a call at an endpoint and of the calls that it slows
-    /// down there, in milliseconds.
+    /// Expected delay of a call at an endpoint, in milliseconds, and of those
+    /// that wait while its prompt is read.
     fn cost(&self, member: &Member, want: &Want<'_>) -> f64 {
         let now = self.now;
         let idle_ms = self.curve.idle_ms();
@@ -314,8 +316,7 @@
         let queued = (load + 1.0 - slots).max(0.0);
         let fade = member.fade(now);
         let pace = 1.0 + (member.pace - 1.0) * fade;
-        // The call is slowed down by those that run, and they by it.
-        let slowed_ms = 2.0 * self.curve.growth_ms() * load / slots;
+        let slowed_ms = self.curve.growth_ms() * load / slots;
         let queued_ms = self.curve.mean_ms() * queued / slots;
         let mut cost = pace.max(1.0) * (slowed_ms + queued_ms);
         cost += idle_ms * (pace - SLOW_PACE).max(0.0);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,8 +1,4 @@
 //! The platform's metadata store, spoken over HTTP.
-//!
-//! A write is sent again only under its own condition, and its outcome is read
-//! from the writer's nonce in the stored value. A repeated request that
-//! arrives late therefore finds its condition broken and has no effect.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,8 +12,6 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use serde::Deserialize;
-use serde_json::value::RawValue;
 
 use crate::configs::gateway::StoreConfig;
 use crate::connection::platform::Changes;
@@ -29,9 +23,17 @@
 use crate::connection::platform::PlatformError;
 use crate::connection::platform::Result;
 use crate::connection::platform::Written;
-use crate::connection::platform::nonce_of;
+use crate::connection::platform::settle;
+use crate::connection::platform::settle::Failure;
 use crate::ids::Version;
-use crate::units::Moment;
+
+mod objects;
+mod write;
+
+use objects::Page;
+use objects::WatchAnswer;
+use write::Change;
+use write::Write;
 
 /// Largest answer to a list or watch, in bytes: pages hold about a megabyte,
 /// and one object may be as large again.
@@ -44,64 +46,11 @@
     client: Client,
 }
 
-#[derive(Deserialize)]
-struct Metadata {
-    name: String,
-    /// Revision of the object's last change.
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct StoredObject {
-    metadata: Metadata,
-    /// What its writer stored.
-    spec: Box<RawValue>,
-}
-
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Box<RawValue>>,
-    /// True if more objects follow the last item by name.
-    #[serde(default)]
-    truncated: bool,
-    /// Revision of the store as of this page.
-    store_revision: u64,
-}
-
-#[derive(Deserialize)]
-struct WatchEvent {
-    object: Box<RawValue>,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Deserialize)]
-struct WatchAnswer {
-    events: Vec<WatchEvent>,
-    store_revision: u64,
-}
-
 struct Answer {
     status: StatusCode,
     body: Bytes,
 }
 
-/// Why an exchange gave no answer that can be used.
-enum Failure {
-    /// The store said that it did nothing, or the request did not reach it.
-    NotApplied(String),
-    /// The request may have been, or may yet be, carried out.
-    Uncertain(String),
-}
-
-impl From<Failure> for PlatformError {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::NotApplied(detail) | Failure::Uncertain(detail) => Self::Unavailable(detail),
-        }
-    }
-}
-
 impl ObjectStore {
     /// Creates a client that shares `client`'s connections.
     pub fn new(client: Client, cfg: StoreConfig) -> Self {
@@ -160,35 +109,29 @@
         }
     }
 
-    /// Repeats a conditional write until its outcome is known.
-    async fn settle(
-        &self,
-        method: Method,
-        target: &str,
-        body: Option<Vec<u8>>,
-        nonce: Nonce,
-    ) -> Result<Written> {
-        let deadline = Moment::now() + self.cfg.settle_timeout;
-        let mut uncertain = false;
-        let mut timeout = self.cfg.write_timeout;
-        loop {
-            let sent = self
-                .exchange(method.clone(), target, body.clone(), timeout)
-                .await;
-            timeout = (timeout * 2).min(self.cfg.timeout);
-            match sent {
-                Ok(answer) => return written(&method, &answer, nonce, uncertain),
-                Err(Failure::NotApplied(detail)) if !uncertain => {
-                    return Err(PlatformError::Unavailable(detail));
-                }
-                Err(Failure::NotApplied(_)) => (),
-                Err(Failure::Uncertain(_)) => uncertain = true,
-            }
-            if Moment::now() >= deadline {
-                return Err(PlatformError::UnknownOutcome);
-            }
-            Timer::after(self.cfg.retry_interval).await;
+    async fn get(&self, kind: &str, name: &str, timeout: Duration) -> Result<Option<Object>> {
+        let target = format!("/v1/objects/{kind}/{name}");
+        let answer = self.exchange(Method::GET, &target, None, timeout).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
         }
+        objects::decode(kind, name, &answer.body).map(Some)
+    }
+
+    async fn settle(&self, kind: &str, name: &str, change: Change) -> Result<Written> {
+        let limits = settle::Limits {
+            first_timeout: self.cfg.write_timeout,
+            timeout: self.cfg.timeout,
+            retry_interval: self.cfg.retry_interval,
+            settle_timeout: self.cfg.settle_timeout,
+        };
+        let write = Write {
+            store: self,
+            kind,
+            name,
+            change,
+        };
+        settle::settle(&write, limits).await
     }
 
     /// Replaces the status of an operators' object.
@@ -218,14 +161,7 @@
 
 impl Platform for ObjectStore {
     async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        let target = format!("/v1/objects/{kind}/{name}");
-        let answer = self
-            .exchange(Method::GET, &target, None, self.cfg.timeout)
-            .await?;
-        if answer.status == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        decode(kind, name, &answer.body).map(Some)
+        self.get(kind, name, self.cfg.timeout).await
     }
 
     async fn list(&self, kind: &str, prefix: &str) -> Result<Changes> {
@@ -243,12 +179,15 @@
             let answer = self
                 .exchange(Method::GET, &target, None, self.cfg.timeout)
                 .await?;
-            let page: Page = parse(kind, "", &answer.body)?;
+            let page: Page = objects::parse(kind, "", &answer.body)?;
             // Changes after the first page come again with a watch from its revision.
             if changes.upto == Version(0) {
                 changes.upto = Version(page.store_revision);
             }
-            let objects = page.items.iter().filter_map(|item| readable(item.get()));
+            let objects = page
+                .items
+                .iter()
+                .filter_map(|item| objects::readable(item.get()));
             let mut last = None;
             for object in objects {
                 last = Some(object.name.clone());
@@ -274,28 +213,17 @@
         if value.len() > self.cfg.max_value_bytes {
             return Err(PlatformError::TooLarge(value.len()));
         }
-        let spec = String::from_utf8(value).map_err(|e| malformed(kind, name, &e))?;
-        match expect {
-            Expect::Absent => {
-                let body = format!("{{\"metadata\":{{\"name\":\"{name}\"}},\"spec\":{spec}}}");
-                let target = format!("/v1/objects/{kind}");
-                self.settle(Method::POST, &target, Some(body.into_bytes()), nonce)
-                    .await
-            }
-            Expect::At(Version(revision)) => {
-                let body = format!(
-                    "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision}}},\"spec\":{spec}}}"
-                );
-                let target = format!("/v1/objects/{kind}/{name}");
-                self.settle(Method::PUT, &target, Some(body.into_bytes()), nonce)
-                    .await
-            }
-        }
+        let value = String::from_utf8(value).map_err(|e| objects::malformed(kind, name, &e))?;
+        let change = Change::Store {
+            expect,
+            nonce,
+            value,
+        };
+        self.settle(kind, name, change).await
     }
 
     async fn remove(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
-        let target = format!("/v1/objects/{kind}/{name}?revision={at}");
-        self.settle(Method::DELETE, &target, None, Nonce(0)).await
+        self.settle(kind, name, Change::Remove { at }).await
     }
 
     async fn watch(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
@@ -309,14 +237,14 @@
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::HistoryLost);
         }
-        let watched: WatchAnswer = parse(kind, "", &answer.body)?;
+        let watched: WatchAnswer = objects::parse(kind, "", &answer.body)?;
         let mut changes = Changes {
             upto: Version(watched.store_revision),
             objects: Vec::new(),
             removed: Vec::new(),
         };
         for event in watched.events {
-            match readable(event.object.get()) {
+            match objects::readable(event.object.get()) {
                 Some(object) if event.deleted => changes.removed.push(object.name),
                 Some(object) => {
                     changes.removed.retain(|name| *name != object.name);
@@ -337,68 +265,3 @@
         Ok(listed.objects.into_iter().map(status).collect())
     }
 }
-
-/// What the answer to a conditional write says.
-fn written(method: &Method, answer: &Answer, nonce: Nonce, repeated: bool) -> Result<Written> {
-    let status = answer.status;
-    if status.is_success() {
-        let version = match method {
-            &Method::DELETE => Version(0),
-            _ => stored(&answer.body).map_or(Version(0), |object| object.version),
-        };
-        return Ok(Written::Done(version));
-    }
-    match status {
-        StatusCode::CONFLICT => Ok(match stored(&answer.body) {
-            Some(object) if nonce_of(&object.value) == Some(nonce) => Written::Done(object.version),
-            _ => Written::Conflict,
-        }),
-        // A removal that was repeated may have removed the object itself.
-        StatusCode::NOT_FOUND if method == Method::DELETE && repeated => {
-            Ok(Written::Done(Version(0)))
-        }
-        StatusCode::NOT_FOUND => Ok(Written::Conflict),
-        _ => Err(PlatformError::Unavailable(format!(
-            "the store answered {status} to a write"
-        ))),
-    }
-}
-
-/// The object in the answer to a write or conflict, bare or under `object`.
-fn stored(body: &[u8]) -> Option<Object> {
-    #[derive(Deserialize)]
-    struct Wrapped {
-        object: Box<RawValue>,
-    }
-    let text = std::str::from_utf8(body).ok()?;
-    readable(text).or_else(|| {
-        let wrapped: Wrapped = serde_json::from_str(text).ok()?;
-        readable(wrapped.object.get())
-    })
-}
-
-/// An object, or nothing if another writer left what cannot be read.
-fn readable(text: &str) -> Option<Object> {
-    let stored: StoredObject = serde_json::from_str(text).ok()?;
-    Some(Object {
-        name: stored.metadata.name,
-        version: Version(stored.metadata.revision),
-        value: stored.spec.get().as_bytes().to_vec(),
-    })
-}
-
-fn decode(kind: &str, name: &str, body: &[u8]) -> Result<Object> {
-    stored(body).ok_or_else(|| malformed(kind, name, &"not an object of the store"))
-}
-
-fn parse<'a, T: Deserialize<'a>>(kind: &str, name: &str, body: &'a [u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|e| malformed(kind, name, &e))
-}
-
-fn malformed(kind: &str, name: &str, detail: &impl ToString) -> PlatformError {
-    PlatformError::Malformed {
-        kind: kind.to_owned(),
-        name: name.to_owned(),
-        detail: detail.to_string(),
-    }
-}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod fleet_model;
 mod half_the_engines_slow;
 mod ingress;
+mod load_curve;
 mod one_data_centre_busy;
 mod one_host_busy;
 mod quota;
