--- a/src/connection/platform/http/counters.rs
+++ b/src/connection/platform/counters.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use crate::connection::platform::PlatformError;
-use crate::connection::platform::Result;
-use crate::connection::platform::Written;
+use super::PlatformError;
+use super::Result;
+use super::Written;
 
 /// Kind of a call to the platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -123,7 +123,7 @@
         self.resends.load(Ordering::Relaxed)
     }
 
-    pub(super) fn record<T>(&self, kind: CallKind, result: &Result<T>) {
+    pub(crate) fn record<T>(&self, kind: CallKind, result: &Result<T>) {
         let outcome = match result {
             Ok(_) => CallOutcome::Succeeded,
             Err(error) => CallOutcome::of_error(error),
@@ -131,22 +131,22 @@
         self.add_outcome(kind, outcome);
     }
 
-    pub(super) fn record_write(&self, kind: CallKind, result: &Result<Written>) {
+    pub(crate) fn record_write(&self, kind: CallKind, result: &Result<Written>) {
         match result {
             Ok(Written::Conflict) => self.add_outcome(kind, CallOutcome::Conflict),
             _ => self.record(kind, result),
         }
     }
 
-    pub(super) fn add_request(&self, kind: CallKind) {
+    pub(crate) fn add_request(&self, kind: CallKind) {
         self.requests[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn add_read_back(&self) {
+    pub(crate) fn add_read_back(&self) {
         self.read_backs.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn add_resend(&self) {
+    pub(crate) fn add_resend(&self) {
         self.resends.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/src/connection/platform/http.rs
+++ b/src/connection/platform/http.rs
@@ -19,18 +19,17 @@
 use super::PlatformError;
 use super::Result;
 use super::Written;
+use super::counters::CallKind;
+use super::counters::PlatformCounters;
 use super::settle;
 use crate::configs::platform::PlatformConfig;
 use crate::ids::HostId;
 use crate::ids::Version;
 
-pub mod counters;
 mod exchange;
 mod wire;
 mod write;
 
-use counters::CallKind;
-use counters::PlatformCounters;
 use exchange::Exchange;
 use exchange::Limits;
 use write::Change;
--- a/src/connection/platform/http/exchange.rs
+++ b/src/connection/platform/http/exchange.rs
@@ -16,9 +16,9 @@
 use http::header;
 
 use super::HOST_HEADER;
-use super::counters::CallKind;
-use super::counters::PlatformCounters;
 use super::wire;
+use crate::connection::platform::counters::CallKind;
+use crate::connection::platform::counters::PlatformCounters;
 use crate::connection::platform::settle::Failure;
 use crate::ids::HostId;
 use crate::ids::Version;
--- a/src/connection/platform/http/write.rs
+++ b/src/connection/platform/http/write.rs
@@ -10,13 +10,13 @@
 
 use super::HttpPlatform;
 use super::Limits;
-use super::counters::CallKind;
 use super::exchange;
 use super::wire;
 use crate::connection::platform::Expect;
 use crate::connection::platform::Nonce;
 use crate::connection::platform::Result;
 use crate::connection::platform::Written;
+use crate::connection::platform::counters::CallKind;
 use crate::connection::platform::settle;
 use crate::connection::platform::settle::ConditionalWrite;
 use crate::connection::platform::settle::Failure;
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::Version;
 
+pub mod counters;
 pub mod http;
 pub mod memory;
 pub mod settle;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,10 +1,17 @@
 //! Counters and latency histograms of a gateway.
 
+use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::DescriptorEncoder;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeMetric;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::Histogram;
@@ -13,6 +20,8 @@
 use prometheus_client::registry::Unit;
 
 use super::refusal::Refusal;
+use crate::connection::platform::counters::CallKind;
+use crate::connection::platform::counters::PlatformCounters;
 
 /// Upper bound of a histogram's first bucket, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
@@ -26,6 +35,24 @@
     outcome: &'static str,
 }
 
+/// Counters of the calls to the platform's store, read when they are asked for.
+#[derive(Debug)]
+struct StoreCalls(Arc<PlatformCounters>);
+
+impl Collector for StoreCalls {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let help = "Calls to the platform's store by kind";
+        let mut family =
+            encoder.encode_descriptor("store_calls", help, None, MetricType::Counter)?;
+        for kind in CallKind::ALL {
+            let label = [("kind", kind.as_str())];
+            let count = ConstCounter::new(self.0.requests(kind));
+            count.encode(family.encode_family(&label)?)?;
+        }
+        Ok(())
+    }
+}
+
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -42,8 +69,9 @@
     whole: Histogram,
 }
 
-impl Default for GatewayMetrics {
-    fn default() -> Self {
+impl GatewayMetrics {
+    /// Metrics of a gateway, with the counters of its calls to the store.
+    pub fn new(store: &Arc<PlatformCounters>) -> Self {
         let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_GROWTH, BUCKETS);
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("chicoryarch_gateway")),
@@ -54,14 +82,13 @@
             grants: Counter::default(),
             whole: Histogram::new(buckets),
         };
-        metrics.register();
+        metrics.register(StoreCalls(Arc::clone(store)));
         metrics
     }
-}
 
-impl GatewayMetrics {
-    fn register(&self) {
+    fn register(&self, store: StoreCalls) {
         let mut r = self.registry.lock();
+        r.register_collector(Box::new(store));
         r.register(
             "requests",
             "Ended requests by outcome",
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -188,8 +188,10 @@
     if cfg.place.first_start {
         roster.share_from(now + cfg.join_notice);
     }
+    let store = ObjectStore::new(control.clone(), cfg.store.clone());
     Arc::new(Gateway {
-        store: ObjectStore::new(control.clone(), cfg.store.clone()),
+        metrics: GatewayMetrics::new(store.counters()),
+        store,
         contact: StoreContact::default(),
         client: Client::new(spawner.clone(), endpoint_client),
         peers: HttpPeers::new(control, no_secret, PeerConfig::default()),
@@ -206,7 +208,6 @@
         outside: super::context::OutsideContact::default(),
         is_draining: false.into(),
         log: EventLog::start(cfg.place.host.as_str(), cfg.log_lines_per_s),
-        metrics: GatewayMetrics::default(),
         spawner,
         cfg,
     })
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -23,6 +23,8 @@
 use crate::connection::platform::PlatformError;
 use crate::connection::platform::Result;
 use crate::connection::platform::Written;
+use crate::connection::platform::counters::CallKind;
+use crate::connection::platform::counters::PlatformCounters;
 use crate::connection::platform::settle;
 use crate::connection::platform::settle::Failure;
 use crate::ids::Version;
@@ -44,6 +46,7 @@
 pub struct ObjectStore {
     cfg: Arc<StoreConfig>,
     client: Client,
+    counters: Arc<PlatformCounters>,
 }
 
 struct Answer {
@@ -57,16 +60,24 @@
         Self {
             cfg: Arc::new(cfg),
             client,
+            counters: Arc::default(),
         }
     }
 
+    /// Counters of the calls made so far.
+    pub const fn counters(&self) -> &Arc<PlatformCounters> {
+        &self.counters
+    }
+
     async fn exchange(
         &self,
+        call: CallKind,
         method: Method,
         target: &str,
         body: Option<Vec<u8>>,
         timeout: Duration,
     ) -> std::result::Result<Answer, Failure> {
+        self.counters.add_request(call);
         let mut req = Request::builder()
             .method(method)
             .uri(target)
@@ -111,7 +122,9 @@
 
     async fn get(&self, kind: &str, name: &str, timeout: Duration) -> Result<Option<Object>> {
         let target = format!("/v1/objects/{kind}/{name}");
-        let answer = self.exchange(Method::GET, &target, None, timeout).await?;
+        let answer = self
+            .exchange(CallKind::Read, Method::GET, &target, None, timeout)
+            .await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -144,6 +157,7 @@
         let target = format!("/v1/objects/{kind}/{name}/status");
         let answer = self
             .exchange(
+                CallKind::Write,
                 Method::PUT,
                 &target,
                 Some(body.into_bytes()),
@@ -157,14 +171,8 @@
             Err(PlatformError::Unavailable(detail))
         }
     }
-}
-
-impl Platform for ObjectStore {
-    async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        self.get(kind, name, self.cfg.timeout).await
-    }
 
-    async fn list(&self, kind: &str, prefix: &str) -> Result<Changes> {
+    async fn list_objects(&self, kind: &str, prefix: &str) -> Result<Changes> {
         let mut changes = Changes {
             upto: Version(0),
             objects: Vec::new(),
@@ -177,7 +185,7 @@
                 name => format!("/v1/objects/{kind}?after={name}"),
             };
             let answer = self
-                .exchange(Method::GET, &target, None, self.cfg.timeout)
+                .exchange(CallKind::List, Method::GET, &target, None, self.cfg.timeout)
                 .await?;
             let page: Page = objects::parse(kind, "", &answer.body)?;
             // Changes after the first page come again with a watch from its revision.
@@ -202,38 +210,16 @@
         }
     }
 
-    async fn write(
-        &self,
-        kind: &str,
-        name: &str,
-        expect: Expect,
-        nonce: Nonce,
-        value: Vec<u8>,
-    ) -> Result<Written> {
-        if value.len() > self.cfg.max_value_bytes {
-            return Err(PlatformError::TooLarge(value.len()));
-        }
-        let value = String::from_utf8(value).map_err(|e| objects::malformed(kind, name, &e))?;
-        let change = Change::Store {
-            expect,
-            nonce,
-            value,
-        };
-        self.settle(kind, name, change).await
-    }
-
-    async fn remove(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
-        self.settle(kind, name, Change::Remove { at }).await
-    }
-
-    async fn watch(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
+    async fn watch_kind(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
         let wait = wait.min(self.cfg.watch_wait);
         let target = format!(
             "/v1/objects/{kind}?watch={since}&wait_ms={}",
             wait.as_millis()
         );
         let timeout = wait + self.cfg.timeout;
-        let answer = self.exchange(Method::GET, &target, None, timeout).await?;
+        let answer = self
+            .exchange(CallKind::Watch, Method::GET, &target, None, timeout)
+            .await?;
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::HistoryLost);
         }
@@ -255,6 +241,54 @@
         }
         Ok(changes)
     }
+}
+
+impl Platform for ObjectStore {
+    async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>> {
+        let result = self.get(kind, name, self.cfg.timeout).await;
+        self.counters.record(CallKind::Read, &result);
+        result
+    }
+
+    async fn list(&self, kind: &str, prefix: &str) -> Result<Changes> {
+        let result = self.list_objects(kind, prefix).await;
+        self.counters.record(CallKind::List, &result);
+        result
+    }
+
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        nonce: Nonce,
+        value: Vec<u8>,
+    ) -> Result<Written> {
+        if value.len() > self.cfg.max_value_bytes {
+            return Err(PlatformError::TooLarge(value.len()));
+        }
+        let value = String::from_utf8(value).map_err(|e| objects::malformed(kind, name, &e))?;
+        let change = Change::Store {
+            expect,
+            nonce,
+            value,
+        };
+        let result = self.settle(kind, name, change).await;
+        self.counters.record_write(CallKind::Write, &result);
+        result
+    }
+
+    async fn remove(&self, kind: &str, name: &str, at: Version) -> Result<Written> {
+        let result = self.settle(kind, name, Change::Remove { at }).await;
+        self.counters.record_write(CallKind::Remove, &result);
+        result
+    }
+
+    async fn watch(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
+        let result = self.watch_kind(kind, since, wait).await;
+        self.counters.record(CallKind::Watch, &result);
+        result
+    }
 
     async fn hosts(&self) -> Result<Vec<HostStatus>> {
         let listed = self.list(crate::gateway::roster::KIND, "").await?;
--- a/src/platform/store/write.rs
+++ b/src/platform/store/write.rs
@@ -13,6 +13,7 @@
 use crate::connection::platform::PlatformError;
 use crate::connection::platform::Result;
 use crate::connection::platform::Written;
+use crate::connection::platform::counters::CallKind;
 use crate::connection::platform::nonce_of;
 use crate::connection::platform::settle;
 use crate::connection::platform::settle::ConditionalWrite;
@@ -101,16 +102,28 @@
     async fn attempt(
         &self,
         timeout: Duration,
-        _is_repeated: bool,
+        is_repeated: bool,
     ) -> Result<std::result::Result<Written, Failure>> {
+        if is_repeated {
+            self.store.counters.add_resend();
+        }
         let (method, target, body) = self.request();
-        match self.store.exchange(method, &target, body, timeout).await {
+        let call = match self.change {
+            Change::Remove { .. } => CallKind::Remove,
+            Change::Store { .. } => CallKind::Write,
+        };
+        let sent = self
+            .store
+            .exchange(call, method, &target, body, timeout)
+            .await;
+        match sent {
             Ok(answer) => self.written(&answer).map(Ok),
             Err(failure) => Ok(Err(failure)),
         }
     }
 
     async fn read_back(&self, timeout: Duration) -> Result<Finding> {
+        self.store.counters.add_read_back();
         let object = self.store.get(self.kind, self.name, timeout).await?;
         Ok(match self.change {
             Change::Remove { at } => settle::found_after_remove(at, object.as_ref(), Version(0)),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod half_the_engines_slow;
 mod ingress;
 mod load_curve;
+mod metrics_page;
 mod one_data_centre_busy;
 mod one_host_busy;
 mod quota;
--- /dev/null
+++ b/tests/gateway/metrics_page.rs
@@ -0,0 +1,34 @@
+//! The page on metrics against what a gateway serves.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryarch::connection::platform::counters::PlatformCounters;
+use chicoryarch::gateway::metrics::GatewayMetrics;
+
+const PAGE: &str = include_str!("../../docs/METRICS.md");
+const PREFIX: &str = "chicoryarch_gateway_";
+
+/// Names in the first column of the page's table on gateways.
+fn listed() -> BTreeSet<&'static str> {
+    let (_, section) = PAGE.split_once("\n## Gateways\n").expect("a section");
+    let section = section.split("\n## ").next().unwrap_or(section);
+    let rows = section.lines().filter_map(|row| row.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next()).collect()
+}
+
+#[test]
+fn the_page_lists_what_is_served() {
+    let counters: Arc<PlatformCounters> = Arc::default();
+    let metrics = GatewayMetrics::new(&counters);
+    // Metrics with labels are served from their first value on.
+    metrics.ended("answered", Duration::ZERO);
+    let text = metrics.render();
+    let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    let names = help.filter_map(|line| line.split(' ').next());
+    let served: BTreeSet<&str> = names
+        .map(|name| name.strip_prefix(PREFIX).expect("the gateway's prefix"))
+        .collect();
+    assert_eq!(served, listed());
+}
