Use or drop what is read of settings and configuration; objects and cold endpoints in placement

Objects of sticky routes and the time in which an endpoint is slow after its start now weigh in the choice. Removals of old budget records keep to a part of the store's rate of writes. Connections of a service, memory of engines, descriptors, the rate's window and the rate of reads decided nothing and are no longer read. One setting bounds the wait of a watch.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -41,8 +41,6 @@
     pub address: SocketAddr,
     /// Writes a second that all hosts together may make; from the platform.
     pub writes_per_s: f64,
-    /// Reads a second that all hosts together may make; from the platform.
-    pub reads_per_s: f64,
     /// Largest value, in bytes; from the platform.
     pub max_value_bytes: usize,
     /// Longest time for one call. An answer takes milliseconds, and a slow
@@ -50,7 +48,8 @@
     pub timeout: Duration,
     /// Longest time for the first attempt of a write; later ones take longer.
     pub write_timeout: Duration,
-    /// Longest time that a watch waits for a change.
+    /// Longest time that a watch waits for a change; the platform allows thirty
+    /// seconds.
     pub watch_wait: Duration,
     /// Pause before a call is repeated.
     pub retry_interval: Duration,
@@ -63,7 +62,6 @@
         Self {
             address: loopback(),
             writes_per_s: 100.0,
-            reads_per_s: 500.0,
             max_value_bytes: 1 << 20,
             timeout: Duration::from_millis(500),
             write_timeout: Duration::from_millis(150),
@@ -91,12 +89,8 @@
     pub store: StoreConfig,
     /// Memory of the process; from the platform.
     pub memory_bytes: u64,
-    /// Descriptors of the process; from the platform.
-    pub max_descriptors: usize,
     /// Time between the request to end and the kill; from the platform.
     pub grace: Duration,
-    /// Window over which a customer's rate is judged; from the platform.
-    pub rate_window: Duration,
     /// Time for which endpoints that are missing after an outage are kept;
     /// living ones are listed again about two seconds after it.
     pub lapse_grace: Duration,
@@ -145,9 +139,7 @@
             seeds: Vec::new(),
             store: StoreConfig::default(),
             memory_bytes: 128 << 20,
-            max_descriptors: 1024,
             grace: Duration::from_secs(8),
-            rate_window: Duration::from_secs(5),
             lapse_grace: Duration::from_secs(2),
             join_notice: Duration::from_secs(3),
             host_gone_after: Duration::from_secs(20),
@@ -212,6 +204,9 @@
     pub budget_retention: Duration,
     /// Pause between two removals of old records.
     pub sweep_period: Duration,
+    /// Part of the store's rate of writes that the removals may take, so that
+    /// they do not delay grants.
+    pub sweep_share: f64,
 }
 
 impl Default for ArchiveConfig {
@@ -224,6 +219,7 @@
             disk_share: 0.5,
             budget_retention: Duration::from_secs(600),
             sweep_period: Duration::from_secs(300),
+            sweep_share: 0.02,
         }
     }
 }
--- a/src/gateway/archive.rs
+++ b/src/gateway/archive.rs
@@ -11,6 +11,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Timer;
 use async_signal::Signal;
@@ -124,6 +125,7 @@
 pub async fn run(cfg: ArchiveConfig, spawner: Spawner) -> Result<()> {
     let mut signals = Signals::new([Signal::Int, Signal::Term, Signal::Hup])?;
     let log = EventLog::start(cfg.place.host.as_str(), LOG_LINES_PER_S);
+    let wait = cfg.store.watch_wait;
     let client = Client::new(spawner.clone(), ClientConfig::default());
     let store = ObjectStore::new(client, cfg.store.clone());
     let max_bytes = share_of(cfg.disk_bytes, cfg.disk_share);
@@ -134,7 +136,12 @@
         log: log.clone(),
         seen: Mutex::default(),
     };
-    spawner.detach(follow::follow(store.clone(), kinds::CONFIGURATION, auditor));
+    spawner.detach(follow::follow(
+        store.clone(),
+        kinds::CONFIGURATION,
+        wait,
+        auditor,
+    ));
     let retirer = Retirer {
         own: cfg.place.host.to_string(),
         store: store.clone(),
@@ -142,7 +149,12 @@
         done: Arc::default(),
         spawner: spawner.clone(),
     };
-    spawner.detach(follow::follow(store.clone(), kinds::RETIREMENTS, retirer));
+    spawner.detach(follow::follow(
+        store.clone(),
+        kinds::RETIREMENTS,
+        wait,
+        retirer,
+    ));
     spawner.detach(sweep_budgets(store, cfg));
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         let detail = "the settings hold from the next start on";
@@ -224,7 +236,10 @@
 }
 
 /// Time that a host is given to report for itself before others do.
-const OTHERS_TURN: std::time::Duration = std::time::Duration::from_secs(2);
+const OTHERS_TURN: Duration = Duration::from_secs(2);
+
+/// Pause before a status is written again.
+const STATUS_RETRY: Duration = Duration::from_millis(300);
 
 impl Retirer {
     fn report(&self, objects: Vec<Object>) {
@@ -255,7 +270,7 @@
     }
     while let Err(e) = store.write_status(kinds::RETIREMENTS, &name, EMPTIED).await {
         log::warn!("the status of {name} is not written yet: {e}");
-        Timer::after(std::time::Duration::from_millis(300)).await;
+        Timer::after(STATUS_RETRY).await;
     }
     log.state("host-emptied", &ArchiveLine { detail: &name });
 }
@@ -278,6 +293,7 @@
 
 /// Removes budget records of programs that can no longer come back.
 async fn sweep_budgets(store: ObjectStore, cfg: ArchiveConfig) {
+    let pause = Duration::from_secs_f64(1.0 / (cfg.store.writes_per_s * cfg.sweep_share));
     loop {
         Timer::after(cfg.sweep_period).await;
         let listed = match store.list(budget::KIND, "").await {
@@ -300,6 +316,7 @@
                 if let Err(e) = removed {
                     log::debug!("a budget record is removed later: {e}");
                 }
+                Timer::after(pause).await;
             }
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,6 @@
 //! What is known of one caller's request.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -29,6 +30,25 @@
     pub forwarded: HeaderMap,
 }
 
+/// Tokens that an object counts as when an endpoint that has not seen it
+/// lately is weighed: its work is small beside that of a prompt.
+const OBJECT_TOKENS: u64 = 400;
+
+impl CallMeta {
+    /// What an endpoint is faster for having seen: the parts of the prompt, or
+    /// the object that the call concerns if that matters on its route.
+    pub fn known_parts(&self, is_sticky: bool) -> Cow<'_, [PromptPart]> {
+        match (&self.prompt, &self.affinity) {
+            (Some(prompt), _) if !prompt.parts.is_empty() => Cow::Borrowed(&prompt.parts),
+            (_, Some(object)) if is_sticky => Cow::Owned(vec![PromptPart {
+                id: super::hash_of(object),
+                tokens: OBJECT_TOKENS,
+            }]),
+            _ => Cow::Borrowed(&[]),
+        }
+    }
+}
+
 /// The prompt of a call.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Prompt {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -92,6 +92,7 @@
 
     /// Takes up the listed endpoints.
     pub fn replace(&self, endpoints: &[Arc<Endpoint>]) {
+        let now = Moment::now();
         let mut pools = self.0.write();
         let listed: HashSet<&Arc<str>> = endpoints.iter().map(|e| &e.service).collect();
         for service in listed {
@@ -99,7 +100,7 @@
         }
         for (service, pool) in pools.iter() {
             let own = endpoints.iter().filter(|e| e.service == *service);
-            pool.lock().replace(own.cloned());
+            pool.lock().replace(own.cloned(), now);
         }
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -208,8 +208,9 @@
     only: Option<&str>,
 ) -> Option<Place> {
     let pool = cx.pools.get(&call.service)?;
+    let parts = call.meta.known_parts(call.route.is_sticky);
     let want = Want {
-        parts: call.meta.prompt.as_ref().map_or(&[], |p| &p.parts),
+        parts: &parts,
         tried,
         only,
     };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,6 +5,7 @@
 
 use async_io::Timer;
 
+use crate::connection::platform;
 use crate::connection::platform::Changes;
 use crate::connection::platform::Platform;
 use crate::connection::platform::PlatformError;
@@ -17,8 +18,6 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Least part of a pause that is left by chance, so that hosts spread.
 const MIN_JITTER: f64 = 0.6;
-/// Longest time that a watch waits; the platform allows thirty seconds.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause between two looks at whether this host follows a store that answers.
 const RECHECK: Duration = Duration::from_millis(100);
 
@@ -52,8 +51,13 @@
     }
 }
 
-/// Follows a kind until the process ends.
-pub async fn follow<P: Platform, F: Follower>(store: P, kind: &'static str, follower: F) {
+/// Follows a kind until the process ends, with watches that wait as long as told.
+pub async fn follow<P: Platform, F: Follower>(
+    store: P,
+    kind: &'static str,
+    watch_wait: Duration,
+    follower: F,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
         until_wanted(&follower).await;
@@ -74,21 +78,23 @@
         };
         while let Some(version) = since {
             until_wanted(&follower).await;
-            since = watch_once(&store, kind, &follower, version, &mut pause).await;
+            since = {
+                let watch = store.watch(kind, version, watch_wait);
+                take_up(watch, &follower, version, &mut pause).await
+            };
         }
     }
 }
 
 /// One watch; gives the version to go on from, or `None` to list again.
-async fn watch_once<P: Platform, F: Follower>(
-    store: &P,
-    kind: &str,
+async fn take_up<F: Follower>(
+    watch: impl Future<Output = platform::Result<Changes>>,
     follower: &F,
     since: Version,
     pause: &mut Duration,
 ) -> Option<Version> {
     let started = Moment::now();
-    match store.watch(kind, since, WATCH_WAIT).await {
+    match watch.await {
         Ok(changes) => {
             follower.regained();
             *pause = FIRST_PAUSE;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -39,6 +39,9 @@
 const MEMBER_WEIGHT: f64 = 0.15;
 /// Pace above which an endpoint counts as slow: calls differ by that much.
 const SLOW_PACE: f64 = 1.5;
+/// Pace that an endpoint is taken to have at least while it says that it is
+/// still slow after its start.
+const COLD_PACE: f64 = 2.0;
 /// Highest pace that is learnt, so that an endpoint recovers soon.
 const MAX_PACE: f64 = 8.0;
 /// Time in which a learnt error rate or pace loses most of its weight.
@@ -99,6 +102,8 @@
     told: Option<Moment>,
     avoid_until: Moment,
     failures: u32,
+    /// End of the time in which it is slow after its start.
+    cold_until: Moment,
     /// Time of its calls against the mean of the service.
     pace: f64,
     /// Part of its calls that failed lately.
@@ -108,8 +113,9 @@
 }
 
 impl Member {
-    fn new(endpoint: Arc<Endpoint>) -> Self {
+    fn new(endpoint: Arc<Endpoint>, now: Moment) -> Self {
         Self {
+            cold_until: now + Duration::from_millis(endpoint.cold_ms),
             endpoint,
             running: 0,
             others: 0,
@@ -197,7 +203,7 @@
     }
 
     /// Takes up the endpoints of the service.
-    pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>) {
+    pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>, now: Moment) {
         let mut kept = BTreeMap::new();
         for endpoint in endpoints {
             let same = self
@@ -206,7 +212,7 @@
                 .filter(|member| member.endpoint.started_ms == endpoint.started_ms);
             let member = match same {
                 Some(member) => Member { endpoint, ..member },
-                None => Member::new(endpoint),
+                None => Member::new(endpoint, now),
             };
             kept.insert(member.endpoint.id.clone(), member);
         }
@@ -315,7 +321,10 @@
         let load = self.load(member);
         let queued = (load + 1.0 - slots).max(0.0);
         let fade = member.fade(now);
-        let pace = 1.0 + (member.pace - 1.0) * fade;
+        let mut pace = 1.0 + (member.pace - 1.0) * fade;
+        if now < member.cold_until {
+            pace = pace.max(COLD_PACE);
+        }
         let slowed_ms = self.curve.growth_ms() * load / slots;
         let queued_ms = self.curve.mean_ms() * queued / slots;
         let mut cost = pace.max(1.0) * (slowed_ms + queued_ms);
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -62,8 +62,6 @@
 /// What the operators say of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
-    /// Connections that one endpoint takes from all hosts together.
-    pub max_connections: usize,
     /// Present if its endpoints generate tokens.
     pub engine: Option<EngineSpec>,
 }
@@ -71,8 +69,6 @@
 /// What the operators say of model engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSpec {
-    /// Tokens that one engine holds in memory.
-    pub memory_tokens: u64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u64,
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -224,12 +224,18 @@
 fn start_tasks(cx: &Cx<ObjectStore>) {
     let spawner = &cx.spawner;
     let store = || cx.store.clone();
+    let wait = cx.cfg.store.watch_wait;
     let configuration = StoreFollower::<_, OperatorsConfiguration>::new(cx);
-    spawner.detach(follow::follow(store(), kinds::CONFIGURATION, configuration));
+    spawner.detach(follow::follow(
+        store(),
+        kinds::CONFIGURATION,
+        wait,
+        configuration,
+    ));
     let endpoints = StoreFollower::<_, ListedEndpoints>::new(cx);
-    spawner.detach(follow::follow(store(), kinds::ENDPOINTS, endpoints));
+    spawner.detach(follow::follow(store(), kinds::ENDPOINTS, wait, endpoints));
     let listed_hosts = StoreFollower::<_, ListedHosts>::new(cx);
-    spawner.detach(follow::follow(store(), roster::KIND, listed_hosts));
+    spawner.detach(follow::follow(store(), roster::KIND, wait, listed_hosts));
     spawner.detach(hosts::enter(Arc::clone(cx)));
     spawner.detach(register::expire_endpoints(Arc::clone(cx)));
     spawner.detach(hosts::look_after_hosts(Arc::clone(cx)));
--- a/src/platform/routes.rs
+++ b/src/platform/routes.rs
@@ -21,8 +21,6 @@
 const DEFAULT_MAX_RUNS: u32 = 2;
 /// Longest time of a call if a route says nothing.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
-/// Connections of an endpoint if its service says nothing.
-const DEFAULT_MAX_CONNECTIONS: usize = 64;
 
 #[derive(Deserialize)]
 struct Document {
@@ -69,13 +67,11 @@
 #[derive(Deserialize)]
 struct ServiceEntry {
     name: String,
-    max_connections: Option<usize>,
     engine: Option<EngineEntry>,
 }
 
 #[derive(Deserialize)]
 struct EngineEntry {
-    kv_capacity_tokens: u64,
     /// Tokens in one event of a stream.
     stream_stride: Option<u64>,
 }
@@ -202,9 +198,7 @@
 
 fn service(entry: ServiceEntry) -> (Arc<str>, ServiceSpec) {
     let spec = ServiceSpec {
-        max_connections: entry.max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
         engine: entry.engine.map(|engine| EngineSpec {
-            memory_tokens: engine.kv_capacity_tokens,
             tokens_per_event: engine.stream_stride.unwrap_or(1).max(1),
         }),
     };
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -18,21 +18,18 @@
 pub const DEFAULT_PATH: &str = "/etc/chicoryarch/settings.conf";
 
 /// Fields that some role reads.
-const READ: [&str; 18] = [
+const READ: [&str; 15] = [
     "bootstrap",
     "bounds.drain_ms",
     "bounds.grace_s",
-    "bounds.quota_window_s",
     "data_dir",
     "limits.disk_mb",
-    "limits.max_fds",
     "limits.memory_mb",
     "listen.control",
     "listen.front",
     "listen.ready",
     "node_name",
     "provider.address",
-    "provider.reads_per_s",
     "provider.value_bytes",
     "provider.writes_per_s",
     "seeds",
@@ -174,9 +171,6 @@
             writes_per_s: self
                 .optional("provider.writes_per_s")?
                 .unwrap_or(default.writes_per_s),
-            reads_per_s: self
-                .optional("provider.reads_per_s")?
-                .unwrap_or(default.reads_per_s),
             max_value_bytes: self
                 .optional("provider.value_bytes")?
                 .unwrap_or(default.max_value_bytes),
@@ -201,11 +195,7 @@
             memory_bytes: self
                 .optional::<u64>("limits.memory_mb")?
                 .map_or(default.memory_bytes, |mb| mb << 20),
-            max_descriptors: self
-                .optional("limits.max_fds")?
-                .unwrap_or(default.max_descriptors),
             grace: self.seconds("bounds.grace_s", default.grace)?,
-            rate_window: self.seconds("bounds.quota_window_s", default.rate_window)?,
             lapse_grace: self.millis("bounds.drain_ms", default.lapse_grace)?,
             ..default
         })
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -211,7 +211,6 @@
     }
 
     async fn watch_kind(&self, kind: &str, since: Version, wait: Duration) -> Result<Changes> {
-        let wait = wait.min(self.cfg.watch_wait);
         let target = format!(
             "/v1/objects/{kind}?watch={since}&wait_ms={}",
             wait.as_millis()
--- a/tests/gateway/engines_replaced.rs
+++ b/tests/gateway/engines_replaced.rs
@@ -33,7 +33,10 @@
 #[test]
 fn a_line_stays_where_its_prompt_is_while_the_engine_takes_work() {
     let mut pool = Pool::default();
-    pool.replace((0..4).map(|n| Arc::new(endpoint(&format!("e{n}"), 8))));
+    pool.replace(
+        (0..4).map(|n| Arc::new(endpoint(&format!("e{n}"), 8))),
+        at(0),
+    );
     let mut first = None;
     for turn in 0..6 {
         let parts = parts(7, 1000 + turn * 50);
@@ -58,7 +61,10 @@
         state: EndpointState::Draining,
         ..endpoint("old", 8)
     };
-    pool.replace([Arc::new(leaving), Arc::new(endpoint("new", 8))].into_iter());
+    pool.replace(
+        [Arc::new(leaving), Arc::new(endpoint("new", 8))].into_iter(),
+        at(0),
+    );
     for turn in 0..50 {
         let parts = parts(turn, 1000);
         let want = Want {
@@ -73,7 +79,10 @@
 #[test]
 fn an_engine_that_starts_again_under_its_id_holds_nothing() {
     let mut pool = Pool::default();
-    pool.replace([Arc::new(endpoint("e0", 8)), Arc::new(endpoint("e1", 8))].into_iter());
+    pool.replace(
+        [Arc::new(endpoint("e0", 8)), Arc::new(endpoint("e1", 8))].into_iter(),
+        at(0),
+    );
     let parts = parts(7, 1000);
     let want = Want {
         parts: &parts,
@@ -97,7 +106,30 @@
         started_ms: 2,
         ..endpoint(&chosen.endpoint.id, 8)
     };
-    pool.replace([Arc::new(again), Arc::new(endpoint(other, 8))].into_iter());
+    pool.replace(
+        [Arc::new(again), Arc::new(endpoint(other, 8))].into_iter(),
+        at(0),
+    );
     let next = pool.choose(&want, HOME, at(400)).expect("an engine");
     assert_eq!(&*next.endpoint.id, other);
 }
+
+#[test]
+fn an_engine_that_is_still_slow_after_its_start_gets_few_calls() {
+    let mut pool = Pool::seeded(1);
+    let cold = Endpoint {
+        cold_ms: 3_000,
+        ..endpoint("cold", 8)
+    };
+    pool.replace(
+        [Arc::new(endpoint("warm", 8)), Arc::new(cold)].into_iter(),
+        at(0),
+    );
+    let mut to_cold = |from: u64| {
+        let chosen = (0..6).map(|n| pool.choose(&Want::default(), HOME, at(from + n)));
+        let ids = chosen.map(|placed| placed.expect("an engine").endpoint.id.clone());
+        ids.filter(|id| **id == *"cold").count()
+    };
+    assert!(to_cold(0) <= 2);
+    assert!(to_cold(4_000) >= 2);
+}
--- a/tests/gateway/fleet_model.rs
+++ b/tests/gateway/fleet_model.rs
@@ -192,7 +192,7 @@
             .map(|n| {
                 let host = u64::try_from(n).expect("few hosts");
                 let mut pool = Pool::seeded(seed.wrapping_mul(1_000) + host);
-                pool.replace(listed.iter().cloned());
+                pool.replace(listed.iter().cloned(), at(0));
                 (pool, vec![0; listed.len()], n)
             })
             .collect();
--- a/tests/gateway/half_the_engines_slow.rs
+++ b/tests/gateway/half_the_engines_slow.rs
@@ -19,7 +19,10 @@
 /// Plays calls 20 ms apart and counts where the last 200 of 400 went.
 fn play(ended: impl Fn(usize, usize) -> (Ended, u64)) -> HashMap<usize, usize> {
     let mut pool = Pool::default();
-    pool.replace((0..ENDPOINTS).map(|n| Arc::new(endpoint(&n.to_string(), 4))));
+    pool.replace(
+        (0..ENDPOINTS).map(|n| Arc::new(endpoint(&n.to_string(), 4))),
+        at(0),
+    );
     let mut under_way: Vec<(u64, Placed, Ended, u64)> = Vec::new();
     let mut chosen = HashMap::new();
     for call in 0..400 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod ingress;
 mod load_curve;
 mod metrics_page;
+mod objects;
 mod one_data_centre_busy;
 mod one_host_busy;
 mod quota;
--- /dev/null
+++ b/tests/gateway/objects.rs
@@ -0,0 +1,64 @@
+//! Load: calls that concern the same objects again and again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryarch::gateway::call::CallMeta;
+use chicoryarch::gateway::call::Prompt;
+use chicoryarch::gateway::call::PromptPart;
+use chicoryarch::gateway::placing::Ended;
+use chicoryarch::gateway::placing::Pool;
+use chicoryarch::gateway::placing::Want;
+use http::HeaderMap;
+
+use super::support::at;
+use super::support::endpoint;
+
+fn call(object: Option<&str>, parts: Vec<PromptPart>) -> CallMeta {
+    CallMeta {
+        id: "r".into(),
+        host: "h".into(),
+        key: None,
+        time_left: None,
+        affinity: object.map(Into::into),
+        resume_after: None,
+        prompt: Some(Prompt {
+            parts,
+            ..Prompt::default()
+        }),
+        program: None,
+        forwarded: HeaderMap::new(),
+    }
+}
+
+#[test]
+fn calls_on_one_object_go_where_it_was_seen() {
+    let mut pool = Pool::seeded(1);
+    let listed = (0..4).map(|n| Arc::new(endpoint(&format!("e{n}"), 8)));
+    pool.replace(listed, at(0));
+    let mut first = None;
+    for turn in 0..8 {
+        let meta = call(Some("lot-7"), Vec::new());
+        let want = Want {
+            parts: &meta.known_parts(true),
+            ..Want::default()
+        };
+        let placed = pool.choose(&want, "a", at(turn * 100)).expect("one");
+        let now = at(turn * 100 + 50);
+        pool.ended(&placed, Ended::Answered, Duration::from_millis(50), now);
+        let id = placed.endpoint.id.clone();
+        assert_eq!(*first.get_or_insert(id.clone()), id);
+    }
+}
+
+#[test]
+fn an_object_counts_on_routes_that_say_so_and_behind_a_prompt() {
+    assert!(
+        call(Some("lot-7"), Vec::new())
+            .known_parts(false)
+            .is_empty()
+    );
+    assert!(call(None, Vec::new()).known_parts(true).is_empty());
+    let part = PromptPart { id: 1, tokens: 9 };
+    assert_eq!(*call(Some("lot-7"), vec![part]).known_parts(true), [part]);
+}
--- a/tests/gateway/one_host_busy.rs
+++ b/tests/gateway/one_host_busy.rs
@@ -15,7 +15,10 @@
 
 fn pool() -> Pool {
     let mut pool = Pool::default();
-    pool.replace((0..3).map(|n| Arc::new(endpoint(&format!("e{n}"), 4))));
+    pool.replace(
+        (0..3).map(|n| Arc::new(endpoint(&format!("e{n}"), 4))),
+        at(0),
+    );
     pool
 }
 
