Begin a turn only if the budget holds its most, as before

A caller whose engine was at work loses its connection. A full turn beyond the budget is not open either: a cut-off data centre may already give one.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -13,7 +13,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::budget;
 use super::budget::Account;
 use super::budget::Purse;
 use super::context::Cx;
@@ -58,8 +57,6 @@
     pub budget: u64,
     /// Tokens that the host lacks for a turn.
     pub wanted: u64,
-    /// Of these, the tokens without which the turn does not begin.
-    pub least: u64,
     /// Most tokens of the turn.
     pub turn: u64,
     /// True if the asker waits for a grant of the store.
@@ -71,8 +68,6 @@
 pub enum DrawReply {
     /// The tokens are now the asker's.
     Drawn {
-        /// Fewer than wanted if the budget holds no more.
-        tokens: u64,
         /// True if the asker may keep what it does not need at once.
         is_ample: bool,
         /// True if the home had not heard of the program.
@@ -330,7 +325,6 @@
         program: program.to_string(),
         budget,
         wanted,
-        least: budget::least_to_begin(wanted, turn),
         turn,
         may_wait: false,
     };
@@ -350,25 +344,22 @@
         Err(refusal) => return Err(refusal),
     };
     let reserved = cx.accounts.with(&program, |account| {
-        account.account.add(drawn.tokens);
+        account.account.add(wanted);
         account.drawn_at = drawn.at;
         account.keeps_rest = drawn.is_ample;
-        match account.account.reserve(turn) {
-            true => Some(turn),
-            false => account.account.reserve_rest(turn),
-        }
+        account.account.reserve(turn)
     });
-    let taken = "another turn of the program took the tokens";
-    reserved
-        .map(|reserved| reservation(reserved, drawn.is_new))
-        .ok_or_else(|| Refusal::not_run(taken, STORE_RETRY))
+    if reserved {
+        Ok(reservation(turn, drawn.is_new))
+    } else {
+        let detail = "another turn of the program took the tokens";
+        Err(Refusal::not_run(detail, STORE_RETRY))
+    }
 }
 
 /// Tokens that were drawn from a purse.
 #[derive(Clone, Debug)]
 pub struct Drawn {
-    /// Tokens, fewer than wanted if the budget holds no more.
-    pub tokens: u64,
     /// True if this host may keep what it does not need at once.
     pub is_ample: bool,
     /// The home, if it is another host.
@@ -394,14 +385,9 @@
             isolation::note(cx, &req.program, reply);
         }
         match reply {
-            Some(DrawReply::Drawn {
-                tokens,
-                is_ample,
-                is_new,
-            }) => {
+            Some(DrawReply::Drawn { is_ample, is_new }) => {
                 let at = Some(peer);
                 return Ok(Drawn {
-                    tokens,
                     is_ample,
                     at,
                     is_new,
@@ -422,12 +408,7 @@
         ..req.clone()
     };
     match purse_home::draw_here(cx, &waiting).await {
-        DrawReply::Drawn {
-            tokens,
-            is_ample,
-            is_new,
-        } => Ok(Drawn {
-            tokens,
+        DrawReply::Drawn { is_ample, is_new } => Ok(Drawn {
             is_ample,
             at: None,
             is_new,
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -28,8 +28,8 @@
 /// Turns that a home is granted at once at least, while the budget holds them:
 /// most programs have no more, and need no second grant.
 const AMPLE_GRANT_TURNS: u64 = 4;
-/// Part of a turn's most that begins it when no more is left, as a divisor.
-/// Turns seldom generate the most that they may.
+/// Part of a turn's most that a cut-off host must hold to begin it, as a
+/// divisor. Turns seldom generate the most that they may.
 const MIN_REST: u64 = 3;
 /// Turns that a purse must hold so that hosts may keep unused tokens.
 const AMPLE_TURNS: u64 = 4;
@@ -74,21 +74,18 @@
     pub budget: u64,
     /// Tokens that the purse lacks for a turn.
     pub wanted: u64,
-    /// Tokens that it lacks to begin the turn at all.
-    pub least: u64,
     /// Most tokens of the turn.
     pub turn: u64,
     /// How much is taken beyond.
     pub size: GrantSize,
 }
 
-/// The next grant, of as many tokens as are wanted if the budget holds them,
-/// or `None` if the budget does not even hold the least. A program without a
-/// record may have spent its allowance.
+/// The next grant of at least what is wanted, or `None` if the budget does not
+/// hold that. A program without a record may have spent its allowance.
 pub fn next_grant(record: Option<Record>, need: &Need, now_ms: u64) -> Option<Grant> {
     let granted = record.map_or(allowance(need.budget), |record| record.granted);
     let left = need.budget.saturating_sub(granted);
-    if left == 0 || left < need.least {
+    if left < need.wanted {
         return None;
     }
     let ahead = match need.size {
@@ -103,12 +100,6 @@
     Some(Grant { tokens, record })
 }
 
-/// Of the tokens that an account lacks for a turn, those that it must get to
-/// begin it at all.
-pub const fn least_to_begin(lacks: u64, turn: u64) -> u64 {
-    lacks.saturating_sub(turn - turn.div_ceil(MIN_REST))
-}
-
 /// Tokens of one program that its home may still hand out.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Purse {
@@ -144,28 +135,19 @@
         self.seen = Some((version, record));
     }
 
-    /// Takes tokens out; false if the purse holds fewer.
-    pub fn draw(&mut self, wanted: u64) -> bool {
-        let fits = self.available >= wanted;
-        if fits {
-            self.available -= wanted;
-        }
-        fits
-    }
-
-    /// Takes out what there is, up to what is wanted, if it is the least or more.
-    pub fn draw_rest(&mut self, wanted: u64, least: u64) -> Option<u64> {
-        let tokens = self.available.min(wanted);
-        if tokens < least {
-            return None;
+    /// Takes tokens out, or tells how many are missing.
+    ///
+    /// # Errors
+    ///
+    /// The tokens that a grant must add first.
+    pub fn draw(&mut self, wanted: u64) -> std::result::Result<(), u64> {
+        match self.available.checked_sub(wanted) {
+            Some(left) => {
+                self.available = left;
+                Ok(())
+            }
+            None => Err(wanted - self.available),
         }
-        self.available -= tokens;
-        Some(tokens)
-    }
-
-    /// Tokens that the purse lacks of a number.
-    pub const fn lacks(&self, wanted: u64) -> u64 {
-        wanted.saturating_sub(self.available)
     }
 
     /// Takes out everything, for another host.
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -72,7 +72,6 @@
             program,
             budget: given.budget,
             wanted: given.tokens,
-            least: given.tokens,
             turn: given.tokens,
             may_wait: false,
         };
--- a/src/gateway/purse_home.rs
+++ b/src/gateway/purse_home.rs
@@ -65,70 +65,63 @@
     let is_new = cx
         .accounts
         .with(&program, |account| account.purse.is_none());
-    if draw_from_purse(cx, &program, req) {
-        return drawn(cx, &program, req, req.wanted, is_new);
-    }
+    let Err(missing) = draw_from_purse(cx, &program, req) else {
+        return drawn(cx, &program, req, is_new);
+    };
     if !cx.contact.is_up() {
         return DrawReply::Unavailable("the store does not answer this host".to_owned());
     }
     if !req.may_wait {
         return DrawReply::Granting;
     }
-    match wait_for_grant(cx, &program, req).await {
-        Ok(tokens) => drawn(cx, &program, req, tokens, is_new),
+    match wait_for_grant(cx, &program, req, missing).await {
+        Ok(()) => drawn(cx, &program, req, is_new),
         Err(reply) => reply,
     }
 }
 
-fn drawn<P>(
-    cx: &Gateway<P>,
-    program: &Arc<str>,
-    req: &DrawRequest,
-    tokens: u64,
-    is_new: bool,
-) -> DrawReply {
+fn drawn<P>(cx: &Gateway<P>, program: &Arc<str>, req: &DrawRequest, is_new: bool) -> DrawReply {
     let is_ample = cx.accounts.with(program, |account| {
         let purse = account.purse.as_ref();
         purse.is_some_and(|purse| purse.is_ample(req.turn))
     });
-    DrawReply::Drawn {
-        tokens,
-        is_ample,
-        is_new,
-    }
+    DrawReply::Drawn { is_ample, is_new }
 }
 
-/// Draws all that is wanted from the purse; false if it lacks some of it.
-fn draw_from_purse<P>(cx: &Gateway<P>, program: &Arc<str>, req: &DrawRequest) -> bool {
+/// Draws from the purse, or tells how many tokens are missing.
+fn draw_from_purse<P>(
+    cx: &Gateway<P>,
+    program: &Arc<str>,
+    req: &DrawRequest,
+) -> std::result::Result<(), u64> {
     cx.accounts.with(program, |account| {
         account.open_purse(cx, program, req.budget).draw(req.wanted)
     })
 }
 
-/// Draws what the purse holds, if that begins the turn.
-fn draw_rest<P>(cx: &Gateway<P>, program: &Arc<str>, req: &DrawRequest) -> Option<u64> {
-    cx.accounts.with(program, |account| {
-        let purse = account.open_purse(cx, program, req.budget);
-        purse.draw_rest(req.wanted, req.least)
-    })
-}
-
-/// Waits until grants let the purse hold what is wanted, and draws it; at the
-/// end of the budget, draws what is left. Draws of one program wait for each
-/// other, so that one grant serves them all.
+/// Waits until grants let the purse hold what is wanted, and draws it. Draws
+/// of one program wait for each other, so that one grant serves them all.
 async fn wait_for_grant<P: Platform>(
     cx: &Cx<P>,
     program: &Arc<str>,
     req: &DrawRequest,
-) -> std::result::Result<u64, DrawReply> {
+    mut missing: u64,
+) -> std::result::Result<(), DrawReply> {
     let granting = cx.accounts.with(program, |a| Arc::clone(&a.granting));
     let _only_grant = granting.lock().await;
     for _ in 0..MAX_CONFLICTS {
-        if draw_from_purse(cx, program, req) {
-            return Ok(req.wanted);
+        match draw_from_purse(cx, program, req) {
+            Ok(()) => return Ok(()),
+            Err(lacks) => missing = missing.min(lacks),
         }
         let (tx, rx) = async_channel::bounded(1);
-        let grant = grant_into_purse(Arc::clone(cx), Arc::clone(program), req.clone());
+        let need = Need {
+            budget: req.budget,
+            wanted: missing,
+            turn: req.turn,
+            size: grant_size(cx, program),
+        };
+        let grant = grant_into_purse(Arc::clone(cx), Arc::clone(program), need);
         // The grant goes on if nobody waits any more: its tokens reach the purse.
         cx.spawner.detach(async move {
             let _nobody_waits = tx.try_send(grant.await);
@@ -145,10 +138,8 @@
         match future::or(outcome, expire).await {
             Ok(true) => (),
             Ok(false) => {
-                return draw_rest(cx, program, req).ok_or_else(|| {
-                    cx.spent.add(program, Moment::now());
-                    DrawReply::Spent
-                });
+                cx.spent.add(program, Moment::now());
+                return Err(DrawReply::Spent);
             }
             Err(e) => {
                 register::doubt_store(cx);
@@ -164,34 +155,18 @@
 async fn grant_into_purse<P: Platform>(
     cx: Cx<P>,
     program: Arc<str>,
-    req: DrawRequest,
+    need: Need,
 ) -> platform::Result<bool> {
-    let need = need(&cx, &program, &req);
     let Some(tokens) = fetch_grant(&cx, &program, &need).await? else {
         return Ok(false);
     };
     cx.metrics.grants.inc();
     cx.accounts.with(&program, |account| {
-        account.open_purse(&cx, &program, req.budget).put(tokens);
+        account.open_purse(&cx, &program, need.budget).put(tokens);
     });
     Ok(true)
 }
 
-/// What the purse needs for a draw.
-fn need<P>(cx: &Gateway<P>, program: &Arc<str>, req: &DrawRequest) -> Need {
-    let size = grant_size(cx, program);
-    cx.accounts.with(program, |account| {
-        let purse = account.open_purse(cx, program, req.budget);
-        Need {
-            budget: req.budget,
-            wanted: purse.lacks(req.wanted),
-            least: purse.lacks(req.least),
-            turn: req.turn,
-            size,
-        }
-    })
-}
-
 fn grant_size<P>(cx: &Gateway<P>, program: &str) -> GrantSize {
     let key = super::hash_of(program);
     if cx.roster.lock().is_rightful_home(key) {
