--- a/src/connection/headers.rs
+++ b/src/connection/headers.rs
@@ -46,20 +46,11 @@
 /// Prefix of every header of the scheduler's own.
 const OWN_PREFIX: &str = "chicoryarch-";
 
-/// Headers that concern one connection only or may carry a secret.
-const STRIPPED: [HeaderName; 13] = [
+/// Headers that are the scheduler's own concern or may carry a secret.
+const KEPT_BACK: [HeaderName; 4] = [
     header::AUTHORIZATION,
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
     header::COOKIE,
-    header::EXPECT,
     header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
     IDEMPOTENCY_KEY,
 ];
 
@@ -150,7 +141,8 @@
 /// The headers that go on to an endpoint or back to a caller.
 pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
     filtered(headers, |name| {
-        !name.as_str().starts_with(OWN_PREFIX) && !STRIPPED.contains(name)
+        let is_own = name.as_str().starts_with(OWN_PREFIX) || KEPT_BACK.contains(name);
+        !is_own && !HOP_BY_HOP.contains(name)
     })
 }
 
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -1,22 +1,13 @@
 //! Reservations of programs' budgets, with grants from the platform's store.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
-use std::hash::BuildHasher;
-use std::hash::RandomState;
 use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use parking_lot::Mutex;
-use serde::Deserialize;
-use serde::Serialize;
-
-use super::budget::Account;
 use super::budget::Purse;
 use super::context::Cx;
-use super::context::Gateway;
+use super::draws::DrawReply;
+use super::draws::DrawRequest;
+use super::draws::PutBackRequest;
 use super::exchange;
 use super::exchange::DRAW_METHOD;
 use super::exchange::PUT_BACK_METHOD;
@@ -25,193 +16,16 @@
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
-use super::roster;
-use super::roster::Founders;
 use super::roster::Home;
 use super::roster::Peer;
 use crate::connection::platform::Platform;
-use crate::ids::HostId;
 use crate::units::Moment;
 
-/// Shards of the programs' accounts.
-const SHARDS: usize = 16;
 /// Homes that are asked for tokens before this host acts as home.
 const HOMES_TRIED: usize = 2;
-/// Time after which an idle account is forgotten.
-const IDLE_LIFE: Duration = Duration::from_secs(120);
-/// Accounts in a shard above which idle ones are forgotten.
-const SWEEP_ABOVE: usize = 512;
 /// Time to come back if the store does not confirm a grant.
 const STORE_RETRY: Duration = Duration::from_millis(500);
 
-/// Programs that are remembered after their purse was forgotten, 8 bytes each.
-/// Beyond them every program begins with a record.
-const MAX_FORGOTTEN: usize = 200_000;
-
-/// Draws tokens from a program's purse at its home.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct DrawRequest {
-    /// The program.
-    pub program: String,
-    /// Its budget.
-    pub budget: u64,
-    /// Tokens that the host lacks for a turn.
-    pub wanted: u64,
-    /// Most tokens of the turn.
-    pub turn: u64,
-    /// True if the asker waits for a grant of the store.
-    pub may_wait: bool,
-}
-
-/// Answer to a draw.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum DrawReply {
-    /// The tokens are now the asker's.
-    Drawn {
-        /// True if the asker may keep what it does not need at once.
-        is_ample: bool,
-        /// True if the home had not heard of the program.
-        is_new: bool,
-    },
-    /// The purse needs a grant of the store first.
-    Granting,
-    /// The host is about to end and has handed its purses over.
-    Leaving,
-    /// The budget does not hold them.
-    Spent,
-    /// The store did not confirm a grant.
-    Unavailable(String),
-}
-
-/// Puts unspent tokens back into a program's purse.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct PutBackRequest {
-    /// The program.
-    pub program: String,
-    /// Unspent tokens.
-    pub tokens: u64,
-}
-
-/// Hands purses over to the host that is their home now.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct HandOverRequest {
-    /// The purses.
-    pub purses: Vec<HandedPurse>,
-}
-
-/// A purse on its way to another host.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct HandedPurse {
-    /// The program.
-    pub program: String,
-    /// Its budget.
-    pub budget: u64,
-    /// Tokens in the purse.
-    pub tokens: u64,
-}
-
-#[derive(Debug, Default)]
-pub(super) struct ProgramAccount {
-    account: Account,
-    /// Present if this host is or was the program's home.
-    pub(super) purse: Option<Purse>,
-    /// Where the account's tokens were drawn from, if not here.
-    drawn_at: Option<Peer>,
-    /// True if unused tokens stay here for the program's next turn.
-    keeps_rest: bool,
-    /// Held while a grant for the purse is fetched.
-    pub(super) granting: Arc<async_lock::Mutex<()>>,
-    /// Held while tokens are fetched, so that one fetch serves all that wait.
-    fetching: Arc<async_lock::Mutex<()>>,
-    pub(super) used: Moment,
-}
-
-/// Accounts and purses of programs at this host.
-#[derive(Debug)]
-pub struct Accounts {
-    shards: [Mutex<HashMap<Arc<str>, ProgramAccount>>; SHARDS],
-    hasher: RandomState,
-    /// Set at the hosts of the system's first start only.
-    founders: OnceLock<Founders>,
-    /// Programs whose purse was forgotten here, by hash: their allowance is
-    /// not given out again.
-    forgotten: Mutex<HashSet<u64>>,
-    /// Set once the purses were handed over at the end of the process.
-    pub(super) is_closed: AtomicBool,
-}
-
-impl Default for Accounts {
-    fn default() -> Self {
-        Self {
-            shards: Default::default(),
-            hasher: RandomState::new(),
-            founders: OnceLock::new(),
-            forgotten: Mutex::default(),
-            is_closed: AtomicBool::new(false),
-        }
-    }
-}
-
-impl Accounts {
-    /// Lets this process give out the allowances of programs whose home it is
-    /// among the hosts of the first start.
-    pub fn set_founders(&self, founders: Founders) {
-        // The hosts are agreed once, so a second value is the same.
-        let _first = self.founders.set(founders);
-    }
-
-    pub(super) fn with<T>(
-        &self,
-        program: &Arc<str>,
-        act: impl FnOnce(&mut ProgramAccount) -> T,
-    ) -> T {
-        let now = Moment::now();
-        let hash = self.hasher.hash_one(program);
-        let index = usize::try_from(hash % SHARDS as u64).unwrap_or_default();
-        let mut shard = self.shards[index].lock();
-        if shard.len() > SWEEP_ABOVE {
-            shard.retain(|program, account| {
-                let is_kept = now.since(account.used) < IDLE_LIFE;
-                if !is_kept && account.purse.is_some() {
-                    self.forgotten.lock().insert(super::hash_of(program));
-                }
-                is_kept
-            });
-        }
-        let account = shard.entry(Arc::clone(program)).or_default();
-        account.used = now;
-        act(account)
-    }
-
-    pub(super) fn each(&self, mut act: impl FnMut(&Arc<str>, &mut ProgramAccount)) {
-        for shard in &self.shards {
-            for (program, account) in shard.lock().iter_mut() {
-                act(program, account);
-            }
-        }
-    }
-
-    fn reserve(&self, program: &Arc<str>, turn: u64) -> std::result::Result<(), u64> {
-        self.with(program, |account| match account.account.reserve(turn) {
-            true => Ok(()),
-            false => Err(account.account.lacks(turn)),
-        })
-    }
-
-    /// True if this process alone may give out the program's allowance.
-    fn has_allowance(&self, own: &HostId, program: &str) -> bool {
-        let Some(founders) = self.founders.get() else {
-            return false;
-        };
-        let key = super::hash_of(program);
-        if roster::highest(founders.hosts.iter(), key) != Some(own) {
-            return false;
-        }
-        let forgotten = self.forgotten.lock();
-        forgotten.len() < MAX_FORGOTTEN && !forgotten.contains(&key)
-    }
-}
-
 /// Tokens reserved for one turn; what was not handed to the caller goes back.
 #[derive(Debug)]
 pub struct Reservation<P: Platform> {
@@ -245,35 +59,6 @@
     }
 }
 
-impl ProgramAccount {
-    /// The purse, opened with the allowance if this process alone may give it.
-    pub(super) fn open_purse<P>(
-        &mut self,
-        cx: &Gateway<P>,
-        program: &str,
-        budget: u64,
-    ) -> &mut Purse {
-        self.purse.get_or_insert_with(|| {
-            let has_allowance = cx.accounts.has_allowance(&cx.cfg.place.host, program);
-            Purse::open(budget, has_allowance)
-        })
-    }
-
-    /// Takes out unused tokens: those drawn here go into the purse, others are
-    /// given with the home that they belong to.
-    pub(super) fn return_rest(&mut self) -> Option<(Peer, u64)> {
-        let tokens = self.account.take_rest();
-        match (&self.drawn_at, &mut self.purse) {
-            (Some(home), _) if tokens > 0 => Some((home.clone(), tokens)),
-            (None, Some(purse)) => {
-                purse.put(tokens);
-                None
-            }
-            _ => None,
-        }
-    }
-}
-
 /// Puts unused tokens into the purse at their home; those that do not arrive
 /// stay spent.
 pub(super) async fn put_back<P: Platform>(cx: &Cx<P>, home: &Peer, program: String, tokens: u64) {
--- /dev/null
+++ b/src/gateway/accounts.rs
@@ -0,0 +1,162 @@
+//! Tokens and purses of programs at this host, in shards.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use super::budget::Account;
+use super::budget::Purse;
+use super::context::Gateway;
+use super::roster;
+use super::roster::Founders;
+use super::roster::Peer;
+use crate::ids::HostId;
+use crate::units::Moment;
+
+/// Shards of the programs' accounts.
+const SHARDS: usize = 16;
+/// Time after which an idle account is forgotten.
+const IDLE_LIFE: Duration = Duration::from_secs(120);
+/// Accounts in a shard above which idle ones are forgotten.
+const SWEEP_ABOVE: usize = 512;
+/// Programs that are remembered after their purse was forgotten, 8 bytes each.
+/// Beyond them every program begins with a record.
+const MAX_FORGOTTEN: usize = 200_000;
+
+#[derive(Debug, Default)]
+pub(super) struct ProgramAccount {
+    pub(super) account: Account,
+    /// Present if this host is or was the program's home.
+    pub(super) purse: Option<Purse>,
+    /// Where the account's tokens were drawn from, if not here.
+    pub(super) drawn_at: Option<Peer>,
+    /// True if unused tokens stay here for the program's next turn.
+    pub(super) keeps_rest: bool,
+    /// Held while a grant for the purse is fetched.
+    pub(super) granting: Arc<async_lock::Mutex<()>>,
+    /// Held while tokens are fetched, so that one fetch serves all that wait.
+    pub(super) fetching: Arc<async_lock::Mutex<()>>,
+    pub(super) used: Moment,
+}
+
+/// Accounts and purses of programs at this host.
+#[derive(Debug)]
+pub struct Accounts {
+    shards: [Mutex<HashMap<Arc<str>, ProgramAccount>>; SHARDS],
+    hasher: RandomState,
+    /// Set at the hosts of the system's first start only.
+    founders: OnceLock<Founders>,
+    /// Programs whose purse was forgotten here, by hash: their allowance is
+    /// not given out again.
+    forgotten: Mutex<HashSet<u64>>,
+    /// Set once the purses were handed over at the end of the process.
+    pub(super) is_closed: AtomicBool,
+}
+
+impl Default for Accounts {
+    fn default() -> Self {
+        Self {
+            shards: Default::default(),
+            hasher: RandomState::new(),
+            founders: OnceLock::new(),
+            forgotten: Mutex::default(),
+            is_closed: AtomicBool::new(false),
+        }
+    }
+}
+
+impl Accounts {
+    /// Lets this process give out the allowances of programs whose home it is
+    /// among the hosts of the first start.
+    pub fn set_founders(&self, founders: Founders) {
+        // The hosts are agreed once, so a second value is the same.
+        let _first = self.founders.set(founders);
+    }
+
+    pub(super) fn with<T>(
+        &self,
+        program: &Arc<str>,
+        act: impl FnOnce(&mut ProgramAccount) -> T,
+    ) -> T {
+        let now = Moment::now();
+        let hash = self.hasher.hash_one(program);
+        let index = usize::try_from(hash % SHARDS as u64).unwrap_or_default();
+        let mut shard = self.shards[index].lock();
+        if shard.len() > SWEEP_ABOVE {
+            shard.retain(|program, account| {
+                let is_kept = now.since(account.used) < IDLE_LIFE;
+                if !is_kept && account.purse.is_some() {
+                    self.forgotten.lock().insert(super::hash_of(program));
+                }
+                is_kept
+            });
+        }
+        let account = shard.entry(Arc::clone(program)).or_default();
+        account.used = now;
+        act(account)
+    }
+
+    pub(super) fn each(&self, mut act: impl FnMut(&Arc<str>, &mut ProgramAccount)) {
+        for shard in &self.shards {
+            for (program, account) in shard.lock().iter_mut() {
+                act(program, account);
+            }
+        }
+    }
+
+    pub(super) fn reserve(&self, program: &Arc<str>, turn: u64) -> std::result::Result<(), u64> {
+        self.with(program, |account| match account.account.reserve(turn) {
+            true => Ok(()),
+            false => Err(account.account.lacks(turn)),
+        })
+    }
+
+    /// True if this process alone may give out the program's allowance.
+    fn has_allowance(&self, own: &HostId, program: &str) -> bool {
+        let Some(founders) = self.founders.get() else {
+            return false;
+        };
+        let key = super::hash_of(program);
+        if roster::highest(founders.hosts.iter(), key) != Some(own) {
+            return false;
+        }
+        let forgotten = self.forgotten.lock();
+        forgotten.len() < MAX_FORGOTTEN && !forgotten.contains(&key)
+    }
+}
+
+impl ProgramAccount {
+    /// The purse, opened with the allowance if this process alone may give it.
+    pub(super) fn open_purse<P>(
+        &mut self,
+        cx: &Gateway<P>,
+        program: &str,
+        budget: u64,
+    ) -> &mut Purse {
+        self.purse.get_or_insert_with(|| {
+            let has_allowance = cx.accounts.has_allowance(&cx.cfg.place.host, program);
+            Purse::open(budget, has_allowance)
+        })
+    }
+
+    /// Takes out unused tokens: those drawn here go into the purse, others are
+    /// given with the home that they belong to.
+    pub(super) fn return_rest(&mut self) -> Option<(Peer, u64)> {
+        let tokens = self.account.take_rest();
+        match (&self.drawn_at, &mut self.purse) {
+            (Some(home), _) if tokens > 0 => Some((home.clone(), tokens)),
+            (None, Some(purse)) => {
+                purse.put(tokens);
+                None
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
-use super::account::Accounts;
+use super::accounts::Accounts;
 use super::directory::Directory;
 use super::directory::Endpoint;
 use super::isolation::IsolatedPurses;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,12 +17,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::account::DrawRequest;
-use super::account::HandOverRequest;
-use super::account::PutBackRequest;
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::ToldEndpoint;
+use super::draws::DrawRequest;
+use super::draws::HandOverRequest;
+use super::draws::PutBackRequest;
 use super::isolation;
 use super::purse_home;
 use super::rate;
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -14,10 +14,10 @@
 use parking_lot::Mutex;
 
 use super::account;
-use super::account::DrawReply;
-use super::account::DrawRequest;
 use super::context::Cx;
 use super::context::Gateway;
+use super::draws::DrawReply;
+use super::draws::DrawRequest;
 use super::exchange;
 use super::exchange::DRAW_ISOLATED_METHOD;
 use super::roster::Home;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 use sha2::Sha256;
 
 pub mod account;
+pub mod accounts;
 pub mod answer;
 pub mod archive;
 pub mod attempt;
@@ -16,6 +17,7 @@
 pub mod context;
 pub mod directory;
 pub mod dispatch;
+pub mod draws;
 pub mod entry;
 pub mod event_stream;
 pub mod exchange;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,7 +27,7 @@
 use parking_lot::Mutex;
 use serde::Serialize;
 
-use super::account::Accounts;
+use super::accounts::Accounts;
 use super::context::Cx;
 use super::context::Gateway;
 use super::context::InForce;
