--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -25,9 +25,6 @@
 /// The same for a host that stands in for a home.
 const MODEST_DIVISOR: u64 = 4;
 
-/// Turns that a home is granted at once at least, while the budget holds them:
-/// most programs have no more, and need no second grant.
-const AMPLE_GRANT_TURNS: u64 = 4;
 /// Part of a turn's most that a cut-off host must hold to begin it, as a
 /// divisor. Turns seldom generate the most that they may.
 const MIN_REST: u64 = 3;
@@ -60,7 +57,7 @@
 /// How much a grant takes beyond what is wanted now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum GrantSize {
-    /// Half of the rest or some turns, so that the home seldom asks.
+    /// Half of the rest, so that the home seldom asks.
     Ample,
     /// A quarter of the rest: the host stands in for the program's home, and
     /// what it holds is lost if it ends before the home is back.
@@ -74,8 +71,6 @@
     pub budget: u64,
     /// Tokens that the purse lacks for a turn.
     pub wanted: u64,
-    /// Most tokens of the turn.
-    pub turn: u64,
     /// How much is taken beyond.
     pub size: GrantSize,
 }
@@ -88,11 +83,11 @@
     if left < need.wanted {
         return None;
     }
-    let ahead = match need.size {
-        GrantSize::Ample => (left / AMPLE_DIVISOR).max(need.turn * AMPLE_GRANT_TURNS),
-        GrantSize::Modest => left / MODEST_DIVISOR,
+    let divisor = match need.size {
+        GrantSize::Ample => AMPLE_DIVISOR,
+        GrantSize::Modest => MODEST_DIVISOR,
     };
-    let tokens = ahead.max(need.wanted).min(left);
+    let tokens = (left / divisor).max(need.wanted);
     let record = Record {
         granted: granted + tokens,
         at_ms: now_ms,
--- a/src/gateway/purse_home.rs
+++ b/src/gateway/purse_home.rs
@@ -118,7 +118,6 @@
         let need = Need {
             budget: req.budget,
             wanted: missing,
-            turn: req.turn,
             size: grant_size(cx, program),
         };
         let grant = grant_into_purse(Arc::clone(cx), Arc::clone(program), need);
