--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -200,7 +200,31 @@
         }),
         DrawReply::Spent => Err(spent()),
         DrawReply::Granting | DrawReply::Leaving => Err(no_grant("the host is about to end")),
-        DrawReply::Unavailable(why) => Err(no_grant(&why)),
+        DrawReply::Unavailable(why) if cx.contact.is_up() => Err(no_grant(&why)),
+        DrawReply::Unavailable(why) => draw_at_stand_in(cx, key, req)
+            .await
+            .unwrap_or_else(|| Err(no_grant(&why))),
+    }
+}
+
+/// Draws at the host that would be home without this one, which the store may
+/// answer though it does not answer this host.
+async fn draw_at_stand_in<P: Platform>(
+    cx: &Cx<P>,
+    key: u64,
+    req: &DrawRequest,
+) -> Option<Result<Drawn>> {
+    let Home::Other(peer) = cx.roster.lock().next_home(key, Moment::now()) else {
+        return None;
+    };
+    match draw_at(cx, &peer, req).await? {
+        DrawReply::Drawn { is_ample, is_new } => Some(Ok(Drawn {
+            is_ample,
+            at: Some(peer),
+            is_new,
+        })),
+        DrawReply::Spent => Some(Err(spent())),
+        DrawReply::Granting | DrawReply::Leaving | DrawReply::Unavailable(_) => None,
     }
 }
 
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -5,6 +5,7 @@
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::objects::StoreFaults;
 use http::StatusCode;
+use serde_json::json;
 
 use super::fleet::Fleet;
 use super::fleet::Gateway;
@@ -175,3 +176,33 @@
         assert_eq!(record["value"]["granted"], 315, "{program}");
     }
 }
+
+#[test]
+fn a_host_that_the_store_turns_away_serves_programs_through_another() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let served = fleet.gateway("g1");
+    let nowhere = super::fleet::free_address();
+    let turned_away = fleet.start_gateway("g2", nowhere, &[served.addresses.peers]);
+    // The store turned the host away after its entry was written.
+    let entry = json!({"writer": 1, "value": {
+        "peers": turned_away.addresses.peers, "data_centre": "a",
+        "incarnation": 1, "is_founder": false,
+    }});
+    fleet.store.put("chicoryarch-hosts", "g2", entry);
+    turned_away.wait_ready(&fleet);
+    // Both hosts know each other.
+    std::thread::sleep(Duration::from_secs(2));
+    for program in 0..12 {
+        let id = format!("r{program}");
+        let name = format!("p{program}");
+        let headers = [
+            ("request-id", id.as_str()),
+            ("program-id", name.as_str()),
+            ("token-usage", "100,50"),
+            ("token-budget", "420"),
+        ];
+        let answer = fleet.call(&turned_away, "/turns/", &headers);
+        assert_eq!(answer.status, 200, "{name}");
+    }
+}
