Keep calls of a cut-off data centre at its own endpoints

While a host knows that it is cut off, it chooses near endpoints first; others only if none is near.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -213,9 +213,18 @@
         parts: &parts,
         tried,
         only,
+        stays: cx.is_isolated(),
     };
     let home = cx.cfg.place.data_centre.as_str();
-    let chosen = pool.lock().choose(&want, home, Moment::now())?;
+    let anywhere = Want {
+        stays: false,
+        ..want
+    };
+    let mut choices = pool.lock();
+    let chosen = choices
+        .choose(&want, home, Moment::now())
+        .or_else(|| choices.choose(&anywhere, home, Moment::now()))?;
+    drop(choices);
     Some(Place::new(pool, chosen))
 }
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -90,6 +90,8 @@
     pub tried: &'a [Box<str>],
     /// The one endpoint that may run it, leaving or not.
     pub only: Option<&'a str>,
+    /// True if endpoints of other data centres are out of reach.
+    pub stays: bool,
 }
 
 #[derive(Debug)]
@@ -232,7 +234,10 @@
             let id = &member.endpoint.id;
             match want.only {
                 Some(only) => **id == *only,
-                None => member.is_ready() && !want.tried.contains(id),
+                None => {
+                    let is_near = !want.stays || *member.endpoint.data_centre == *home;
+                    is_near && member.is_ready() && !want.tried.contains(id)
+                }
             }
         });
         // Equal endpoints share the calls at random rather than by their order.
--- a/tests/gateway/cut_off_data_centre.rs
+++ b/tests/gateway/cut_off_data_centre.rs
@@ -1,15 +1,21 @@
 //! Load: programs go on and begin in a data centre that is cut off from the
 //! others and from the store.
 
+use std::sync::Arc;
+
 use chicoryarch::gateway::budget::Account;
+use chicoryarch::gateway::directory::Endpoint;
 use chicoryarch::gateway::isolation::IsolatedPurses;
 use chicoryarch::gateway::isolation::SpentPrograms;
+use chicoryarch::gateway::placing::Pool;
+use chicoryarch::gateway::placing::Want;
 use proptest::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::support::at;
+use super::support::endpoint;
 
 const TURN: u64 = 135;
 const BUDGET: u64 = 700;
@@ -69,3 +75,24 @@
         }
     }
 }
+
+#[test]
+fn calls_of_a_cut_off_host_go_to_endpoints_of_its_data_centre_only() {
+    let mut pool = Pool::seeded(1);
+    let far = (0..4).map(|n| Endpoint {
+        data_centre: "b".into(),
+        ..endpoint(&format!("far-{n}"), 64)
+    });
+    let near = endpoint("near", 1);
+    pool.replace(far.chain([near]).map(Arc::new), at(0));
+    let cut = Want {
+        stays: true,
+        ..Want::default()
+    };
+    for call in 0..20 {
+        let placed = pool.choose(&cut, "a", at(call)).expect("a near endpoint");
+        assert_eq!(&*placed.endpoint.id, "near");
+    }
+    let placed = pool.choose(&Want::default(), "a", at(100)).expect("one");
+    assert_ne!(&*placed.endpoint.id, "near");
+}
