Tell followers which hosts are gone: the list of hosts carries the store's version

Cause: a host that does not follow the store took hosts from others only while it knew fewer, so that it never heard of a removal; it went on counting the removed host among those that refill a rate, and that part of the rate was lost to it. A host also learns from a listing that its own entry is gone, not only from a watch.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -65,8 +65,8 @@
     pub configuration: u64,
     /// The store's version of its endpoints.
     pub endpoints: Option<Version>,
-    /// Hosts that it knows.
-    pub hosts: usize,
+    /// The store's version of its hosts.
+    pub hosts: Option<Version>,
     /// True if it follows the store and the store answers it.
     pub is_current: bool,
     /// Programs whose budget it learnt lately to be spent, by hash.
@@ -82,7 +82,7 @@
     pub configuration: Option<Arc<str>>,
     /// Endpoints as of a newer version.
     pub endpoints: Option<Vec<ToldEndpoint>>,
-    /// Hosts, if the answering host knows more.
+    /// Hosts as of a newer version.
     pub hosts: Option<Vec<(HostId, HostEntry)>>,
 }
 
@@ -128,7 +128,7 @@
 }
 
 fn known<P: Platform>(cx: &Gateway<P>) -> Known {
-    let hosts = cx.roster.lock().len();
+    let hosts = cx.roster.lock().upto();
     let endpoints = cx.listed.lock().upto;
     Known {
         host: cx.cfg.place.host.clone(),
@@ -295,8 +295,8 @@
     if let (Some(upto), Some(endpoints)) = (news.known.endpoints, news.endpoints) {
         register::take_endpoints(cx, upto, endpoints, news.known.host.as_str());
     }
-    if let Some(hosts) = news.hosts {
-        register::take_hosts(cx, hosts);
+    if let (Some(upto), Some(hosts)) = (news.known.hosts, news.hosts) {
+        register::take_hosts(cx, upto, hosts);
     }
     Some(())
 }
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -128,9 +128,14 @@
         .as_ref()
         .map_or(Expect::Absent, |(version, _)| Expect::At(*version));
     let written = platform::write_value(&cx.store, roster::KIND, name, expect, entry).await;
-    if !matches!(written, Ok(Written::Done(_))) {
-        return false;
-    }
+    let version = match written {
+        Ok(Written::Done(version)) => version,
+        Ok(Written::Conflict) => return false,
+        Err(e) => {
+            log::debug!("this host's entry is not written yet: {e}");
+            return false;
+        }
+    };
     let now = Moment::now();
     let is_known = cx.cfg.place.first_start || before.is_some();
     let notice = if is_known {
@@ -139,7 +144,7 @@
         cx.cfg.join_notice
     };
     let mut roster = cx.roster.lock();
-    roster.put(cx.cfg.place.host.clone(), entry.clone());
+    roster.enter(entry.clone(), version);
     roster.share_from(now + notice);
     drop(roster);
     cx.log.state("host-entered", entry);
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -118,16 +118,25 @@
     log_endpoints(cx, upto, count, from, Vec::new());
 }
 
-/// Takes up hosts that another one knows.
-pub fn take_hosts<P: Platform>(cx: &Gateway<P>, hosts: Vec<(HostId, HostEntry)>) {
-    let now = Moment::now();
+/// Takes up another host's list of hosts if it is as of a later version.
+pub fn take_hosts<P: Platform>(cx: &Cx<P>, upto: Version, hosts: Vec<(HostId, HostEntry)>) {
+    let own = &cx.cfg.place.host;
+    let is_listed = hosts.iter().any(|(host, _)| host == own);
     let mut roster = cx.roster.lock();
-    for (host, entry) in hosts {
-        if host == cx.cfg.place.host {
-            // Others have room for this host already.
-            roster.share_from(now);
-        }
-        roster.put(host, entry);
+    let is_own_gone = roster.replace(upto, hosts);
+    if is_listed {
+        // Others have room for this host already.
+        roster.share_from(Moment::now());
+    }
+    drop(roster);
+    enter_if_gone(cx, is_own_gone);
+}
+
+/// Writes this host's entry again if others took the host for gone while it
+/// was cut off.
+fn enter_if_gone<P: Platform>(cx: &Cx<P>, is_gone: bool) {
+    if is_gone {
+        cx.spawner.detach(hosts::enter_again(Arc::clone(cx)));
     }
 }
 
@@ -346,15 +355,16 @@
 pub struct ListedHosts;
 
 impl ListedHosts {
-    fn take<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
-        let mut roster = cx.roster.lock();
+    fn read(objects: &[Object]) -> Vec<(HostId, HostEntry)> {
+        let mut hosts = Vec::new();
         for object in objects {
             let entry = platform::decode::<HostEntry>(roster::KIND, object);
             match (object.name.parse::<HostId>(), entry) {
-                (Ok(host), Ok(entry)) => roster.put(host, entry),
+                (Ok(host), Ok(entry)) => hosts.push((host, entry)),
                 _ => log::warn!("the entry of host {} cannot be read", object.name),
             }
         }
+        hosts
     }
 }
 
@@ -362,12 +372,20 @@
     const PAUSE: Duration = HOSTS_PAUSE;
 
     fn listed<P: Platform>(cx: &Cx<P>, listed: Changes) {
-        Self::take(cx, &listed.objects);
+        let hosts = Self::read(&listed.objects);
+        let is_own_gone = cx.roster.lock().replace(listed.upto, hosts);
+        enter_if_gone(cx, is_own_gone);
     }
 
     fn changed<P: Platform>(cx: &Cx<P>, changes: Changes) {
-        Self::take(cx, &changes.objects);
         let mut roster = cx.roster.lock();
+        if roster.upto() >= Some(changes.upto) {
+            // Another host told this one of them already.
+            return;
+        }
+        for (host, entry) in Self::read(&changes.objects) {
+            roster.put(host, entry);
+        }
         let mut is_own_gone = false;
         for name in &changes.removed {
             if let Ok(host) = name.parse::<HostId>() {
@@ -375,11 +393,9 @@
                 roster.remove(&host);
             }
         }
+        roster.note(changes.upto);
         drop(roster);
-        if is_own_gone {
-            // Others took this host for gone while it was cut off.
-            cx.spawner.detach(hosts::enter_again(Arc::clone(cx)));
-        }
+        enter_if_gone(cx, is_own_gone);
     }
 }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,6 +1,7 @@
 //! Hosts of the scheduler, each with its own object in the platform's store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::ids::DataCentre;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::ids::Version;
 use crate::units::Moment;
 
 /// Kind of the hosts' objects.
@@ -113,6 +115,10 @@
 pub struct Roster {
     own: HostId,
     hosts: BTreeMap<HostId, Known>,
+    /// Version of the store up to which entries are known; `None` before any.
+    upto: Option<Version>,
+    /// Version at which this host's entry was written.
+    entered: Option<Version>,
     /// From when this host may refill a share.
     share_from: Option<Moment>,
 }
@@ -123,6 +129,8 @@
         Self {
             own,
             hosts: BTreeMap::new(),
+            upto: None,
+            entered: None,
             share_from: None,
         }
     }
@@ -144,6 +152,44 @@
         }
     }
 
+    /// Takes up that this host's entry was written at a version.
+    pub fn enter(&mut self, entry: HostEntry, at: Version) {
+        self.entered = Some(at);
+        self.put(self.own.clone(), entry);
+    }
+
+    /// Replaces the whole listing, as of a version of the store, unless what is
+    /// known is as new. True if this host's own entry is found to be gone; it
+    /// stays in the roster.
+    pub fn replace(&mut self, upto: Version, listed: Vec<(HostId, HostEntry)>) -> bool {
+        if self.upto >= Some(upto) {
+            return false;
+        }
+        self.upto = Some(upto);
+        let names: BTreeSet<HostId> = listed.iter().map(|(host, _)| host.clone()).collect();
+        let own = &self.own;
+        self.hosts
+            .retain(|host, _| host == own || names.contains(host));
+        let is_gone = !names.contains(own) && self.entered.is_some_and(|at| at <= upto);
+        if is_gone {
+            self.entered = None;
+        }
+        for (host, entry) in listed {
+            self.put(host, entry);
+        }
+        is_gone
+    }
+
+    /// Version of the store up to which entries are known.
+    pub const fn upto(&self) -> Option<Version> {
+        self.upto
+    }
+
+    /// Notes that all changes up to a version were taken up.
+    pub fn note(&mut self, upto: Version) {
+        self.upto = self.upto.max(Some(upto));
+    }
+
     /// Takes up that a host's entry is gone.
     pub fn remove(&mut self, host: &HostId) {
         if *host != self.own {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod half_the_engines_slow;
 mod ingress;
 mod load_curve;
+mod membership_random;
 mod metrics_page;
 mod objects;
 mod one_data_centre_busy;
--- /dev/null
+++ b/tests/gateway/membership_random.rs
@@ -0,0 +1,231 @@
+//! Hosts that join, die and hear of each other late never refill more than a
+//! customer's rate, and endpoints are neither kept too long nor lost.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chicoryarch::gateway::directory::Directory;
+use chicoryarch::gateway::directory::Endpoint;
+use chicoryarch::gateway::directory::EndpointState;
+use chicoryarch::gateway::quota::Share;
+use chicoryarch::gateway::roster::HostEntry;
+use chicoryarch::gateway::roster::Roster;
+use chicoryarch::gateway::routes::Rate;
+use chicoryarch::ids::HostId;
+use chicoryarch::ids::Incarnation;
+use chicoryarch::ids::Version;
+use chicoryarch::units::Moment;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::support::at;
+use super::support::endpoint;
+
+/// Time in which every host learns of a new one.
+const NOTICE: Duration = Duration::from_secs(3);
+const CUSTOMERS: u64 = 6;
+const GRACE: Duration = Duration::from_secs(2);
+
+/// The store's entries after a change.
+struct Listing {
+    at_ms: u64,
+    version: Version,
+    entries: BTreeMap<HostId, HostEntry>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now_ms: u64,
+    /// What the store held, oldest first.
+    listings: Vec<Listing>,
+    /// Rosters of the hosts that live.
+    live: BTreeMap<HostId, Roster>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now_ms: 0,
+            listings: Vec::new(),
+            live: BTreeMap::new(),
+        };
+        for _ in 0..world.rng.random_range(1..12) {
+            world.join();
+        }
+        world
+    }
+
+    fn now(&self) -> Moment {
+        at(self.now_ms)
+    }
+
+    fn change(&mut self, act: impl FnOnce(&mut BTreeMap<HostId, HostEntry>)) -> Version {
+        let mut entries = self
+            .listings
+            .last()
+            .map(|listing| listing.entries.clone())
+            .unwrap_or_default();
+        act(&mut entries);
+        let version = Version(self.listings.len() as u64 + 1);
+        self.listings.push(Listing {
+            at_ms: self.now_ms,
+            version,
+            entries,
+        });
+        version
+    }
+
+    /// A new host, which the others hear of within the notice.
+    fn join(&mut self) {
+        let started = self.listings.len() as u64 + 1;
+        let host: HostId = format!("host-{started}").parse().expect("a name");
+        let centre = self.rng.random_range(0..4);
+        let entry = HostEntry {
+            peers: "127.0.0.1:1".parse().expect("an address"),
+            data_centre: format!("dc-{centre}").parse().expect("a name"),
+            incarnation: Incarnation(started),
+            is_founder: false,
+        };
+        let mut roster = Roster::new(host.clone());
+        let added = (host.clone(), entry.clone());
+        let version = self.change(|entries| {
+            entries.insert(added.0, added.1);
+        });
+        roster.enter(entry, version);
+        roster.share_from(self.now() + NOTICE);
+        self.live.insert(host, roster);
+    }
+
+    /// A host dies, and its entry is removed.
+    fn die(&mut self) {
+        let index = self.rng.random_range(0..self.live.len());
+        let host = self.live.keys().nth(index).expect("it is live").clone();
+        self.live.remove(&host);
+        self.change(|entries| {
+            entries.remove(&host);
+        });
+    }
+
+    /// Time passes, and hosts hear of the entries as they were at most `late`
+    /// before; older word that another host still has changes nothing.
+    fn pass(&mut self, ms: u64, late: Duration) {
+        self.now_ms += ms;
+        let oldest = self
+            .listings
+            .iter()
+            .rposition(|listing| at(listing.at_ms) + late <= at(self.now_ms))
+            .unwrap_or(0);
+        for roster in self.live.values_mut() {
+            let heard = self.rng.random_range(oldest..self.listings.len());
+            let repeated = self.rng.random_range(0..=heard);
+            for listing in [&self.listings[heard], &self.listings[repeated]] {
+                let entries = listing.entries.clone().into_iter().collect();
+                assert!(!roster.replace(listing.version, entries));
+            }
+        }
+    }
+
+    fn refilled(&self, customer: u64, rate: Rate) -> f64 {
+        let share = |roster: &Roster| {
+            let Share(share) = roster.share(customer, rate, self.now());
+            share
+        };
+        self.live.values().map(share).sum()
+    }
+}
+
+/// Entries of endpoints as written, and whether one may be listed.
+#[derive(Default)]
+struct Entries {
+    present: HashMap<String, EndpointState>,
+    missing_since: HashMap<String, Moment>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn hosts_never_refill_more_than_a_rate(seed: u64, burst in 1.0..200.0f64) {
+        let rate = Rate { per_s: 50.0, burst };
+        let mut world = World::new(seed);
+        for _ in 0..120 {
+            match world.rng.random_range(0..10) {
+                0 => world.join(),
+                1 if world.live.len() > 1 => world.die(),
+                _ => (),
+            }
+            let ms = world.rng.random_range(1..1_500);
+            world.pass(ms, NOTICE);
+            for customer in 0..CUSTOMERS {
+                let refilled = world.refilled(customer, rate);
+                prop_assert!(refilled < 1.0 + 1e-9, "{refilled} at {} ms", world.now_ms);
+            }
+        }
+        // Once all news has arrived, nothing of the rate is lost either.
+        world.pass(8_000, Duration::ZERO);
+        for customer in 0..CUSTOMERS {
+            let refilled = world.refilled(customer, rate);
+            prop_assert!((refilled - 1.0).abs() < 1e-9, "{refilled}");
+        }
+    }
+
+    #[test]
+    fn endpoints_are_kept_for_the_grace_and_no_longer(seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut directory = Directory::default();
+        let mut entries = Entries::default();
+        let mut now_ms = 0;
+        for _ in 0..200 {
+            now_ms += rng.random_range(1..700);
+            let now = at(now_ms);
+            let id = format!("e{}", rng.random_range(0..6));
+            match rng.random_range(0..8) {
+                0..3 => {
+                    let state = match rng.random_bool(0.2) {
+                        true => EndpointState::Draining,
+                        false => EndpointState::Ready,
+                    };
+                    directory.put(Endpoint { state, ..endpoint(&id, 1) });
+                    entries.missing_since.remove(&id);
+                    entries.present.insert(id, state);
+                }
+                3..5 => {
+                    directory.remove(&id, now);
+                    if entries.present.remove(&id).is_some() {
+                        entries.missing_since.insert(id, now);
+                    }
+                }
+                5 => directory.store_regained(now, GRACE),
+                6 => {
+                    // Another host takes the list over as this one tells it.
+                    let told = directory.told(now);
+                    directory.replace_told(told, now);
+                }
+                _ => (),
+            }
+            directory.expire(now);
+            let listed: Vec<_> = directory.endpoints().cloned().collect();
+            for endpoint in &listed {
+                let id = endpoint.id.to_string();
+                let is_present = entries.present.contains_key(&id);
+                let is_kept = entries
+                    .missing_since
+                    .get(&id)
+                    .is_some_and(|since| now.since(*since) < GRACE);
+                prop_assert!(is_present || is_kept, "{id} is listed at {now_ms} ms");
+            }
+            for (id, state) in &entries.present {
+                let found = listed.iter().find(|endpoint| *endpoint.id == **id);
+                prop_assert_eq!(found.map(|endpoint| endpoint.state), Some(*state));
+            }
+        }
+    }
+}
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -10,6 +10,7 @@
 use chicoryarch::gateway::routes::Rate;
 use chicoryarch::ids::HostId;
 use chicoryarch::ids::Incarnation;
+use chicoryarch::ids::Version;
 
 use super::support::at;
 
@@ -165,3 +166,26 @@
     assert!(!after.contains(&before[0]));
     assert_eq!(after.len(), 3);
 }
+
+#[test]
+fn a_newer_listing_drops_hosts_that_are_gone() {
+    let mut roster = roster(0, 4);
+    let listed = |left: &[u64]| left.iter().map(|n| (host(*n), entry(1))).collect();
+    assert!(!roster.replace(Version(7), listed(&[0, 1, 3])));
+    assert_eq!(roster.len(), 3);
+    // What another host knew before changes nothing.
+    assert!(!roster.replace(Version(6), listed(&[0, 1, 2, 3])));
+    assert_eq!(roster.len(), 3);
+}
+
+#[test]
+fn a_host_learns_from_a_listing_that_its_own_entry_is_gone() {
+    let mut roster = Roster::new(host(0));
+    roster.enter(entry(1), Version(5));
+    let others = || vec![(host(1), entry(1))];
+    // A listing from before the entry was written.
+    assert!(!roster.replace(Version(4), others()));
+    assert!(roster.replace(Version(6), others()));
+    assert_eq!(roster.len(), 2);
+    assert!(!roster.replace(Version(7), others()));
+}
