Keep gone endpoints gone when a host back from a cut tells its list

Change: what another host keeps for its grace is not taken up if it is gone here. Test: fails without the change.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -111,14 +111,19 @@
         self.known.values().map(told).collect()
     }
 
-    /// Replaces the whole listing by what another host told.
+    /// Replaces the whole listing by what another host told. An entry that the
+    /// other keeps for its grace after an outage stays gone if it is gone here.
     pub fn replace_told(&mut self, told: Vec<ToldEndpoint>, now: Moment) {
-        self.known.clear();
+        let before = std::mem::take(&mut self.known);
         for ToldEndpoint {
             endpoint,
             gone_in_ms,
         } in told
         {
+            let is_gone_here = !before.is_empty() && !before.contains_key(&endpoint.id);
+            if gone_in_ms.is_some() && is_gone_here {
+                continue;
+            }
             let known = Known {
                 endpoint: Arc::new(endpoint),
                 gone_at: gone_in_ms.map(|ms| now + Duration::from_millis(ms)),
--- a/tests/gateway/directory.rs
+++ b/tests/gateway/directory.rs
@@ -58,3 +58,19 @@
     directory.remove("e", at(10_100));
     assert!(directory.is_empty());
 }
+
+#[test]
+fn a_host_back_from_a_cut_does_not_bring_back_what_is_gone_elsewhere() {
+    let mut cut_off = Directory::default();
+    let mut other = Directory::default();
+    for id in ["left", "stays"] {
+        cut_off.put(endpoint(id, 1));
+        other.put(endpoint(id, 1));
+    }
+    other.remove("left", at(36_000));
+    cut_off.store_regained(at(38_900), GRACE);
+    cut_off.remove("left", at(39_000));
+    other.replace_told(cut_off.told(at(39_100)), at(39_100));
+    let listed: Vec<_> = other.endpoints().map(|e| e.id.to_string()).collect();
+    assert_eq!(listed, ["stays"]);
+}
