One shape for conditional writes and one exchange for both platform clients

Read again, both clients had the same kinds of change, the same counting of resends and read backs, and the same way to receive a whole answer. The change, what a read back says of it and the counting now stand in settle, the request and its answer in exchange; a client says how it sends a write and reads an object. Behaviour is the same.

--- a/src/connection/platform/http.rs
+++ b/src/connection/platform/http.rs
@@ -21,7 +21,10 @@
 use super::Written;
 use super::counters::CallKind;
 use super::counters::PlatformCounters;
+use super::exchange::Limits;
 use super::settle;
+use super::settle::Change;
+use super::settle::Write;
 use crate::configs::platform::PlatformConfig;
 use crate::ids::HostId;
 use crate::ids::Version;
@@ -31,9 +34,6 @@
 mod write;
 
 use exchange::Exchange;
-use exchange::Limits;
-use write::Change;
-use write::Write;
 
 /// Header that tells the platform which host calls.
 const HOST_HEADER: &str = "chicoryarch-host";
@@ -137,13 +137,8 @@
             retry_interval: self.cfg.retry_interval,
             settle_timeout: self.cfg.settle_timeout,
         };
-        let write = Write {
-            platform: self,
-            kind,
-            name,
-            change,
-        };
-        settle::settle(&write, limits).await
+        let write = Write { kind, name, change };
+        settle::settle(self, &write, limits).await
     }
 }
 
--- a/src/connection/platform/http/exchange.rs
+++ b/src/connection/platform/http/exchange.rs
@@ -1,15 +1,11 @@
-//! One request to the platform and its whole answer.
+//! Requests of a host to the platform, counted.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_io::Timer;
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
-use chicoryarch_net::client::ClientError;
-use futures_lite::future;
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
@@ -19,22 +15,13 @@
 use super::wire;
 use crate::connection::platform::counters::CallKind;
 use crate::connection::platform::counters::PlatformCounters;
-use crate::connection::platform::settle::Failure;
+use crate::connection::platform::exchange::Failure;
+use crate::connection::platform::exchange::Limits;
+use crate::connection::platform::exchange::Result;
+use crate::connection::platform::exchange::exchange;
 use crate::ids::HostId;
 use crate::ids::Version;
 
-/// Result of one request.
-pub(super) type Result<T> = std::result::Result<T, Failure>;
-
-/// Limits of one answer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Limits {
-    /// Longest time until its end.
-    pub(super) timeout: Duration,
-    /// Largest body.
-    pub(super) max_bytes: usize,
-}
-
 /// An answer that was received whole.
 #[derive(Clone, Debug)]
 pub(super) struct Answer {
@@ -86,19 +73,8 @@
         headers.insert(header::HOST, HeaderValue::from_static("platform"));
         headers.insert(HOST_HEADER, self.host.clone());
         self.counters.add_request(kind);
-        let answer = self.receive(req, limits);
-        let answer = future::or(answer, expire(limits.timeout)).await?;
-        check_status(answer)
-    }
-
-    async fn receive(&self, req: Request<Body>, limits: Limits) -> Result<Answer> {
-        let sent = self.client.send(self.address, req, limits.timeout).await;
-        let response = sent.map_err(|e| failure(&e))?;
-        let (head, body) = response.into_parts();
-        let body = Body::collect(body, limits.max_bytes)
-            .await
-            .map_err(|e| Failure::Uncertain(e.to_string()))?;
-        Ok(Answer {
+        let (head, body) = exchange(&self.client, self.address, req, limits).await?;
+        check_status(Answer {
             status: head.status,
             version: head.headers.get(header::ETAG).and_then(wire::version_of),
             body,
@@ -106,20 +82,6 @@
     }
 }
 
-fn failure(error: &ClientError) -> Failure {
-    let detail = error.to_string();
-    if error.is_not_sent() {
-        Failure::NotApplied(detail)
-    } else {
-        Failure::Uncertain(detail)
-    }
-}
-
-async fn expire(timeout: Duration) -> Result<Answer> {
-    Timer::after(timeout).await;
-    Err(Failure::Uncertain(format!("no answer within {timeout:?}")))
-}
-
 /// Separates the answers that carry a result from those that do not.
 fn check_status(answer: Answer) -> Result<Answer> {
     let status = answer.status;
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -14,6 +14,7 @@
 use crate::ids::Version;
 
 pub mod counters;
+pub mod exchange;
 pub mod http;
 pub mod memory;
 pub mod settle;
--- a/src/connection/platform/settle.rs
+++ b/src/connection/platform/settle.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use bytes::Bytes;
 
 use super::Expect;
 use super::Nonce;
@@ -21,6 +22,10 @@
 use super::PlatformError;
 use super::Result;
 use super::Written;
+use super::counters::CallKind;
+use super::counters::PlatformCounters;
+use super::exchange;
+use super::exchange::Failure;
 use super::nonce_of;
 use crate::ids::Version;
 use crate::units::Moment;
@@ -30,26 +35,85 @@
 /// Shortest time for a request, at the end of the time to settle a write.
 const MIN_TIMEOUT: Duration = Duration::from_millis(1);
 
-/// Why a request got no usable answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// The platform did not carry it out.
-    NotApplied(String),
-    /// The platform may have carried it out, or may do so later.
-    Uncertain(String),
+/// What a conditional write does to its object.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Removes it at a version.
+    Remove {
+        /// The version.
+        at: Version,
+    },
+    /// Stores a value.
+    Store {
+        /// What must be there before.
+        expect: Expect,
+        /// The nonce that the value carries.
+        nonce: Nonce,
+        /// The value.
+        value: Bytes,
+    },
 }
 
-impl From<Failure> for PlatformError {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::NotApplied(detail) | Failure::Uncertain(detail) => Self::Unavailable(detail),
+impl Change {
+    /// What must be there before.
+    pub const fn expect(&self) -> Expect {
+        match self {
+            Self::Remove { at } => Expect::At(*at),
+            Self::Store { expect, .. } => *expect,
+        }
+    }
+
+    /// Kind under which the call is counted.
+    pub const fn call_kind(&self) -> CallKind {
+        match self {
+            Self::Remove { .. } => CallKind::Remove,
+            Self::Store { .. } => CallKind::Write,
+        }
+    }
+
+    /// What an object that was read back says of the change.
+    fn finding(&self, read: &ReadBack) -> Finding {
+        let ReadBack { object, newest } = read;
+        match (self, object) {
+            (Self::Remove { .. }, None) => Finding::Applied(*newest),
+            (Self::Store { nonce, .. }, Some(object))
+                if nonce_of(&object.value) == Some(*nonce) =>
+            {
+                Finding::Applied(object.version)
+            }
+            _ if self.expect() == state_of(object.as_ref()) => Finding::Unchanged,
+            _ => Finding::Replaced,
         }
     }
 }
 
+fn state_of(object: Option<&Object>) -> Expect {
+    object.map_or(Expect::Absent, |object| Expect::At(object.version))
+}
+
+/// A conditional write to one object.
+#[derive(Clone, Debug)]
+pub struct Write<'a> {
+    /// Kind of the object.
+    pub kind: &'a str,
+    /// Name of the object.
+    pub name: &'a str,
+    /// What is done to it.
+    pub change: Change,
+}
+
+/// An object that was read to learn the outcome of a write.
+#[derive(Clone, Debug)]
+pub struct ReadBack {
+    /// The object, if there is one.
+    pub object: Option<Object>,
+    /// A version at which a missing object was missing; 0 if none is known.
+    pub newest: Version,
+}
+
 /// What a read back shows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Finding {
+enum Finding {
     /// The write took effect and gave this version.
     Applied(Version),
     /// Another writer changed the object.
@@ -71,25 +135,32 @@
     pub settle_timeout: Duration,
 }
 
-/// A conditional write as one client sends it.
-pub trait ConditionalWrite: Sync {
-    /// Sends the write once.
+/// A client that sends conditional writes.
+pub trait Writer: Sync {
+    /// Counters of its calls.
+    fn counters(&self) -> &PlatformCounters;
+
+    /// Sends a write once.
     ///
     /// # Errors
     ///
     /// What makes it useless to send the write at all.
     fn attempt(
         &self,
+        write: &Write<'_>,
         timeout: Duration,
-        is_repeated: bool,
-    ) -> impl Future<Output = Result<std::result::Result<Written, Failure>>> + Send;
+    ) -> impl Future<Output = Result<exchange::Result<Written>>> + Send;
 
-    /// Reads the object once.
+    /// Reads the object of a write once.
     ///
     /// # Errors
     ///
     /// Why there is no answer.
-    fn read_back(&self, timeout: Duration) -> impl Future<Output = Result<Finding>> + Send;
+    fn read_back(
+        &self,
+        write: &Write<'_>,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<ReadBack>> + Send;
 }
 
 /// Time left to settle one write, the pauses between its requests and the
@@ -138,21 +209,22 @@
 ///
 /// [`PlatformError::Unavailable`] if it did not take effect and never will,
 /// [`PlatformError::UnknownOutcome`] if its outcome is not known in time.
-pub async fn settle(write: &impl ConditionalWrite, limits: Limits) -> Result<Written> {
+pub async fn settle(client: &impl Writer, write: &Write<'_>, limits: Limits) -> Result<Written> {
     let mut patience = Patience::new(limits);
-    match write.attempt(patience.next_timeout(), false).await? {
+    match client.attempt(write, patience.next_timeout()).await? {
         Ok(written) => return Ok(written),
         Err(Failure::NotApplied(detail)) => return Err(PlatformError::Unavailable(detail)),
         Err(Failure::Uncertain(_)) => (),
     }
     loop {
-        match read_back(write, &mut patience).await? {
+        match read_back(client, write, &mut patience).await? {
             Finding::Applied(version) => return Ok(Written::Done(version)),
             Finding::Replaced => return Ok(Written::Conflict),
             Finding::Unchanged => patience.pause().await?,
         }
+        client.counters().add_resend();
         // A conflict may be caused by the earlier request, so it is read back too.
-        let repeated = write.attempt(patience.next_timeout(), true).await?;
+        let repeated = client.attempt(write, patience.next_timeout()).await?;
         if let Ok(Written::Done(version)) = repeated {
             return Ok(Written::Done(version));
         }
@@ -160,32 +232,17 @@
 }
 
 /// Reads the object until there is an answer or the deadline has passed.
-async fn read_back(write: &impl ConditionalWrite, patience: &mut Patience) -> Result<Finding> {
+async fn read_back(
+    client: &impl Writer,
+    write: &Write<'_>,
+    patience: &mut Patience,
+) -> Result<Finding> {
     loop {
-        match write.read_back(patience.next_timeout()).await {
-            Ok(finding) => return Ok(finding),
+        client.counters().add_read_back();
+        match client.read_back(write, patience.next_timeout()).await {
+            Ok(read) => return Ok(write.change.finding(&read)),
             Err(e) => log::debug!("a write is not settled yet: {e}"),
         }
         patience.pause().await?;
     }
 }
-
-/// What an object that was read back says of a write that stores a value.
-pub fn found_after_store(expect: Expect, nonce: Nonce, object: Option<&Object>) -> Finding {
-    match object {
-        Some(object) if nonce_of(&object.value) == Some(nonce) => Finding::Applied(object.version),
-        Some(object) if expect == Expect::At(object.version) => Finding::Unchanged,
-        None if expect == Expect::Absent => Finding::Unchanged,
-        _ => Finding::Replaced,
-    }
-}
-
-/// What an object that was read back says of its removal; `newest` is a
-/// version at which it was missing.
-pub fn found_after_remove(at: Version, object: Option<&Object>, newest: Version) -> Finding {
-    match object {
-        None => Finding::Applied(newest),
-        Some(object) if object.version == at => Finding::Unchanged,
-        Some(_) => Finding::Replaced,
-    }
-}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_io::Timer;
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
-use futures_lite::future;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -25,8 +23,13 @@
 use crate::connection::platform::Written;
 use crate::connection::platform::counters::CallKind;
 use crate::connection::platform::counters::PlatformCounters;
+use crate::connection::platform::exchange;
+use crate::connection::platform::exchange::Failure;
+use crate::connection::platform::exchange::Limits;
+use crate::connection::platform::exchange::exchange;
 use crate::connection::platform::settle;
-use crate::connection::platform::settle::Failure;
+use crate::connection::platform::settle::Change;
+use crate::connection::platform::settle::Write;
 use crate::ids::Version;
 
 mod objects;
@@ -34,8 +37,6 @@
 
 use objects::Page;
 use objects::WatchAnswer;
-use write::Change;
-use write::Write;
 
 /// Largest answer to a list or watch, in bytes: pages hold about a megabyte,
 /// and one object may be as large again.
@@ -69,14 +70,14 @@
         &self.counters
     }
 
-    async fn exchange(
+    async fn send(
         &self,
         call: CallKind,
         method: Method,
         target: &str,
         body: Option<Vec<u8>>,
         timeout: Duration,
-    ) -> std::result::Result<Answer, Failure> {
+    ) -> exchange::Result<Answer> {
         self.counters.add_request(call);
         let mut req = Request::builder()
             .method(method)
@@ -89,41 +90,26 @@
         let req = req
             .body(body)
             .map_err(|e| Failure::NotApplied(format!("not a valid request: {e}")))?;
-        let receive = async {
-            let response = self
-                .client
-                .send(self.cfg.address, req, timeout)
-                .await
-                .map_err(|e| match e.is_not_sent() {
-                    true => Failure::NotApplied(e.to_string()),
-                    false => Failure::Uncertain(e.to_string()),
-                })?;
-            let status = response.status();
-            let body = Body::collect(response.into_body(), MAX_ANSWER_BYTES)
-                .await
-                .map_err(|e| Failure::Uncertain(e.to_string()))?;
-            Ok(Answer { status, body })
+        let limits = Limits {
+            timeout,
+            max_bytes: MAX_ANSWER_BYTES,
         };
-        let expire = async {
-            Timer::after(timeout).await;
-            Err(Failure::Uncertain(format!("no answer within {timeout:?}")))
-        };
-        let answer = future::or(receive, expire).await?;
-        match answer.status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(
-                Failure::NotApplied(format!("the store answered {}", answer.status)),
-            ),
-            status if status.is_server_error() => {
-                Err(Failure::Uncertain(format!("the store answered {status}")))
+        let (head, body) = exchange(&self.client, self.cfg.address, req, limits).await?;
+        let status = head.status;
+        let detail = || format!("the store answered {status}");
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(Failure::NotApplied(detail()))
             }
-            _ => Ok(answer),
+            _ if status.is_server_error() => Err(Failure::Uncertain(detail())),
+            _ => Ok(Answer { status, body }),
         }
     }
 
     async fn get(&self, kind: &str, name: &str, timeout: Duration) -> Result<Option<Object>> {
         let target = format!("/v1/objects/{kind}/{name}");
         let answer = self
-            .exchange(CallKind::Read, Method::GET, &target, None, timeout)
+            .send(CallKind::Read, Method::GET, &target, None, timeout)
             .await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -138,13 +124,8 @@
             retry_interval: self.cfg.retry_interval,
             settle_timeout: self.cfg.settle_timeout,
         };
-        let write = Write {
-            store: self,
-            kind,
-            name,
-            change,
-        };
-        settle::settle(&write, limits).await
+        let write = Write { kind, name, change };
+        settle::settle(self, &write, limits).await
     }
 
     /// Replaces the status of an operators' object.
@@ -156,7 +137,7 @@
         let body = format!("{{\"metadata\":{{\"name\":\"{name}\"}},\"status\":{status}}}");
         let target = format!("/v1/objects/{kind}/{name}/status");
         let answer = self
-            .exchange(
+            .send(
                 CallKind::Write,
                 Method::PUT,
                 &target,
@@ -185,7 +166,7 @@
                 name => format!("/v1/objects/{kind}?after={name}"),
             };
             let answer = self
-                .exchange(CallKind::List, Method::GET, &target, None, self.cfg.timeout)
+                .send(CallKind::List, Method::GET, &target, None, self.cfg.timeout)
                 .await?;
             let page: Page = objects::parse(kind, "", &answer.body)?;
             // Changes after the first page come again with a watch from its revision.
@@ -217,7 +198,7 @@
         );
         let timeout = wait + self.cfg.timeout;
         let answer = self
-            .exchange(CallKind::Watch, Method::GET, &target, None, timeout)
+            .send(CallKind::Watch, Method::GET, &target, None, timeout)
             .await?;
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::HistoryLost);
@@ -266,11 +247,12 @@
         if value.len() > self.cfg.max_value_bytes {
             return Err(PlatformError::TooLarge(value.len()));
         }
-        let value = String::from_utf8(value).map_err(|e| objects::malformed(kind, name, &e))?;
+        // A value stands in a JSON body as it is.
+        std::str::from_utf8(&value).map_err(|e| objects::malformed(kind, name, &e))?;
         let change = Change::Store {
             expect,
             nonce,
-            value,
+            value: Bytes::from(value),
         };
         let result = self.settle(kind, name, change).await;
         self.counters.record_write(CallKind::Write, &result);
