Simplify what was read again in the gateway

Endpoints out of reach cost more, instead of being filtered out with a second choice beside; replies to draws are translated in one place, also those of a stand-in; this host's entry is written by one loop and the first hosts are taken up in one place; a token is taken and its wait worked out in one way; the archive's set of reported hosts lost a version that was always 0; the adapter's header names stand once; an unused list of services is gone.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -165,20 +165,7 @@
         let Home::Other(peer) = home else {
             break;
         };
-        let reply = draw_at(cx, &peer, req).await;
-        if let Some(reply) = &reply {
-            isolation::note(cx, &req.program, reply);
-        }
-        match reply {
-            Some(DrawReply::Drawn { is_ample, is_new }) => {
-                let at = Some(peer);
-                return Ok(Drawn {
-                    is_ample,
-                    at,
-                    is_new,
-                });
-            }
-            Some(DrawReply::Spent) => return Err(spent()),
+        match draw_at(cx, &peer, req).await {
             // Another home is asked next.
             Some(DrawReply::Leaving) => {
                 cx.roster.lock().suspect(&peer.host, Moment::now());
@@ -186,29 +173,43 @@
             None => (),
             // The home may be turned away by a store that answers this host.
             Some(DrawReply::Granting | DrawReply::Unavailable(_)) => break,
+            Some(reply) => return drawn(reply, Some(peer)),
         }
     }
     let waiting = DrawRequest {
         may_wait: true,
         ..req.clone()
     };
-    match purse_home::draw_here(cx, &waiting).await {
+    let reply = purse_home::draw_here(cx, &waiting).await;
+    if matches!(reply, DrawReply::Unavailable(_))
+        && !cx.contact.is_up()
+        && let Some(drawn) = draw_at_stand_in(cx, key, req).await
+    {
+        return drawn;
+    }
+    drawn(reply, None)
+}
+
+/// What a reply means for the turn that wanted the tokens.
+fn drawn(reply: DrawReply, at: Option<Peer>) -> Result<Drawn> {
+    match reply {
         DrawReply::Drawn { is_ample, is_new } => Ok(Drawn {
             is_ample,
-            at: None,
+            at,
             is_new,
         }),
-        DrawReply::Spent => Err(spent()),
+        DrawReply::Spent => Err(Refusal::new(
+            Outcome::BudgetSpent,
+            "the program's budget is spent",
+        )),
         DrawReply::Granting | DrawReply::Leaving => Err(no_grant("the host is about to end")),
-        DrawReply::Unavailable(why) if cx.contact.is_up() => Err(no_grant(&why)),
-        DrawReply::Unavailable(why) => draw_at_stand_in(cx, key, req)
-            .await
-            .unwrap_or_else(|| Err(no_grant(&why))),
+        DrawReply::Unavailable(why) => Err(no_grant(&why)),
     }
 }
 
 /// Draws at the host that would be home without this one, which the store may
-/// answer though it does not answer this host.
+/// answer though it does not answer this host; `None` if that does not settle
+/// the draw.
 async fn draw_at_stand_in<P: Platform>(
     cx: &Cx<P>,
     key: u64,
@@ -217,37 +218,30 @@
     let Home::Other(peer) = cx.roster.lock().next_home(key, Moment::now()) else {
         return None;
     };
-    match draw_at(cx, &peer, req).await? {
-        DrawReply::Drawn { is_ample, is_new } => Some(Ok(Drawn {
-            is_ample,
-            at: Some(peer),
-            is_new,
-        })),
-        DrawReply::Spent => Some(Err(spent())),
-        DrawReply::Granting | DrawReply::Leaving | DrawReply::Unavailable(_) => None,
-    }
+    let reply = draw_at(cx, &peer, req).await?;
+    let is_settled = matches!(reply, DrawReply::Drawn { .. } | DrawReply::Spent);
+    is_settled.then(|| drawn(reply, Some(peer)))
 }
 
 /// Asks a home, and again with patience if it needs a grant first: a home that
 /// waits for the store is not one that does not answer.
 async fn draw_at<P: Platform>(cx: &Cx<P>, peer: &Peer, req: &DrawRequest) -> Option<DrawReply> {
-    let reply = exchange::call_in_time::<_, _, DrawReply>(cx, peer, DRAW_METHOD, req).await?;
-    if !matches!(reply, DrawReply::Granting) {
-        return Some(reply);
+    let mut reply = exchange::call_in_time(cx, peer, DRAW_METHOD, req).await?;
+    if matches!(reply, DrawReply::Granting) {
+        let waiting = DrawRequest {
+            may_wait: true,
+            ..req.clone()
+        };
+        let limit = cx.cfg.grant_timeout + cx.cfg.borrow_timeout;
+        reply = exchange::call_within(cx, peer, DRAW_METHOD, &waiting, limit).await?;
     }
-    let waiting = DrawRequest {
-        may_wait: true,
-        ..req.clone()
-    };
-    let limit = cx.cfg.grant_timeout + cx.cfg.borrow_timeout;
-    exchange::call_within(cx, peer, DRAW_METHOD, &waiting, limit).await
+    if matches!(reply, DrawReply::Spent) {
+        cx.spent.add(&req.program, Moment::now());
+    }
+    Some(reply)
 }
 
 fn no_grant(why: &str) -> Refusal {
     let detail = format!("the program's budget cannot be granted: {why}");
     Refusal::not_run(detail, STORE_RETRY)
 }
-
-fn spent() -> Refusal {
-    Refusal::new(Outcome::BudgetSpent, "the program's budget is spent")
-}
--- a/src/gateway/archive.rs
+++ b/src/gateway/archive.rs
@@ -231,7 +231,7 @@
     own: String,
     store: ObjectStore,
     log: EventLog,
-    done: Arc<Mutex<HashSet<(String, Version)>>>,
+    done: Arc<Mutex<HashSet<String>>>,
     spawner: Spawner,
 }
 
@@ -261,11 +261,11 @@
 async fn report_one(
     store: &ObjectStore,
     log: &EventLog,
-    done: &Mutex<HashSet<(String, Version)>>,
+    done: &Mutex<HashSet<String>>,
     object: Object,
 ) {
     let name = object.name;
-    if !done.lock().insert((name.clone(), Version(0))) {
+    if !done.lock().insert(name.clone()) {
         return;
     }
     while let Err(e) = store.write_status(kinds::RETIREMENTS, &name, EMPTIED).await {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -216,15 +216,7 @@
         stays: cx.is_isolated(),
     };
     let home = cx.cfg.place.data_centre.as_str();
-    let anywhere = Want {
-        stays: false,
-        ..want
-    };
-    let mut choices = pool.lock();
-    let chosen = choices
-        .choose(&want, home, Moment::now())
-        .or_else(|| choices.choose(&anywhere, home, Moment::now()))?;
-    drop(choices);
+    let chosen = pool.lock().choose(&want, home, Moment::now())?;
     Some(Place::new(pool, chosen))
 }
 
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -32,27 +32,46 @@
     name: &'a str,
 }
 
-/// Writes this host's entry, again and again until the store has it.
+/// Writes this host's entry, and agrees the hosts of the first start if this
+/// process is one of them.
 pub async fn enter<P: Platform>(cx: Cx<P>) {
+    let is_founder = enter_until_written(&cx, cx.cfg.place.first_start).await;
+    if !is_founder {
+        return;
+    }
+    Timer::after(cx.cfg.join_notice).await;
+    let key = super::hash_of(roster::FOUNDERS_NAME);
+    if !cx.roster.lock().is_rightful_home(key) {
+        Timer::after(FOUNDERS_WAIT).await;
+    }
+    loop {
+        if let Some(founders) = agreed_founders(&cx).await {
+            cx.log.state("founders-agreed", &founders);
+            cx.accounts.set_founders(founders);
+            return;
+        }
+        until_store_answers(&cx).await;
+    }
+}
+
+/// Writes this host's entry again after others took the host for gone.
+pub async fn enter_again<P: Platform>(cx: Cx<P>) {
+    enter_until_written(&cx, false).await;
+}
+
+/// Writes this host's entry, again and again until the store has it; true if
+/// the process is the host's first.
+async fn enter_until_written<P: Platform>(cx: &Cx<P>, is_first_start: bool) -> bool {
     let mut entry = HostEntry {
         peers: cx.cfg.peers,
         data_centre: cx.cfg.place.data_centre.clone(),
         incarnation: Incarnation(unix_ms()),
-        is_founder: cx.cfg.place.first_start,
+        is_founder: is_first_start,
     };
-    while !enter_once(&cx, &mut entry).await {
-        until_store_answers(&cx).await;
-    }
-    if entry.is_founder {
-        Timer::after(cx.cfg.join_notice).await;
-        let key = super::hash_of(roster::FOUNDERS_NAME);
-        if !cx.roster.lock().is_rightful_home(key) {
-            Timer::after(FOUNDERS_WAIT).await;
-        }
-        while !agree_founders(&cx).await {
-            until_store_answers(&cx).await;
-        }
+    while !enter_once(cx, &mut entry).await {
+        until_store_answers(cx).await;
     }
+    entry.is_founder
 }
 
 /// Waits before a call to the store is repeated. While none answers, the calls
@@ -64,49 +83,26 @@
     }
 }
 
-/// Writes this host's entry again after others took the host for gone.
-pub async fn enter_again<P: Platform>(cx: Cx<P>) {
-    let mut entry = HostEntry {
-        peers: cx.cfg.peers,
-        data_centre: cx.cfg.place.data_centre.clone(),
-        incarnation: Incarnation(unix_ms()),
-        is_founder: false,
-    };
-    while !enter_once(&cx, &mut entry).await {
-        until_store_answers(&cx).await;
-    }
-}
-
-/// Takes up the hosts of the first start, which the first writer sets.
-async fn agree_founders<P: Platform>(cx: &Cx<P>) -> bool {
+/// The hosts of the first start, which the first writer sets; `None` if they
+/// are not known yet.
+async fn agreed_founders<P: Platform>(cx: &Cx<P>) -> Option<Founders> {
     let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
     match platform::read_value::<Founders>(&cx.store, kind, name).await {
-        Ok(Some((_, founders))) => {
-            cx.log.state("founders-agreed", &founders);
-            cx.accounts.set_founders(founders);
-            true
-        }
-        Ok(None) => {
-            let founders = cx.roster.lock().founders();
-            let written =
-                platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await;
-            match written {
-                Ok(Written::Done(_)) => {
-                    cx.log.state("founders-agreed", &founders);
-                    cx.accounts.set_founders(founders);
-                    true
-                }
-                // What another host wrote holds, and is read next.
-                Ok(Written::Conflict) => false,
-                Err(e) => {
-                    log::debug!("the hosts of the first start are not written yet: {e}");
-                    false
-                }
-            }
-        }
+        Ok(Some((_, founders))) => return Some(founders),
+        Ok(None) => (),
         Err(e) => {
             log::debug!("the hosts of the first start are not known yet: {e}");
-            false
+            return None;
+        }
+    }
+    let founders = cx.roster.lock().founders();
+    match platform::write_value(&cx.store, kind, name, Expect::Absent, &founders).await {
+        Ok(Written::Done(_)) => Some(founders),
+        // What another host wrote holds, and is read next.
+        Ok(Written::Conflict) => None,
+        Err(e) => {
+            log::debug!("the hosts of the first start are not written yet: {e}");
+            None
         }
     }
 }
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -16,7 +16,6 @@
 use super::account;
 use super::context::Cx;
 use super::context::Gateway;
-use super::draws::DrawReply;
 use super::draws::DrawRequest;
 use super::exchange;
 use super::exchange::DRAW_ISOLATED_METHOD;
@@ -166,10 +165,3 @@
         }
     }
 }
-
-/// Notes the answer to a draw in what is known of spent budgets.
-pub fn note<P: Platform>(cx: &Gateway<P>, program: &str, reply: &DrawReply) {
-    if matches!(reply, DrawReply::Spent) {
-        cx.spent.add(program, Moment::now());
-    }
-}
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -52,6 +52,12 @@
 /// call's time without load. Calls that stay are not lost when the data
 /// centres part.
 const CROSSING_SHARE: f64 = 0.2;
+/// Added to the cost of an endpoint that is passed over, in calls: it is chosen
+/// only if all others are.
+const AVOIDED_COST: f64 = 1e3;
+/// Added to the cost of an endpoint that is out of reach, in calls: even one
+/// that is passed over goes before it.
+const OUT_OF_REACH_COST: f64 = 1e6;
 /// Costs that differ by less count as equal, in milliseconds.
 const TIE_MS: f64 = 0.5;
 
@@ -234,10 +240,7 @@
             let id = &member.endpoint.id;
             match want.only {
                 Some(only) => **id == *only,
-                None => {
-                    let is_near = !want.stays || *member.endpoint.data_centre == *home;
-                    is_near && member.is_ready() && !want.tried.contains(id)
-                }
+                None => member.is_ready() && !want.tried.contains(id),
             }
         });
         // Equal endpoints share the calls at random rather than by their order.
@@ -342,11 +345,15 @@
             // Those that run wait while the prompt is read.
             cost += missing / PREFILL_PER_MS * (1.0 + HELD_UP * load);
         }
-        if *member.endpoint.data_centre != *self.home {
+        let crosses = *member.endpoint.data_centre != *self.home;
+        if crosses {
             cost += CROSSING_SHARE * idle_ms;
         }
+        if crosses && want.stays {
+            cost += OUT_OF_REACH_COST * self.curve.mean_ms();
+        }
         if now < member.avoid_until {
-            cost += 1000.0 * self.curve.mean_ms();
+            cost += AVOIDED_COST * self.curve.mean_ms();
         }
         cost
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -90,6 +90,22 @@
         }
     }
 
+    /// Takes a token if there are as many as needed.
+    fn try_take(&mut self, needed: f64) -> bool {
+        let has_token = self.tokens >= needed;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+
+    /// Time in which the refill brings the tokens to a number.
+    fn wait_for(&self, needed: f64, rate: Rate, share: Share) -> Duration {
+        let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
+        let seconds = (needed - self.tokens) / per_s;
+        Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT.as_secs_f64()))
+    }
+
     /// Demand, or what the second that is under way already shows.
     fn current_demand(&self, now: Moment) -> f64 {
         let counted = now.since(self.counted_from).as_secs_f64().max(0.25);
@@ -165,15 +181,11 @@
         let bucket = self.bucket(customer, rate, share, now);
         bucket.asked += 1.0;
         let needed = bucket.needed(rate, share, step, now);
-        if bucket.tokens >= needed {
-            bucket.tokens -= 1.0;
+        if bucket.try_take(needed) {
             return Taken::Within;
         }
-        let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
-        let seconds = ((needed - bucket.tokens) / per_s).min(MAX_WAIT.as_secs_f64());
-        Taken::Short {
-            wait: Duration::from_secs_f64(seconds),
-        }
+        let wait = bucket.wait_for(needed, rate, share);
+        Taken::Short { wait }
     }
 
     /// Takes a token for a request that was already counted as asked.
@@ -186,11 +198,8 @@
         now: Moment,
     ) -> bool {
         let bucket = self.bucket(customer, rate, share, now);
-        let has_token = bucket.tokens >= bucket.needed(rate, share, step, now);
-        if has_token {
-            bucket.tokens -= 1.0;
-        }
-        has_token
+        let needed = bucket.needed(rate, share, step, now);
+        bucket.try_take(needed)
     }
 
     /// Takes a token that this host's refill gives within `patience`, for a
@@ -204,9 +213,7 @@
         now: Moment,
     ) -> Taken {
         let bucket = self.bucket(customer, rate, share, now);
-        let per_s = (rate.per_s * share.0).max(f64::MIN_POSITIVE);
-        let seconds = ((1.0 - bucket.tokens) / per_s).clamp(0.0, MAX_WAIT.as_secs_f64());
-        let wait = Duration::from_secs_f64(seconds);
+        let wait = bucket.wait_for(1.0, rate, share);
         if wait > patience.min(MAX_TOKEN_WAIT) {
             return Taken::Short { wait };
         }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -197,11 +197,6 @@
         self.services.get(name)
     }
 
-    /// Names of the services.
-    pub fn service_names(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.services.keys()
-    }
-
     /// True if calls on routes that are not public need a key.
     pub const fn needs_keys(&self) -> bool {
         self.keys.is_some()
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -21,11 +21,11 @@
 use crate::gateway::directory::Endpoint;
 use crate::gateway::placing::ReportedLoad;
 
-const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+pub(super) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 /// Customer that holds the caller's key.
-const TENANT: HeaderName = HeaderName::from_static("tenant");
+pub(super) const TENANT: HeaderName = HeaderName::from_static("tenant");
 /// 0 to 9, where 0 is first.
-const REQUEST_URGENCY: HeaderName = HeaderName::from_static("request-urgency");
+pub(super) const REQUEST_URGENCY: HeaderName = HeaderName::from_static("request-urgency");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Digest of an answer that an endpoint made.
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -11,6 +11,9 @@
 use http::header;
 use http::request;
 
+use super::endpoints::EXPECT_INSTANCE;
+use super::endpoints::REQUEST_URGENCY;
+use super::endpoints::TENANT;
 use crate::connection::headers::end_to_end;
 use crate::gateway::call::CallMeta;
 use crate::gateway::call::ProgramMeta;
@@ -41,12 +44,12 @@
 const TOKEN_BUDGET: HeaderName = HeaderName::from_static("token-budget");
 
 /// Headers that only this system may set towards endpoints.
-pub(super) const RESERVED: [HeaderName; 10] = [
+const RESERVED: [HeaderName; 10] = [
     CREDENTIAL,
-    HeaderName::from_static("tenant"),
-    HeaderName::from_static("expect-instance"),
+    TENANT,
+    EXPECT_INSTANCE,
     HeaderName::from_static("expect-version"),
-    HeaderName::from_static("request-urgency"),
+    REQUEST_URGENCY,
     HeaderName::from_static("hold"),
     HeaderName::from_static("pin-ms"),
     HeaderName::from_static("kv-backup"),
