Contact with the store in a module of its own; less work on a request's way

A caller's fields are shared rather than cloned for a refusal that seldom comes. The tokens of an event are looked up once a stream, not at each event; they also hold on if the service leaves the configuration while its stream goes on. Scouts are ranked once where it was done twice.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Call {
     /// What the caller said.
-    pub meta: CallMeta,
+    pub meta: Arc<CallMeta>,
     /// Method.
     pub method: Method,
     /// Path and query.
--- /dev/null
+++ b/src/gateway/contact.rs
@@ -0,0 +1,216 @@
+//! Whether the platform's store and other data centres answer this host.
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use super::context::Cx;
+use super::context::Gateway;
+use super::follow::Follower;
+use super::register::OperatorsConfiguration;
+use super::register::Subject;
+use crate::connection::platform::Changes;
+use crate::connection::platform::Platform;
+use crate::connection::platform::PlatformError;
+use crate::platform::kinds;
+use crate::units::Moment;
+
+/// Pause between two probes of a store that does not answer, by a host that
+/// follows it for others.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// The same by another host, which hears of the store's return.
+const FOLLOWER_PROBE_PERIOD: Duration = Duration::from_millis(1600);
+/// Pause between two looks at whether the store's return was heard of.
+const HEARD_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which the word of a scout is relied upon.
+const SCOUT_LIFE: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct StoreLine<'a> {
+    why: &'a str,
+}
+
+/// Whether this host reaches the platform's store.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    is_up: AtomicBool,
+    was_up: AtomicBool,
+    is_probed: AtomicBool,
+}
+
+impl StoreContact {
+    /// True if the last call had an answer.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Acquire)
+    }
+
+    /// True if any call since the start had an answer.
+    pub fn was_up(&self) -> bool {
+        self.was_up.load(Ordering::Acquire)
+    }
+
+    /// Starts a probe; false if one is under way.
+    pub fn begin_probe(&self) -> bool {
+        !self.is_probed.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends a probe.
+    pub fn end_probe(&self) {
+        self.is_probed.store(false, Ordering::Release);
+    }
+
+    /// Notes the outcome of a call; true if it differs from the one before.
+    pub fn set(&self, is_up: bool) -> bool {
+        if is_up {
+            self.was_up.store(true, Ordering::Release);
+        }
+        self.is_up.swap(is_up, Ordering::AcqRel) != is_up
+    }
+}
+
+/// Signs of life from other data centres.
+#[derive(Debug, Default)]
+pub struct OutsideContact(Mutex<Moment>);
+
+impl OutsideContact {
+    /// Notes a message from a host of another data centre.
+    pub fn heard(&self, now: Moment) {
+        *self.0.lock() = now;
+    }
+
+    /// Time since the last of them.
+    pub fn silent_for(&self, now: Moment) -> Duration {
+        now.since(*self.0.lock())
+    }
+}
+
+/// What this host last heard from a scout that follows the store.
+#[derive(Debug, Default)]
+pub struct Scouting(Mutex<Option<Moment>>);
+
+impl Scouting {
+    /// Notes the word of a scout that reaches the store.
+    pub fn heard(&self, now: Moment) {
+        *self.0.lock() = Some(now);
+    }
+
+    /// True if a scout has given such word since a moment.
+    pub fn heard_since(&self, since: Moment) -> bool {
+        self.0.lock().is_some_and(|heard| heard > since)
+    }
+
+    /// True if a scout has given such word lately.
+    pub fn is_current(&self, now: Moment) -> bool {
+        let heard = *self.0.lock();
+        heard.is_some_and(|heard| now.since(heard) < SCOUT_LIFE)
+    }
+}
+
+/// Notes that the store did not answer.
+pub fn store_lost<P: Platform>(cx: &Gateway<P>, error: &PlatformError) {
+    if cx.contact.set(false) {
+        let why = error.to_string();
+        cx.log.state("store-lost", &StoreLine { why: &why });
+    }
+}
+
+/// Notes that the store answers.
+pub fn store_regained<P: Platform>(cx: &Gateway<P>) {
+    if cx.contact.set(true) {
+        let mut listed = cx.listed.lock();
+        let grace = cx.cfg.lapse_grace;
+        listed.directory.store_regained(Moment::now(), grace);
+        cx.log.state("store-reached", &StoreLine { why: "" });
+    }
+}
+
+/// Finds out whether the store answers this host, after a call without an
+/// answer. A watch that waits would show it only much later.
+pub fn doubt_store<P: Platform>(cx: &Cx<P>) {
+    if cx.contact.begin_probe() {
+        cx.spawner.detach(probe(Arc::clone(cx)));
+    }
+}
+
+async fn probe<P: Platform>(cx: Cx<P>) {
+    loop {
+        let started = Moment::now();
+        match cx.store.read(kinds::CONFIGURATION, kinds::CURRENT).await {
+            Ok(object) => {
+                store_regained(&cx);
+                cx.contact.end_probe();
+                OperatorsConfiguration::take(&cx, object.as_slice());
+                return;
+            }
+            Err(e) => store_lost(&cx, &e),
+        }
+        until_next_probe(&cx, started).await;
+    }
+}
+
+/// Waits for the time of the next probe, or until a scout tells that the store
+/// answered it after the last one.
+async fn until_next_probe<P: Platform>(cx: &Gateway<P>, last: Moment) {
+    let period = match cx.is_scout() {
+        true => PROBE_PERIOD,
+        false => FOLLOWER_PROBE_PERIOD,
+    };
+    let next = Moment::now() + period;
+    while Moment::now() < next && !cx.scouting.heard_since(last) {
+        Timer::after(HEARD_PERIOD).await;
+    }
+}
+
+/// Follows a kind of objects while this host follows the store.
+#[derive(Debug)]
+pub struct StoreFollower<P, S> {
+    cx: Cx<P>,
+    subject: PhantomData<fn() -> S>,
+}
+
+impl<P, S> StoreFollower<P, S> {
+    /// A follower for a host.
+    pub fn new(cx: &Cx<P>) -> Self {
+        Self {
+            cx: Arc::clone(cx),
+            subject: PhantomData,
+        }
+    }
+}
+
+impl<P: Platform, S: Subject> Follower for StoreFollower<P, S> {
+    async fn listed(&self, listed: Changes) {
+        S::listed(&self.cx, listed);
+    }
+
+    async fn changed(&self, changes: Changes) {
+        S::changed(&self.cx, changes);
+    }
+
+    fn lost(&self, error: &PlatformError) {
+        store_lost(&self.cx, error);
+        doubt_store(&self.cx);
+    }
+
+    fn regained(&self) {
+        store_regained(&self.cx);
+    }
+
+    fn is_reachable(&self) -> bool {
+        self.cx.contact.is_up()
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.cx.follows_store()
+    }
+
+    fn pause(&self) -> Duration {
+        S::PAUSE
+    }
+}
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use chicoryarch_net::Client;
@@ -15,6 +14,9 @@
 use parking_lot::RwLock;
 
 use super::accounts::Accounts;
+use super::contact::OutsideContact;
+use super::contact::Scouting;
+use super::contact::StoreContact;
 use super::directory::Directory;
 use super::directory::Endpoint;
 use super::isolation::IsolatedPurses;
@@ -42,44 +44,6 @@
     pub text: Arc<str>,
 }
 
-/// Whether this host reaches the platform's store.
-#[derive(Debug, Default)]
-pub struct StoreContact {
-    is_up: AtomicBool,
-    was_up: AtomicBool,
-    is_probed: AtomicBool,
-}
-
-impl StoreContact {
-    /// True if the last call had an answer.
-    pub fn is_up(&self) -> bool {
-        self.is_up.load(Ordering::Acquire)
-    }
-
-    /// True if any call since the start had an answer.
-    pub fn was_up(&self) -> bool {
-        self.was_up.load(Ordering::Acquire)
-    }
-
-    /// Starts a probe; false if one is under way.
-    pub fn begin_probe(&self) -> bool {
-        !self.is_probed.swap(true, Ordering::AcqRel)
-    }
-
-    /// Ends a probe.
-    pub fn end_probe(&self) {
-        self.is_probed.store(false, Ordering::Release);
-    }
-
-    /// Notes the outcome of a call; true if it differs from the one before.
-    pub fn set(&self, is_up: bool) -> bool {
-        if is_up {
-            self.was_up.store(true, Ordering::Release);
-        }
-        self.is_up.swap(is_up, Ordering::AcqRel) != is_up
-    }
-}
-
 /// Endpoints by service, each service under its own lock.
 #[derive(Debug, Default)]
 pub struct Pools(RwLock<HashMap<Arc<str>, Arc<Mutex<Pool>>>>);
@@ -114,46 +78,7 @@
     pub upto: Option<Version>,
 }
 
-/// Signs of life from other data centres.
-#[derive(Debug, Default)]
-pub struct OutsideContact(Mutex<Moment>);
-
-impl OutsideContact {
-    /// Notes a message from a host of another data centre.
-    pub fn heard(&self, now: Moment) {
-        *self.0.lock() = now;
-    }
-
-    fn silent_for(&self, now: Moment) -> Duration {
-        now.since(*self.0.lock())
-    }
-}
-
-/// What this host last heard from a scout that follows the store.
-#[derive(Debug, Default)]
-pub struct Scouting(Mutex<Option<Moment>>);
-
-impl Scouting {
-    /// Notes the word of a scout that reaches the store.
-    pub fn heard(&self, now: Moment) {
-        *self.0.lock() = Some(now);
-    }
-
-    /// True if a scout has given such word since a moment.
-    pub fn heard_since(&self, since: Moment) -> bool {
-        self.0.lock().is_some_and(|heard| heard > since)
-    }
-
-    fn is_current(&self, now: Moment) -> bool {
-        let heard = *self.0.lock();
-        heard.is_some_and(|heard| now.since(heard) < SCOUT_LIFE)
-    }
-}
-
-/// Time for which the word of a scout is relied upon.
-const SCOUT_LIFE: Duration = Duration::from_secs(1);
-
-/// Requests and bytes of bodies that this host holds.
+/// What this host holds for callers.
 #[derive(Debug, Default)]
 pub struct Held {
     /// Bytes of callers' bodies in memory.
@@ -232,14 +157,21 @@
     /// its data centre, or none of them is known to be current.
     pub fn follows_store(&self) -> bool {
         let now = Moment::now();
-        self.is_scout() || self.scouts(now).is_empty() || !self.scouting.is_current(now)
+        if !self.scouting.is_current(now) {
+            return true;
+        }
+        let scouts = self.scouts(now);
+        scouts.is_empty() || self.is_among(&scouts)
     }
 
     /// True if this host is among those that follow the store for its data
     /// centre.
     pub fn is_scout(&self) -> bool {
-        let scouts = self.scouts(Moment::now());
-        scouts.iter().any(|peer| peer.host == self.cfg.place.host)
+        self.is_among(&self.scouts(Moment::now()))
+    }
+
+    fn is_among(&self, peers: &[Peer]) -> bool {
+        peers.iter().any(|peer| peer.host == self.cfg.place.host)
     }
 
     /// Hosts of this data centre that follow the store for the others.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -31,7 +31,6 @@
 use super::refusal::Refusal;
 use super::refusal::Result;
 use super::routes::Customer;
-use super::routes::KeyHash;
 use super::routes::Route;
 use crate::connection::headers;
 use crate::connection::platform::Platform;
@@ -74,19 +73,16 @@
         let received = Moment::now();
         let cx = &self.0;
         let (head, body) = req.into_parts();
-        let meta = ingress::read(&head);
-        let id = meta.as_ref().ok().map(|meta| meta.id.clone());
-        let program = meta.as_ref().ok().and_then(|meta| meta.program.clone());
-        let key = meta.as_ref().ok().and_then(|meta| meta.key);
-        let answer = match meta {
-            Ok(meta) => serve(cx, received, &head, meta, body).await,
-            Err(refusal) => Err(refusal),
+        let meta = ingress::read(&head).map(Arc::new);
+        let answer = match &meta {
+            Ok(meta) => serve(cx, received, &head, Arc::clone(meta), body).await,
+            Err(refusal) => Err(refusal.clone()),
         };
         let mut response = answer.unwrap_or_else(|refusal| {
-            let program = program.as_ref().map(|program| &*program.id);
-            log_refused(cx, id.as_deref(), key.as_ref(), program, &refusal, received);
+            let meta = meta.as_deref().ok();
+            log_refused(cx, meta, &refusal, received);
             cx.metrics.refused(&refusal);
-            ingress::refusal(&refusal, id.as_deref())
+            ingress::refusal(&refusal, meta.map(|meta| &*meta.id))
         });
         if cx.is_draining() {
             let close = HeaderValue::from_static("close");
@@ -98,18 +94,18 @@
 
 fn log_refused<P: Platform>(
     cx: &Gateway<P>,
-    request: Option<&str>,
-    key: Option<&KeyHash>,
-    program: Option<&str>,
+    meta: Option<&CallMeta>,
     refusal: &Refusal,
     received: Moment,
 ) {
     let in_force = cx.in_force.load();
+    let key = meta.and_then(|meta| meta.key.as_ref());
     let customer = key.and_then(|key| in_force.table.customer(key));
+    let program = meta.and_then(|meta| meta.program.as_ref());
     let line = RefusedLine {
-        request,
+        request: meta.map(|meta| &*meta.id),
         customer: customer.map(|customer| &*customer.name),
-        program,
+        program: program.map(|program| &*program.id),
         outcome: refusal.outcome.as_str(),
         why: &refusal.detail,
         configuration: in_force.table.version,
@@ -123,7 +119,7 @@
     cx: &Cx<P>,
     received: Moment,
     head: &request::Parts,
-    meta: CallMeta,
+    meta: Arc<CallMeta>,
     body: Incoming,
 ) -> Result<Response<Body>> {
     let (route, customer) = authorize(cx, head, &meta)?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod call;
+pub mod contact;
 pub mod context;
 pub mod directory;
 pub mod dispatch;
--- a/src/gateway/purse_home.rs
+++ b/src/gateway/purse_home.rs
@@ -15,6 +15,7 @@
 use super::budget::GrantSize;
 use super::budget::Need;
 use super::budget::Record;
+use super::contact;
 use super::context::Cx;
 use super::context::Gateway;
 use super::draws::DrawReply;
@@ -24,7 +25,6 @@
 use super::draws::PutBackRequest;
 use super::exchange;
 use super::exchange::HAND_OVER_METHOD;
-use super::register;
 use super::roster::Home;
 use super::roster::Peer;
 use crate::connection::platform;
@@ -141,7 +141,7 @@
                 return Err(DrawReply::Spent);
             }
             Err(e) => {
-                register::doubt_store(cx);
+                contact::doubt_store(cx);
                 return Err(DrawReply::Unavailable(e.to_string()));
             }
         }
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -1,6 +1,5 @@
 //! What this host believes, taken up from the store and from other hosts.
 
-use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +11,6 @@
 use super::context::InForce;
 use super::directory::Endpoint;
 use super::directory::ToldEndpoint;
-use super::follow::Follower;
 use super::hosts;
 use super::roster;
 use super::roster::HostEntry;
@@ -20,7 +18,6 @@
 use crate::connection::platform::Changes;
 use crate::connection::platform::Object;
 use crate::connection::platform::Platform;
-use crate::connection::platform::PlatformError;
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::platform::kinds;
@@ -28,13 +25,6 @@
 use crate::platform::routes;
 use crate::units::Moment;
 
-/// Pause between two probes of a store that does not answer, by a host that
-/// follows it for others.
-const PROBE_PERIOD: Duration = Duration::from_millis(400);
-/// The same by another host, which hears of the store's return.
-const FOLLOWER_PROBE_PERIOD: Duration = Duration::from_millis(1600);
-/// Pause between two looks at whether the store's return was heard of.
-const HEARD_PERIOD: Duration = Duration::from_millis(50);
 /// Pauses after a change, in which further ones gather: each saves a call to
 /// the store. They are small parts of the time in which changes must be in
 /// force.
@@ -59,11 +49,6 @@
     changed: Vec<String>,
 }
 
-#[derive(Serialize)]
-struct StoreLine<'a> {
-    why: &'a str,
-}
-
 /// Source of what the store itself told.
 const FROM_STORE: &str = "store";
 
@@ -156,59 +141,6 @@
     cx.log.state("endpoints-changed", &line);
 }
 
-fn store_lost<P: Platform>(cx: &Gateway<P>, error: &PlatformError) {
-    if cx.contact.set(false) {
-        let why = error.to_string();
-        cx.log.state("store-lost", &StoreLine { why: &why });
-    }
-}
-
-fn store_regained<P: Platform>(cx: &Gateway<P>) {
-    if cx.contact.set(true) {
-        let mut listed = cx.listed.lock();
-        let grace = cx.cfg.lapse_grace;
-        listed.directory.store_regained(Moment::now(), grace);
-        cx.log.state("store-reached", &StoreLine { why: "" });
-    }
-}
-
-/// Finds out whether the store answers this host, after a call without an
-/// answer. A watch that waits would show it only much later.
-pub fn doubt_store<P: Platform>(cx: &Cx<P>) {
-    if cx.contact.begin_probe() {
-        cx.spawner.detach(probe(Arc::clone(cx)));
-    }
-}
-
-async fn probe<P: Platform>(cx: Cx<P>) {
-    loop {
-        let started = Moment::now();
-        match cx.store.read(kinds::CONFIGURATION, kinds::CURRENT).await {
-            Ok(object) => {
-                store_regained(&cx);
-                cx.contact.end_probe();
-                OperatorsConfiguration::take(&cx, object.as_slice());
-                return;
-            }
-            Err(e) => store_lost(&cx, &e),
-        }
-        until_next_probe(&cx, started).await;
-    }
-}
-
-/// Waits for the time of the next probe, or until a scout tells that the store
-/// answered it after the last one.
-async fn until_next_probe<P: Platform>(cx: &Gateway<P>, last: Moment) {
-    let period = match cx.is_scout() {
-        true => PROBE_PERIOD,
-        false => FOLLOWER_PROBE_PERIOD,
-    };
-    let next = Moment::now() + period;
-    while Moment::now() < next && !cx.scouting.heard_since(last) {
-        Timer::after(HEARD_PERIOD).await;
-    }
-}
-
 /// What a kind of objects means to this host.
 pub trait Subject: Send + Sync + 'static {
     /// Pause after a change, in which further ones gather.
@@ -221,60 +153,13 @@
     fn changed<P: Platform>(cx: &Cx<P>, changes: Changes);
 }
 
-/// Follows a kind of objects while this host follows the store.
-#[derive(Debug)]
-pub struct StoreFollower<P, S> {
-    cx: Cx<P>,
-    subject: PhantomData<fn() -> S>,
-}
-
-impl<P, S> StoreFollower<P, S> {
-    /// A follower for a host.
-    pub fn new(cx: &Cx<P>) -> Self {
-        Self {
-            cx: Arc::clone(cx),
-            subject: PhantomData,
-        }
-    }
-}
-
-impl<P: Platform, S: Subject> Follower for StoreFollower<P, S> {
-    async fn listed(&self, listed: Changes) {
-        S::listed(&self.cx, listed);
-    }
-
-    async fn changed(&self, changes: Changes) {
-        S::changed(&self.cx, changes);
-    }
-
-    fn lost(&self, error: &PlatformError) {
-        store_lost(&self.cx, error);
-        doubt_store(&self.cx);
-    }
-
-    fn regained(&self) {
-        store_regained(&self.cx);
-    }
-
-    fn is_reachable(&self) -> bool {
-        self.cx.contact.is_up()
-    }
-
-    fn is_wanted(&self) -> bool {
-        self.cx.follows_store()
-    }
-
-    fn pause(&self) -> Duration {
-        S::PAUSE
-    }
-}
-
 /// The operators' configuration.
 #[derive(Debug)]
 pub struct OperatorsConfiguration;
 
 impl OperatorsConfiguration {
-    fn take<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
+    /// Takes up the configuration among objects of its kind.
+    pub(super) fn take<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
         for object in objects.iter().filter(|o| o.name == kinds::CURRENT) {
             match std::str::from_utf8(&object.value) {
                 Ok(text) => take_configuration(cx, text, FROM_STORE),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -82,6 +82,7 @@
     *response.status_mut() = open.head.status;
     *response.headers_mut() = headers;
     let relay = Relay {
+        tokens_per_event: tokens_per_event(cx, &call.service),
         cx: Arc::clone(cx),
         call,
         reservation,
@@ -95,6 +96,12 @@
     response
 }
 
+fn tokens_per_event<P>(cx: &Gateway<P>, service: &str) -> u64 {
+    let in_force = cx.in_force.load();
+    let engine = in_force.table.service(service).and_then(|spec| spec.engine);
+    engine.map_or(0, |engine| engine.tokens_per_event)
+}
+
 /// Why a stage of a stream ended.
 enum End {
     /// The stream is whole.
@@ -113,6 +120,9 @@
     cx: Cx<P>,
     call: Arc<Call>,
     reservation: Option<Reservation<P>>,
+    /// Tokens that count against the budget with each event; 0 if the service
+    /// generates none.
+    tokens_per_event: u64,
     splitter: Splitter,
     last_event: Option<u64>,
     events: u64,
@@ -226,13 +236,9 @@
         self.events += 1;
         self.first
             .get_or_insert_with(|| Moment::now().since(self.call.received));
-        let in_force = self.cx.in_force.load();
-        let spec = in_force.table.service(&self.call.service);
-        let engine = spec.and_then(|spec| spec.engine);
-        match (self.reservation.as_mut(), engine) {
-            (Some(reservation), Some(engine)) => reservation.hand(engine.tokens_per_event),
-            _ => true,
-        }
+        let tokens = self.tokens_per_event;
+        let reservation = self.reservation.as_mut();
+        reservation.is_none_or(|reservation| reservation.hand(tokens))
     }
 
     /// Opens the rest of the stream after the last event that was passed on.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -28,10 +28,15 @@
 use serde::Serialize;
 
 use super::accounts::Accounts;
+use super::contact::OutsideContact;
+use super::contact::Scouting;
+use super::contact::StoreContact;
+use super::contact::StoreFollower;
 use super::context::Cx;
 use super::context::Gateway;
+use super::context::Held;
 use super::context::InForce;
-use super::context::StoreContact;
+use super::context::Pools;
 use super::entry::CallerPort;
 use super::exchange;
 use super::follow;
@@ -46,7 +51,6 @@
 use super::register::ListedEndpoints;
 use super::register::ListedHosts;
 use super::register::OperatorsConfiguration;
-use super::register::StoreFollower;
 use super::roster;
 use super::roster::Roster;
 use super::routes::CallerLimits;
@@ -197,15 +201,15 @@
         peers: HttpPeers::new(control, no_secret, PeerConfig::default()),
         in_force: ArcSwap::from_pointee(InForce::default()),
         listed: Mutex::default(),
-        pools: super::context::Pools::default(),
+        pools: Pools::default(),
         roster: Mutex::new(roster),
         rates: Rates::new(now),
         accounts: Accounts::default(),
-        held: super::context::Held::default(),
+        held: Held::default(),
         isolated: IsolatedPurses::default(),
         spent: SpentPrograms::default(),
-        scouting: super::context::Scouting::default(),
-        outside: super::context::OutsideContact::default(),
+        scouting: Scouting::default(),
+        outside: OutsideContact::default(),
         is_draining: false.into(),
         log: EventLog::start(cfg.place.host.as_str(), cfg.log_lines_per_s),
         spawner,
