Probe on if the store is lost again while its probe ends

Those that follow the store wait for the probe since the outage's probes were joined. A call that failed between the probe's answer and its end found a probe under way, began none, and nothing would have called the store again. Found by reading; the test has the order of these steps.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -60,9 +60,11 @@
         !self.is_probed.swap(true, Ordering::AcqRel)
     }
 
-    /// Ends a probe.
-    pub fn end_probe(&self) {
-        self.is_probed.store(false, Ordering::Release);
+    /// Ends a probe; true if it has to go on, since another call failed
+    /// meanwhile and began none.
+    pub fn end_probe(&self) -> bool {
+        self.is_probed.swap(false, Ordering::AcqRel);
+        !self.is_up() && self.begin_probe()
     }
 
     /// Notes the outcome of a call; true if it differs from the one before.
@@ -144,9 +146,10 @@
         match cx.store.read(kinds::CONFIGURATION, kinds::CURRENT).await {
             Ok(object) => {
                 store_regained(&cx);
-                cx.contact.end_probe();
                 OperatorsConfiguration::take(&cx, object.as_slice());
-                return;
+                if !cx.contact.end_probe() {
+                    return;
+                }
             }
             Err(e) => store_lost(&cx, &e),
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod begun_programs_first;
 mod budget;
 mod configuration;
+mod contact;
 mod cut_off_data_centre;
 mod directory;
 mod engines_replaced;
