Stop using an endpoint once it announces its shutdown in an answer

An endpoint that shuts down sends server-leaving: 1 in all its answers. The gateway ignored the header: until the list of endpoints showed the endpoint as draining or gone, new requests went on to it, and a host that cannot reach the store may never see that. The notice now ends the use of that process of the endpoint at once. It is kept by id and start time, apart from the list, so that neither an entry that returns nor a stale list of another host ends it.

Stand-ins send the header. Ruled out: a state of the listed entry, which is lost when the entry is removed and comes back.

Counter departures and log line endpoint-leaving.

--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -29,6 +29,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const TENANT: HeaderName = HeaderName::from_static("tenant");
+/// Sent with the value `1` in all answers of an endpoint that is shutting down.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Maximum body size of a request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -49,6 +51,10 @@
     pub refused_requests: u32,
     /// Number of upcoming answers that carry another request's id.
     pub mismatched_answers: u32,
+    /// Number of upcoming requests that run and are answered with 500.
+    pub failed_requests: u32,
+    /// Whether answers announce that the endpoint is shutting down.
+    pub is_leaving: bool,
 }
 
 /// A request executed by an endpoint.
@@ -69,6 +75,7 @@
     id: String,
     behaviour: Behaviour,
     runs: Vec<Run>,
+    answers: u64,
     sent_events: u64,
 }
 
@@ -95,6 +102,7 @@
             id: id.to_owned(),
             behaviour,
             runs: Vec::new(),
+            answers: 0,
             sent_events: 0,
         }));
         let api = Api {
@@ -120,6 +128,11 @@
         self.state.lock().runs.clone()
     }
 
+    /// Returns the number of answers, including refusals.
+    pub fn answers(&self) -> u64 {
+        self.state.lock().answers
+    }
+
     /// Returns the number of complete events sent in all streams.
     pub fn sent_events(&self) -> u64 {
         self.state.lock().sent_events
@@ -136,6 +149,7 @@
 enum Outcome {
     Answered { is_mismatched: bool },
     Broken,
+    Failed,
     Lost,
     WrongInstance,
     Refused,
@@ -147,7 +161,23 @@
         // Endpoints read the whole request before they answer.
         let _received = Body::collect(body, MAX_BODY_BYTES).await;
         let (outcome, behaviour) = self.decide_outcome(&head.headers);
-        let id = header_text(&head.headers, &REQUEST_ID).unwrap_or_default();
+        let mut response = self.answer(&head.headers, outcome, behaviour).await;
+        if behaviour.is_leaving {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(SERVER_LEAVING, value);
+        }
+        response
+    }
+}
+
+impl Api {
+    async fn answer(
+        &self,
+        headers: &HeaderMap,
+        outcome: Outcome,
+        behaviour: Behaviour,
+    ) -> Response<Body> {
+        let id = header_text(headers, &REQUEST_ID).unwrap_or_default();
         match outcome {
             Outcome::WrongInstance => empty_response(StatusCode::MISDIRECTED_REQUEST),
             Outcome::Refused => {
@@ -168,13 +198,18 @@
             }
             Outcome::Answered { .. } | Outcome::Broken if behaviour.events > 0 => {
                 let (tx, body) = Body::channel(4);
-                let after = header_text(&head.headers, &LAST_EVENT_ID).and_then(|t| t.parse().ok());
+                let after = header_text(headers, &LAST_EVENT_ID).and_then(|t| t.parse().ok());
                 let is_broken = matches!(outcome, Outcome::Broken);
                 let state = Arc::clone(&self.state);
                 let events = send_events(state, tx, behaviour, after.unwrap_or(0), is_broken);
                 self.spawner.detach(events);
                 sign(Response::new(body), &id)
             }
+            Outcome::Failed => {
+                let mut response = sign(Response::new(Body::from("failed")), &id);
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }
             Outcome::Broken
             | Outcome::Answered {
                 is_mismatched: false,
@@ -187,11 +222,10 @@
             } => sign(Response::new(Body::from("other")), "another-request"),
         }
     }
-}
 
-impl Api {
     fn decide_outcome(&self, headers: &HeaderMap) -> (Outcome, Behaviour) {
         let mut state = self.state.lock();
+        state.answers += 1;
         let behaviour = state.behaviour;
         if header_text(headers, &EXPECT_INSTANCE).is_some_and(|id| id != state.id) {
             return (Outcome::WrongInstance, behaviour);
@@ -204,6 +238,8 @@
             Outcome::Lost
         } else if consume_one(&mut remaining.broken_streams) {
             Outcome::Broken
+        } else if consume_one(&mut remaining.failed_requests) {
+            Outcome::Failed
         } else {
             let is_mismatched = consume_one(&mut remaining.mismatched_answers);
             Outcome::Answered { is_mismatched }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,11 +11,13 @@
 use http::response;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::Serialize;
 
 use super::call::CallMeta;
 use super::call::Urgency;
 use super::context::Gateway;
 use super::directory::Endpoint;
+use super::directory::EndpointState;
 use super::placing::AttemptEnd;
 use super::placing::Placement;
 use super::placing::Pool;
@@ -27,6 +29,15 @@
 use crate::platform::endpoints::Verdict;
 use crate::units::Moment;
 
+#[derive(Serialize)]
+struct DepartureLine<'a> {
+    endpoint: &'a str,
+    service: &'a str,
+    /// Whether the list of endpoints still showed it as ready when the request
+    /// was sent.
+    is_listed_ready: bool,
+}
+
 /// An authorized request of a caller.
 #[derive(Debug)]
 pub struct Call {
@@ -161,7 +172,7 @@
         _ => cx.client.send(to, req, time_left).await,
     };
     match sent {
-        Ok(response) => classify_answer(call, placement, response),
+        Ok(response) => classify_answer(cx, call, placement, response),
         Err(e) if e.is_not_sent() => AttemptResult::NotRun {
             why: e.to_string(),
             is_full: false,
@@ -177,7 +188,8 @@
 /// Minimum timeout that is sent to an endpoint.
 const MIN_ENDPOINT_TIMEOUT: Duration = Duration::from_millis(1);
 
-fn classify_answer(
+fn classify_answer<P: Platform>(
+    cx: &Gateway<P>,
     call: &Call,
     placement: &PlacementGuard,
     response: Response<Incoming>,
@@ -187,6 +199,16 @@
     if verdict != Verdict::Mismatched {
         record_load(placement, &head);
     }
+    // Another endpoint's answer says nothing about the one that was called.
+    let is_other_endpoint = matches!(
+        verdict,
+        Verdict::NotRun {
+            is_other_endpoint: true
+        }
+    );
+    if !is_other_endpoint && endpoints::is_leaving(&head) {
+        record_departure(cx, placement);
+    }
     match verdict {
         Verdict::Answer => AttemptResult::Answered(Box::new(Response::from_parts(head, body))),
         Verdict::NotRun { is_other_endpoint } => AttemptResult::NotRun {
@@ -209,6 +231,23 @@
     }
 }
 
+fn record_departure<P: Platform>(cx: &Gateway<P>, placement: &PlacementGuard) {
+    let endpoint = placement.endpoint();
+    let is_new = placement
+        .pool
+        .lock()
+        .record_departure(endpoint, Moment::now());
+    if is_new {
+        cx.metrics.departures.inc();
+        let line = DepartureLine {
+            endpoint: &endpoint.id,
+            service: &endpoint.service,
+            is_listed_ready: endpoint.state == EndpointState::Ready,
+        };
+        cx.log.state("endpoint-leaving", &line);
+    }
+}
+
 /// Reads a complete body of at most `max_bytes` bytes.
 ///
 /// # Errors
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -228,6 +228,7 @@
         parts: &parts,
         excluded,
         only,
+        received: call.received,
         is_isolated: cx.is_isolated(),
     };
     let local = cx.cfg.place.data_centre.as_str();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -66,6 +66,8 @@
     pub borrowed: Counter,
     /// Budget grants taken from the store.
     pub grants: Counter,
+    /// Endpoints that gave notice of their shutdown in an answer.
+    pub departures: Counter,
     duration: Histogram,
 }
 
@@ -81,6 +83,7 @@
             resumed: Counter::default(),
             borrowed: Counter::default(),
             grants: Counter::default(),
+            departures: Counter::default(),
             duration: Histogram::new(buckets),
         };
         metrics.register(StoreCalls(Arc::clone(store)));
@@ -111,6 +114,11 @@
             "Budget grants taken from the store",
             self.grants.clone(),
         );
+        r.register(
+            "departures",
+            "Endpoints that announced their shutdown in an answer",
+            self.departures.clone(),
+        );
         r.register_with_unit(
             "request",
             "Time from receipt to the end of the answer",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod call;
 pub mod contact;
 pub mod context;
+pub mod departures;
 pub mod directory;
 pub mod dispatch;
 pub mod draw_messages;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::departures::Departures;
 use super::directory::Endpoint;
 use super::directory::EndpointState;
 use super::load_curve::LoadCurve;
@@ -99,6 +100,9 @@
     pub excluded: &'a [Box<str>],
     /// The only endpoint that may be chosen, even if it is draining.
     pub only: Option<&'a str>,
+    /// When the call was received. A call that came after the endpoint gave
+    /// notice of its shutdown may not use it, not even as the only one.
+    pub received: Moment,
     /// Whether endpoints in other data centres are unreachable.
     pub is_isolated: bool,
 }
@@ -197,6 +201,8 @@
     curve: LoadCurve,
     /// Mean number of other hosts' requests per endpoint, by data centre.
     mean_load: HashMap<Box<str>, f64>,
+    /// Endpoints that have given notice of their shutdown.
+    departures: Departures,
     /// Breaks ties between endpoints of equal cost.
     rng: ChaCha8Rng,
 }
@@ -214,6 +220,7 @@
             members: BTreeMap::new(),
             curve: LoadCurve::new(INITIAL_CALL_MS, DEFAULT_LOAD_GROWTH),
             mean_load: HashMap::new(),
+            departures: Departures::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -253,11 +260,19 @@
             now,
         };
         let rng = &mut self.rng;
+        let departures = &self.departures;
         let usable = self.members.values_mut().filter(|member| {
-            let id = &member.endpoint.id;
+            let endpoint = &member.endpoint;
             match criteria.only {
-                Some(only) => **id == *only,
-                None => member.is_ready() && !criteria.excluded.contains(id),
+                Some(only) => {
+                    *endpoint.id == *only
+                        && !departures.has_left_before(endpoint, criteria.received)
+                }
+                None => {
+                    member.is_ready()
+                        && !departures.has_left(endpoint)
+                        && !criteria.excluded.contains(&endpoint.id)
+                }
             }
         });
         // Random noise spreads calls over endpoints of equal cost.
@@ -324,6 +339,13 @@
         }
     }
 
+    /// Records that an endpoint gave notice of its shutdown. Returns `false` if
+    /// it already had. From then on only calls that were received before, and
+    /// for which it is the only endpoint, are placed there.
+    pub fn record_departure(&mut self, endpoint: &Endpoint, now: Moment) -> bool {
+        self.departures.record(endpoint, now)
+    }
+
     /// Whether an endpoint is listed, even if it is draining.
     pub fn contains(&self, id: &str) -> bool {
         self.members.contains_key(id)
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -32,6 +32,9 @@
 /// Numbers of running requests, waiting requests and slots, comma-separated.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 
+/// `1` in all answers of an endpoint that is shutting down.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// One attempt to run a request at an endpoint.
 #[derive(Clone, Debug)]
 pub struct Attempt<'a> {
@@ -130,6 +133,12 @@
     })
 }
 
+/// Whether the endpoint announces in an answer that it is shutting down.
+pub fn is_leaving(head: &response::Parts) -> bool {
+    let values = head.headers.get_all(SERVER_LEAVING);
+    values.iter().any(|value| value.as_bytes() == b"1")
+}
+
 /// Returns the headers of an endpoint's answer to forward to the caller.
 pub fn answer_headers(head: &response::Parts) -> HeaderMap {
     let mut headers = end_to_end(&head.headers);
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod fleet;
+mod leaving;
 mod shutdown;
 mod store;
 mod streams;
--- a/tests/gateway_processes/shutdown.rs
+++ b/tests/gateway_processes/shutdown.rs
@@ -19,6 +19,8 @@
     broken_streams: 0,
     refused_requests: 0,
     mismatched_answers: 0,
+    failed_requests: 0,
+    is_leaving: false,
 };
 
 #[test]
--- a/tests/gateway_processes/streams.rs
+++ b/tests/gateway_processes/streams.rs
@@ -13,6 +13,8 @@
     broken_streams: 0,
     refused_requests: 0,
     mismatched_answers: 0,
+    failed_requests: 0,
+    is_leaving: false,
 };
 
 fn complete_stream() -> String {
