Tell hosts where a program's sessions last ran

The home host of a program now keeps the engine of each session and names it when a host draws tokens for a turn; a host reports a move to the home.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -14,6 +14,7 @@
 use super::budget::Account;
 use super::budget::Balance;
 use super::context::Gateway;
+use super::lines::LineLocations;
 use super::roster;
 use super::roster::Founders;
 use super::roster::Peer;
@@ -44,6 +45,9 @@
     /// Held while tokens are drawn, so that one draw serves all waiting turns.
     pub(super) draw_lock: Arc<async_lock::Mutex<()>>,
     pub(super) last_used: Moment,
+    /// Where the program's sessions run, as far as this host knows; complete at
+    /// the program's home.
+    pub(super) lines: LineLocations,
 }
 
 /// Accounts and balances of all programs at this host.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -16,6 +16,7 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::Endpoint;
+use super::lines;
 use super::placing::AttemptEnd;
 use super::placing::Criteria;
 use super::refusal::Outcome;
@@ -88,6 +89,7 @@
                 match receive_answer(cx, &call, placement, *response).await {
                     ReceivedAnswer::Complete(response) => return Ok(response),
                     ReceivedAnswer::Stream(open) => {
+                        lines::report(cx, &call, &open.placement.endpoint().id);
                         return Ok(relay::start(cx, call, open, reservation));
                     }
                     ReceivedAnswer::Broken { why, endpoint } => {
--- a/src/gateway/draw_messages.rs
+++ b/src/gateway/draw_messages.rs
@@ -17,6 +17,9 @@
     /// Whether the sender waits while the home host obtains a grant from the
     /// store.
     pub may_wait: bool,
+    /// Key of the turn's session; 0 if there is no turn.
+    #[serde(default)]
+    pub session: u64,
 }
 
 /// Reply to a draw.
@@ -28,6 +31,9 @@
         is_ample: bool,
         /// Whether the home host held no balance for the program before.
         is_new: bool,
+        /// Ids of the engines that are likely to cache the session's prompt.
+        #[serde(default)]
+        cached_at: Vec<String>,
     },
     /// The balance needs a grant from the store first. Sent only if `may_wait`
     /// is false.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -24,6 +24,7 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::dispatch;
+use super::lines;
 use super::quota::ProgramStage;
 use super::rate;
 use super::refusal::Outcome;
@@ -150,6 +151,9 @@
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
     let reservation = reserve(cx, &call).await?;
+    if let Some(reservation) = &reservation {
+        lines::expect_cached(cx, &call, &reservation.cached_at);
+    }
     let stage = match &reservation {
         Some(reservation) if reservation.is_first_turn => ProgramStage::New,
         _ => ProgramStage::Started,
@@ -177,7 +181,8 @@
     let Some(budget) = program.budget else {
         return Ok(None);
     };
-    reservation::reserve(cx, &program.id, budget, prompt.max_output)
+    let session = lines::session_key(program);
+    reservation::reserve(cx, &program.id, budget, prompt.max_output, session)
         .await
         .map(Some)
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -27,6 +27,8 @@
 use super::draw_messages::PutBackRequest;
 use super::home_balance;
 use super::isolation;
+use super::lines;
+use super::lines::LineReport;
 use super::rate;
 use super::rate::BorrowRequest;
 use super::roster::HostEntry;
@@ -48,6 +50,8 @@
 pub const DRAW_ISOLATED_METHOD: &str = "gateway.draw_isolated";
 /// Hands balances over to the host that is their home now.
 pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
+/// Reports where a session of a program runs.
+pub const LINE_METHOD: &str = "gateway.line";
 /// Borrows rate tokens.
 pub const BORROW_METHOD: &str = "gateway.borrow";
 
@@ -118,6 +122,11 @@
         home_balance::return_to_balance(cx, &req);
         Ok::<_, ErrorObjectOwned>(())
     })?;
+    module.register_method(LINE_METHOD, |params, cx, _| {
+        let report: LineReport = params.one()?;
+        lines::receive_report(cx, &report);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
     module.register_method(HAND_OVER_METHOD, |params, cx, _| {
         let req: HandOverRequest = params.one()?;
         home_balance::receive_balances(cx, req);
--- a/src/gateway/home_balance.rs
+++ b/src/gateway/home_balance.rs
@@ -87,11 +87,15 @@
     req: &DrawRequest,
     is_new: bool,
 ) -> DrawReply {
-    let is_ample = cx.accounts.with_account(program, |account| {
+    cx.accounts.with_account(program, |account| {
         let balance = account.balance.as_ref();
-        balance.is_some_and(|balance| balance.is_ample(req.turn))
-    });
-    DrawReply::Drawn { is_ample, is_new }
+        let candidates = account.lines.candidates(req.session);
+        DrawReply::Drawn {
+            is_ample: balance.is_some_and(|balance| balance.is_ample(req.turn)),
+            is_new,
+            cached_at: candidates.into_iter().map(ToOwned::to_owned).collect(),
+        }
+    })
 }
 
 /// Draws from the balance; the error is the number of missing tokens.
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -79,6 +79,7 @@
             wanted: issued.tokens,
             turn: issued.tokens,
             may_wait: false,
+            session: 0,
         };
         issued.into_iter().map(draw).collect()
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod home_balance;
 pub mod hosts;
 pub mod isolation;
+pub mod lines;
 pub mod load_curve;
 pub mod metrics;
 pub mod placing;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -339,6 +339,14 @@
         }
     }
 
+    /// Counts the parts of a prompt as cached at an endpoint, as another host
+    /// reports.
+    pub fn expect_cached(&mut self, id: &str, parts: &[PromptPart], now: Moment) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.prefixes.record_prompt(parts, now);
+        }
+    }
+
     /// Records that an endpoint gave notice of its shutdown. Returns `false` if
     /// it already had. From then on only calls that were received before, and
     /// for which it is the only endpoint, are placed there.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,7 @@
 use super::context::Gateway;
 use super::dispatch;
 use super::event_stream::Splitter;
+use super::lines;
 use super::placing::AttemptEnd;
 use super::reservation::Reservation;
 use super::routes::RouteKind;
@@ -264,6 +265,7 @@
             match future::or(result, disconnected).await {
                 AttemptResult::Answered(response) if response.status().is_success() => {
                     self.cx.metrics.resumed.inc();
+                    lines::report(&self.cx, &self.call, &placement.endpoint().id);
                     return Some((response.into_body(), placement));
                 }
                 AttemptResult::TimedOut => return None,
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -6,6 +6,7 @@
 
 use super::budget::Balance;
 use super::context::Cx;
+use super::context::Gateway;
 use super::draw_messages::DrawReply;
 use super::draw_messages::DrawRequest;
 use super::draw_messages::PutBackRequest;
@@ -38,6 +39,9 @@
     /// Whether this is the program's first turn, as far as its home host can
     /// tell.
     pub is_first_turn: bool,
+    /// Ids of the engines that are likely to cache the turn's prompt, if the
+    /// program's home host has named any.
+    pub cached_at: Vec<String>,
 }
 
 impl<P: Platform> Drop for Reservation<P> {
@@ -90,24 +94,34 @@
     program: &str,
     budget: u64,
     turn: u64,
+    session: u64,
 ) -> Result<Reservation<P>> {
     let program: Arc<str> = program.into();
-    let reservation = |reserved, is_first_turn| Reservation {
+    let reservation = |reserved, is_first_turn, cached_at| Reservation {
         cx: Arc::clone(cx),
         program: Arc::clone(&program),
         reserved,
         sent: 0,
         is_first_turn,
+        cached_at,
     };
     if cx.accounts.reserve(&program, turn).is_ok() {
-        return Ok(reservation(turn, false));
+        return Ok(reservation(
+            turn,
+            false,
+            own_locations(cx, &program, session),
+        ));
     }
     let draw_lock = cx
         .accounts
         .with_account(&program, |a| Arc::clone(&a.draw_lock));
     let _draw_guard = draw_lock.lock().await;
     let Err(wanted) = cx.accounts.reserve(&program, turn) else {
-        return Ok(reservation(turn, false));
+        return Ok(reservation(
+            turn,
+            false,
+            own_locations(cx, &program, session),
+        ));
     };
     let req = DrawRequest {
         program: program.to_string(),
@@ -115,6 +129,7 @@
         wanted,
         turn,
         may_wait: false,
+        session,
     };
     let drawn = match draw(cx, &req).await {
         Ok(drawn) => drawn,
@@ -127,7 +142,9 @@
                 account.account.add(given + from_balance);
                 account.account.reserve_remaining(turn)
             });
-            return rest.map(|rest| reservation(rest, false)).ok_or(refusal);
+            return rest
+                .map(|rest| reservation(rest, false, Vec::new()))
+                .ok_or(refusal);
         }
         Err(refusal) => return Err(refusal),
     };
@@ -138,13 +155,25 @@
         account.account.reserve(turn)
     });
     if reserved {
-        Ok(reservation(turn, drawn.is_new))
+        Ok(reservation(turn, drawn.is_new, drawn.cached_at))
     } else {
         let detail = "another turn of the program took the tokens";
         Err(Refusal::not_run(detail, STORE_RETRY_AFTER))
     }
 }
 
+/// Engines that cache a session's prompt, if this host is the program's home.
+/// What another host knows may be older than the session's last move.
+fn own_locations<P: Platform>(cx: &Gateway<P>, program: &Arc<str>, session: u64) -> Vec<String> {
+    cx.accounts.with_account(program, |account| {
+        if account.drawn_from.is_some() {
+            return Vec::new();
+        }
+        let candidates = account.lines.candidates(session);
+        candidates.into_iter().map(ToOwned::to_owned).collect()
+    })
+}
+
 /// Result of a successful draw.
 #[derive(Clone, Debug)]
 pub struct Drawn {
@@ -154,6 +183,8 @@
     pub home: Option<Peer>,
     /// Whether the home host held no balance for the program before the draw.
     pub is_new: bool,
+    /// Ids of the engines that are likely to cache the session's prompt.
+    pub cached_at: Vec<String>,
 }
 
 /// Draws tokens from the program's home host. If none responds, this host acts
@@ -198,10 +229,15 @@
 /// Converts a reply to a draw into the result for the turn.
 fn draw_result(reply: DrawReply, home: Option<Peer>) -> Result<Drawn> {
     match reply {
-        DrawReply::Drawn { is_ample, is_new } => Ok(Drawn {
+        DrawReply::Drawn {
+            is_ample,
+            is_new,
+            cached_at,
+        } => Ok(Drawn {
             is_ample,
             home,
             is_new,
+            cached_at,
         }),
         DrawReply::Spent => Err(Refusal::new(
             Outcome::BudgetSpent,
--- a/tests/gateway/fleet_model.rs
+++ b/tests/gateway/fleet_model.rs
@@ -13,6 +13,7 @@
 
 use chicoryarch::gateway::call::PromptPart;
 use chicoryarch::gateway::directory::Endpoint;
+use chicoryarch::gateway::lines::LineLocations;
 use chicoryarch::gateway::placing::AttemptEnd;
 use chicoryarch::gateway::placing::Criteria;
 use chicoryarch::gateway::placing::Placement;
@@ -81,6 +82,10 @@
     pub(crate) duration_ms: u64,
     /// Deadline of a program, as a multiple of its time on idle engines.
     pub(crate) deadline_factor: f64,
+    /// Share of later turns that arrive at another host, of any data centre.
+    pub(crate) move_share: f64,
+    /// Whether hosts tell each other where sessions run.
+    pub(crate) shares_locations: bool,
 }
 
 impl Default for Traffic {
@@ -95,6 +100,8 @@
             topics: 20,
             duration_ms: 20_000,
             deadline_factor: 2.6,
+            move_share: 0.0,
+            shares_locations: true,
         }
     }
 }
@@ -106,6 +113,8 @@
     pub(crate) in_time: [f64; 2],
     /// Share of turns that ran in another data centre.
     pub(crate) remote_share: f64,
+    /// Prompt tokens that engines prefilled, per turn.
+    pub(crate) prefilled_per_turn: f64,
 }
 
 /// Policy by which hosts choose an engine.
@@ -126,6 +135,7 @@
     started_us: u64,
     turn: usize,
     parts: Vec<PromptPart>,
+    locations: LineLocations,
 }
 
 #[derive(Debug)]
@@ -164,6 +174,8 @@
     scheduled: usize,
     ended: [[u32; 2]; 2],
     turn_counts: [u32; 2],
+    prefilled: u64,
+    rng: ChaCha8Rng,
 }
 
 const DATA_CENTRES: [&str; 2] = ["a", "b"];
@@ -210,6 +222,8 @@
             scheduled: 0,
             ended: [[0; 2]; 2],
             turn_counts: [0; 2],
+            prefilled: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed + 1_000_000),
         }
     }
 
@@ -242,6 +256,7 @@
                     started_us,
                     turn: 0,
                     parts: vec![shared],
+                    locations: LineLocations::default(),
                 });
                 self.schedule(started_us, Event::Turn { program });
             }
@@ -257,14 +272,28 @@
             id: (u64::try_from(index).expect("few") + 1) * 1_000 + program.parts.len() as u64,
             tokens: self.traffic.new_tokens,
         });
+        let has_moved = program.turn > 1 && self.rng.random_bool(self.traffic.move_share);
+        if has_moved {
+            program.host = self.rng.random_range(0..2 * self.traffic.hosts);
+        }
         let host = program.host;
         let parts = program.parts.clone();
         let home = program.home;
-        let placement = self.choose(host, home, &parts, now);
+        if has_moved && self.traffic.shares_locations {
+            let cached = &parts[..parts.len() - 1];
+            for engine in program.locations.candidates(SESSION) {
+                let pool = &mut self.hosts[host].0;
+                pool.expect_cached(engine, cached, at(now / 1_000));
+            }
+        }
+        let placement = self.choose(host, host / self.traffic.hosts, &parts, now);
+        let locations = &mut self.programs[index].locations;
+        locations.record(SESSION, &placement.endpoint.id);
         let engine: usize = placement.endpoint.id.parse().expect("a number");
         self.hosts[host].1[engine] += 1;
         self.turn_counts[usize::from(engine / self.engines.per_data_centre != home)] += 1;
         let prefill_left = self.state[engine].cache_prompt(&parts, now, self.engines.cache_tokens);
+        self.prefilled += prefill_left;
         let run = Run {
             program: index,
             placement,
@@ -383,6 +412,12 @@
         turns * (prefill + decode) + (turns - 1) * PAUSE_US
     }
 
+    #[allow(clippy::cast_precision_loss, reason = "a run has few tokens")]
+    fn prefilled_per_turn(&self) -> f64 {
+        let turns: u32 = self.turn_counts.iter().sum();
+        self.prefilled as f64 / f64::from(turns)
+    }
+
     fn outcome(&self) -> Outcome {
         let in_time = self
             .ended
@@ -391,10 +426,14 @@
         Outcome {
             in_time,
             remote_share: remote / (local + remote),
+            prefilled_per_turn: self.prefilled_per_turn(),
         }
     }
 }
 
+/// Key of the only session of each program.
+const SESSION: u64 = 1;
+
 impl Engine {
     fn load(&self, slots: u32) -> ReportedLoad {
         ReportedLoad {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod fleet_starts_together;
 mod half_the_engines_slow;
 mod ingress;
+mod lines_change_hosts;
 mod load_curve;
 mod membership_random;
 mod metrics_page;
--- a/tests/gateway/one_data_centre_busy.rs
+++ b/tests/gateway/one_data_centre_busy.rs
@@ -23,6 +23,7 @@
     let worst_of = |a: Outcome, b: Outcome| Outcome {
         in_time: [0, 1].map(|n| a.in_time[n].min(b.in_time[n])),
         remote_share: a.remote_share.max(b.remote_share),
+        prefilled_per_turn: a.prefilled_per_turn.max(b.prefilled_per_turn),
     };
     outcomes.reduce(worst_of).expect("at least one seed")
 }
