Keep to a scout that reaches the store

A host now waits for the list of hosts, keeps to the scout that reported last until it fails, and takes a report as valid for 1.5 s. Tests in fleet_starts_together.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -18,6 +18,7 @@
 use crate::connection::platform::Changes;
 use crate::connection::platform::Platform;
 use crate::connection::platform::PlatformError;
+use crate::ids::HostId;
 use crate::platform::kinds;
 use crate::units::Moment;
 
@@ -34,8 +35,9 @@
 const REPORT_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Minimum factor of the random jitter, which spreads the probes of hosts.
 const MIN_JITTER: f64 = 0.8;
-/// Time for which a scout's report is valid.
-const SCOUT_REPORT_TTL: Duration = Duration::from_secs(1);
+/// Time for which a scout's report is valid: a few exchanges of a host that
+/// follows the scouts, some of which go to other hosts.
+const SCOUT_REPORT_TTL: Duration = Duration::from_millis(1500);
 
 #[derive(Serialize)]
 struct StoreLine<'a> {
@@ -103,16 +105,18 @@
 /// Times of the reports from scouts that reach the store; `None` before the
 /// first.
 #[derive(Debug, Default)]
-pub struct ScoutReports(Mutex<Option<ReportTimes>>);
+pub struct ScoutReports(Mutex<Option<ScoutReport>>);
 
-#[derive(Clone, Copy, Debug)]
-struct ReportTimes {
+#[derive(Clone, Debug)]
+struct ScoutReport {
+    /// Scout that sent the last report; `None` once it reports otherwise.
+    from: Option<HostId>,
     last: Moment,
     /// First report after a time without valid ones.
     resumed: Moment,
 }
 
-impl ReportTimes {
+impl ScoutReport {
     fn is_current(&self, now: Moment) -> bool {
         now.since(self.last) < SCOUT_REPORT_TTL
     }
@@ -120,24 +124,44 @@
 
 impl ScoutReports {
     /// Records a report from a scout that reaches the store.
-    pub fn record_report(&self, now: Moment) {
-        let mut times = self.0.lock();
-        let resumed = times
-            .filter(|times| times.is_current(now))
-            .map_or(now, |times| times.resumed);
-        *times = Some(ReportTimes { last: now, resumed });
+    pub fn record_report(&self, from: &HostId, now: Moment) {
+        let mut last = self.0.lock();
+        let resumed = last
+            .as_ref()
+            .filter(|report| report.is_current(now))
+            .map_or(now, |report| report.resumed);
+        *last = Some(ScoutReport {
+            from: Some(from.clone()),
+            last: now,
+            resumed,
+        });
+    }
+
+    /// Records that a host did not answer, or does not reach the store as a
+    /// scout.
+    pub fn record_failure(&self, host: &HostId) {
+        if let Some(report) = &mut *self.0.lock() {
+            report.from.take_if(|from| from == host);
+        }
+    }
+
+    /// Returns the scout that reported last, unless it has failed since.
+    pub fn source(&self) -> Option<HostId> {
+        self.0.lock().as_ref()?.from.clone()
     }
 
     /// Whether the scouts' reports resumed after `since`, which shows that an
     /// outage of the store has ended. A host that the store turns away while it
     /// serves the scouts learns nothing from their reports.
     pub fn resumed_since(&self, since: Moment) -> bool {
-        self.0.lock().is_some_and(|times| times.resumed > since)
+        let report = self.0.lock();
+        report.as_ref().is_some_and(|report| report.resumed > since)
     }
 
     /// Whether the last report is still valid.
     pub fn is_current(&self, now: Moment) -> bool {
-        self.0.lock().is_some_and(|times| times.is_current(now))
+        let report = self.0.lock();
+        report.as_ref().is_some_and(|report| report.is_current(now))
     }
 }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -165,11 +165,13 @@
     pub fn follow_state(&self, is_listed: bool) -> FollowState {
         let now = Moment::now();
         let scouts = self.scouts(now);
+        let knows_hosts = self.roster.lock().version().is_some();
         FollowState {
             age: now.since(self.started),
             list_delay: self.list_delay(),
             scout_wait: self.cfg.scout_wait,
             is_listed,
+            knows_hosts,
             has_scouts: !scouts.is_empty(),
             is_scout: self.is_among(&scouts),
             is_reported: self.scout_reports.is_current(now),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -206,7 +206,13 @@
 /// updates of hosts and spent budgets pass between data centres.
 fn exchange_as_follower<P: Platform>(cx: &Cx<P>) {
     let now = Moment::now();
-    let scout = cx.scouts(now).choose(&mut rand::rng()).cloned();
+    let scouts = cx.scouts(now);
+    // A scout that reaches the store is kept, since others may be out of touch.
+    let source = cx.scout_reports.source();
+    let kept = scouts
+        .iter()
+        .find(|peer| source.as_ref() == Some(&peer.host));
+    let scout = kept.or_else(|| scouts.choose(&mut rand::rng())).cloned();
     let any = || {
         let others = cx.roster.lock().other_hosts(now);
         others.into_iter().next()
@@ -292,6 +298,7 @@
 /// while.
 pub async fn exchange_with_host<P: Platform>(cx: &Cx<P>, peer: &Peer) {
     if exchange_at(cx, peer.address).await.is_none() {
+        cx.scout_reports.record_failure(&peer.host);
         cx.roster.lock().mark_suspect(&peer.host, Moment::now());
     }
 }
@@ -302,8 +309,11 @@
     // On failure, a later round tries again.
     let reply = call.await.ok()?;
     cx.record_message(&reply.known.host);
+    let from = &reply.known.host;
     if reply.known.is_current {
-        cx.scout_reports.record_report(Moment::now());
+        cx.scout_reports.record_report(from, Moment::now());
+    } else {
+        cx.scout_reports.record_failure(from);
     }
     cx.spent.merge(&reply.known.spent, Moment::now());
     if let Some(text) = &reply.configuration {
--- a/src/gateway/following.rs
+++ b/src/gateway/following.rs
@@ -14,6 +14,8 @@
     pub scout_wait: Duration,
     /// Whether it has a list of the objects.
     pub is_listed: bool,
+    /// Whether it has a list of the hosts, from which the scouts follow.
+    pub knows_hosts: bool,
     /// Whether any scout of its data centre is known.
     pub has_scouts: bool,
     /// Whether it is a scout itself.
@@ -34,6 +36,9 @@
             return self.age >= self.list_delay;
         }
         let is_waiting = self.age < self.scout_wait;
+        if !self.knows_hosts && is_waiting {
+            return false;
+        }
         let follows_scouts = self.has_scouts && (self.is_reported || is_waiting);
         self.is_scout || !follows_scouts
     }
--- a/tests/gateway/fleet_starts_together.rs
+++ b/tests/gateway/fleet_starts_together.rs
@@ -9,15 +9,21 @@
 use chicoryarch::gateway::contact::ScoutReports;
 use chicoryarch::gateway::contact::probe_period;
 use chicoryarch::gateway::following::FollowState;
+use chicoryarch::ids::HostId;
 
 use super::support::at;
 
+fn scout(name: &str) -> HostId {
+    name.parse().expect("a valid name")
+}
+
 /// A restarted host that has listed the objects and waits for a scout.
 const LISTED: FollowState = FollowState {
     age: Duration::from_millis(300),
     list_delay: Duration::ZERO,
     scout_wait: Duration::from_millis(2500),
     is_listed: true,
+    knows_hosts: true,
     has_scouts: true,
     is_scout: false,
     is_reported: false,
@@ -55,6 +61,22 @@
     assert!(later.calls_store());
 }
 
+#[test]
+fn a_host_watches_nothing_before_it_knows_the_scouts() {
+    let unknown = FollowState {
+        knows_hosts: false,
+        has_scouts: false,
+        ..LISTED
+    };
+    assert!(!unknown.calls_store());
+    let only_itself = FollowState {
+        has_scouts: true,
+        is_scout: true,
+        ..unknown
+    };
+    assert!(!only_itself.calls_store());
+}
+
 #[test]
 fn a_host_without_a_scouts_report_watches_after_its_wait() {
     let waited = FollowState {
@@ -91,7 +113,7 @@
 fn a_host_that_the_store_turns_away_is_not_hurried_by_scouts_that_it_serves() {
     let reports = ScoutReports::default();
     for ms in (0..3_000).step_by(300) {
-        reports.record_report(at(10_000 + ms));
+        reports.record_report(&scout("s1"), at(10_000 + ms));
     }
     // The host's probe failed while the scouts were served.
     assert!(!reports.resumed_since(at(11_000)));
@@ -100,8 +122,31 @@
 #[test]
 fn the_end_of_an_outage_for_all_hosts_is_passed_on_at_once() {
     let reports = ScoutReports::default();
-    reports.record_report(at(10_000));
-    reports.record_report(at(16_000));
+    reports.record_report(&scout("s1"), at(10_000));
+    reports.record_report(&scout("s1"), at(16_000));
     assert!(reports.resumed_since(at(15_000)));
     assert!(!reports.resumed_since(at(16_000)));
 }
+
+#[test]
+fn a_host_keeps_to_a_scout_that_reaches_the_store() {
+    let reports = ScoutReports::default();
+    assert_eq!(reports.source(), None);
+    reports.record_report(&scout("s1"), at(10_000));
+    // Another scout is cut off from the store; this says nothing about the first.
+    reports.record_failure(&scout("s2"));
+    assert_eq!(reports.source(), Some(scout("s1")));
+    reports.record_failure(&scout("s1"));
+    assert_eq!(reports.source(), None);
+    assert!(reports.is_current(at(10_500)));
+    reports.record_report(&scout("s3"), at(10_600));
+    assert_eq!(reports.source(), Some(scout("s3")));
+}
+
+#[test]
+fn a_report_outlasts_a_few_exchanges_with_other_hosts() {
+    let reports = ScoutReports::default();
+    reports.record_report(&scout("s1"), at(10_000));
+    assert!(reports.is_current(at(11_400)));
+    assert!(!reports.is_current(at(11_600)));
+}
