Borrow no more rate tokens than a request needs

Cause: six hosts refill the rate of a small customer, and its requests arrive at more than a hundred. Each borrowed from two lenders at once, so that one token in two lay idle or was dropped, and 200 ms later fetched another ahead for a customer that it might never see again; only four of six lenders were asked.

A host now asks no more lenders than it wants tokens, up to eight in sequence with those of its data centre first, and borrows ahead only if it expects a request within half a second. Test small_customers_on_many_hosts at 30, 100 and 300 hosts.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -35,6 +35,36 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share(pub f64);
 
+/// Number of lenders that are asked in parallel.
+const BORROW_FANOUT: usize = 2;
+
+/// How many lenders to ask for tokens at the same time, and for how many each.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BorrowPlan {
+    /// Number of lenders.
+    pub lenders: usize,
+    /// Tokens requested from each.
+    pub each: u32,
+}
+
+impl BorrowPlan {
+    /// Plans to borrow `wanted` tokens, at least one, from `available` lenders.
+    ///
+    /// Never more lenders are asked than tokens are wanted: in a large fleet
+    /// most hosts need a single token of a customer, and a second one would lie
+    /// idle there.
+    pub fn new(wanted: u32, available: usize) -> Self {
+        let wanted = wanted.max(1);
+        let most = usize::try_from(wanted).unwrap_or(usize::MAX);
+        let lenders = BORROW_FANOUT.min(most).min(available);
+        let parts = u32::try_from(lenders.max(1)).unwrap_or(1);
+        Self {
+            lenders,
+            each: wanted.div_ceil(parts),
+        }
+    }
+}
+
 /// Token bucket of one customer at this host.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -235,6 +265,24 @@
         bucket.tokens = (bucket.tokens + 1.0).min(capacity);
     }
 
+    /// Returns the number of tokens to borrow before requests need them; 0 if
+    /// the bucket holds enough, or if so few requests come that each can borrow
+    /// its own token.
+    pub fn shortfall_ahead(
+        &mut self,
+        customer: &Arc<str>,
+        rate: Rate,
+        share: Share,
+        now: Moment,
+    ) -> u32 {
+        let bucket = self.bucket(customer, rate, share, now);
+        let expected = bucket.current_demand(now) * LOW_DEMAND_TIME.as_secs_f64();
+        if share.0 <= 0.0 && expected < 1.0 {
+            return 0;
+        }
+        self.shortfall(customer, rate, share, now)
+    }
+
     /// Returns the number of tokens to borrow; 0 if the bucket holds enough.
     pub fn shortfall(&mut self, customer: &Arc<str>, rate: Rate, share: Share, now: Moment) -> u32 {
         let bucket = self.bucket(customer, rate, share, now);
--- a/src/gateway/rate.rs
+++ b/src/gateway/rate.rs
@@ -16,6 +16,7 @@
 use super::exchange;
 use super::exchange::BORROW_METHOD;
 use super::quota::Admission;
+use super::quota::BorrowPlan;
 use super::quota::ProgramStage;
 use super::quota::Quotas;
 use super::quota::Share;
@@ -30,15 +31,14 @@
 use crate::units::Moment;
 
 const SHARDS: usize = 8;
-/// Number of hosts that a request for tokens goes to in parallel.
-const BORROW_FANOUT: usize = 2;
 /// Fraction of the time to its deadline that a request may wait for a token;
 /// the remainder is left for its endpoint.
 const MAX_WAIT_SHARE: f64 = 0.25;
 /// Number of hosts that are tried in sequence to reserve a token ahead of time.
 const MAX_RESERVE_ATTEMPTS: usize = 4;
-/// Number of rounds in which a waiting request borrows from other hosts.
-const MAX_BORROW_ROUNDS: usize = 2;
+/// Number of hosts that a waiting request asks for tokens. A small rate is
+/// refilled by about as many.
+const MAX_LENDERS: usize = 8;
 
 /// Requests rate tokens from another host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -121,8 +121,10 @@
         return Ok(());
     };
     let lenders = lenders(cx, &customer.name, rate);
-    for batch in lenders.chunks(BORROW_FANOUT).take(MAX_BORROW_ROUNDS) {
-        borrow(cx, &customer.name, rate, batch).await;
+    let mut left = &lenders[..lenders.len().min(MAX_LENDERS)];
+    while !left.is_empty() {
+        let asked = borrow(cx, &customer.name, rate, left).await;
+        left = &left[asked..];
         let mut shard = cx.rates.shard(&customer.name).lock();
         if shard.retry_take(&customer.name, rate, share, stage, Moment::now()) {
             return Ok(());
@@ -199,11 +201,10 @@
         let share = current_share(cx, &customer, rate);
         let wanted = {
             let mut shard = cx.rates.shard(&customer).lock();
-            shard.shortfall(&customer, rate, share, Moment::now())
+            shard.shortfall_ahead(&customer, rate, share, Moment::now())
         };
         if wanted > 0 {
-            let mut lenders = lenders(cx, &customer, rate);
-            lenders.truncate(BORROW_FANOUT);
+            let lenders = lenders(cx, &customer, rate);
             borrow(cx, &customer, rate, &lenders).await;
         }
     }
@@ -220,26 +221,33 @@
 }
 
 /// Returns the hosts that may lend tokens, in random order, with responsive
-/// hosts first.
+/// hosts first, and among them those of this data centre.
 fn lenders<P>(cx: &Gateway<P>, customer: &str, rate: Rate) -> Vec<Peer> {
     let key = super::hash_of(customer);
-    cx.roster.lock().lenders(key, rate, Moment::now())
+    let local = &cx.cfg.place.data_centre;
+    cx.roster.lock().lenders(key, rate, local, Moment::now())
 }
 
-/// Borrows tokens from one or two hosts in parallel and adds them to the
-/// bucket.
-async fn borrow<P: Platform>(cx: &Gateway<P>, customer: &Arc<str>, rate: Rate, lenders: &[Peer]) {
+/// Borrows tokens from the first one or two hosts in parallel and adds them to
+/// the bucket. Returns the number of hosts asked.
+async fn borrow<P: Platform>(
+    cx: &Gateway<P>,
+    customer: &Arc<str>,
+    rate: Rate,
+    lenders: &[Peer],
+) -> usize {
     let now = Moment::now();
     let share = current_share(cx, customer, rate);
     let wanted = {
         let mut shard = cx.rates.shard(customer).lock();
-        shard.shortfall(customer, rate, share, now).max(1)
+        shard.shortfall(customer, rate, share, now)
     };
-    let asked = u32::try_from(lenders.len().max(1)).unwrap_or(1);
+    let plan = BorrowPlan::new(wanted, lenders.len());
+    let lenders = &lenders[..plan.lenders];
     let req = BorrowRequest {
         from: cx.cfg.place.host.clone(),
         customer: customer.to_string(),
-        wanted: wanted.div_ceil(asked),
+        wanted: plan.each,
         patience_ms: 0,
     };
     let given = match lenders {
@@ -259,6 +267,7 @@
         let mut shard = cx.rates.shard(customer).lock();
         shard.receive(customer, rate, share, given, Moment::now());
     }
+    lenders.len()
 }
 
 /// Reserves a token of another host's refill; returns the time until it is
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -355,11 +355,18 @@
     }
 
     /// Returns the hosts that may lend tokens of a customer's rate, in random
-    /// order, with responsive hosts first.
-    pub fn lenders(&self, customer: u64, rate: Rate, now: Moment) -> Vec<Peer> {
+    /// order, with responsive hosts first, and among them those of data centre
+    /// `local`.
+    pub fn lenders(&self, customer: u64, rate: Rate, local: &DataCentre, now: Moment) -> Vec<Peer> {
         let holders = self.holders(customer, rate);
         let mut lenders = self.other_hosts(now);
         lenders.retain(|peer| holders.contains(&&peer.host));
+        lenders.sort_by_key(|peer| {
+            let state = self.hosts.get(&peer.host);
+            let is_suspect = state.is_none_or(|state| !state.is_responsive(now));
+            let is_remote = state.is_none_or(|state| state.entry.data_centre != *local);
+            (is_suspect, is_remote)
+        });
         lenders
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,5 +25,6 @@
 mod registry;
 mod roster;
 mod settings;
+mod small_customers_on_many_hosts;
 mod started_programs_first;
 mod support;
