Probe the store before watching it when scouts fall silent

an_outage_causes_few_calls counted 31 and 32 calls of at most 30 once a scout's report was valid for 1.5 s: the two hosts that follow scouts each began three watches of the store that was down, now within the counted seconds, and the jitter of probes shortened their period. In a fleet of hundreds that is three failed calls a host. Such a host now probes once and watches only after an answer; the jitter lengthens the period.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -33,8 +33,8 @@
 /// Interval at which a host that waits for its next probe checks for a scout's
 /// report.
 const REPORT_CHECK_PERIOD: Duration = Duration::from_millis(50);
-/// Minimum factor of the random jitter, which spreads the probes of hosts.
-const MIN_JITTER: f64 = 0.8;
+/// Maximum factor of the random jitter, which spreads the probes of hosts.
+const MAX_JITTER: f64 = 1.25;
 /// Time for which a scout's report is valid: a few exchanges of a host that
 /// follows the scouts, some of which go to other hosts.
 const SCOUT_REPORT_TTL: Duration = Duration::from_millis(1500);
@@ -50,6 +50,7 @@
     is_up: AtomicBool,
     was_ever_up: AtomicBool,
     is_probing: AtomicBool,
+    answered_at: Mutex<Moment>,
 }
 
 impl StoreContact {
@@ -75,11 +76,18 @@
         !self.is_up() && self.begin_probe()
     }
 
+    /// Whether the store has responded after `since`; `true` without a time.
+    pub fn answered_since(&self, since: Option<Moment>) -> bool {
+        let answered_at = *self.answered_at.lock();
+        since.is_none_or(|since| answered_at > since)
+    }
+
     /// Records the outcome of a call; `true` if it differs from the previous
     /// one.
     pub fn record_outcome(&self, is_up: bool) -> bool {
         if is_up {
             self.was_ever_up.store(true, Ordering::Release);
+            *self.answered_at.lock() = Moment::now();
         }
         self.is_up.swap(is_up, Ordering::AcqRel) != is_up
     }
@@ -158,6 +166,13 @@
         report.as_ref().is_some_and(|report| report.resumed > since)
     }
 
+    /// Returns the time up to which the last report is valid; `None` before the
+    /// first.
+    pub fn valid_until(&self) -> Option<Moment> {
+        let report = self.0.lock();
+        report.as_ref().map(|report| report.last + SCOUT_REPORT_TTL)
+    }
+
     /// Whether the last report is still valid.
     pub fn is_current(&self, now: Moment) -> bool {
         let report = self.0.lock();
@@ -231,7 +246,7 @@
 async fn wait_for_next_probe<P: Platform>(cx: &Gateway<P>, last: Moment, failed: u32) {
     let hosts = cx.roster.lock().len();
     let period = probe_period(cx.is_scout(), failed, hosts);
-    let next = Moment::now() + period.mul_f64(rand::random_range(MIN_JITTER..=1.0));
+    let next = Moment::now() + period.mul_f64(rand::random_range(1.0..=MAX_JITTER));
     while Moment::now() < next && !cx.scout_reports.resumed_since(last) {
         Timer::after(REPORT_CHECK_PERIOD).await;
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -175,9 +175,20 @@
             has_scouts: !scouts.is_empty(),
             is_scout: self.is_among(&scouts),
             is_reported: self.scout_reports.is_current(now),
+            is_confirmed: self
+                .store_contact
+                .answered_since(self.scout_reports.valid_until()),
         }
     }
 
+    /// Whether the scouts' reports have ended and the store has not answered
+    /// this host since.
+    pub fn needs_probe(&self) -> bool {
+        let state = self.follow_state(true);
+        let is_waiting = state.age < state.scout_wait;
+        !state.is_reported && !state.is_confirmed && !is_waiting
+    }
+
     /// Age of the process before which it lists no objects in the store.
     fn list_delay(&self) -> Duration {
         match self.cfg.place.first_start {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::contact;
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::SharedEndpoint;
@@ -207,6 +208,9 @@
 fn exchange_as_follower<P: Platform>(cx: &Cx<P>) {
     let now = Moment::now();
     let scouts = cx.scouts(now);
+    if cx.needs_probe() {
+        contact::check_store(cx);
+    }
     // A scout that reaches the store is kept, since others may be out of touch.
     let source = cx.scout_reports.source();
     let kept = scouts
--- a/src/gateway/following.rs
+++ b/src/gateway/following.rs
@@ -22,6 +22,9 @@
     pub is_scout: bool,
     /// Whether a scout has recently reported that it reaches the store.
     pub is_reported: bool,
+    /// Whether the store has answered this host since the scouts' reports
+    /// ended.
+    pub is_confirmed: bool,
 }
 
 impl FollowState {
@@ -30,7 +33,8 @@
     /// Each host lists the objects once, so that it can serve soon after its
     /// start. After that, scouts watch for the others. If every host watched
     /// until it heard from a scout, a start of the whole fleet would report each
-    /// new host to all hosts.
+    /// new host to all hosts. When the scouts' reports end, the host first probes
+    /// the store, which is likely to be down.
     pub fn calls_store(&self) -> bool {
         if !self.is_listed {
             return self.age >= self.list_delay;
@@ -40,6 +44,6 @@
             return false;
         }
         let follows_scouts = self.has_scouts && (self.is_reported || is_waiting);
-        self.is_scout || !follows_scouts
+        self.is_scout || (!follows_scouts && self.is_confirmed)
     }
 }
--- a/tests/gateway/fleet_starts_together.rs
+++ b/tests/gateway/fleet_starts_together.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use chicoryarch::gateway::contact::ScoutReports;
+use chicoryarch::gateway::contact::StoreContact;
 use chicoryarch::gateway::contact::probe_period;
 use chicoryarch::gateway::following::FollowState;
 use chicoryarch::ids::HostId;
+use chicoryarch::units::Moment;
 
 use super::support::at;
 
@@ -27,6 +29,7 @@
     has_scouts: true,
     is_scout: false,
     is_reported: false,
+    is_confirmed: true,
 };
 
 #[test]
@@ -96,6 +99,29 @@
     assert!(no_scouts.calls_store());
 }
 
+#[test]
+fn a_host_watches_only_a_store_that_answers_when_the_scouts_fall_silent() {
+    let lapsed = FollowState {
+        age: Duration::from_secs(60),
+        is_confirmed: false,
+        ..LISTED
+    };
+    assert!(!lapsed.calls_store());
+    let confirmed = FollowState {
+        is_confirmed: true,
+        ..lapsed
+    };
+    assert!(confirmed.calls_store());
+    let contact = StoreContact::default();
+    let start = Moment::now();
+    assert!(contact.answered_since(None));
+    assert!(!contact.answered_since(Some(start)));
+    contact.record_outcome(true);
+    assert!(contact.answered_since(Some(start)));
+    contact.record_outcome(false);
+    assert!(!contact.answered_since(Some(Moment::now())));
+}
+
 #[test]
 fn probes_of_an_unreachable_store_do_not_grow_with_the_fleet() {
     let probes_per_s = |hosts: u32| {
