Wait until all connections are closed before a drained host exits

Cause: at the end of its notice a drain stopped the server and counted the open requests once. A request counts as open only after it has been read. If the worker was busy at that moment (a processor quota, a large configuration), a request could lie unread in the socket of an open connection, or on a connection that was not accepted yet. The count was zero, the drain went on, the worker then read the request and sent it to an endpoint, and the process exited 100 ms later. The count also ended before the last bytes of a response were written to a slow caller.

A drain now waits until the listener and every connection are closed. A connection closes after its current request, or at once if it is idle, and a request that has arrived is read first, so that none can begin afterwards. The drain of a host with partitions (process::drain) had the same fault on its ports for callers and for other hosts.

Ruled out by reading: SIGHUP only reads the settings file; a configuration that changes a route leaves started calls on the route they began with; the time limit of the drain lies within the last sixth of the grace period.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -64,12 +64,14 @@
     }
 }
 
-/// Handle that stops a server and counts its open requests.
+/// Handle that stops a server and counts its open requests and sockets.
 #[derive(Clone, Debug)]
 pub struct ServerControl {
     stop_tx: Sender<()>,
     stop_rx: Receiver<()>,
     requests: Arc<AtomicUsize>,
+    /// Open sockets: the listener and the callers' connections.
+    sockets: Arc<AtomicUsize>,
 }
 
 impl Default for ServerControl {
@@ -79,6 +81,7 @@
             stop_tx,
             stop_rx,
             requests: Arc::default(),
+            sockets: Arc::default(),
         }
     }
 }
@@ -86,10 +89,19 @@
 impl ServerControl {
     /// Stops accepting connections; open ones close after their current
     /// request.
+    ///
+    /// A request that has arrived by then is still served, even if it has not
+    /// been read yet. [`ServerControl::is_closed`] tells when all are answered.
     pub fn stop(&self) {
         self.stop_tx.close();
     }
 
+    /// Whether the listener and all connections are closed, so that no request
+    /// can begin any more and all responses have been written.
+    pub fn is_closed(&self) -> bool {
+        self.sockets.load(Ordering::Acquire) == 0
+    }
+
     /// Returns the number of requests whose response has not been sent
     /// completely.
     pub fn requests(&self) -> usize {
@@ -102,17 +114,17 @@
     }
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest(Arc<AtomicUsize>);
+/// Counts a request or a socket as open until it is dropped.
+struct OpenGuard(Arc<AtomicUsize>);
 
-impl OpenRequest {
+impl OpenGuard {
     fn new(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::AcqRel);
         Self(Arc::clone(count))
     }
 }
 
-impl Drop for OpenRequest {
+impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -120,12 +132,26 @@
 
 /// Accepts connections until the server is stopped; each is served by a task of
 /// its own.
-pub async fn serve<H: Handler>(
+pub fn serve<H: Handler>(
+    listener: TcpListener,
+    spawner: Spawner,
+    cfg: ServerConfig,
+    control: ServerControl,
+    handler: H,
+) -> impl Future<Output = ()> + Send {
+    // Counted before the first poll, so that the server does not look closed
+    // until then.
+    let open = OpenGuard::new(&control.sockets);
+    accept_until_stopped(listener, spawner, cfg, control, handler, open)
+}
+
+async fn accept_until_stopped<H: Handler>(
     listener: TcpListener,
     spawner: Spawner,
     cfg: ServerConfig,
     control: ServerControl,
     handler: H,
+    _open: OpenGuard,
 ) {
     loop {
         let accepted = future::or(async { Some(listener.accept().await) }, async {
@@ -135,9 +161,12 @@
         match accepted.await {
             None => return,
             Some(Ok((stream, from))) => {
-                let connection =
-                    serve_connection(stream, from, cfg.clone(), control.clone(), handler.clone());
-                spawner.detach(connection);
+                let open = OpenGuard::new(&control.sockets);
+                let (cfg, control, handler) = (cfg.clone(), control.clone(), handler.clone());
+                spawner.detach(async move {
+                    serve_connection(stream, from, cfg, control, handler).await;
+                    drop(open);
+                });
             }
             Some(Err(_)) => {
                 Timer::after(ACCEPT_RETRY).await;
@@ -164,7 +193,7 @@
     let count = Arc::clone(&control.requests);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = handler.clone();
-        let open = OpenRequest::new(&count);
+        let open = OpenGuard::new(&count);
         async move {
             let response = handler.handle(req, from).await;
             Ok::<_, Infallible>(response.map(|body| TrackedBody { body, _open: open }))
@@ -189,7 +218,7 @@
 /// A response body that counts its request as open until it has been sent.
 struct TrackedBody {
     body: Body,
-    _open: OpenRequest,
+    _open: OpenGuard,
 }
 
 impl http_body::Body for TrackedBody {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -73,7 +73,7 @@
 const METRICS_PATH: &str = "/metrics";
 /// Added to the idle timeout that callers are promised.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
-/// Interval at which a drain checks whether all requests have ended.
+/// Interval at which a drain checks whether all connections are closed.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL: Duration = Duration::from_secs(1);
@@ -269,8 +269,8 @@
     })?)
 }
 
-/// Fails the readiness check, waits for open requests and hands the remaining
-/// budgets over to other hosts.
+/// Fails the readiness check, waits until all connections of callers are closed
+/// and hands the remaining budgets over to other hosts.
 async fn drain<P: Platform>(cx: &Cx<P>, control: &ServerControl) {
     cx.is_draining.store(true, Ordering::Release);
     let requests = control.requests();
@@ -278,7 +278,7 @@
     let deadline = Moment::now() + cx.cfg.grace.saturating_sub(cx.cfg.drain_margin);
     Timer::after(cx.cfg.drain_notice).await;
     control.stop();
-    while control.requests() > 0 && Moment::now() < deadline {
+    while !control.is_closed() && Moment::now() < deadline {
         Timer::after(DRAIN_POLL).await;
     }
     home_balance::close(cx).await;
--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -120,9 +120,9 @@
     cx.membership.begin_drain();
     wait_until(|| cx.membership.is_drained()).await;
     ports.callers.stop();
-    wait_until(|| ports.callers.requests() == 0).await;
+    wait_until(|| ports.callers.is_closed()).await;
     ports.peers.stop();
-    wait_until(|| ports.peers.requests() == 0).await;
+    wait_until(|| ports.peers.is_closed()).await;
     release_remaining(cx).await;
     ports.operators.stop();
 }
