--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,6 +22,9 @@
     pub affinity: Option<Box<str>>,
     /// Id of the event after which a stream resumes.
     pub resume_after: Option<u64>,
+    /// Id of the caller's attempt that received the first event of the stream
+    /// to resume.
+    pub resumed_attempt: Option<Box<str>>,
     /// The prompt; `None` if the call generates no tokens.
     pub prompt: Option<Prompt>,
     /// Program that the call belongs to, if any.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -35,6 +35,9 @@
     pub address: SocketAddr,
     /// Data centre in which it is located.
     pub data_centre: Box<str>,
+    /// Version of its software. Versions are compared for equality only.
+    #[serde(default)]
+    pub version: Arc<str>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -60,6 +60,9 @@
     line: Option<&'a str>,
     route: &'a str,
     endpoint: &'a str,
+    version: &'a str,
+    /// Caller's attempt that the request resumes.
+    resumed_attempt: Option<&'a str>,
     events: u64,
     resumes: u32,
     first_ms: Option<u128>,
@@ -293,6 +296,8 @@
             line: program.map(|program| &*program.session),
             route: &self.call.route.name,
             endpoint: &placement.endpoint().id,
+            version: &placement.endpoint().version,
+            resumed_attempt: self.call.meta.resumed_attempt.as_deref(),
             events: self.events,
             resumes: self.resumes,
             first_ms: self.time_to_first_event.map(|first| first.as_millis()),
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -29,6 +29,9 @@
 pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 pub(super) const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
 pub(super) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the caller's attempt that received the first event of the stream that
+/// `Last-Event-Id` resumes.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const CREDENTIAL: HeaderName = HeaderName::from_static("credential");
 const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
 /// Number of prompt tokens and maximum number of output tokens,
@@ -87,6 +90,7 @@
         time_left: parse_millis(headers, &DEADLINE_MS)?,
         affinity: single_value(headers, &AFFINITY_KEY)?.map(Into::into),
         resume_after: parse_number(headers, &LAST_EVENT_ID)?,
+        resumed_attempt: single_value(headers, &RESUMES)?.map(Into::into),
         prompt: parse_prompt(headers)?,
         program: parse_program(headers)?,
         forwarded: forwarded_headers(headers),
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -13,6 +13,8 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Version of the endpoint's software, not of a model's weights.
+    version: String,
     slots: u32,
     /// `ready` or `draining`; an endpoint in any other state receives no requests.
     state: String,
@@ -44,6 +46,7 @@
         service: entry.service.into(),
         address: entry.address,
         data_centre: entry.zone.into(),
+        version: entry.version.into(),
         slots: entry.slots.max(1),
         state,
         cold_ms: entry.cold_remaining_ms,
--- a/tests/gateway/ingress.rs
+++ b/tests/gateway/ingress.rs
@@ -37,12 +37,14 @@
         ("session-id", "s"),
         ("token-budget", "1080"),
         ("last-event-id", "12"),
+        ("resumes", "r0"),
     ])
     .expect("a valid request");
     assert_eq!(&*meta.host, "h");
     assert_eq!(meta.time_left, Some(Duration::from_millis(1500)));
     assert_eq!(meta.key, Some(hash_key(b"k")));
     assert_eq!(meta.resume_after, Some(12));
+    assert_eq!(meta.resumed_attempt.as_deref(), Some("r0"));
     let prompt = meta.prompt.expect("a prompt");
     assert_eq!((prompt.tokens, prompt.max_output), (1460, 80));
     let second = PromptPart {
--- a/tests/gateway/objects.rs
+++ b/tests/gateway/objects.rs
@@ -25,6 +25,7 @@
         time_left: None,
         affinity: object.map(Into::into),
         resume_after: None,
+        resumed_attempt: None,
         prompt: Some(Prompt {
             parts,
             ..Prompt::default()
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -13,6 +13,7 @@
 fn an_entry_is_decoded() {
     let endpoint = registry::decode("i-1", entry().to_string().as_bytes()).expect("an endpoint");
     assert_eq!(&*endpoint.id, "i-1");
+    assert_eq!(&*endpoint.version, "v1");
     assert_eq!(endpoint.slots, 64);
     assert_eq!(endpoint.state, EndpointState::Ready);
     assert_eq!(endpoint.started_ms, 17);
@@ -21,7 +22,7 @@
 #[test]
 fn invalid_entries_are_ignored() {
     let mut invalid = Vec::new();
-    for field in ["service", "address", "zone", "slots", "state"] {
+    for field in ["service", "address", "zone", "version", "slots", "state"] {
         let mut missing = entry();
         missing.as_object_mut().expect("an object").remove(field);
         invalid.push(missing.to_string());
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -19,6 +19,7 @@
         service: Arc::from("s"),
         address: "127.0.0.1:1".parse().expect("an address"),
         data_centre: "a".into(),
+        version: Arc::from("v1"),
         slots,
         state: EndpointState::Ready,
         cold_ms: 0,
