--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -118,6 +118,11 @@
         self.server.addr()
     }
 
+    /// Stops accepting connections; open ones close after their current request.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+
     /// Replaces the behaviour, including the remaining fault counts.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.state.lock().behaviour = behaviour;
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -86,18 +86,40 @@
         id: &str,
         service: &str,
         behaviour: Behaviour,
+    ) -> EndpointStandin {
+        self.endpoint_of_version(id, service, "v1", behaviour)
+    }
+
+    /// Starts an endpoint of a software version and adds it to the list.
+    pub(crate) fn endpoint_of_version(
+        &self,
+        id: &str,
+        service: &str,
+        version: &str,
+        behaviour: Behaviour,
     ) -> EndpointStandin {
         let any_port = "127.0.0.1:0".parse().expect("an address");
         let endpoint = EndpointStandin::start(&self.spawner, any_port, id, behaviour);
         let endpoint = async_io::block_on(endpoint).expect("an endpoint");
-        self.list(id, service, endpoint.addr(), "ready");
+        self.list_version(id, service, endpoint.addr(), version, "ready");
         endpoint
     }
 
     /// Writes an endpoint's entry to the store.
     pub(crate) fn list(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.list_version(id, service, address, "v1", state);
+    }
+
+    fn list_version(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        version: &str,
+        state: &str,
+    ) {
         let entry = json!({
-            "service": service, "address": address, "zone": "a", "version": "v1",
+            "service": service, "address": address, "zone": "a", "version": version,
             "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1,
         });
         self.store.put("servers", id, entry);
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -8,3 +8,4 @@
 mod shutdown;
 mod store;
 mod streams;
+mod versions;
--- /dev/null
+++ b/tests/gateway_processes/versions.rs
@@ -0,0 +1,189 @@
+//! Engines of several software versions side by side: a stream goes on only at
+//! the version that began it.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::EndpointStandin;
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::endpoint::Run;
+
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+use super::fleet::wait_until;
+
+const ENGINE: Behaviour = Behaviour {
+    events: 5,
+    pause: Duration::from_millis(5),
+    lost_answers: 0,
+    broken_streams: 0,
+    refused_requests: 0,
+    mismatched_answers: 0,
+    failed_requests: 0,
+    is_leaving: false,
+};
+
+/// Breaks its streams after their first event.
+const BREAKING: Behaviour = Behaviour {
+    broken_streams: 1000,
+    events: 50,
+    ..ENGINE
+};
+
+/// Refuses all requests.
+const FULL: Behaviour = Behaviour {
+    refused_requests: 1000,
+    ..ENGINE
+};
+
+/// Engines of another version than the one that begins the streams.
+const OTHERS: [&str; 3] = ["other-1", "other-2", "other-3"];
+/// Time within which a gateway has applied a change of the list.
+const LIST_CHANGE: Duration = Duration::from_secs(1);
+/// The first event goes out before its version is known at other hosts.
+const REPORTED: Duration = Duration::from_millis(200);
+
+fn start_others(fleet: &Fleet) -> Vec<EndpointStandin> {
+    let start = |id: &&str| fleet.endpoint_of_version(id, "engine", "v2", ENGINE);
+    OTHERS.iter().map(start).collect()
+}
+
+/// Begins a stream that breaks after its first event.
+fn begin_stream(fleet: &Fleet, gateway: &Gateway, id: &str) {
+    let answer = fleet.call(gateway, "/turns/", &[("request-id", id)]);
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, None);
+}
+
+/// Resumes a stream as its caller does; the status of the answer.
+fn resume_stream(fleet: &Fleet, gateway: &Gateway, id: &str, begun_by: &str) -> u16 {
+    let headers = [
+        ("request-id", id),
+        ("resumes", begun_by),
+        ("last-event-id", "1"),
+    ];
+    fleet.call(gateway, "/turns/", &headers).status.as_u16()
+}
+
+fn run_count(endpoints: &[EndpointStandin]) -> usize {
+    endpoints.iter().map(|endpoint| endpoint.runs().len()).sum()
+}
+
+fn ran(endpoint: &EndpointStandin, id: &str) -> bool {
+    endpoint.runs().iter().any(|run: &Run| run.id == id)
+}
+
+// A caller that took a stream up again was sent to an engine of another
+// version, which does not check what the events before were.
+#[test]
+fn a_caller_resumes_at_the_version_that_began_the_stream() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let gateway = fleet.gateway("g1");
+    begin_stream(&fleet, &gateway, "r1");
+    let others = start_others(&fleet);
+    std::thread::sleep(LIST_CHANGE);
+    engine.set_behaviour(ENGINE);
+    assert_eq!(resume_stream(&fleet, &gateway, "r2", "r1"), 200);
+    assert!(ran(&engine, "r2"));
+    assert_eq!(run_count(&others), 0);
+}
+
+// The same while no engine of that version takes work.
+#[test]
+fn a_caller_is_refused_if_the_version_takes_no_work() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let gateway = fleet.gateway("g1");
+    begin_stream(&fleet, &gateway, "r1");
+    let others = start_others(&fleet);
+    std::thread::sleep(LIST_CHANGE);
+    engine.set_behaviour(FULL);
+    assert_eq!(resume_stream(&fleet, &gateway, "r2", "r1"), 503);
+    assert_eq!(run_count(&others), 0);
+}
+
+// The same at another host, after the host of the first attempt was killed.
+#[test]
+fn another_host_resumes_at_the_version_that_began_the_stream() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let mut first = fleet.gateway("g1");
+    let seeds = [first.addresses.peers];
+    let hosts: Vec<Gateway> = ["g2", "g3"]
+        .iter()
+        .map(|name| fleet.start_gateway(name, fleet.store.addr(), &seeds))
+        .collect();
+    for host in &hosts {
+        host.wait_ready(&fleet);
+    }
+    std::thread::sleep(LIST_CHANGE * 3);
+    let others = start_others(&fleet);
+    std::thread::sleep(LIST_CHANGE);
+    let mut begun = Vec::new();
+    wait_until("streams begin at the first version", || {
+        let id = format!("r{}", begun.len());
+        let answer = fleet.call(&first, "/turns/", &[("request-id", &id)]);
+        assert_eq!(answer.status, 200);
+        begun.push(id);
+        engine.runs().len() >= 5
+    });
+    let begun: Vec<String> = begun.into_iter().filter(|id| ran(&engine, id)).collect();
+    std::thread::sleep(REPORTED);
+    first.kill();
+    let before = run_count(&others);
+    engine.set_behaviour(FULL);
+    assert_eq!(resume_stream(&fleet, &hosts[0], "refused", &begun[0]), 503);
+    engine.set_behaviour(ENGINE);
+    for (n, id) in begun.iter().enumerate() {
+        let resumed = format!("again-{n}");
+        let status = resume_stream(&fleet, &hosts[n % 2], &resumed, id);
+        assert_eq!(status, 200, "resuming {id}");
+        assert!(ran(&engine, &resumed));
+    }
+    assert_eq!(run_count(&others), before);
+}
+
+// A stream whose engine had left the list went on at another version within
+// the same answer.
+#[test]
+fn a_broken_stream_does_not_go_on_at_another_version_in_the_same_answer() {
+    let fleet = Fleet::new();
+    let slow = Behaviour {
+        pause: LIST_CHANGE,
+        ..BREAKING
+    };
+    let engine = fleet.endpoint("e1", "engine", slow);
+    let gateway = fleet.gateway("g1");
+    let answer = std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.call(&gateway, "/turns/", &[("request-id", "r1")]));
+        wait_until("the stream begins", || engine.sent_events() > 0);
+        fleet.store.delete("servers", "e1");
+        start_others(&fleet);
+        call.join().expect("the caller's thread")
+    });
+    assert_eq!(answer.body, None);
+}
+
+// The answer of a stream whose engine had ended was broken off although another
+// engine of its version took work.
+#[test]
+fn a_stream_goes_on_at_another_engine_of_its_version() {
+    let fleet = Fleet::new();
+    let slow = Behaviour {
+        pause: LIST_CHANGE,
+        ..BREAKING
+    };
+    let engine = fleet.endpoint("e1", "engine", slow);
+    let gateway = fleet.gateway("g1");
+    let answer = std::thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.call(&gateway, "/turns/", &[("request-id", "r1")]));
+        wait_until("the stream begins", || engine.sent_events() > 0);
+        fleet.endpoint("e2", "engine", ENGINE);
+        let others = start_others(&fleet);
+        engine.stop();
+        let answer = call.join().expect("the caller's thread");
+        assert_eq!(run_count(&others), 0);
+        answer
+    });
+    assert!(answer.body.is_some());
+}
