Let a stream go on only at the software version that began it

Cause: the version of an engine was not read at all. A caller's attempt that takes up a stream was placed by cost like a new one, at whatever host it reached, and a stream that broke went on at any engine once its own was no longer listed. Engines do not check what the events before were.

Now the first event of a stream fixes its version, in the same answer and over the caller's attempts. The host that forwards it records service and version under the id of the attempt and tells two other hosts: the first by rendezvous hash in its own data centre and the first of all others. A host that is asked to take up a stream it does not know asks five hosts at once, those that may have been told. Without a record it goes on only if this host is in touch with the list and one version alone was listed within a minute; otherwise the caller is told at once that the request has not run.

Weighed: a record in the store (a write for each stream); the program's home host alone (not every stream has a program, and one host in few is the one that failed); reports only while several versions are listed (hosts that are not in touch do not know that).

Evidence: four of the tests gateway_processes versions failed before and pass: at the same host, at another host after the first was killed, with the version full, and within one answer. Ruled out so far: nothing shows an engine that restarts under its id with another version.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -61,6 +61,8 @@
     pub deadline: Moment,
     /// When the caller stops waiting.
     pub caller_deadline: Moment,
+    /// Version of the engine's software that must run the call; `None` for any.
+    pub version: Option<Arc<str>>,
     /// Urgency at the engine; `None` if the call generates no tokens.
     pub urgency: Option<Urgency>,
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -39,6 +39,21 @@
 const OBJECT_TOKENS: u64 = 400;
 
 impl CallMeta {
+    /// Whether the call takes up a stream of which its caller has events.
+    pub fn resumes_stream(&self) -> bool {
+        self.resume_after
+            .is_some_and(|event| event > 0 || self.resumed_attempt.is_some())
+    }
+
+    /// Id of the stream: that of the caller's attempt that received, or will
+    /// receive, its first event.
+    pub fn stream_id(&self) -> &str {
+        let resumed = self.resumed_attempt.as_deref();
+        resumed
+            .filter(|_| self.resumes_stream())
+            .unwrap_or(&self.id)
+    }
+
     /// Parts of the call that an endpoint may have cached: those of the prompt
     /// or, on a sticky route, the call's object.
     pub fn cacheable_parts(&self, is_sticky: bool) -> Cow<'_, [PromptPart]> {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,6 +24,7 @@
 use super::isolation::IsolatedGrants;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
+use super::origins::Origins;
 use super::placing::Pool;
 use super::rate::Rates;
 use super::roster::Peer;
@@ -126,6 +127,8 @@
     pub isolated: IsolatedGrants,
     /// Programs that have spent their budget.
     pub spent: SpentPrograms,
+    /// Versions that began streams.
+    pub origins: Origins,
     /// Memory that request bodies use.
     pub body_memory: BodyMemory,
     /// Set when the process has received a signal to stop.
@@ -189,6 +192,12 @@
         !state.is_reported && !state.is_confirmed && !is_waiting
     }
 
+    /// Whether the list of endpoints is up to date, as far as this host can
+    /// tell.
+    pub fn is_current(&self) -> bool {
+        self.store_contact.is_up() && (self.is_scout() || !self.needs_probe())
+    }
+
     /// Age of the process before which it lists no objects in the store.
     fn list_delay(&self) -> Duration {
         match self.cfg.place.first_start {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -191,10 +191,23 @@
         return Err(Refusal::not_run(detail, NO_ENDPOINT_RETRY));
     };
     // No other endpoint is left; a repeatable call may use the same one again.
-    place_among(cx, call, &[], Some(&last.id))
+    let again = Choice {
+        only: Some(&last.id),
+        ..Choice::of(call)
+    };
+    place_among(cx, call, again)
         .ok_or_else(|| Refusal::new(Outcome::UnknownResult, "no other endpoint takes work"))
 }
 
+/// Where a broken stream may go on.
+#[derive(Clone, Copy, Debug)]
+pub struct ResumeTarget<'a> {
+    /// Version that made the first event of the stream; `None` before it.
+    pub version: Option<&'a str>,
+    /// Endpoint that broke the stream.
+    pub failed_endpoint: &'a str,
+}
+
 /// Chooses an endpoint that resumes a broken stream.
 ///
 /// If the route allows only one endpoint per request, this is the endpoint
@@ -202,12 +215,18 @@
 pub fn place_resume<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
-    failed_endpoint: &str,
+    target: &ResumeTarget<'_>,
 ) -> Option<PlacementGuard> {
+    let failed = target.failed_endpoint;
     let pool = cx.pools.get(&call.service)?;
-    let is_listed = pool.lock().contains(failed_endpoint);
-    let only = (is_listed && call.route.max_runs < 2).then_some(failed_endpoint);
-    place_among(cx, call, &[], only)
+    let is_listed = pool.lock().contains(failed);
+    let only = (is_listed && call.route.max_runs < 2).then_some(failed);
+    let choice = Choice {
+        version: target.version,
+        excluded: &[],
+        only,
+    };
+    place_among(cx, call, choice)
 }
 
 /// Chooses the best endpoint for a call among those that are not excluded.
@@ -216,21 +235,47 @@
     call: &Call,
     excluded: &[Box<str>],
 ) -> Option<PlacementGuard> {
-    place_among(cx, call, excluded, None)
+    let choice = Choice {
+        excluded,
+        ..Choice::of(call)
+    };
+    place_among(cx, call, choice)
+}
+
+/// Endpoints among which one is chosen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Choice<'a> {
+    version: Option<&'a str>,
+    excluded: &'a [Box<str>],
+    only: Option<&'a str>,
+}
+
+impl<'a> Choice<'a> {
+    fn of(call: &'a Call) -> Self {
+        Self {
+            version: call.version.as_deref(),
+            ..Self::default()
+        }
+    }
 }
 
 fn place_among<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
-    excluded: &[Box<str>],
-    only: Option<&str>,
+    choice: Choice<'_>,
 ) -> Option<PlacementGuard> {
+    let Choice {
+        version,
+        excluded,
+        only,
+    } = choice;
     let pool = cx.pools.get(&call.service)?;
     let parts = call.meta.cacheable_parts(call.route.is_sticky);
     let criteria = Criteria {
         parts: &parts,
         excluded,
         only,
+        version,
         received: call.received,
         is_isolated: cx.is_isolated(),
     };
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -25,6 +25,7 @@
 use super::context::Gateway;
 use super::dispatch;
 use super::lines;
+use super::origins;
 use super::quota::ProgramStage;
 use super::rate;
 use super::refusal::Outcome;
@@ -138,6 +139,7 @@
         target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
         body,
         service,
+        version: None,
         urgency: urgency(&route, customer.as_deref(), &meta),
         route,
         customer,
@@ -150,6 +152,8 @@
 }
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
+    let version = origins::required_version(cx, &call).await?;
+    let call = Call { version, ..call };
     let reservation = reserve(cx, &call).await?;
     if let Some(reservation) = &reservation {
         lines::expect_cached(cx, &call, &reservation.cached_at);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,8 @@
 use super::isolation;
 use super::lines;
 use super::lines::LineReport;
+use super::origins;
+use super::origins::StreamBegun;
 use super::rate;
 use super::rate::BorrowRequest;
 use super::roster::HostEntry;
@@ -53,6 +55,10 @@
 pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
 /// Reports where a session of a program runs.
 pub const LINE_METHOD: &str = "gateway.line";
+/// Reports the version that began a stream.
+pub const STREAM_BEGUN_METHOD: &str = "gateway.stream_begun";
+/// Asks for the version that began a stream.
+pub const ORIGIN_METHOD: &str = "gateway.origin";
 /// Borrows rate tokens.
 pub const BORROW_METHOD: &str = "gateway.borrow";
 
@@ -133,6 +139,15 @@
         home_balance::receive_balances(cx, req);
         Ok::<_, ErrorObjectOwned>(())
     })?;
+    module.register_method(STREAM_BEGUN_METHOD, |params, cx, _| {
+        let begun: StreamBegun = params.one()?;
+        origins::receive_report(cx, begun);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
+    module.register_method(ORIGIN_METHOD, |params, cx, _| {
+        let stream: u64 = params.one()?;
+        Ok::<_, ErrorObjectOwned>(cx.origins.get(stream))
+    })?;
     module.register_method(BORROW_METHOD, |params, cx, _| {
         let req: BorrowRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(rate::lend(cx, &req))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod lines;
 pub mod load_curve;
 pub mod metrics;
+pub mod origins;
 pub mod placing;
 pub mod prefixes;
 pub mod quota;
--- /dev/null
+++ b/src/gateway/origins.rs
@@ -0,0 +1,213 @@
+//! Engine versions that began streams.
+//!
+//! The events of two software versions do not fit together, and engines do not
+//! check where a stream began. A caller may take up a stream at any host, also
+//! after the host of its first attempt has failed. The host that forwards the
+//! first event therefore tells two other hosts which version made it, one of
+//! them in its own data centre, in case that is cut off.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::attempt::Call;
+use super::context::Cx;
+use super::context::Gateway;
+use super::exchange;
+use super::exchange::ORIGIN_METHOD;
+use super::exchange::STREAM_BEGUN_METHOD;
+use super::refusal::Refusal;
+use super::refusal::Result;
+use super::roster::KeeperCount;
+use super::roster::Peer;
+use crate::connection::platform::Platform;
+use crate::units::Moment;
+
+/// Time for which an origin is kept at least. A stream can be resumed until its
+/// caller's deadline.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of origins in one generation, to bound the memory.
+const MAX_ORIGINS: usize = 1 << 16;
+/// Hosts that are told where a stream began.
+const REPORTED_TO: KeeperCount = KeeperCount { local: 1, any: 1 };
+/// Hosts that are asked where a stream began: those that may have been told,
+/// also if the host that told them is among the first or some have failed.
+const ASKED: KeeperCount = KeeperCount { local: 2, any: 3 };
+/// Retry time of a caller whose stream has no known origin, since a host that
+/// did not answer in time may do so then.
+const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(100);
+
+/// Service and software version whose engine made the first event of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Version of the engine's software.
+    pub version: Arc<str>,
+}
+
+/// Tells another host where a stream began.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StreamBegun {
+    /// Key of the stream, from [`stream_key`].
+    pub stream: u64,
+    /// Where it began.
+    pub origin: StreamOrigin,
+}
+
+#[derive(Debug, Default)]
+struct Generations {
+    recent: HashMap<u64, StreamOrigin>,
+    previous: HashMap<u64, StreamOrigin>,
+    /// When `recent` was started.
+    started: Moment,
+}
+
+/// Origins of streams by their keys.
+#[derive(Debug, Default)]
+pub struct Origins(Mutex<Generations>);
+
+impl Origins {
+    /// Records where a stream began.
+    pub fn record(&self, stream: u64, origin: StreamOrigin, now: Moment) {
+        let mut kept = self.0.lock();
+        let is_over = now.since(kept.started) >= RETENTION;
+        if is_over || kept.recent.len() >= MAX_ORIGINS {
+            kept.previous = std::mem::take(&mut kept.recent);
+            kept.started = now;
+        }
+        kept.recent.insert(stream, origin);
+    }
+
+    /// Returns where a stream began, if that is known here.
+    pub fn get(&self, stream: u64) -> Option<StreamOrigin> {
+        let kept = self.0.lock();
+        let found = kept.recent.get(&stream);
+        found.or_else(|| kept.previous.get(&stream)).cloned()
+    }
+}
+
+/// Returns the key of a call's stream, which is equal on every host and for all
+/// attempts of the caller.
+pub fn stream_key(call: &Call) -> u64 {
+    super::hash_of(call.meta.stream_id())
+}
+
+/// Records that an engine of a version made the first event of an answer, here
+/// and at other hosts.
+pub fn report<P: Platform>(cx: &Cx<P>, call: &Call, version: &Arc<str>) {
+    let begun = StreamBegun {
+        stream: stream_key(call),
+        origin: StreamOrigin {
+            service: Arc::clone(&call.service),
+            version: Arc::clone(version),
+        },
+    };
+    let now = Moment::now();
+    let local = &cx.cfg.place.data_centre;
+    let keepers = cx
+        .roster
+        .lock()
+        .keepers(begun.stream, local, REPORTED_TO, now);
+    cx.origins.record(begun.stream, begun.origin.clone(), now);
+    for keeper in keepers {
+        let (cx, begun) = (Arc::clone(cx), begun.clone());
+        cx.spawner.clone().detach(async move {
+            // Without the report, a resume has to rely on the other copies.
+            let _reply: Option<()> =
+                exchange::call_peer(&cx, &keeper, STREAM_BEGUN_METHOD, &begun).await;
+        });
+    }
+}
+
+/// Records the report of another host.
+pub fn receive_report<P>(cx: &Gateway<P>, begun: StreamBegun) {
+    cx.origins.record(begun.stream, begun.origin, Moment::now());
+}
+
+#[derive(Serialize)]
+struct ResumeLine<'a> {
+    request: &'a str,
+    resumed_attempt: Option<&'a str>,
+    version: Option<&'a str>,
+    /// Whether this host or another knew where the stream began; otherwise the
+    /// version is the only one that was listed of late.
+    is_recorded: bool,
+}
+
+/// Returns the version at which a call must run: the one that began its stream.
+/// `None` if the call begins a stream, or is none.
+///
+/// # Errors
+///
+/// A refusal if the version is not known, or if the call's service is not the
+/// one that began the stream.
+pub async fn required_version<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Option<Arc<str>>> {
+    if !call.meta.resumes_stream() {
+        return Ok(None);
+    }
+    let recorded = find(cx, stream_key(call)).await;
+    let version = match &recorded {
+        Some(origin) if origin.service != call.service => None,
+        Some(origin) => Some(Arc::clone(&origin.version)),
+        None => sole_version(cx, &call.service),
+    };
+    let line = ResumeLine {
+        request: &call.meta.id,
+        resumed_attempt: call.meta.resumed_attempt.as_deref(),
+        version: version.as_deref(),
+        is_recorded: recorded.is_some(),
+    };
+    cx.log.request("stream-resumed", &line);
+    match version {
+        Some(version) => Ok(Some(version)),
+        None => Err(Refusal::not_run(
+            "the version that began the stream is not known",
+            UNKNOWN_ORIGIN_RETRY,
+        )),
+    }
+}
+
+/// Finds where a stream began, asking other hosts if this one does not know.
+async fn find<P: Platform>(cx: &Cx<P>, stream: u64) -> Option<StreamOrigin> {
+    if let Some(origin) = cx.origins.get(stream) {
+        return Some(origin);
+    }
+    let local = &cx.cfg.place.data_centre;
+    let asked: Vec<Peer> = cx
+        .roster
+        .lock()
+        .keepers(stream, local, ASKED, Moment::now());
+    let (tx, rx) = async_channel::bounded(asked.len().max(1));
+    for peer in asked {
+        let (cx, tx) = (Arc::clone(cx), tx.clone());
+        cx.spawner.clone().detach(async move {
+            let reply: Option<Option<StreamOrigin>> =
+                exchange::call_peer(&cx, &peer, ORIGIN_METHOD, &stream).await;
+            // The first answer that names the origin is enough.
+            let _enough = tx.try_send(reply.flatten());
+        });
+    }
+    drop(tx);
+    while let Ok(reply) = rx.recv().await {
+        if reply.is_some() {
+            return reply;
+        }
+    }
+    None
+}
+
+/// Returns the version of a service if no other was listed of late, as far as
+/// this host can know.
+fn sole_version<P: Platform>(cx: &Gateway<P>, service: &str) -> Option<Arc<str>> {
+    if !cx.is_current() {
+        return None;
+    }
+    let pool = cx.pools.get(service)?;
+    let pool = pool.lock();
+    pool.sole_version(Moment::now()).cloned()
+}
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -61,6 +61,9 @@
 /// Added to the cost of an unreachable endpoint, in calls. Even an ejected
 /// endpoint is chosen before it.
 const UNREACHABLE_COST: f64 = 1e6;
+/// Time for which a version of which no endpoint is listed any more is
+/// remembered: callers may hold parts of its streams until their deadlines.
+pub const VERSION_MEMORY: Duration = Duration::from_secs(60);
 /// Costs that differ by less than this count as equal.
 const TIE_MS: f64 = 0.5;
 
@@ -100,6 +103,8 @@
     pub excluded: &'a [Box<str>],
     /// The only endpoint that may be chosen, even if it is draining.
     pub only: Option<&'a str>,
+    /// The only version of the software that may be chosen; `None` for any.
+    pub version: Option<&'a str>,
     /// When the call was received. A call that came after the endpoint gave
     /// notice of its shutdown may not use it, not even as the only one.
     pub received: Moment,
@@ -201,6 +206,8 @@
     curve: LoadCurve,
     /// Mean number of other hosts' requests per endpoint, by data centre.
     mean_load: HashMap<Box<str>, f64>,
+    /// When each version was last listed.
+    versions: HashMap<Arc<str>, Moment>,
     /// Endpoints that have given notice of their shutdown.
     departures: Departures,
     /// Breaks ties between endpoints of equal cost.
@@ -220,6 +227,7 @@
             members: BTreeMap::new(),
             curve: LoadCurve::new(INITIAL_CALL_MS, DEFAULT_LOAD_GROWTH),
             mean_load: HashMap::new(),
+            versions: HashMap::new(),
             departures: Departures::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -228,6 +236,7 @@
     /// Replaces the list of endpoints. Estimates are kept for endpoints that
     /// have not restarted.
     pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>, now: Moment) {
+        self.record_versions(now);
         let mut kept = BTreeMap::new();
         for endpoint in endpoints {
             let unchanged = self
@@ -241,6 +250,33 @@
             kept.insert(member.endpoint.id.clone(), member);
         }
         self.members = kept;
+        self.record_versions(now);
+    }
+
+    /// Records that the versions of all members are listed.
+    fn record_versions(&mut self, now: Moment) {
+        self.versions
+            .retain(|_, listed| now.since(*listed) < VERSION_MEMORY);
+        for member in self.members.values() {
+            let version = Arc::clone(&member.endpoint.version);
+            self.versions.insert(version, now);
+        }
+    }
+
+    /// Returns the only version that was listed within [`VERSION_MEMORY`];
+    /// `None` if there were others.
+    pub fn sole_version(&self, now: Moment) -> Option<&Arc<str>> {
+        let is_listed = |version: &Arc<str>| {
+            let mut members = self.members.values();
+            members.any(|member| member.endpoint.version == *version)
+        };
+        let mut recent = self
+            .versions
+            .iter()
+            .filter(|(version, listed)| now.since(**listed) < VERSION_MEMORY || is_listed(version))
+            .map(|(version, _)| version);
+        let sole = recent.next()?;
+        recent.next().is_none().then_some(sole)
     }
 
     /// Chooses the endpoint with the least cost and counts a request there.
@@ -263,17 +299,21 @@
         let departures = &self.departures;
         let usable = self.members.values_mut().filter(|member| {
             let endpoint = &member.endpoint;
-            match criteria.only {
-                Some(only) => {
-                    *endpoint.id == *only
-                        && !departures.has_left_before(endpoint, criteria.received)
+            let is_version = criteria
+                .version
+                .is_none_or(|version| *version == *endpoint.version);
+            is_version
+                && match criteria.only {
+                    Some(only) => {
+                        *endpoint.id == *only
+                            && !departures.has_left_before(endpoint, criteria.received)
+                    }
+                    None => {
+                        member.is_ready()
+                            && !departures.has_left(endpoint)
+                            && !criteria.excluded.contains(&endpoint.id)
+                    }
                 }
-                None => {
-                    member.is_ready()
-                        && !departures.has_left(endpoint)
-                        && !criteria.excluded.contains(&endpoint.id)
-                }
-            }
         });
         // Random noise spreads calls over endpoints of equal cost.
         let mut cost =
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,8 +25,10 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::dispatch;
+use super::dispatch::ResumeTarget;
 use super::event_stream::Splitter;
 use super::lines;
+use super::origins;
 use super::placing::AttemptEnd;
 use super::reservation::Reservation;
 use super::routes::RouteKind;
@@ -88,6 +90,7 @@
     *response.headers_mut() = headers;
     let relay = Relay {
         tokens_per_event: tokens_per_event(cx, &call.service),
+        version: call.version.clone(),
         cx: Arc::clone(cx),
         call,
         reservation,
@@ -128,6 +131,9 @@
     /// Tokens that each event charges to the budget; 0 if the service generates
     /// no tokens.
     tokens_per_event: u64,
+    /// Version of the engine that made the first event of the stream; `None`
+    /// before it.
+    version: Option<Arc<str>>,
     splitter: Splitter,
     last_event: Option<u64>,
     events: u64,
@@ -143,7 +149,8 @@
             ..
         } = open;
         loop {
-            let end = self.forward_events(&tx, body).await;
+            let version = Arc::clone(&placement.endpoint().version);
+            let end = self.forward_events(&tx, body, &version).await;
             match end {
                 StreamEnd::Complete => {
                     self.log(&placement, "whole", "");
@@ -182,7 +189,12 @@
     }
 
     /// Forwards the events of one engine until its stream ends.
-    async fn forward_events(&mut self, tx: &BodySender, body: Incoming) -> StreamEnd {
+    async fn forward_events(
+        &mut self,
+        tx: &BodySender,
+        body: Incoming,
+        version: &Arc<str>,
+    ) -> StreamEnd {
         let mut body = pin!(body);
         self.splitter.clear();
         loop {
@@ -211,7 +223,7 @@
                     if let Err(e) = self.splitter.feed(&bytes) {
                         return StreamEnd::Broken(e.to_string());
                     }
-                    if let Some(end) = self.send_events(tx).await {
+                    if let Some(end) = self.send_events(tx, version).await {
                         return end;
                     }
                 }
@@ -221,12 +233,16 @@
 
     /// Sends all complete events to the caller. Returns a reason if the stream
     /// must end.
-    async fn send_events(&mut self, tx: &BodySender) -> Option<StreamEnd> {
+    async fn send_events(&mut self, tx: &BodySender, version: &Arc<str>) -> Option<StreamEnd> {
         while let Some(event) = self.splitter.next_event() {
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
+            if self.events == 0 {
+                let version = self.version.get_or_insert_with(|| Arc::clone(version));
+                origins::report(&self.cx, &self.call, version);
+            }
             if !self.charge_event() {
                 return Some(StreamEnd::OverBudget);
             }
@@ -258,7 +274,11 @@
         let resumable = matches!(self.call.route.kind, RouteKind::Stream { resumable: true });
         while resumable && self.resumes < MAX_RESUMES {
             self.resumes += 1;
-            let placement = dispatch::place_resume(&self.cx, &self.call, failed_endpoint)?;
+            let target = ResumeTarget {
+                version: self.version.as_deref(),
+                failed_endpoint,
+            };
+            let placement = dispatch::place_resume(&self.cx, &self.call, &target)?;
             let after = self.last_event.or(self.call.meta.resume_after);
             let result = attempt::send(&self.cx, &self.call, &placement, after, self.call.deadline);
             let disconnected = async {
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -104,6 +104,15 @@
     Own,
 }
 
+/// Number of hosts that keep a copy of some state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeeperCount {
+    /// Hosts of this host's data centre.
+    pub local: usize,
+    /// Further hosts of any data centre.
+    pub any: usize,
+}
+
 /// Minimum part of a burst, in tokens, that each host refilling a rate should
 /// hold.
 const MIN_HELD_TOKENS: f64 = 8.0;
@@ -277,6 +286,42 @@
         }
     }
 
+    /// Returns the responsive hosts, without this one, that keep the state of a
+    /// key: the first ones of data centre `local` by rendezvous hash, then the
+    /// first of all others.
+    pub fn keepers(
+        &self,
+        key: u64,
+        local: &DataCentre,
+        count: KeeperCount,
+        now: Moment,
+    ) -> Vec<Peer> {
+        let mut ranked: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|(host, state)| **host != self.own && state.is_responsive(now))
+            .map(|(host, state)| (mix(state.hash ^ key), host, state))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+        let is_local = |state: &HostState| state.entry.data_centre == *local;
+        let mut missing = count;
+        ranked.retain(|(_, _, state)| {
+            let left = if is_local(state) && missing.local > 0 {
+                &mut missing.local
+            } else {
+                &mut missing.any
+            };
+            let is_chosen = *left > 0;
+            *left = left.saturating_sub(1);
+            is_chosen
+        });
+        let peer = |(_, host, state): (u64, &HostId, &HostState)| Peer {
+            host: host.clone(),
+            address: state.entry.peers,
+        };
+        ranked.into_iter().map(peer).collect()
+    }
+
     /// Returns the scouts of a data centre: the responsive hosts that watch the
     /// store on behalf of the others.
     pub fn scouts(&self, own: &DataCentre, count: usize, now: Moment) -> Vec<Peer> {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -46,6 +46,7 @@
 use super::isolation::IsolatedGrants;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
+use super::origins::Origins;
 use super::rate::Rates;
 use super::roster;
 use super::roster::Roster;
@@ -208,6 +209,7 @@
         body_memory: BodyMemory::default(),
         isolated: IsolatedGrants::default(),
         spent: SpentPrograms::default(),
+        origins: Origins::default(),
         scout_reports: ScoutReports::default(),
         remote_contact: RemoteContact::default(),
         is_draining: false.into(),
