Resume an answer at another engine once its own is gone

Callers saw: an answer broke off although another engine of its version took work.

An engine that refuses connections, cannot be reached or whose address another process uses has ended or is cut off. The rest of the stream then goes to another engine of the version.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -109,6 +109,27 @@
     }
 }
 
+/// Why an endpoint did not run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotRunCause {
+    /// It had no room.
+    Full,
+    /// No connection could be opened, or another endpoint uses the address.
+    Gone,
+    /// The request could not be sent.
+    NotSent,
+}
+
+impl NotRunCause {
+    /// Returns what it tells of the endpoint's health.
+    pub const fn evidence(self) -> AttemptEnd {
+        match self {
+            Self::Full => AttemptEnd::Full,
+            Self::Gone | Self::NotSent => AttemptEnd::Failed,
+        }
+    }
+}
+
 /// Result of an attempt, up to the head of the answer.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -118,8 +139,8 @@
     NotRun {
         /// Reason for the log.
         why: String,
-        /// Whether the endpoint had no room.
-        is_full: bool,
+        /// What kept the endpoint from running it.
+        cause: NotRunCause,
     },
     /// The attempt's deadline passed; the endpoint may have run the request.
     TimedOut,
@@ -158,7 +179,7 @@
         Err(e) => {
             return AttemptResult::NotRun {
                 why: format!("the request cannot be built: {e}"),
-                is_full: false,
+                cause: NotRunCause::NotSent,
             };
         }
     };
@@ -177,7 +198,10 @@
         Ok(response) => classify_answer(cx, call, placement, response),
         Err(e) if e.is_not_sent() => AttemptResult::NotRun {
             why: e.to_string(),
-            is_full: false,
+            cause: match e {
+                ClientError::Connect(_) => NotRunCause::Gone,
+                _ => NotRunCause::NotSent,
+            },
         },
         Err(ClientError::Timeout(_)) => AttemptResult::TimedOut,
         Err(e) => AttemptResult::Unknown { why: e.to_string() },
@@ -215,7 +239,10 @@
         Verdict::Answer => AttemptResult::Answered(Box::new(Response::from_parts(head, body))),
         Verdict::NotRun { is_other_endpoint } => AttemptResult::NotRun {
             why: format!("the endpoint answered {}", head.status),
-            is_full: !is_other_endpoint,
+            cause: match is_other_endpoint {
+                true => NotRunCause::Gone,
+                false => NotRunCause::Full,
+            },
         },
         Verdict::Mismatched => AttemptResult::Unknown {
             why: "the answer belongs to another request".to_owned(),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -99,14 +99,10 @@
                     }
                 }
             }
-            AttemptResult::NotRun { why, is_full } => {
+            AttemptResult::NotRun { why, cause } => {
                 log_attempt(cx, &call, &placement, &attempts, "not-run", &why);
                 attempts.refused.push(placement.endpoint().id.clone());
-                placement.end(if is_full {
-                    AttemptEnd::Full
-                } else {
-                    AttemptEnd::Failed
-                });
+                placement.end(cause.evidence());
                 if attempts.refused.len() >= MAX_REFUSALS {
                     return Err(refusal_after(&attempts, &why));
                 }
@@ -206,12 +202,14 @@
     pub version: Option<&'a str>,
     /// Endpoint that broke the stream.
     pub failed_endpoint: &'a str,
+    /// Endpoints that have ended or cannot be reached.
+    pub gone: &'a [Box<str>],
 }
 
 /// Chooses an endpoint that resumes a broken stream.
 ///
 /// If the route allows only one endpoint per request, this is the endpoint
-/// that broke the stream, unless it is no longer listed.
+/// that broke the stream, unless it is gone or no longer listed.
 pub fn place_resume<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
@@ -220,10 +218,11 @@
     let failed = target.failed_endpoint;
     let pool = cx.pools.get(&call.service)?;
     let is_listed = pool.lock().contains(failed);
-    let only = (is_listed && call.route.max_runs < 2).then_some(failed);
+    let is_gone = target.gone.iter().any(|id| **id == *failed);
+    let only = (is_listed && !is_gone && call.route.max_runs < 2).then_some(failed);
     let choice = Choice {
         version: target.version,
-        excluded: &[],
+        excluded: target.gone,
         only,
     };
     place_among(cx, call, choice)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
 use super::attempt;
 use super::attempt::AttemptResult;
 use super::attempt::Call;
+use super::attempt::NotRunCause;
 use super::attempt::PlacementGuard;
 use super::context::Cx;
 use super::context::Gateway;
@@ -40,6 +41,8 @@
 const MAX_QUEUED_EVENTS: usize = 16;
 /// Maximum number of times that one answer is resumed.
 const MAX_RESUMES: u32 = 2;
+/// Maximum number of engines that are asked to resume an answer.
+const MAX_RESUME_ATTEMPTS: usize = 4;
 /// Time after a call's deadline at which the gateway ends its stream. Engines
 /// stop by themselves at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
@@ -272,11 +275,15 @@
         failed_endpoint: &str,
     ) -> Option<(Incoming, PlacementGuard)> {
         let resumable = matches!(self.call.route.kind, RouteKind::Stream { resumable: true });
-        while resumable && self.resumes < MAX_RESUMES {
-            self.resumes += 1;
+        let mut gone = Vec::new();
+        for _ in 0..MAX_RESUME_ATTEMPTS {
+            if !resumable || self.resumes >= MAX_RESUMES {
+                return None;
+            }
             let target = ResumeTarget {
                 version: self.version.as_deref(),
                 failed_endpoint,
+                gone: &gone,
             };
             let placement = dispatch::place_resume(&self.cx, &self.call, &target)?;
             let after = self.last_event.or(self.call.meta.resume_after);
@@ -287,16 +294,28 @@
             };
             match future::or(result, disconnected).await {
                 AttemptResult::Answered(response) if response.status().is_success() => {
+                    self.resumes += 1;
                     self.cx.metrics.resumed.inc();
                     lines::report(&self.cx, &self.call, &placement.endpoint().id);
                     return Some((response.into_body(), placement));
                 }
                 AttemptResult::TimedOut => return None,
-                AttemptResult::NotRun { why, .. } | AttemptResult::Unknown { why } => {
+                AttemptResult::NotRun { why, cause } => {
+                    self.log(&placement, "not-resumed", &why);
+                    if cause == NotRunCause::Gone {
+                        gone.push(placement.endpoint().id.clone());
+                    } else {
+                        self.resumes += 1;
+                    }
+                    placement.end(cause.evidence());
+                }
+                AttemptResult::Unknown { why } => {
+                    self.resumes += 1;
                     self.log(&placement, "not-resumed", &why);
                     placement.end(AttemptEnd::Failed);
                 }
                 AttemptResult::Answered(response) => {
+                    self.resumes += 1;
                     let why = format!("the endpoint answered {}", response.status());
                     self.log(&placement, "not-resumed", &why);
                     placement.end(AttemptEnd::Failed);
