Begin a turn with part of its tokens only in an isolated data centre

Cause: a host whose draw of budget tokens was refused began the turn with the tokens it had, from a third of the turn's maximum on. That is meant for a data centre that is cut off from all others and the store, where no more can come; the condition was not checked. A grant that takes longer than 400 ms, as on a host that is slow while others restart, or eight conflicting writes were enough, and the stream ended with `over-budget` in the middle of its answer.

The host now refuses the turn as not run, unless its data centre is isolated.

Not shown: that planned work alone brought it about.

--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -133,7 +133,7 @@
     };
     let drawn = match draw(cx, &req).await {
         Ok(drawn) => drawn,
-        Err(refusal) if refusal.outcome == Outcome::NotRun => {
+        Err(refusal) if refusal.outcome == Outcome::NotRun && cx.is_isolated() => {
             // An isolated host continues with the tokens it has; the stream is
             // aborted if they run out.
             let given = isolation::draw(cx, &req).await;
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -210,3 +210,37 @@
         assert_eq!(answer.status, 200, "{name}");
     }
 }
+
+// A host that was not isolated began a turn with the few tokens it had while a
+// grant was slow, and broke the answer off when they were used up.
+#[test]
+fn a_slow_grant_breaks_no_answer_off() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let gateway = fleet.gateway("g1");
+    super::fleet::wait_until("the founders are agreed", || {
+        fleet.store.spec("chicoryarch-founders", "first").is_some()
+    });
+    // Wait until the host has the list of founders.
+    std::thread::sleep(Duration::from_millis(300));
+    let call = |id: &str| {
+        let headers = [
+            ("request-id", id),
+            ("program-id", "p"),
+            ("session-id", "s"),
+            ("token-usage", "100,50"),
+            // The allowance covers four turns and most of the fifth.
+            ("token-budget", "480"),
+        ];
+        fleet.call(&gateway, "/turns/", &headers)
+    };
+    for n in 0..4 {
+        assert!(call(&format!("r{n}")).body.is_some());
+    }
+    fleet.store.set_faults(StoreFaults {
+        write_time: Duration::from_secs(2),
+        ..StoreFaults::default()
+    });
+    let answer = call("r4");
+    assert!(answer.body.is_some(), "{} and no end", answer.status);
+}
