Give up on the rest of a request's head when a server stops

Such a connection is now closed a second after the stop.

a_drain_does_not_wait_for_the_rest_of_a_head failed before (10 s, the header timeout) and passes.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -32,6 +33,10 @@
 /// descriptors run out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
+/// Time after the stop of a server within which the head of a request that is
+/// being received must be complete.
+const HEAD_GRACE: Duration = Duration::from_secs(1);
+
 /// Handles the requests of a server.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request; the future is dropped if the caller disconnects.
@@ -191,7 +196,10 @@
         let _unsupported = keepalive::enable(&stream, limit);
     }
     let count = Arc::clone(&control.requests);
+    let has_begun = Arc::new(AtomicBool::new(false));
+    let begun = Arc::clone(&has_begun);
     let service = service_fn(move |req: Request<Incoming>| {
+        begun.store(true, Ordering::Release);
         let handler = handler.clone();
         let open = OpenGuard::new(&count);
         async move {
@@ -211,7 +219,18 @@
     });
     if ended.await.is_none() {
         serving.as_mut().graceful_shutdown();
-        let _outcome = serving.await;
+        let finished = async {
+            let _outcome = serving.await;
+        };
+        // Only a connection without any request yet waits for the rest of a
+        // head; the others close at once or after their current request.
+        let head_missing = async {
+            Timer::after(HEAD_GRACE).await;
+            if has_begun.load(Ordering::Acquire) {
+                future::pending::<()>().await;
+            }
+        };
+        future::or(finished, head_missing).await;
     }
 }
 
