Subscribe to signals before anything else at the start of a process

A SIGHUP in the first milliseconds of a gateway or archive ended the process (exit by signal, found by a reviewer with SIGHUP 0 to 3 ms after the start; on a host with an eighth of a core the span is longer): the handler was set only after the settings had been read and the threads started. With SIGTERM and SIGHUP in series a restart could meet it.

The test holds the process at the read of its settings, sends SIGHUP and then the settings. It failed before (the process was gone) and passes.

--- a/src/gateway/archive.rs
+++ b/src/gateway/archive.rs
@@ -123,8 +123,7 @@
 /// # Errors
 ///
 /// [`ArchiveError`] if it cannot start.
-pub async fn run(cfg: ArchiveConfig, spawner: Spawner) -> Result<()> {
-    let mut signals = Signals::new([Signal::Int, Signal::Term, Signal::Hup])?;
+pub async fn run(cfg: ArchiveConfig, spawner: Spawner, mut signals: Signals) -> Result<()> {
     let log = EventLog::start(cfg.place.host.as_str(), LOG_LINES_PER_S);
     let wait = cfg.store.watch_wait;
     let client = Client::new(spawner.clone(), ClientConfig::default());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -117,8 +117,12 @@
 /// # Errors
 ///
 /// Returns [`ServeError`] if the gateway cannot start.
-pub async fn run(cfg: GatewayConfig, spawner: Spawner, settings_file: &Path) -> Result<()> {
-    let mut signals = Signals::new([Signal::Int, Signal::Term, Signal::Hup])?;
+pub async fn run(
+    cfg: GatewayConfig,
+    spawner: Spawner,
+    settings_file: &Path,
+    mut signals: Signals,
+) -> Result<()> {
     let callers = bind(cfg.callers, "callers").await?;
     let ready = bind(cfg.ready, "readiness").await?;
     let peers = bind(cfg.peers, "other hosts").await?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use async_signal::Signal;
+use async_signal::Signals;
 use chicoryarch::cli::Command;
 use chicoryarch::cli::command;
 use chicoryarch::cli::ctl;
@@ -99,23 +101,31 @@
 }
 
 fn run_gateway() -> miette::Result<ExitCode> {
+    let signals = subscribe_signals()?;
     logs::start(&LogConfig::default());
     abort_on_panic();
     let path = platform::settings::path();
     let cfg = platform::settings::read(&path)?.gateway()?;
     cfg.check().into_diagnostic()?;
     let spawner = Spawner::start(GATEWAY_THREADS);
-    async_io::block_on(gateway::serve::run(cfg, spawner, &path))?;
+    async_io::block_on(gateway::serve::run(cfg, spawner, &path, signals))?;
     Ok(ExitCode::SUCCESS)
 }
 
+/// Subscribes to the signals of a gateway or archive. This comes first at the
+/// start of the process, since SIGHUP ends it until then.
+fn subscribe_signals() -> miette::Result<Signals> {
+    Signals::new([Signal::Hup, Signal::Int, Signal::Term]).into_diagnostic()
+}
+
 fn run_archive() -> miette::Result<ExitCode> {
+    let signals = subscribe_signals()?;
     logs::start(&LogConfig::default());
     abort_on_panic();
     let path = platform::settings::path();
     let cfg = platform::settings::read(&path)?.archive()?;
     let spawner = Spawner::start(GATEWAY_THREADS);
-    async_io::block_on(gateway::archive::run(cfg, spawner))?;
+    async_io::block_on(gateway::archive::run(cfg, spawner, signals))?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -1,8 +1,10 @@
 //! Test fleet: a stand-in store, stand-in endpoints and gateway processes.
 
 use std::fs;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -22,6 +24,9 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use rustix::fs::CWD;
+use rustix::fs::Mode;
+use rustix::fs::mkfifoat;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -58,6 +63,16 @@
     }
 }
 
+fn start_process(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
+        .arg("gateway")
+        .env("CHICORYARCH_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the process starts")
+}
+
 /// Store, client and settings folder of one test.
 pub(crate) struct Fleet {
     pub(crate) spawner: Spawner,
@@ -166,16 +181,36 @@
         );
         let path = self.folder.path().join(format!("{name}.conf"));
         fs::write(&path, settings).expect("the folder takes files");
-        let child = Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
-            .arg("gateway")
-            .env("CHICORYARCH_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the process starts");
+        let child = start_process(&path);
         Gateway { child, addresses }
     }
 
+    /// Starts a gateway that gets its settings only after `while_starting` has
+    /// run. Before, it waits to read them.
+    pub(crate) fn start_gateway_paused(
+        &self,
+        name: &str,
+        while_starting: impl FnOnce(&Gateway),
+    ) -> Gateway {
+        // A running gateway shows what the file holds.
+        let mut template = self.start_gateway(name, self.store.addr(), &[]);
+        template.kill();
+        let file = self.folder.path().join(format!("{name}.conf"));
+        let settings = fs::read(&file).expect("the settings");
+        let pipe = self.folder.path().join(format!("{name}.pipe"));
+        mkfifoat(CWD, &pipe, Mode::RUSR | Mode::WUSR).expect("a named pipe");
+        let gateway = Gateway {
+            child: start_process(&pipe),
+            addresses: template.addresses,
+        };
+        // Opening waits until the process reads.
+        let mut writer = fs::File::create(&pipe).expect("the pipe opens");
+        while_starting(&gateway);
+        fs::rename(&file, &pipe).expect("both are in one folder");
+        writer.write_all(&settings).expect("the process reads");
+        gateway
+    }
+
     pub(crate) fn get(&self, address: SocketAddr, path: &str) -> Option<StatusCode> {
         let req = Request::get(path)
             .header("host", "x")
--- a/tests/gateway_processes/shutdown.rs
+++ b/tests/gateway_processes/shutdown.rs
@@ -58,3 +58,12 @@
     });
     assert!(gateway.is_ready(&fleet));
 }
+
+// A hangup signal in the first milliseconds ended the process, since its
+// handler was set only after the settings had been read.
+#[test]
+fn a_hangup_signal_at_the_start_does_not_end_the_process() {
+    let fleet = Fleet::new();
+    let gateway = fleet.start_gateway_paused("g1", |gateway| gateway.signal(Signal::HUP));
+    gateway.wait_ready(&fleet);
+}
