Keep a resumed stream at its service on a split route

On a route that is split between services, a caller's resumed stream could be sent to another service than the one that began it: the choice follows the weights in force and, without a program, the id of the attempt. With the version fixed this ended in a refusal (503), before in events of two services.

A resumed stream now goes to the recorded service as long as the route leads there. a_resumed_stream_stays_at_its_service_on_a_split_route failed before (503 instead of 200) and passes.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -152,8 +152,14 @@
 }
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
-    let version = origins::required_version(cx, &call).await?;
-    let call = Call { version, ..call };
+    let call = match origins::required_origin(cx, &call).await? {
+        Some(origin) => Call {
+            service: origin.service,
+            version: Some(origin.version),
+            ..call
+        },
+        None => call,
+    };
     let reservation = reserve(cx, &call).await?;
     if let Some(reservation) = &reservation {
         lines::expect_cached(cx, &call, &reservation.cached_at);
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -139,37 +139,35 @@
     is_recorded: bool,
 }
 
-/// Returns the version at which a call must run: the one that began its stream.
-/// `None` if the call begins a stream, or is none.
+/// Returns where a call must run: at the service and version that began its
+/// stream. `None` if the call begins a stream, or is none.
 ///
 /// # Errors
 ///
-/// A refusal if the version is not known, or if the call's service is not the
-/// one that began the stream.
-pub async fn required_version<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Option<Arc<str>>> {
+/// A refusal if the origin is not known, or if the route does not lead to its
+/// service any more.
+pub async fn required_origin<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Option<StreamOrigin>> {
     if !call.meta.resumes_stream() {
         return Ok(None);
     }
     let recorded = find(cx, stream_key(call)).await;
-    let version = match &recorded {
-        Some(origin) if origin.service != call.service => None,
-        Some(origin) => Some(Arc::clone(&origin.version)),
-        None => sole_version(cx, &call.service),
+    let is_recorded = recorded.is_some();
+    let origin = match recorded {
+        Some(origin) => Some(origin).filter(|origin| call.route.leads_to(&origin.service)),
+        None => sole_origin(cx, call),
     };
     let line = ResumeLine {
         request: &call.meta.id,
         resumed_attempt: call.meta.resumed_attempt.as_deref(),
-        version: version.as_deref(),
-        is_recorded: recorded.is_some(),
+        version: origin.as_ref().map(|origin| &*origin.version),
+        is_recorded,
     };
     cx.log.request("stream-resumed", &line);
-    match version {
-        Some(version) => Ok(Some(version)),
-        None => Err(Refusal::not_run(
-            "the version that began the stream is not known",
-            UNKNOWN_ORIGIN_RETRY,
-        )),
-    }
+    let unknown = || {
+        let detail = "the version that began the stream is not known or not in use";
+        Refusal::not_run(detail, UNKNOWN_ORIGIN_RETRY)
+    };
+    origin.map(Some).ok_or_else(unknown)
 }
 
 /// Finds where a stream began, asking other hosts if this one does not know.
@@ -201,13 +199,16 @@
     None
 }
 
-/// Returns the version of a service if no other was listed of late, as far as
-/// this host can know.
-fn sole_version<P: Platform>(cx: &Gateway<P>, service: &str) -> Option<Arc<str>> {
-    if !cx.is_current() {
+/// Returns the only origin that streams of the call's route can have, as far as
+/// this host can know; `None` if there are several.
+fn sole_origin<P: Platform>(cx: &Gateway<P>, call: &Call) -> Option<StreamOrigin> {
+    if !cx.is_current() || call.route.targets.len() > 1 {
         return None;
     }
-    let pool = cx.pools.get(service)?;
-    let pool = pool.lock();
-    pool.sole_version(Moment::now()).cloned()
+    let pool = cx.pools.get(&call.service)?;
+    let version = pool.lock().sole_version(Moment::now()).cloned()?;
+    Some(StreamOrigin {
+        service: Arc::clone(&call.service),
+        version,
+    })
 }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -228,4 +228,10 @@
         }
         self.targets.last().expect("a route has a target")
     }
+
+    /// Whether calls may go to a service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.weight > 0.0 && *target.service == *service)
+    }
 }
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -6,9 +6,12 @@
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::Run;
+use serde_json::Value;
+use serde_json::json;
 
 use super::fleet::Fleet;
 use super::fleet::Gateway;
+use super::fleet::configuration;
 use super::fleet::wait_until;
 
 const ENGINE: Behaviour = Behaviour {
@@ -179,3 +182,33 @@
     });
     assert!(answer.body.is_some());
 }
+
+/// A configuration whose streams are split between two services of engines.
+fn split_configuration(version: u64, first: f64, second: f64) -> Value {
+    let mut changed = configuration(version);
+    changed["routes"][3]["backends"] = json!([
+        {"service": "engine", "weight": first},
+        {"service": "engine-b", "weight": second},
+    ]);
+    changed
+}
+
+// A resumed stream was sent to another service of a split route, since the
+// choice depends on the weights and, without a program, on the attempt's id.
+#[test]
+fn a_resumed_stream_stays_at_its_service_on_a_split_route() {
+    let fleet = Fleet::new();
+    let mut config = split_configuration(2, 1.0, 1e-9);
+    fleet.store.put("config", "main", config);
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let other = fleet.endpoint("b1", "engine-b", ENGINE);
+    let gateway = fleet.gateway("g1");
+    begin_stream(&fleet, &gateway, "r1");
+    config = split_configuration(3, 1e-9, 1.0);
+    fleet.store.put("config", "main", config);
+    std::thread::sleep(LIST_CHANGE);
+    engine.set_behaviour(ENGINE);
+    assert_eq!(resume_stream(&fleet, &gateway, "r2", "r1"), 200);
+    assert!(ran(&engine, "r2"));
+    assert!(other.runs().is_empty());
+}
