Tell two hosts where a stream began in data centres of one host, too

With no other host in its own data centre, a host told only one other where a stream began, and the record was lost with that one. Missing local hosts are now replaced by others. Found by the test that compares, for fleets of 3 to 56 hosts, who is told with who is asked; it failed for 3 hosts ("left: 1, right: 2"). The other tests of the module cover placement by version and how long versions and origins are remembered.

--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -33,10 +33,10 @@
 /// Maximum number of origins in one generation, to bound the memory.
 const MAX_ORIGINS: usize = 1 << 16;
 /// Hosts that are told where a stream began.
-const REPORTED_TO: KeeperCount = KeeperCount { local: 1, any: 1 };
+pub const REPORTED_TO: KeeperCount = KeeperCount { local: 1, any: 1 };
 /// Hosts that are asked where a stream began: those that may have been told,
 /// also if the host that told them is among the first or some have failed.
-const ASKED: KeeperCount = KeeperCount { local: 2, any: 3 };
+pub const ASKED: KeeperCount = KeeperCount { local: 2, any: 3 };
 /// Retry time of a caller whose stream has no known origin, since a host that
 /// did not answer in time may do so then.
 const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(100);
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -63,6 +63,13 @@
 }
 
 impl HostState {
+    fn peer(&self, host: &HostId) -> Peer {
+        Peer {
+            host: host.clone(),
+            address: self.entry.peers,
+        }
+    }
+
     fn is_responsive(&self, now: Moment) -> bool {
         self.suspect_until.is_none_or(|until| until <= now)
     }
@@ -107,9 +114,9 @@
 /// Number of hosts that keep a copy of some state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KeeperCount {
-    /// Hosts of this host's data centre.
+    /// Hosts of this host's data centre, as far as it has others.
     pub local: usize,
-    /// Further hosts of any data centre.
+    /// Further hosts of any data centre, which also replace missing local ones.
     pub any: usize,
 }
 
@@ -278,10 +285,7 @@
             .filter(|(host, state)| is_usable(host, state));
         let home = usable.max_by_key(|(_, state)| mix(state.hash ^ key));
         match home.filter(|(host, _)| **host != self.own) {
-            Some((host, state)) => Home::Other(Peer {
-                host: host.clone(),
-                address: state.entry.peers,
-            }),
+            Some((host, state)) => Home::Other(state.peer(host)),
             None => Home::Own,
         }
     }
@@ -303,23 +307,19 @@
             .map(|(host, state)| (mix(state.hash ^ key), host, state))
             .collect();
         ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
-        let is_local = |state: &HostState| state.entry.data_centre == *local;
-        let mut missing = count;
-        ranked.retain(|(_, _, state)| {
-            let left = if is_local(state) && missing.local > 0 {
-                &mut missing.local
+        let mut chosen = Vec::new();
+        let mut others = Vec::new();
+        for (_, host, state) in ranked {
+            let is_local = state.entry.data_centre == *local;
+            if is_local && chosen.len() < count.local {
+                chosen.push(state.peer(host));
             } else {
-                &mut missing.any
-            };
-            let is_chosen = *left > 0;
-            *left = left.saturating_sub(1);
-            is_chosen
-        });
-        let peer = |(_, host, state): (u64, &HostId, &HostState)| Peer {
-            host: host.clone(),
-            address: state.entry.peers,
-        };
-        ranked.into_iter().map(peer).collect()
+                others.push(state.peer(host));
+            }
+        }
+        chosen.extend(others);
+        chosen.truncate(count.local + count.any);
+        chosen
     }
 
     /// Returns the scouts of a data centre: the responsive hosts that watch the
@@ -336,11 +336,8 @@
             .collect();
         ranked.sort_unstable_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
         ranked.truncate(count);
-        let peer = |(_, host, state): (u64, &HostId, &HostState)| Peer {
-            host: host.clone(),
-            address: state.entry.peers,
-        };
-        ranked.into_iter().map(peer).collect()
+        let peers = ranked.into_iter().map(|(_, host, state)| state.peer(host));
+        peers.collect()
     }
 
     /// Returns the hosts whose process is their first.
@@ -434,12 +431,7 @@
             .hosts
             .iter()
             .filter(|(_, state)| state.unresponsive_since.is_some());
-        unresponsive
-            .map(|(host, state)| Peer {
-                host: host.clone(),
-                address: state.entry.peers,
-            })
-            .collect()
+        unresponsive.map(|(host, state)| state.peer(host)).collect()
     }
 
     /// Returns the other hosts in random order, with responsive hosts first.
@@ -448,11 +440,7 @@
         let mut others: Vec<_> = others
             .map(|(host, state)| {
                 let is_suspect = !state.is_responsive(now);
-                let peer = Peer {
-                    host: host.clone(),
-                    address: state.entry.peers,
-                };
-                (is_suspect, peer)
+                (is_suspect, state.peer(host))
             })
             .collect();
         others.shuffle(&mut rand::rng());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,3 +28,4 @@
 mod small_customers_on_many_hosts;
 mod started_programs_first;
 mod support;
+mod versions_side_by_side;
