Reserve test ports without a listener, across processes

`free_address` opened a listener to test a port and closed it, so the port was nobody's until the gateway bound it. Two faults followed; that one run does not tell which of them it met.

Another test process. Every process counts from port 20000, so two runs on one machine (two worktrees, or gateway_processes beside soak) find the same ports free. Gateways of a test run in another worktree listened on 20000 to 20023 while this was examined. Another test thread. A child holds a copy of the listener from fork to exec.

Each fleet now keeps a bound socket for every port it hands out, bound without SO_REUSEADDR, so that no other socket may have the port, and given SO_REUSEADDR afterwards, so that the gateway may listen beside it. It never listens, so a copy of it in a child blocks no gateway.

Ruled out: a port given twice in a process (one atomic counter; 165 ports in a run, so no wrap at 10000); an outgoing connection (ephemeral ports start at 32768); a restarted gateway (this test starts one, once).

--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -186,7 +186,7 @@
     let fleet = Fleet::new();
     fleet.endpoint("e1", "engine", ENGINE);
     let served = fleet.gateway("g1");
-    let unused_address = super::fleet::free_address();
+    let unused_address = fleet.free_address();
     let rejected = fleet.start_gateway("g2", unused_address, &[served.addresses.peers]);
     // The store started to reject the host after its entry was written.
     let entry = json!({"writer": 1, "value": {
--- a/tests/gateway_processes/configuration.rs
+++ b/tests/gateway_processes/configuration.rs
@@ -7,7 +7,6 @@
 
 use super::fleet::Fleet;
 use super::fleet::configuration;
-use super::fleet::free_address;
 use super::fleet::wait_until;
 
 fn with_route(version: u64) -> serde_json::Value {
@@ -26,7 +25,8 @@
     let fleet = Fleet::new();
     let endpoint = fleet.endpoint("e1", "plain", Behaviour::default());
     let with_store = fleet.gateway("g1");
-    let without_store = fleet.start_gateway("g2", free_address(), &[with_store.addresses.peers]);
+    let without_store =
+        fleet.start_gateway("g2", fleet.free_address(), &[with_store.addresses.peers]);
     without_store.wait_ready(&fleet);
     let call = |id: &str| {
         fleet
@@ -69,7 +69,7 @@
 #[test]
 fn without_a_configuration_callers_get_a_retry_delay() {
     let fleet = Fleet::new();
-    let gateway = fleet.start_gateway("g1", free_address(), &[]);
+    let gateway = fleet.start_gateway("g1", fleet.free_address(), &[]);
     wait_until("the gateway answers", || {
         fleet.get(gateway.addresses.ready, "/v1/readyz").is_some()
     });
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -1,8 +1,9 @@
 //! Test fleet: a stand-in store, stand-in endpoints and gateway processes.
 
 use std::fs;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::os::fd::OwnedFd;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -22,6 +23,13 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use parking_lot::Mutex;
+use rustix::net::AddressFamily;
+use rustix::net::SocketFlags;
+use rustix::net::SocketType;
+use rustix::net::bind;
+use rustix::net::socket_with;
+use rustix::net::sockopt;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -38,15 +46,20 @@
 const FIRST_PORT: u16 = 20_000;
 const PORTS: u16 = 10_000;
 
-/// Returns a free loopback address that no other test of this process gets.
-pub(crate) fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    loop {
-        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("its address");
-        }
-    }
+/// Reserves the address unless a socket of any process is bound to it.
+///
+/// The reservation is never a listener: a process that another test forks
+/// holds a copy until it runs its program, and a listener would keep the
+/// gateway from the port for that time.
+fn reserve(address: SocketAddr) -> Option<OwnedFd> {
+    let flags = SocketFlags::CLOEXEC;
+    let socket = socket_with(AddressFamily::INET, SocketType::STREAM, flags, None);
+    let socket = socket.expect("a socket");
+    bind(&socket, &address).ok()?;
+    // Set only now: the bind above has to fail beside any other socket, while
+    // the gateway, which sets it before it binds, may share the port.
+    sockopt::set_socket_reuseaddr(&socket, true).expect("the option is known");
+    Some(socket)
 }
 
 /// Polls until a condition holds.
@@ -64,6 +77,7 @@
     pub(crate) store: ObjectsStandin,
     client: Client,
     folder: TempDir,
+    reservations: Mutex<Vec<OwnedFd>>,
 }
 
 impl Fleet {
@@ -75,11 +89,26 @@
         Self {
             client: Client::new(spawner.clone(), ClientConfig::default()),
             folder: tempfile::tempdir().expect("a folder"),
+            reservations: Mutex::default(),
             spawner,
             store,
         }
     }
 
+    /// Returns a free loopback address that no other test, of this process or
+    /// of another, gets while the fleet exists.
+    pub(crate) fn free_address(&self) -> SocketAddr {
+        static NEXT: AtomicU16 = AtomicU16::new(0);
+        loop {
+            let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            if let Some(reservation) = reserve(address) {
+                self.reservations.lock().push(reservation);
+                return address;
+            }
+        }
+    }
+
     /// Starts an endpoint and adds it to the list in the store.
     pub(crate) fn endpoint(
         &self,
@@ -117,9 +146,9 @@
         seeds: &[SocketAddr],
     ) -> Gateway {
         let addresses = Addresses {
-            callers: free_address(),
-            ready: free_address(),
-            peers: free_address(),
+            callers: self.free_address(),
+            ready: self.free_address(),
+            peers: self.free_address(),
         };
         self.start_gateway_at(name, addresses, store, seeds, true)
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,7 +19,6 @@
 use super::fleet::Fleet;
 use super::fleet::Gateway;
 use super::fleet::configuration;
-use super::fleet::free_address;
 use super::proxy::Mode;
 use super::proxy::Proxy;
 
@@ -61,9 +60,9 @@
             .enumerate()
             .map(|(n, proxy)| {
                 let addresses = Addresses {
-                    callers: free_address(),
-                    ready: free_address(),
-                    peers: free_address(),
+                    callers: fleet.free_address(),
+                    ready: fleet.free_address(),
+                    peers: fleet.free_address(),
                 };
                 fleet.start_gateway_at(&gateway_name(n), addresses, proxy.address(), &[], true)
             })
