Soak under planned work only

Adds a scenario without faults: SIGTERM with a wait for the exit, SIGHUP, configurations (some with thousands of routes) and pauses of up to 90 ms, overlapping, under callers that keep their connections and call as the gateway closes them. Every call that ran must have its whole answer; every other one a whole refusal or a closed connection. The soak under faults kills a gateway at most 800 ms after SIGTERM, so no drain ended in it.

The endpoints of the test fleet run on a thread of their own: large configurations kept the store's threads busy and delayed their answers.

--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -61,6 +61,8 @@
 /// Store, client and settings folder of one test.
 pub(crate) struct Fleet {
     pub(crate) spawner: Spawner,
+    /// Runs the endpoints, so that a busy store does not delay their answers.
+    endpoint_spawner: Spawner,
     pub(crate) store: ObjectsStandin,
     client: Client,
     folder: TempDir,
@@ -75,6 +77,7 @@
         Self {
             client: Client::new(spawner.clone(), ClientConfig::default()),
             folder: tempfile::tempdir().expect("a folder"),
+            endpoint_spawner: Spawner::start(1),
             spawner,
             store,
         }
@@ -88,7 +91,7 @@
         behaviour: Behaviour,
     ) -> EndpointStandin {
         let any_port = "127.0.0.1:0".parse().expect("an address");
-        let endpoint = EndpointStandin::start(&self.spawner, any_port, id, behaviour);
+        let endpoint = EndpointStandin::start(&self.endpoint_spawner, any_port, id, behaviour);
         let endpoint = async_io::block_on(endpoint).expect("an endpoint");
         self.list(id, service, endpoint.addr(), "ready");
         endpoint
@@ -229,15 +232,21 @@
 
     /// Waits until the process exits and returns whether it succeeded.
     pub(crate) fn wait(&mut self) -> bool {
-        let mut status = None;
-        wait_until("the process ends", || {
-            status = self
-                .child
-                .try_wait()
-                .expect("the process can be waited for");
-            status.is_some()
-        });
-        status.is_some_and(|status| status.success())
+        self.wait_for(HANG_GUARD).expect("the process ends")
+    }
+
+    /// Waits until the process exits and returns whether it succeeded; `None`
+    /// if it still runs after `limit`.
+    pub(crate) fn wait_for(&mut self, limit: Duration) -> Option<bool> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            let status = self.child.try_wait();
+            if let Some(status) = status.expect("the process can be waited for") {
+                return Some(status.success());
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        None
     }
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -23,21 +23,20 @@
 use super::proxy::Mode;
 use super::proxy::Proxy;
 
-const GATEWAYS: usize = 3;
 /// Events of each engine stream.
 pub(crate) const EVENTS: u64 = 4;
 
 /// A store, endpoints, and gateways that reach the store through proxies.
 pub(crate) struct Deployment {
     rng: ChaCha8Rng,
-    fleet: Fleet,
-    endpoints: Vec<EndpointStandin>,
-    proxies: Vec<Proxy>,
-    gateways: Vec<Gateway>,
+    pub(crate) fleet: Fleet,
+    pub(crate) endpoints: Vec<EndpointStandin>,
+    pub(crate) proxies: Vec<Proxy>,
+    pub(crate) gateways: Vec<Gateway>,
     version: u64,
 }
 
-fn behaviour(is_engine: bool) -> Behaviour {
+pub(crate) fn behaviour(is_engine: bool) -> Behaviour {
     Behaviour {
         events: if is_engine { EVENTS } else { 0 },
         pause: Duration::from_millis(5),
@@ -46,7 +45,7 @@
 }
 
 impl Deployment {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, gateways: usize) -> Self {
         let fleet = Fleet::new();
         let endpoints = vec![
             fleet.endpoint("p1", "plain", behaviour(false)),
@@ -55,7 +54,7 @@
             fleet.endpoint("e2", "engine", behaviour(true)),
         ];
         let start = || Proxy::start(&fleet.spawner, fleet.store.addr());
-        let proxies: Vec<Proxy> = (0..GATEWAYS).map(|_| start()).collect();
+        let proxies: Vec<Proxy> = (0..gateways).map(|_| start()).collect();
         let gateways: Vec<Gateway> = proxies
             .iter()
             .enumerate()
@@ -115,7 +114,7 @@
     }
 
     fn inject_one(&mut self) {
-        let gateway = self.rng.random_range(0..GATEWAYS);
+        let gateway = self.rng.random_range(0..self.gateways.len());
         match self.rng.random_range(0..12) {
             0 => self.restart(gateway, Signal::KILL),
             1 => self.restart(gateway, Signal::TERM),
@@ -173,11 +172,7 @@
             thread::sleep(Duration::from_millis(self.rng.random_range(0..800)));
         }
         self.gateways[n].kill();
-        let store = self.proxies[n].address();
-        let started = self
-            .fleet
-            .start_gateway_at(&gateway_name(n), addresses, store, &[], false);
-        self.gateways[n] = started;
+        self.gateways[n] = start_again(&self.fleet, n, addresses, &self.proxies[n]);
     }
 
     /// Whether every gateway serves a call before `limit` has passed.
@@ -197,6 +192,11 @@
     }
 }
 
+/// Starts a gateway again at the addresses that it had.
+pub(crate) fn start_again(fleet: &Fleet, n: usize, addresses: Addresses, store: &Proxy) -> Gateway {
+    fleet.start_gateway_at(&gateway_name(n), addresses, store.address(), &[], false)
+}
+
 fn gateway_name(n: usize) -> String {
     format!("g{n}")
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,18 +1,23 @@
-//! Soak test under faults: gateways run as separate processes, faults are
-//! injected from outside, and the guarantees are checked on what callers and
-//! endpoints record.
+//! Soak test under faults, and another under planned work only: gateways run as
+//! separate processes, faults or planned work come from outside, and the
+//! guarantees are checked on what callers and endpoints record.
 //!
-//! `cargo test --test soak` runs two fixed seeds and those that failed before.
+//! `cargo test --test soak` runs fixed seeds and those that failed before.
 //! `SOAK_SEEDS=FIRST..LAST cargo test --test soak -- --ignored` runs more; the
-//! panic message names the seed that failed.
+//! panic message names the seed that failed. `SOAK_GATEWAYS` sets the number of
+//! gateways under planned work.
 
 mod callers;
 mod faults;
 #[allow(dead_code, reason = "the gateway process tests use the rest of it")]
 #[path = "../gateway_processes/fleet.rs"]
 mod fleet;
+mod planned;
 mod proxy;
 
+use std::fmt::Debug;
+use std::ops::Range;
+use std::str::FromStr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,12 +32,14 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Concurrent callers.
 const CALLERS: u64 = 6;
+const MAX_GAP_MS: u64 = 30;
+const GATEWAYS: usize = 3;
 
 /// Seeds that failed before, each with the defect that it revealed.
 const REGRESSION_SEEDS: [u64; 0] = [];
 
 fn run_seed(seed: u64) {
-    let mut deployment = Deployment::new(seed);
+    let mut deployment = Deployment::new(seed, GATEWAYS);
     let stop = AtomicBool::new(false);
     let calls: Vec<CallRecord> = std::thread::scope(|scope| {
         let addresses = deployment.addresses();
@@ -41,7 +48,9 @@
             .map(|caller| {
                 let addresses = addresses.clone();
                 let rng = ChaCha8Rng::seed_from_u64(seed * 1000 + caller);
-                scope.spawn(move || callers::call_until_stopped(stop, &addresses, caller, rng))
+                scope.spawn(move || {
+                    callers::call_until_stopped(stop, &addresses, caller, MAX_GAP_MS, rng)
+                })
             })
             .collect();
         deployment.inject(FAULT_DURATION);
@@ -52,12 +61,38 @@
             .collect()
     });
     callers::check_guarantees(seed, &calls, &deployment.runs());
+    check_recovery(seed, &deployment);
+}
+
+fn run_planned_seed(seed: u64) {
+    let gateways = std::env::var("SOAK_GATEWAYS").map_or(GATEWAYS, |text| number(&text));
+    let mut deployment = Deployment::new(seed, gateways);
+    let calls = planned::run(seed, &mut deployment);
+    let runs = deployment.runs();
+    callers::check_none_cut_off(seed, &calls, &runs);
+    callers::check_guarantees(seed, &calls, &runs);
+    check_recovery(seed, &deployment);
+}
+
+fn check_recovery(seed: u64, deployment: &Deployment) {
     assert!(
         deployment.is_served_within(RECOVERY_TIMEOUT),
-        "seed {seed}: a gateway does not serve calls after the faults"
+        "seed {seed}: a gateway does not serve calls afterwards"
     );
 }
 
+fn number<T: FromStr<Err: Debug>>(text: &str) -> T {
+    text.parse().expect("a number")
+}
+
+fn chosen_seeds() -> Range<u64> {
+    let seeds = std::env::var("SOAK_SEEDS").expect("SOAK_SEEDS is set to FIRST..LAST");
+    let (first, last) = seeds
+        .split_once("..")
+        .expect("SOAK_SEEDS has the form FIRST..LAST");
+    number(first)..number(last)
+}
+
 #[test]
 fn guarantees_hold_under_faults() {
     for seed in [1, 2].into_iter().chain(REGRESSION_SEEDS) {
@@ -68,13 +103,22 @@
 #[test]
 #[ignore = "run by hand with SOAK_SEEDS=FIRST..LAST"]
 fn guarantees_hold_for_chosen_seeds() {
-    let seeds = std::env::var("SOAK_SEEDS").expect("SOAK_SEEDS is set to FIRST..LAST");
-    let (first, last) = seeds
-        .split_once("..")
-        .expect("SOAK_SEEDS has the form FIRST..LAST");
-    let number = |text: &str| text.parse::<u64>().expect("a number");
-    for seed in number(first)..number(last) {
+    for seed in chosen_seeds() {
         eprintln!("seed {seed}");
         run_seed(seed);
     }
 }
+
+#[test]
+fn planned_work_cuts_off_no_request() {
+    run_planned_seed(1);
+}
+
+#[test]
+#[ignore = "run by hand with SOAK_SEEDS=FIRST..LAST"]
+fn planned_work_cuts_off_no_request_for_chosen_seeds() {
+    for seed in chosen_seeds() {
+        eprintln!("planned seed {seed}");
+        run_planned_seed(seed);
+    }
+}
