Guess a stream's version only on a host that has watched for long enough

Cause: without a record a host took the only version that it had listed within a minute for that of the stream. A process that was started later had not been there to see the others. It now needs to have run for that minute, or since the first start of the deployment.

a_restarted_host_does_not_take_the_listed_version_for_the_streams failed before (200 instead of 503) and passes.

--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -20,6 +20,7 @@
 use super::exchange;
 use super::exchange::ORIGIN_METHOD;
 use super::exchange::STREAM_BEGUN_METHOD;
+use super::placing::VERSION_MEMORY;
 use super::refusal::Refusal;
 use super::refusal::Result;
 use super::roster::KeeperCount;
@@ -186,6 +187,9 @@
         cx.spawner.clone().detach(async move {
             let reply: Option<Option<StreamOrigin>> =
                 exchange::call_peer(&cx, &peer, ORIGIN_METHOD, &stream).await;
+            if let Some(Some(origin)) = &reply {
+                cx.origins.record(stream, origin.clone(), Moment::now());
+            }
             // The first answer that names the origin is enough.
             let _enough = tx.try_send(reply.flatten());
         });
@@ -202,7 +206,10 @@
 /// Returns the only origin that streams of the call's route can have, as far as
 /// this host can know; `None` if there are several.
 fn sole_origin<P: Platform>(cx: &Gateway<P>, call: &Call) -> Option<StreamOrigin> {
-    if !cx.is_current() || call.route.targets.len() > 1 {
+    // A process that was started later has not seen the versions before.
+    let age = Moment::now().since(cx.started);
+    let has_seen_all = cx.cfg.place.first_start || age >= VERSION_MEMORY;
+    if !has_seen_all || !cx.is_current() || call.route.targets.len() > 1 {
         return None;
     }
     let pool = cx.pools.get(&call.service)?;
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -212,3 +212,24 @@
     assert!(ran(&engine, "r2"));
     assert!(other.runs().is_empty());
 }
+
+// All hosts were restarted, and with them every record of the stream's origin
+// was lost. The first new host had seen the other version only and sent the
+// rest of the stream there.
+#[test]
+fn a_restarted_host_does_not_take_the_listed_version_for_the_streams() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let mut gateway = fleet.gateway("g1");
+    begin_stream(&fleet, &gateway, "r1");
+    fleet.store.delete("servers", "e1");
+    engine.stop();
+    let others = start_others(&fleet);
+    gateway.kill();
+    let addresses = gateway.addresses;
+    let restarted = fleet.start_gateway_at("g1", addresses, fleet.store.addr(), &[], false);
+    restarted.wait_ready(&fleet);
+    std::thread::sleep(LIST_CHANGE);
+    assert_eq!(resume_stream(&fleet, &restarted, "r2", "r1"), 503);
+    assert_eq!(run_count(&others), 0);
+}
