Hand the origins of streams over when a host shuts down

Cause: a drain handed budgets over but not the origins. A host that shuts down now tells the hosts that keep them from then on, one message to each.

a_stream_can_be_resumed_after_all_hosts_were_restarted_in_turn failed before (503 instead of 200) and passes.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -55,8 +55,8 @@
 pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
 /// Reports where a session of a program runs.
 pub const LINE_METHOD: &str = "gateway.line";
-/// Reports the version that began a stream.
-pub const STREAM_BEGUN_METHOD: &str = "gateway.stream_begun";
+/// Reports the versions that began streams.
+pub const STREAMS_BEGUN_METHOD: &str = "gateway.streams_begun";
 /// Asks for the version that began a stream.
 pub const ORIGIN_METHOD: &str = "gateway.origin";
 /// Borrows rate tokens.
@@ -139,8 +139,8 @@
         home_balance::receive_balances(cx, req);
         Ok::<_, ErrorObjectOwned>(())
     })?;
-    module.register_method(STREAM_BEGUN_METHOD, |params, cx, _| {
-        let begun: StreamBegun = params.one()?;
+    module.register_method(STREAMS_BEGUN_METHOD, |params, cx, _| {
+        let begun: Vec<StreamBegun> = params.one()?;
         origins::receive_report(cx, begun);
         Ok::<_, ErrorObjectOwned>(())
     })?;
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_executor::Task;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,13 +20,14 @@
 use super::context::Gateway;
 use super::exchange;
 use super::exchange::ORIGIN_METHOD;
-use super::exchange::STREAM_BEGUN_METHOD;
+use super::exchange::STREAMS_BEGUN_METHOD;
 use super::placing::VERSION_MEMORY;
 use super::refusal::Refusal;
 use super::refusal::Result;
 use super::roster::KeeperCount;
 use super::roster::Peer;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::units::Moment;
 
 /// Time for which an origin is kept at least. A stream can be resumed until its
@@ -90,6 +92,17 @@
         let found = kept.recent.get(&stream);
         found.or_else(|| kept.previous.get(&stream)).cloned()
     }
+
+    /// Returns all streams that are known here.
+    pub fn all(&self) -> Vec<StreamBegun> {
+        let kept = self.0.lock();
+        let known = kept.recent.iter().chain(&kept.previous);
+        let begun = known.map(|(stream, origin)| StreamBegun {
+            stream: *stream,
+            origin: origin.clone(),
+        });
+        begun.collect()
+    }
 }
 
 /// Returns the key of a call's stream, which is equal on every host and for all
@@ -116,18 +129,52 @@
         .keepers(begun.stream, local, REPORTED_TO, now);
     cx.origins.record(begun.stream, begun.origin.clone(), now);
     for keeper in keepers {
-        let (cx, begun) = (Arc::clone(cx), begun.clone());
-        cx.spawner.clone().detach(async move {
-            // Without the report, a resume has to rely on the other copies.
-            let _reply: Option<()> =
-                exchange::call_peer(&cx, &keeper, STREAM_BEGUN_METHOD, &begun).await;
-        });
+        send_report(cx, keeper, vec![begun.clone()]).detach();
     }
 }
 
+/// Sends a report in the background. Without it, a resume has to rely on the
+/// other copies.
+fn send_report<P: Platform>(cx: &Cx<P>, keeper: Peer, begun: Vec<StreamBegun>) -> Task<()> {
+    let context = Arc::clone(cx);
+    cx.spawner.spawn(async move {
+        let _reply: Option<()> =
+            exchange::call_peer(&context, &keeper, STREAMS_BEGUN_METHOD, &begun).await;
+    })
+}
+
 /// Records the report of another host.
-pub fn receive_report<P>(cx: &Gateway<P>, begun: StreamBegun) {
-    cx.origins.record(begun.stream, begun.origin, Moment::now());
+pub fn receive_report<P>(cx: &Gateway<P>, begun: Vec<StreamBegun>) {
+    let now = Moment::now();
+    for StreamBegun { stream, origin } in begun {
+        cx.origins.record(stream, origin, now);
+    }
+}
+
+/// Hands the origins that are known here over to other hosts at shutdown, so
+/// that they outlast a restart of all hosts in turn.
+pub async fn hand_over<P: Platform>(cx: &Cx<P>) {
+    let now = Moment::now();
+    let local = &cx.cfg.place.data_centre;
+    let mut reports: HashMap<HostId, (Peer, Vec<StreamBegun>)> = HashMap::new();
+    for begun in cx.origins.all() {
+        let keepers = cx
+            .roster
+            .lock()
+            .keepers(begun.stream, local, REPORTED_TO, now);
+        for keeper in keepers {
+            let host = keeper.host.clone();
+            let (_, report) = reports.entry(host).or_insert_with(|| (keeper, Vec::new()));
+            report.push(begun.clone());
+        }
+    }
+    let reports = reports.into_values();
+    let sent: Vec<_> = reports
+        .map(|(keeper, begun)| send_report(cx, keeper, begun))
+        .collect();
+    for report in sent {
+        report.await;
+    }
 }
 
 #[derive(Serialize)]
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -47,6 +47,7 @@
 use super::isolation::IsolatedGrants;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
+use super::origins;
 use super::origins::Origins;
 use super::rate::Rates;
 use super::roster;
@@ -281,7 +282,8 @@
 }
 
 /// Fails the readiness check, waits until all connections of callers are closed
-/// and hands the remaining budgets over to other hosts.
+/// and hands the remaining budgets and the origins of streams over to other
+/// hosts.
 async fn drain<P: Platform>(cx: &Cx<P>, control: &ServerControl) {
     cx.is_draining.store(true, Ordering::Release);
     let requests = control.requests();
@@ -292,6 +294,7 @@
     wait_closed(control, deadline).await;
     cx.drain_limit.end();
     wait_closed(control, deadline + LAST_ANSWERS).await;
+    origins::hand_over(cx).await;
     home_balance::close(cx).await;
     let requests = control.requests();
     cx.log.state("stopped", &DrainLine { requests });
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -6,6 +6,7 @@
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::Run;
+use rustix::process::Signal;
 use serde_json::Value;
 use serde_json::json;
 
@@ -233,3 +234,34 @@
     assert_eq!(resume_stream(&fleet, &restarted, "r2", "r1"), 503);
     assert_eq!(run_count(&others), 0);
 }
+
+// Each host was restarted in turn after it had drained, and no record of the
+// stream's origin was handed on.
+#[test]
+fn a_stream_can_be_resumed_after_all_hosts_were_restarted_in_turn() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", BREAKING);
+    let mut hosts = vec![fleet.gateway("g0")];
+    let seeds = [hosts[0].addresses.peers];
+    for name in ["g1", "g2"] {
+        let host = fleet.start_gateway(name, fleet.store.addr(), &seeds);
+        host.wait_ready(&fleet);
+        hosts.push(host);
+    }
+    std::thread::sleep(LIST_CHANGE * 3);
+    begin_stream(&fleet, &hosts[0], "r1");
+    let others = start_others(&fleet);
+    engine.set_behaviour(ENGINE);
+    let peers: Vec<_> = hosts.iter().map(|host| host.addresses.peers).collect();
+    for (n, host) in hosts.iter_mut().enumerate() {
+        host.signal(Signal::TERM);
+        assert!(host.wait());
+        let (name, addresses) = (format!("g{n}"), host.addresses);
+        *host = fleet.start_gateway_at(&name, addresses, fleet.store.addr(), &peers, false);
+        host.wait_ready(&fleet);
+        std::thread::sleep(LIST_CHANGE);
+    }
+    assert_eq!(resume_stream(&fleet, &hosts[0], "last", "r1"), 200);
+    assert!(ran(&engine, "last"));
+    assert_eq!(run_count(&others), 0);
+}
