--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,6 +1,7 @@
-//! Soak test under faults, and another under planned work only: gateways run as
-//! separate processes, faults or planned work come from outside, and the
-//! guarantees are checked on what callers and endpoints record.
+//! Soak tests under faults, under planned work only, and of streams beside
+//! engines of several versions: gateways run as separate processes, faults or
+//! planned work come from outside, and the guarantees are checked on what
+//! callers and endpoints record.
 //!
 //! `cargo test --test soak` runs fixed seeds and those that failed before.
 //! `SOAK_SEEDS=FIRST..LAST cargo test --test soak -- --ignored` runs more; the
