Log how old a host's configuration is and how far a failed transfer came

Each request's line now has the version that it was handled by and the time since that version was known to be the newest. Failed exchanges and failed lists, watches and probes are logged with the bytes received. No decision depends on any of it yet.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,6 +2,8 @@
 //! channel.
 
 use std::pin::Pin;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -165,6 +167,21 @@
     }
 }
 
+/// Adds the length of each frame of `body` to `received` when it is read.
+pub fn count_bytes<'a, B>(
+    body: B,
+    received: &'a AtomicUsize,
+) -> impl http_body::Body<Data = Bytes, Error = B::Error> + 'a
+where
+    B: http_body::Body<Data = Bytes> + 'a,
+{
+    body.map_frame(|frame| {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        received.fetch_add(length, Ordering::Relaxed);
+        frame
+    })
+}
+
 impl From<Vec<u8>> for Body {
     fn from(bytes: Vec<u8>) -> Self {
         Self::Full(Full::new(bytes.into()))
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -7,12 +7,15 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_io::Timer;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
+use chicoryarch_net::body::count_bytes;
 use futures_lite::future;
 use http::Request;
 use http::StatusCode;
@@ -142,16 +145,24 @@
             .expect("constant request parts are valid")
     }
 
-    async fn exchange(&self, to: SocketAddr, req: Request<Body>) -> Result<Vec<u8>> {
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        req: Request<Body>,
+        received: &AtomicUsize,
+    ) -> Result<Vec<u8>> {
         let response = self
             .client
             .send(to, req, self.cfg.timeout)
             .await
             .map_err(unreachable)?;
         let status = response.status();
-        let body = Body::collect(response.into_body(), self.cfg.max_message_bytes)
-            .await
-            .map_err(unreachable)?;
+        let body = Body::collect(
+            count_bytes(response.into_body(), received),
+            self.cfg.max_message_bytes,
+        )
+        .await
+        .map_err(unreachable)?;
         if status != StatusCode::OK {
             return Err(PeerError::Malformed(format!("status {status}")));
         }
@@ -166,7 +177,9 @@
         R: DeserializeOwned + Send,
     {
         let req = self.build_request(method, params);
-        let body = future::or(self.exchange(to, req), fail_after(self.cfg.timeout)).await?;
+        let received = AtomicUsize::new(0);
+        let answer = self.exchange(to, req, &received);
+        let body = future::or(answer, fail_after(self.cfg.timeout, &received)).await?;
         decode(&body)
     }
 }
@@ -175,10 +188,11 @@
     PeerError::Unreachable(e.to_string())
 }
 
-async fn fail_after(timeout: Duration) -> Result<Vec<u8>> {
+async fn fail_after(timeout: Duration, received: &AtomicUsize) -> Result<Vec<u8>> {
     Timer::after(timeout).await;
+    let bytes = received.load(Ordering::Relaxed);
     Err(PeerError::Unreachable(format!(
-        "no answer within {timeout:?}"
+        "no complete answer within {timeout:?}, {bytes} bytes of the body received"
     )))
 }
 
--- a/src/connection/platform/exchange.rs
+++ b/src/connection/platform/exchange.rs
@@ -1,12 +1,15 @@
 //! Sends a request to a platform and receives the complete answer.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
+use chicoryarch_net::body::count_bytes;
 use chicoryarch_net::client::ClientError;
 use futures_lite::future;
 use http::Request;
@@ -54,10 +57,11 @@
     req: Request<Body>,
     limits: Limits,
 ) -> Result<(response::Parts, Bytes)> {
+    let received = AtomicUsize::new(0);
     let receive = async {
         let sent = client.send(to, req, limits.timeout).await;
         let (head, body) = sent.map_err(|e| to_failure(&e))?.into_parts();
-        let body = Body::collect(body, limits.max_bytes)
+        let body = Body::collect(count_bytes(body, &received), limits.max_bytes)
             .await
             .map_err(|e| Failure::Uncertain(e.to_string()))?;
         Ok((head, body))
@@ -65,7 +69,10 @@
     let timer = async {
         Timer::after(limits.timeout).await;
         let timeout = limits.timeout;
-        Err(Failure::Uncertain(format!("no answer within {timeout:?}")))
+        let bytes = received.load(Ordering::Relaxed);
+        Err(Failure::Uncertain(format!(
+            "no complete answer within {timeout:?}, {bytes} bytes of the body received"
+        )))
     };
     future::or(receive, timer).await
 }
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -24,6 +24,8 @@
     route: &'a str,
     service: &'a str,
     endpoint: &'a str,
+    configuration: u64,
+    configuration_age_ms: Option<u128>,
     status: u16,
     spent_ms: u128,
 }
@@ -50,6 +52,8 @@
         route: &call.route.name,
         service: &call.service,
         endpoint: &placement.endpoint().id,
+        configuration: call.configuration,
+        configuration_age_ms: cx.configuration_age_ms(),
         status: status.as_u16(),
         spent_ms: spent.as_millis(),
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -49,6 +49,8 @@
     pub target: Box<str>,
     /// Complete request body.
     pub body: Bytes,
+    /// Version of the configuration that the request is handled by.
+    pub configuration: u64,
     /// Route that matches the request.
     pub route: Arc<Route>,
     /// Service that runs the call: one of the route's targets.
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -44,6 +44,13 @@
     why: &'a str,
 }
 
+#[derive(Serialize)]
+struct StoreCallLine<'a> {
+    /// Objects that were listed, watched or probed.
+    kind: &'a str,
+    why: &'a str,
+}
+
 /// Whether the platform's store is reachable from this host.
 #[derive(Debug, Default)]
 pub struct StoreContact {
@@ -234,6 +241,12 @@
                 failed = 0;
             }
             Err(e) => {
+                let why = e.to_string();
+                let line = StoreCallLine {
+                    kind: "probe",
+                    why: &why,
+                };
+                cx.log.request("store-call-failed", &line);
                 mark_store_lost(&cx, &e);
                 failed += 1;
             }
@@ -278,7 +291,17 @@
         S::apply_changes(&self.cx, changes);
     }
 
+    fn on_unchanged(&self) {
+        S::confirm(&self.cx);
+    }
+
     fn on_error(&self, error: &PlatformError) {
+        let why = error.to_string();
+        let line = StoreCallLine {
+            kind: S::NAME,
+            why: &why,
+        };
+        self.cx.log.request("store-call-failed", &line);
         mark_store_lost(&self.cx, error);
         check_store(&self.cx);
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -23,6 +23,7 @@
 use super::directory::Directory;
 use super::directory::Endpoint;
 use super::following::FollowState;
+use super::freshness::Freshness;
 use super::isolation::IsolatedGrants;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
@@ -142,6 +143,8 @@
     pub peers: HttpPeers,
     /// Configuration that requests are routed by.
     pub in_force: ArcSwap<InForce>,
+    /// Age of what this host knows of the configuration.
+    pub freshness: Freshness,
     /// Endpoints as listed by the store or by other hosts.
     pub endpoint_list: Mutex<EndpointList>,
     /// Endpoint pools for the choice of endpoints.
@@ -223,6 +226,13 @@
         !state.is_reported && !state.is_confirmed && !is_waiting
     }
 
+    /// Time in milliseconds since the configuration in force was known to be the
+    /// newest; `None` before the first confirmation.
+    pub fn configuration_age_ms(&self) -> Option<u128> {
+        let age = self.freshness.age(Moment::now());
+        age.map(|age| age.as_millis())
+    }
+
     /// Whether the list of endpoints is up to date, as far as this host can
     /// tell.
     pub fn is_current(&self) -> bool {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -57,6 +57,7 @@
     outcome: &'static str,
     why: &'a str,
     configuration: u64,
+    configuration_age_ms: Option<u128>,
     retry_after_ms: Option<u128>,
     spent_ms: u128,
 }
@@ -122,6 +123,7 @@
         outcome: refusal.outcome.as_str(),
         why: &refusal.detail,
         configuration: in_force.table.version,
+        configuration_age_ms: cx.configuration_age_ms(),
         retry_after_ms: refusal.retry_after.map(|wait| wait.as_millis()),
         spent_ms: Moment::now().since(received).as_millis(),
     };
@@ -135,7 +137,11 @@
     meta: Arc<CallMeta>,
     body: Incoming,
 ) -> Result<Response<Body>> {
-    let (route, customer) = authorize(cx, head, &meta)?;
+    let Authorized {
+        configuration,
+        route,
+        customer,
+    } = authorize(cx, head, &meta)?;
     let caller_timeout = meta.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let caller_deadline = received + caller_timeout;
     let deadline = received
@@ -148,6 +154,7 @@
         method: head.method.clone(),
         target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
         body,
+        configuration,
         service,
         version: None,
         urgency: urgency(&route, customer.as_deref(), &meta),
@@ -207,12 +214,20 @@
         .map(Some)
 }
 
+/// Route and customer of a request.
+struct Authorized {
+    /// Version of the configuration that names them.
+    configuration: u64,
+    route: Arc<Route>,
+    customer: Option<Arc<Customer>>,
+}
+
 /// Finds the route of a request and the customer that holds its key.
 fn authorize<P: Platform>(
     cx: &Gateway<P>,
     head: &request::Parts,
     meta: &CallMeta,
-) -> Result<(Arc<Route>, Option<Arc<Customer>>)> {
+) -> Result<Authorized> {
     let in_force = cx.in_force.load();
     let table = &in_force.table;
     if table.is_unknown() {
@@ -225,13 +240,18 @@
     let route = table
         .route(&meta.host, head.uri.path())
         .ok_or_else(|| Refusal::new(Outcome::NoRoute, "no route leads there"))?;
-    if route.is_public || !table.requires_keys() {
-        return Ok((Arc::clone(route), None));
-    }
-    let customer = meta.key.as_ref().and_then(|key| table.customer(key));
-    let customer =
-        customer.ok_or_else(|| Refusal::new(Outcome::UnknownKey, "no customer holds the key"))?;
-    Ok((Arc::clone(route), Some(Arc::clone(customer))))
+    let customer = if route.is_public || !table.requires_keys() {
+        None
+    } else {
+        let customer = meta.key.as_ref().and_then(|key| table.customer(key));
+        let unknown = || Refusal::new(Outcome::UnknownKey, "no customer holds the key");
+        Some(Arc::clone(customer.ok_or_else(unknown)?))
+    };
+    Ok(Authorized {
+        configuration: table.version,
+        route: Arc::clone(route),
+        customer,
+    })
 }
 
 /// Memory reserved for a request body; released on drop.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -37,6 +37,7 @@
 use super::roster::HostEntry;
 use super::roster::Peer;
 use super::updates;
+use crate::connection::peer::PeerError;
 use crate::connection::peer::Peers;
 use crate::connection::platform::Platform;
 use crate::ids::HostId;
@@ -77,6 +78,10 @@
     pub host: HostId,
     /// Version of its configuration.
     pub configuration: u64,
+    /// Time in milliseconds since that version was known to be the newest;
+    /// `None` if it never was.
+    #[serde(default)]
+    pub configuration_age_ms: Option<u64>,
     /// Store version of its endpoints; `None` if it has none.
     pub endpoints: Option<Version>,
     /// Store version of its list of hosts; `None` if it has none.
@@ -100,6 +105,14 @@
     pub hosts: Option<Vec<(HostId, HostEntry)>>,
 }
 
+#[derive(Serialize)]
+struct FailedExchangeLine<'a> {
+    to: SocketAddr,
+    configuration: u64,
+    configuration_age_ms: Option<u128>,
+    why: &'a str,
+}
+
 /// Creates the module of methods that other hosts call.
 ///
 /// # Panics
@@ -161,6 +174,9 @@
     HostVersions {
         host: cx.cfg.place.host.clone(),
         configuration: cx.in_force.load().table.version,
+        configuration_age_ms: cx
+            .configuration_age_ms()
+            .map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
         endpoints,
         hosts,
         is_current: cx.store_contact.is_up() && cx.is_scout(),
@@ -325,8 +341,14 @@
 async fn exchange_at<P: Platform>(cx: &Cx<P>, to: SocketAddr) -> Option<()> {
     let own = host_versions(cx);
     let call = cx.peers.call::<_, ExchangeReply>(to, EXCHANGE_METHOD, &own);
-    // On failure, a later round tries again.
-    let reply = call.await.ok()?;
+    let reply = match call.await {
+        Ok(reply) => reply,
+        Err(e) => {
+            // A later round tries again.
+            log_failed_exchange(cx, to, &e);
+            return None;
+        }
+    };
     cx.record_message(&reply.known.host);
     let from = &reply.known.host;
     if reply.known.is_current {
@@ -338,6 +360,7 @@
     if let Some(text) = &reply.configuration {
         updates::apply_configuration(cx, text, reply.known.host.as_str());
     }
+    adopt_confirmation(cx, &reply.known);
     if let (Some(upto), Some(endpoints)) = (reply.known.endpoints, reply.endpoints) {
         updates::apply_endpoints(cx, upto, endpoints, reply.known.host.as_str());
     }
@@ -346,3 +369,26 @@
     }
     Some(())
 }
+
+/// Takes over another host's confirmation of the version that is in force here.
+fn adopt_confirmation<P: Platform>(cx: &Gateway<P>, remote: &HostVersions) {
+    let is_same = cx.in_force.load().table.version == remote.configuration;
+    let Some(age_ms) = remote.configuration_age_ms.filter(|_| is_same) else {
+        return;
+    };
+    let now = Moment::now().since_start();
+    let at = now.saturating_sub(Duration::from_millis(age_ms));
+    cx.freshness
+        .confirm(remote.configuration, Moment::from_start(at));
+}
+
+fn log_failed_exchange<P: Platform>(cx: &Gateway<P>, to: SocketAddr, error: &PeerError) {
+    cx.metrics.failed_exchanges.inc();
+    let line = FailedExchangeLine {
+        to,
+        configuration: cx.in_force.load().table.version,
+        configuration_age_ms: cx.configuration_age_ms(),
+        why: &error.to_string(),
+    };
+    cx.log.request("exchange-failed", &line);
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -30,6 +30,9 @@
     /// Called with the changes since the previous call.
     fn on_change(&self, changes: Changes) -> impl Future<Output = ()> + Send;
 
+    /// Called when a watch ended without a change.
+    fn on_unchanged(&self) {}
+
     /// Called when a call to the store failed.
     fn on_error(&self, error: &PlatformError);
 
@@ -104,7 +107,9 @@
             *backoff = MIN_BACKOFF;
             let upto = changes.upto.max(since);
             let is_empty = changes.objects.is_empty() && changes.removed.is_empty();
-            if !is_empty {
+            if is_empty {
+                handler.on_unchanged();
+            } else {
                 handler.on_change(changes).await;
                 Timer::after(handler.batch_delay()).await;
             }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -14,6 +15,7 @@
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
@@ -68,6 +70,10 @@
     pub grants: Counter,
     /// Endpoints that gave notice of their shutdown in an answer.
     pub departures: Counter,
+    /// Exchanges of state with another host that failed.
+    pub failed_exchanges: Counter,
+    configuration_version: Gauge<f64, AtomicU64>,
+    configuration_age: Gauge<f64, AtomicU64>,
     duration: Histogram,
 }
 
@@ -84,6 +90,9 @@
             borrowed: Counter::default(),
             grants: Counter::default(),
             departures: Counter::default(),
+            failed_exchanges: Counter::default(),
+            configuration_version: Gauge::default(),
+            configuration_age: Gauge::default(),
             duration: Histogram::new(buckets),
         };
         metrics.register(StoreCalls(Arc::clone(store)));
@@ -119,6 +128,22 @@
             "Endpoints that announced their shutdown in an answer",
             self.departures.clone(),
         );
+        r.register(
+            "failed_exchanges",
+            "Exchanges of state with another host that failed",
+            self.failed_exchanges.clone(),
+        );
+        r.register(
+            "configuration_version",
+            "Version of the configuration in force; 0 before the first",
+            self.configuration_version.clone(),
+        );
+        r.register_with_unit(
+            "configuration_age",
+            "Time since the configuration in force was known to be the newest",
+            Unit::Seconds,
+            self.configuration_age.clone(),
+        );
         r.register_with_unit(
             "request",
             "Time from receipt to the end of the answer",
@@ -127,6 +152,15 @@
         );
     }
 
+    /// Sets the version of the configuration in force and the age of its last
+    /// confirmation; `None` is shown as not a number.
+    #[allow(clippy::cast_precision_loss, reason = "versions are small")]
+    pub fn set_configuration(&self, version: u64, age: Option<Duration>) {
+        self.configuration_version.set(version as f64);
+        let seconds = age.map_or(f64::NAN, |age| age.as_secs_f64());
+        self.configuration_age.set(seconds);
+    }
+
     /// Counts a refused request.
     pub fn count_refusal(&self, refusal: &Refusal) {
         self.count(refusal.outcome.as_str());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod following;
+pub mod freshness;
 pub mod home_balance;
 pub mod hosts;
 pub mod isolation;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -66,6 +66,8 @@
     route: &'a str,
     endpoint: &'a str,
     version: &'a str,
+    configuration: u64,
+    configuration_age_ms: Option<u128>,
     /// Caller's attempt that the request resumes.
     resumed_attempt: Option<&'a str>,
     events: u64,
@@ -336,6 +338,8 @@
             route: &self.call.route.name,
             endpoint: &placement.endpoint().id,
             version: &placement.endpoint().version,
+            configuration: self.call.configuration,
+            configuration_age_ms: self.cx.configuration_age_ms(),
             resumed_attempt: self.call.meta.resumed_attempt.as_deref(),
             events: self.events,
             resumes: self.resumes,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -41,6 +41,7 @@
 use super::entry::CallerHandler;
 use super::exchange;
 use super::follow;
+use super::freshness::Freshness;
 use super::home_balance;
 use super::hosts;
 use super::isolation;
@@ -210,6 +211,7 @@
         client: Client::new(spawner.clone(), endpoint_client),
         peers: HttpPeers::new(control, no_secret, PeerConfig::default()),
         in_force: ArcSwap::from_pointee(InForce::default()),
+        freshness: Freshness::default(),
         endpoint_list: Mutex::default(),
         pools: Pools::default(),
         roster: Mutex::new(roster),
@@ -350,7 +352,12 @@
         match req.uri().path() {
             READY_PATH if cx.is_ready() => empty_response(StatusCode::OK),
             READY_PATH => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-            METRICS_PATH => Response::new(Body::from(cx.metrics.render())),
+            METRICS_PATH => {
+                let version = cx.in_force.load().table.version;
+                let age = cx.freshness.age(Moment::now());
+                cx.metrics.set_configuration(version, age);
+                Response::new(Body::from(cx.metrics.render()))
+            }
             _ => empty_response(StatusCode::NOT_FOUND),
         }
     }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -40,6 +40,8 @@
     version: u64,
     before: u64,
     from: &'a str,
+    /// Time since the version before was last known to be the newest.
+    before_age_ms: Option<u128>,
 }
 
 #[derive(Serialize)]
@@ -79,6 +81,7 @@
             version,
             before: before.table.version,
             from,
+            before_age_ms: cx.configuration_age_ms(),
         };
         cx.log.state("configuration-in-force", &line);
     }
@@ -144,6 +147,9 @@
 
 /// A kind of objects whose updates are applied to this host's state.
 pub trait ObjectKind: Send + Sync + 'static {
+    /// Name in the logs.
+    const NAME: &'static str;
+
     /// Delay after a change, so that further changes arrive in one batch.
     const BATCH_DELAY: Duration;
 
@@ -155,6 +161,9 @@
 
     /// Applies changes to the present state.
     fn apply_changes<P: Platform>(cx: &Cx<P>, changes: Changes);
+
+    /// Records that the store has no changes beyond the present state.
+    fn confirm<P: Platform>(_cx: &Gateway<P>) {}
 }
 
 /// The operators' configuration, a single object.
@@ -170,10 +179,12 @@
                 Err(e) => log::error!("configuration from the store is not valid UTF-8: {e}"),
             }
         }
+        Self::confirm(cx);
     }
 }
 
 impl ObjectKind for OperatorsConfiguration {
+    const NAME: &'static str = "configuration";
     const BATCH_DELAY: Duration = CONFIGURATION_DELAY;
 
     fn is_listed<P: Platform>(cx: &Gateway<P>) -> bool {
@@ -187,6 +198,11 @@
     fn apply_changes<P: Platform>(cx: &Cx<P>, changes: Changes) {
         Self::apply(cx, &changes.objects);
     }
+
+    fn confirm<P: Platform>(cx: &Gateway<P>) {
+        let version = cx.in_force.load().table.version;
+        cx.freshness.confirm(version, Moment::now());
+    }
 }
 
 /// The entries of the endpoints.
@@ -194,6 +210,7 @@
 pub struct ListedEndpoints;
 
 impl ObjectKind for ListedEndpoints {
+    const NAME: &'static str = "endpoints";
     const BATCH_DELAY: Duration = ENDPOINTS_DELAY;
 
     fn is_listed<P: Platform>(cx: &Gateway<P>) -> bool {
@@ -266,6 +283,7 @@
 }
 
 impl ObjectKind for ListedHosts {
+    const NAME: &'static str = "hosts";
     const BATCH_DELAY: Duration = HOSTS_DELAY;
 
     fn is_listed<P: Platform>(cx: &Gateway<P>) -> bool {
