--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod endpoint;
 pub mod objects;
+pub mod proxy;
 
 pub use endpoint::EndpointStandin;
 pub use objects::ObjectsStandin;
+pub use proxy::Proxy;
--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -39,6 +39,10 @@
     pub page_size: usize,
     /// Delay before a write takes effect.
     pub write_time: Duration,
+    /// Whether every watch is answered that its history is gone.
+    pub has_no_history: bool,
+    /// Whether every call is rejected with 429.
+    pub is_over_rate: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -294,12 +298,15 @@
 
 impl Handler for Api {
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
-        let is_unavailable = {
+        let faults = {
             let mut state = self.0.lock();
             state.calls += 1;
-            state.faults.is_unavailable
+            state.faults
         };
-        let Some(call) = Call::parse(&req).filter(|_| !is_unavailable) else {
+        if faults.is_over_rate {
+            return json_response(StatusCode::TOO_MANY_REQUESTS, &Value::Null);
+        }
+        let Some(call) = Call::parse(&req).filter(|_| !faults.is_unavailable) else {
             return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
         };
         if call.method == Method::GET {
@@ -344,7 +351,7 @@
                 if state.faults.is_unavailable {
                     return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
                 }
-                if since < state.compacted {
+                if since < state.compacted || state.faults.has_no_history {
                     return json_response(StatusCode::GONE, &Value::Null);
                 }
                 let events = state.events(&call.kind, since);
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod fleet;
+mod large_configuration;
 mod leaving;
 mod shutdown;
 mod store;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,6 +9,8 @@
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::Run;
 use chicoryarch_standins::fleet::objects::StoreFaults;
+use chicoryarch_standins::fleet::proxy::Mode;
+use chicoryarch_standins::fleet::proxy::Proxy;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -19,8 +21,6 @@
 use super::fleet::Fleet;
 use super::fleet::Gateway;
 use super::fleet::configuration;
-use super::proxy::Mode;
-use super::proxy::Proxy;
 
 /// Events of each engine stream.
 pub(crate) const EVENTS: u64 = 4;
@@ -139,6 +139,7 @@
                 lost_answers: self.rng.random_range(0..3),
                 page_size: self.rng.random_range(0..3),
                 write_time: Duration::from_millis(self.rng.random_range(0..100)),
+                ..StoreFaults::default()
             }),
             9 => self.fleet.store.compact_history(),
             10 => {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,7 +14,6 @@
 #[path = "../gateway_processes/fleet.rs"]
 mod fleet;
 mod planned;
-mod proxy;
 mod versions;
 
 use std::fmt::Debug;
--- a/tests/soak/planned.rs
+++ b/tests/soak/planned.rs
@@ -13,6 +13,7 @@
 use chicoryarch_net::client::ClientConfig;
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::proxy::Proxy;
 use parking_lot::Mutex;
 use rand::Rng;
 use rand::SeedableRng;
@@ -28,7 +29,6 @@
 use super::fleet::Gateway;
 use super::fleet::configuration;
 use super::fleet::wait_until;
-use super::proxy::Proxy;
 
 /// Time after which no work begins.
 const DURATION: Duration = Duration::from_secs(10);
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -18,6 +18,8 @@
 use chicoryarch_net::client::ClientConfig;
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::proxy::Mode;
+use chicoryarch_standins::fleet::proxy::Proxy;
 use futures_lite::future;
 use http::Request;
 use http_body_util::BodyExt;
@@ -31,8 +33,6 @@
 use super::fleet::Fleet;
 use super::fleet::Gateway;
 use super::fleet::configuration;
-use super::proxy::Mode;
-use super::proxy::Proxy;
 
 /// Events of a whole stream.
 const EVENTS: u64 = 8;
