Limit the pauses of a transfer instead of its whole time

Callers saw requests handled by an old configuration, and later mostly refusals, since hosts took the store for lost.

A list, read or watch of the store and a call to another host had 500 ms from the request to the last byte. A configuration of nearly a megabyte takes longer over a shared link; the attempt was dropped and began again from its first byte, so the links stayed full of transfers that never ended (56 to 93 MB/s in the incident, 3 before it) and no later attempt fared better.

Answers that vary in size now have a limit until their head, one on each pause, and one on the whole transfer as a last resort against endless bytes. Writes keep their limit on the whole call. The platform client of the other hosts and all calls between hosts share this.

Ruled out: the store, which answered all calls in the incident; processors, at 4 %.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,15 +2,18 @@
 //! channel.
 
 use std::pin::Pin;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_io::Timer;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_lite::Stream;
+use futures_lite::future;
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
@@ -27,9 +30,40 @@
     /// The producer of a channel body failed or was dropped.
     #[error("the producer of the body stopped: {0}")]
     Producer(String),
+    /// No bytes arrived for the time that the reader allows.
+    #[error("no bytes for {pause:?} after {received} bytes of the body")]
+    Stalled {
+        /// Bytes received before.
+        received: usize,
+        /// Time without bytes.
+        pause: Duration,
+    },
     /// The body is longer than the limit of the reader, in bytes.
     #[error("the body is longer than {0} bytes")]
     TooLarge(usize),
+    /// The body did not end within the time that the reader allows.
+    #[error("the body did not end within {limit:?}, {received} bytes received")]
+    TooSlow {
+        /// Bytes received.
+        received: usize,
+        /// Limit of the reader.
+        limit: Duration,
+    },
+}
+
+/// Limits on reading a body.
+///
+/// A body whose size is not known beforehand may need any time on a slow link,
+/// so its reader limits the time without progress, and the whole time only as a
+/// last resort.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadLimits {
+    /// Maximum size, in bytes.
+    pub max_bytes: usize,
+    /// Maximum time without bytes.
+    pub max_pause: Duration,
+    /// Maximum time until the end of the body.
+    pub max_time: Duration,
 }
 
 /// Result of reading a body.
@@ -167,19 +201,50 @@
     }
 }
 
-/// Adds the length of each frame of `body` to `received` when it is read.
-pub fn count_bytes<'a, B>(
-    body: B,
-    received: &'a AtomicUsize,
-) -> impl http_body::Body<Data = Bytes, Error = B::Error> + 'a
-where
-    B: http_body::Body<Data = Bytes> + 'a,
-{
-    body.map_frame(|frame| {
-        let length = frame.data_ref().map_or(0, Bytes::len);
-        received.fetch_add(length, Ordering::Relaxed);
-        frame
-    })
+impl Body {
+    /// Reads a whole body within limits on its size and time.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Stalled`], [`BodyError::TooLarge`] or
+    /// [`BodyError::TooSlow`] if a limit is exceeded, and any error of the body
+    /// itself.
+    pub async fn read_within<B>(mut body: B, limits: ReadLimits) -> Result<Bytes>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+        B::Error: Into<BodyError>,
+    {
+        let mut buf = BytesMut::new();
+        let deadline = Instant::now() + limits.max_time;
+        loop {
+            let frame = async { Ok(body.frame().await) };
+            let received = buf.len();
+            let expire = async {
+                let pause_end = Instant::now() + limits.max_pause;
+                Timer::at(pause_end.min(deadline)).await;
+                Err(match pause_end < deadline {
+                    true => BodyError::Stalled {
+                        received,
+                        pause: limits.max_pause,
+                    },
+                    false => BodyError::TooSlow {
+                        received,
+                        limit: limits.max_time,
+                    },
+                })
+            };
+            let Some(frame) = future::or(expire, frame).await? else {
+                return Ok(buf.freeze());
+            };
+            let Ok(bytes) = frame.map_err(Into::into)?.into_data() else {
+                continue;
+            };
+            if received + bytes.len() > limits.max_bytes {
+                return Err(BodyError::TooLarge(limits.max_bytes));
+            }
+            buf.extend_from_slice(&bytes);
+        }
+    }
 }
 
 impl From<Vec<u8>> for Body {
--- a/src/configs/peer.rs
+++ b/src/configs/peer.rs
@@ -15,10 +15,14 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PeerConfig {
-    /// Timeout of one control call.
+    /// Time until the answer to a control call begins, and longest pause in it.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "timeout_ms")]
     pub timeout: Duration,
+    /// Time within which an answer that has begun must be complete.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "transfer_timeout_ms")]
+    pub transfer_timeout: Duration,
     /// Largest control message, in bytes.
     pub max_message_bytes: usize,
 }
@@ -27,6 +31,7 @@
     fn default() -> Self {
         Self {
             timeout: Duration::from_millis(500),
+            transfer_timeout: Duration::from_secs(10),
             max_message_bytes: 4 * 1024 * 1024,
         }
     }
@@ -40,6 +45,12 @@
     /// Returns the first setting that is out of range.
     pub fn check(&self) -> Result<()> {
         check_range("timeout_ms", self.timeout, MIN_TIMEOUT, MAX_TIMEOUT)?;
+        check_range(
+            "transfer_timeout_ms",
+            self.transfer_timeout,
+            MIN_TIMEOUT,
+            MAX_TIMEOUT,
+        )?;
         check_range(
             "max_message_bytes",
             self.max_message_bytes,
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -7,16 +7,12 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use async_io::Timer;
+use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
-use chicoryarch_net::body::count_bytes;
-use futures_lite::future;
+use chicoryarch_net::body::ReadLimits;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -145,28 +141,25 @@
             .expect("constant request parts are valid")
     }
 
-    async fn exchange(
-        &self,
-        to: SocketAddr,
-        req: Request<Body>,
-        received: &AtomicUsize,
-    ) -> Result<Vec<u8>> {
+    async fn exchange(&self, to: SocketAddr, req: Request<Body>) -> Result<Bytes> {
         let response = self
             .client
             .send(to, req, self.cfg.timeout)
             .await
             .map_err(unreachable)?;
         let status = response.status();
-        let body = Body::collect(
-            count_bytes(response.into_body(), received),
-            self.cfg.max_message_bytes,
-        )
-        .await
-        .map_err(unreachable)?;
+        let limits = ReadLimits {
+            max_bytes: self.cfg.max_message_bytes,
+            max_pause: self.cfg.timeout,
+            max_time: self.cfg.transfer_timeout,
+        };
+        let body = Body::read_within(response.into_body(), limits)
+            .await
+            .map_err(unreachable)?;
         if status != StatusCode::OK {
             return Err(PeerError::Malformed(format!("status {status}")));
         }
-        Ok(body.to_vec())
+        Ok(body)
     }
 }
 
@@ -177,9 +170,7 @@
         R: DeserializeOwned + Send,
     {
         let req = self.build_request(method, params);
-        let received = AtomicUsize::new(0);
-        let answer = self.exchange(to, req, &received);
-        let body = future::or(answer, fail_after(self.cfg.timeout, &received)).await?;
+        let body = self.exchange(to, req).await?;
         decode(&body)
     }
 }
@@ -188,14 +179,6 @@
     PeerError::Unreachable(e.to_string())
 }
 
-async fn fail_after(timeout: Duration, received: &AtomicUsize) -> Result<Vec<u8>> {
-    Timer::after(timeout).await;
-    let bytes = received.load(Ordering::Relaxed);
-    Err(PeerError::Unreachable(format!(
-        "no complete answer within {timeout:?}, {bytes} bytes of the body received"
-    )))
-}
-
 fn decode<R: DeserializeOwned>(body: &[u8]) -> Result<R> {
     let malformed = |e: serde_json::Error| PeerError::Malformed(e.to_string());
     let response: Response<'_, Box<RawValue>> = serde_json::from_slice(body).map_err(malformed)?;
--- a/src/connection/platform/exchange.rs
+++ b/src/connection/platform/exchange.rs
@@ -1,17 +1,14 @@
 //! Sends a request to a platform and receives the complete answer.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
-use async_io::Timer;
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
-use chicoryarch_net::body::count_bytes;
+use chicoryarch_net::body::ReadLimits;
 use chicoryarch_net::client::ClientError;
-use futures_lite::future;
 use http::Request;
 use http::response;
 
@@ -40,12 +37,43 @@
 /// Limits of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Maximum time until the head of the answer.
+    pub head: Duration,
+    /// Maximum time without bytes in the answer's body.
+    pub max_pause: Duration,
     /// Maximum time until the answer is complete.
-    pub timeout: Duration,
+    pub total: Duration,
     /// Maximum size of the answer's body, in bytes.
     pub max_bytes: usize,
 }
 
+impl Limits {
+    /// Limits the whole request to `timeout`, for an answer that only tells how
+    /// the request ended.
+    pub const fn whole(timeout: Duration, max_bytes: usize) -> Self {
+        Self {
+            head: timeout,
+            max_pause: timeout,
+            total: timeout,
+            max_bytes,
+        }
+    }
+
+    /// Limits the time until the head and each pause in the body, for an answer
+    /// that may take longer because it is large.
+    pub fn progress(head: Duration, max_pause: Duration, max_bytes: usize) -> Self {
+        Self {
+            head,
+            max_pause,
+            total: head + MAX_TRANSFER_TIME,
+            max_bytes,
+        }
+    }
+}
+
+/// Maximum time to receive the body of an answer that arrives slowly.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
+
 /// Sends a request and receives the complete answer, whatever its status.
 ///
 /// # Errors
@@ -57,24 +85,18 @@
     req: Request<Body>,
     limits: Limits,
 ) -> Result<(response::Parts, Bytes)> {
-    let received = AtomicUsize::new(0);
-    let receive = async {
-        let sent = client.send(to, req, limits.timeout).await;
-        let (head, body) = sent.map_err(|e| to_failure(&e))?.into_parts();
-        let body = Body::collect(count_bytes(body, &received), limits.max_bytes)
-            .await
-            .map_err(|e| Failure::Uncertain(e.to_string()))?;
-        Ok((head, body))
-    };
-    let timer = async {
-        Timer::after(limits.timeout).await;
-        let timeout = limits.timeout;
-        let bytes = received.load(Ordering::Relaxed);
-        Err(Failure::Uncertain(format!(
-            "no complete answer within {timeout:?}, {bytes} bytes of the body received"
-        )))
+    let started = Instant::now();
+    let sent = client.send(to, req, limits.head).await;
+    let (head, body) = sent.map_err(|e| to_failure(&e))?.into_parts();
+    let body_limits = ReadLimits {
+        max_bytes: limits.max_bytes,
+        max_pause: limits.max_pause,
+        max_time: limits.total.saturating_sub(started.elapsed()),
     };
-    future::or(receive, timer).await
+    let body = Body::read_within(body, body_limits)
+        .await
+        .map_err(|e| Failure::Uncertain(e.to_string()))?;
+    Ok((head, body))
 }
 
 fn to_failure(error: &ClientError) -> Failure {
--- a/src/connection/platform/http.rs
+++ b/src/connection/platform/http.rs
@@ -62,17 +62,12 @@
     }
 
     fn object_limits(&self) -> Limits {
-        Limits {
-            timeout: self.cfg.timeout,
-            max_bytes: MAX_VALUE_BYTES,
-        }
+        Limits::progress(self.cfg.timeout, self.cfg.timeout, MAX_VALUE_BYTES)
     }
 
     fn list_limits(&self, wait: Duration) -> Limits {
-        Limits {
-            timeout: self.cfg.timeout + wait,
-            max_bytes: self.cfg.max_list_bytes,
-        }
+        let timeout = self.cfg.timeout;
+        Limits::progress(timeout + wait, timeout, self.cfg.max_list_bytes)
     }
 
     async fn read_object(&self, kind: &str, name: &str) -> Result<Option<Object>> {
--- a/src/connection/platform/http/write.rs
+++ b/src/connection/platform/http/write.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 
 use super::HttpPlatform;
+use super::MAX_VALUE_BYTES;
 use super::wire;
 use crate::connection::platform::Result;
 use crate::connection::platform::Written;
@@ -44,10 +45,7 @@
             .header(header, tag)
             .body(body)
             .expect("validated names form a valid path");
-        let limits = Limits {
-            timeout,
-            ..self.object_limits()
-        };
+        let limits = Limits::whole(timeout, MAX_VALUE_BYTES);
         let kind = write.change.call_kind();
         let answer = self.exchange.send(kind, req, limits).await;
         Ok(answer.and_then(|answer| write_result(answer.status, answer.version)))
@@ -65,10 +63,7 @@
             });
         }
         let path = wire::object_path(write.kind, write.name)?;
-        let limits = Limits {
-            timeout,
-            ..self.object_limits()
-        };
+        let limits = Limits::whole(timeout, MAX_VALUE_BYTES);
         let answer = self.exchange.get(CallKind::Read, &path, limits).await?;
         Ok(ReadBack {
             object: wire::parse_object(write.name, &answer)?,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -77,7 +77,7 @@
         method: Method,
         target: &str,
         body: Option<Vec<u8>>,
-        timeout: Duration,
+        limits: Limits,
     ) -> exchange::Result<Answer> {
         self.counters.add_request(call);
         let mut req = Request::builder()
@@ -91,10 +91,6 @@
         let req = req
             .body(body)
             .map_err(|e| Failure::NotApplied(format!("not a valid request: {e}")))?;
-        let limits = Limits {
-            timeout,
-            max_bytes: MAX_ANSWER_BYTES,
-        };
         let (head, body) = exchange(&self.client, self.cfg.address, req, limits).await?;
         let status = head.status;
         let detail = || format!("the store answered {status}");
@@ -107,10 +103,16 @@
         }
     }
 
-    async fn get(&self, kind: &str, name: &str, timeout: Duration) -> Result<Option<Object>> {
+    /// Limits of a call whose answer has the objects of a list, read or watch.
+    fn object_limits(&self, wait: Duration) -> Limits {
+        let timeout = self.cfg.timeout;
+        Limits::progress(wait + timeout, timeout, MAX_ANSWER_BYTES)
+    }
+
+    async fn get(&self, kind: &str, name: &str, limits: Limits) -> Result<Option<Object>> {
         let target = format!("/v1/objects/{kind}/{name}");
         let answer = self
-            .send(CallKind::Read, Method::GET, &target, None, timeout)
+            .send(CallKind::Read, Method::GET, &target, None, limits)
             .await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -144,7 +146,7 @@
                 Method::PUT,
                 &target,
                 Some(body.into_bytes()),
-                self.cfg.timeout,
+                Limits::whole(self.cfg.timeout, MAX_ANSWER_BYTES),
             )
             .await?;
         if answer.status.is_success() {
@@ -162,13 +164,14 @@
             removed: Vec::new(),
         };
         let mut after = String::new();
+        let limits = self.object_limits(Duration::ZERO);
         loop {
             let target = match after.as_str() {
                 "" => format!("/v1/objects/{kind}"),
                 name => format!("/v1/objects/{kind}?after={name}"),
             };
             let answer = self
-                .send(CallKind::List, Method::GET, &target, None, self.cfg.timeout)
+                .send(CallKind::List, Method::GET, &target, None, limits)
                 .await?;
             let page: Page = objects::parse(kind, "", &answer.body)?;
             // A watch from the first page's revision reports all later changes,
@@ -199,9 +202,9 @@
             "/v1/objects/{kind}?watch={since}&wait_ms={}",
             wait.as_millis()
         );
-        let timeout = wait + self.cfg.timeout;
+        let limits = self.object_limits(wait);
         let answer = self
-            .send(CallKind::Watch, Method::GET, &target, None, timeout)
+            .send(CallKind::Watch, Method::GET, &target, None, limits)
             .await?;
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::HistoryLost);
@@ -228,7 +231,8 @@
 
 impl Platform for ObjectStore {
     async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        let result = self.get(kind, name, self.cfg.timeout).await;
+        let limits = self.object_limits(Duration::ZERO);
+        let result = self.get(kind, name, limits).await;
         self.counters.record(CallKind::Read, &result);
         result
     }
--- a/src/platform/store/write.rs
+++ b/src/platform/store/write.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use super::Answer;
+use super::MAX_ANSWER_BYTES;
 use super::ObjectStore;
 use super::objects;
 use crate::connection::platform::Expect;
@@ -14,6 +15,7 @@
 use crate::connection::platform::Written;
 use crate::connection::platform::counters::PlatformCounters;
 use crate::connection::platform::exchange;
+use crate::connection::platform::exchange::Limits;
 use crate::connection::platform::nonce_of;
 use crate::connection::platform::settle::Change;
 use crate::connection::platform::settle::ReadBack;
@@ -33,7 +35,8 @@
     ) -> Result<exchange::Result<Written>> {
         let (method, target, body) = build_request(write);
         let call = write.change.call_kind();
-        match self.send(call, method, &target, body, timeout).await {
+        let limits = Limits::whole(timeout, MAX_ANSWER_BYTES);
+        match self.send(call, method, &target, body, limits).await {
             Ok(answer) => write_result(&write.change, &answer).map(Ok),
             Err(failure) => Ok(Err(failure)),
         }
@@ -41,7 +44,13 @@
 
     async fn read_back(&self, write: &Write<'_>, timeout: Duration) -> Result<ReadBack> {
         Ok(ReadBack {
-            object: self.get(write.kind, write.name, timeout).await?,
+            object: self
+                .get(
+                    write.kind,
+                    write.name,
+                    Limits::whole(timeout, MAX_ANSWER_BYTES),
+                )
+                .await?,
             newest: Version(0),
         })
     }
