Back off when the store loses the history of a new list

A watch that finds its history gone led to a list at once, and the list to a watch. A store that drops its history as fast as it grows was called 541 times a second by one host, each time with a list of everything, which is the whole configuration for one of the kinds.

Each lost history is now followed by the backoff of failed calls, which a watch that succeeds resets.

large_configuration::a_store_without_history_is_not_flooded_and_changes_still_apply failed before with 541 to 3,562 calls a second and passes with at most 40.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -73,7 +73,6 @@
                 handler.on_success();
                 let upto = listed.upto;
                 handler.on_list(listed).await;
-                backoff = MIN_BACKOFF;
                 Some(upto)
             }
             Err(e) => {
@@ -119,7 +118,11 @@
             }
             Some(upto)
         }
-        Err(PlatformError::HistoryLost) => None,
+        Err(PlatformError::HistoryLost) => {
+            // The new list is useless if its history is lost, too.
+            back_off(handler, backoff).await;
+            None
+        }
         Err(e) => {
             handler.on_error(&e);
             back_off(handler, backoff).await;
