Give up a silent watch of configuration and endpoints after 1.5 s

A watch was held open for 25 s. If its connection stays open but carries nothing any more, as after a lost answer, the host does not notice that it is behind until then: 22.4 s for a change of the configuration, 24.6 s for a removed endpoint.

Watches of these two kinds now wait for at most 1.5 s, which leaves time within the three seconds after a disturbance for the call's own timeout and the next watch.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -51,6 +51,9 @@
     pub write_timeout: Duration,
     /// How long a watch waits for a change; the platform allows 30 seconds.
     pub watch_wait: Duration,
+    /// How long a watch of the configuration or the endpoints waits. A watch on
+    /// a connection that carries nothing any more is given up after that.
+    pub confirm_period: Duration,
     /// Pause before a call is repeated.
     pub retry_interval: Duration,
     /// Timeout for determining the outcome of a write.
@@ -66,6 +69,7 @@
             timeout: Duration::from_millis(500),
             write_timeout: Duration::from_millis(150),
             watch_wait: Duration::from_secs(25),
+            confirm_period: Duration::from_millis(1500),
             retry_interval: Duration::from_millis(50),
             settle_timeout: Duration::from_secs(2),
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -243,26 +243,26 @@
 fn start_tasks(cx: &Cx<ObjectStore>) {
     let spawner = &cx.spawner;
     let store = || cx.store.clone();
-    let wait = cx.cfg.store.watch_wait;
+    let confirm_period = cx.cfg.store.confirm_period;
     let configuration = KindWatcher::<_, OperatorsConfiguration>::new(cx);
     spawner.detach(follow::watch_kind(
         store(),
         kinds::CONFIGURATION,
-        wait,
+        confirm_period,
         configuration,
     ));
     let endpoints = KindWatcher::<_, ListedEndpoints>::new(cx);
     spawner.detach(follow::watch_kind(
         store(),
         kinds::ENDPOINTS,
-        wait,
+        confirm_period,
         endpoints,
     ));
     let listed_hosts = KindWatcher::<_, ListedHosts>::new(cx);
     spawner.detach(follow::watch_kind(
         store(),
         roster::KIND,
-        wait,
+        cx.cfg.store.watch_wait,
         listed_hosts,
     ));
     spawner.detach(hosts::register_host(Arc::clone(cx)));
