Close idle connections to an address whose call got no answer

Connections fall silent together. After one timed out, the next call took another idle connection of the same time, and timed out as well, up to four in a row with 500 ms and a pause each.

A call to the store or to another host that got no answer now closes the idle connections to that address, so that the next one opens a new connection.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -170,8 +170,12 @@
         R: DeserializeOwned + Send,
     {
         let req = self.build_request(method, params);
-        let body = self.exchange(to, req).await?;
-        decode(&body)
+        let body = self.exchange(to, req).await;
+        if matches!(body, Err(PeerError::Unreachable(_))) {
+            // The idle connections may carry nothing any more, either.
+            self.client.close_idle(to);
+        }
+        decode(&body?)
     }
 }
 
--- a/src/connection/platform/exchange.rs
+++ b/src/connection/platform/exchange.rs
@@ -84,6 +84,20 @@
     to: SocketAddr,
     req: Request<Body>,
     limits: Limits,
+) -> Result<(response::Parts, Bytes)> {
+    let result = receive(client, to, req, limits).await;
+    if matches!(result, Err(Failure::Uncertain(_))) {
+        // The idle connections may carry nothing any more, either.
+        client.close_idle(to);
+    }
+    result
+}
+
+async fn receive(
+    client: &Client,
+    to: SocketAddr,
+    req: Request<Body>,
+    limits: Limits,
 ) -> Result<(response::Parts, Bytes)> {
     let started = Instant::now();
     let sent = client.send(to, req, limits.head).await;
