Send a large configuration to one host at a time

Every exchange with a host that was behind carried the whole configuration: each follower asked a scout for it every 300 ms, whether an earlier copy was still on its way or not, and a scout sent as many copies as were asked for. Some fifteen hosts so shared the link of one. In the incident, the twelve hosts that watch the store had version 19 three seconds before its ack, and eight others got it in the four seconds after.

An exchange now carries the version only. A host that hears of a newer one, as caller or as called, fetches it: one copy at a time, at /configuration on the port for other hosts. A host sends one copy at a time and answers 503 meanwhile, upon which the other asks a random host 100 ms later; whoever has the version sends it on. The send buffer of these connections is limited, since a transfer would otherwise end for its sender when the system has taken it. Hosts of earlier releases get the configuration in the exchange as before.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -22,6 +22,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
@@ -57,6 +58,10 @@
     /// Time without acknowledgements after which a connection fails; `None` for
     /// no detection.
     pub silence_limit: Option<Duration>,
+    /// Largest send buffer of a connection, in bytes; `None` leaves it to the
+    /// system. With a small one, a body is taken at the rate at which the
+    /// receiver gets it.
+    pub send_buffer: Option<usize>,
 }
 
 impl Default for ServerConfig {
@@ -65,6 +70,7 @@
             header_timeout: Duration::from_secs(10),
             max_buf_size: 64 * 1024,
             silence_limit: None,
+            send_buffer: None,
         }
     }
 }
@@ -195,6 +201,10 @@
         // for longer; the caller is still served.
         let _unsupported = keepalive::enable(&stream, limit);
     }
+    if let Some(bytes) = cfg.send_buffer {
+        // Without it, the system chooses the size.
+        let _unsupported = sockopt::set_socket_send_buffer_size(&stream, bytes);
+    }
     let count = Arc::clone(&control.requests);
     let has_begun = Arc::new(AtomicBool::new(false));
     let begun = Arc::clone(&has_begun);
--- a/crates/standins/src/fleet/proxy.rs
+++ b/crates/standins/src/fleet/proxy.rs
@@ -15,6 +15,7 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::future;
 use parking_lot::Mutex;
+use rustix::net::sockopt;
 
 /// What the proxy does with the bytes of all its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -35,6 +36,8 @@
     Throttle(u32),
 }
 
+/// Receive buffer of a connection to the upstream, in bytes.
+const RECEIVE_BUFFER: usize = 64 << 10;
 /// Interval at which a stalled connection rechecks the mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -91,6 +94,9 @@
                 task_spawner.detach(async move {
                     let generation = link.generation.load(Ordering::Acquire);
                     if let Ok(upstream) = TcpStream::connect(to).await {
+                        // Without it, the proxy takes far more than it forwards.
+                        sockopt::set_socket_recv_buffer_size(&upstream, RECEIVE_BUFFER)
+                            .expect("the option is known");
                         let connection = |from: &TcpStream, to: &TcpStream, is_reply| Direction {
                             from: from.clone(),
                             to: to.clone(),
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -35,9 +35,12 @@
     /// The other host answered with an error.
     #[error("the host refused the call: {0}")]
     Refused(ErrorObjectOwned),
-    /// The answer is not valid JSON-RPC or has another status than 200.
+    /// The answer is not valid JSON-RPC.
     #[error("the host's answer cannot be read: {0}")]
     Malformed(String),
+    /// The answer has another status than 200.
+    #[error("the host answered {0}")]
+    Status(StatusCode),
     /// No complete answer was received in time, or it is too large; the other host
     /// may have executed the call.
     #[error("the host cannot be reached: {0}")]
@@ -157,12 +160,35 @@
             .await
             .map_err(unreachable)?;
         if status != StatusCode::OK {
-            return Err(PeerError::Malformed(format!("status {status}")));
+            return Err(PeerError::Status(status));
         }
         Ok(body)
     }
 }
 
+impl HttpPeers {
+    /// Fetches a document of another host; `None` if it has none or does not send
+    /// it now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer, or breaks the document off.
+    pub async fn fetch(&self, to: SocketAddr, path: &str) -> Result<Option<Bytes>> {
+        let req = Request::get(path)
+            .header(header::HOST, "peer")
+            .header(header::AUTHORIZATION, self.secret.header())
+            .body(Body::empty())
+            .map_err(|e| PeerError::Malformed(format!("not a valid request: {e}")))?;
+        match self.exchange(to, req).await {
+            Ok(document) => Ok(Some(document)),
+            Err(PeerError::Status(StatusCode::NOT_FOUND | StatusCode::SERVICE_UNAVAILABLE)) => {
+                Ok(None)
+            }
+            Err(e) => Err(e),
+        }
+    }
+}
+
 impl Peers for HttpPeers {
     async fn call<P, R>(&self, to: SocketAddr, method: &'static str, params: &P) -> Result<R>
     where
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -33,6 +33,7 @@
 use super::roster::Peer;
 use super::roster::Roster;
 use super::routes::Configuration;
+use super::transfers::Transfers;
 use crate::configs::gateway::GatewayConfig;
 use crate::connection::peer::HttpPeers;
 use crate::connection::platform::Platform;
@@ -143,6 +144,8 @@
     pub peers: HttpPeers,
     /// Configuration that requests are routed by.
     pub in_force: ArcSwap<InForce>,
+    /// Transfers of the configuration between hosts.
+    pub transfers: Transfers,
     /// Age of what this host knows of the configuration.
     pub freshness: Freshness,
     /// Endpoints as listed by the store or by other hosts.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -36,6 +36,7 @@
 use super::rate::BorrowRequest;
 use super::roster::HostEntry;
 use super::roster::Peer;
+use super::transfers;
 use super::updates;
 use crate::connection::peer::PeerError;
 use crate::connection::peer::Peers;
@@ -86,6 +87,10 @@
     pub endpoints: Option<Version>,
     /// Store version of its list of hosts; `None` if it has none.
     pub hosts: Option<Version>,
+    /// Whether it fetches a newer configuration by itself. Hosts of earlier
+    /// releases expect it in the reply to an exchange.
+    #[serde(default)]
+    pub fetches_configuration: bool,
     /// Whether it is a scout and the store is reachable from it.
     pub is_current: bool,
     /// Hashes of programs whose budget it recently found spent.
@@ -97,7 +102,8 @@
 pub struct ExchangeReply {
     /// Versions at the replying host.
     pub known: HostVersions,
-    /// The operators' configuration; `None` if it is not newer.
+    /// The operators' configuration, for a host that does not fetch it; `None` if
+    /// it is not newer.
     pub configuration: Option<Arc<str>>,
     /// Endpoints; `None` if they are not newer.
     pub endpoints: Option<Vec<SharedEndpoint>>,
@@ -179,24 +185,30 @@
             .map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
         endpoints,
         hosts,
+        fetches_configuration: true,
         is_current: cx.store_contact.is_up() && cx.is_scout(),
         spent: cx.spent.recent(Moment::now()),
     }
 }
 
-fn exchange_reply<P: Platform>(cx: &Gateway<P>, remote: &HostVersions) -> ExchangeReply {
+fn exchange_reply<P: Platform>(cx: &Cx<P>, remote: &HostVersions) -> ExchangeReply {
     cx.record_message(&remote.host);
+    let caller = cx.roster.lock().peer(&remote.host);
+    if let Some(caller) = caller {
+        transfers::learn(cx, remote.configuration, caller);
+    }
     cx.spent.merge(&remote.spent, Moment::now());
     let own = host_versions(cx);
     let in_force = cx.in_force.load();
-    let newer = in_force.table.version > remote.configuration;
+    let is_newer = in_force.table.version > remote.configuration;
+    let is_expected = is_newer && !remote.fetches_configuration;
     let endpoints = (own.endpoints > remote.endpoints).then(|| {
         let listed = cx.endpoint_list.lock();
         listed.directory.export(Moment::now())
     });
     let hosts = (own.hosts > remote.hosts).then(|| cx.roster.lock().entries());
     ExchangeReply {
-        configuration: newer.then(|| Arc::clone(&in_force.text)),
+        configuration: is_expected.then(|| Arc::clone(&in_force.text)),
         endpoints,
         hosts,
         known: own,
@@ -360,6 +372,11 @@
     if let Some(text) = &reply.configuration {
         updates::apply_configuration(cx, text, reply.known.host.as_str());
     }
+    let source = Peer {
+        host: reply.known.host.clone(),
+        address: to,
+    };
+    transfers::learn(cx, reply.known.configuration, source);
     adopt_confirmation(cx, &reply.known);
     if let (Some(upto), Some(endpoints)) = (reply.known.endpoints, reply.endpoints) {
         updates::apply_endpoints(cx, upto, endpoints, reply.known.host.as_str());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod roster;
 pub mod routes;
 pub mod serve;
+pub mod transfers;
 pub mod updates;
 
 /// Returns a hash of a name that is equal on every host.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -133,6 +133,8 @@
     (rate.burst / MIN_HELD_TOKENS).clamp(1.0, f64::from(u16::MAX)) as usize
 }
 
+/// Fraction of the choices of a random host that prefer the own data centre.
+const LOCAL_SHARE: f64 = 0.75;
 /// Time for which a host that did not respond is not used.
 const SUSPECT_DURATION: Duration = Duration::from_secs(1);
 
@@ -448,6 +450,25 @@
         others.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// Returns a host by name.
+    pub fn peer(&self, host: &HostId) -> Option<Peer> {
+        Some(self.hosts.get(host)?.peer(host))
+    }
+
+    /// Returns another responsive host at random, mostly of data centre `local`.
+    pub fn random_host(&self, local: &DataCentre, now: Moment) -> Option<Peer> {
+        let is_local_preferred = rand::random_bool(LOCAL_SHARE);
+        let responsive = self
+            .hosts
+            .iter()
+            .filter(|(host, state)| **host != self.own && state.is_responsive(now));
+        let chosen = responsive.max_by_key(|(_, state)| {
+            let is_preferred = is_local_preferred && state.entry.data_centre == *local;
+            (is_preferred, rand::random::<u64>())
+        });
+        chosen.map(|(host, state)| state.peer(host))
+    }
+
     /// Returns all entries, to send them to other hosts.
     pub fn entries(&self) -> Vec<(HostId, HostEntry)> {
         self.hosts
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -54,6 +54,8 @@
 use super::roster;
 use super::roster::Roster;
 use super::routes::CallerLimits;
+use super::transfers;
+use super::transfers::Transfers;
 use super::updates;
 use super::updates::ListedEndpoints;
 use super::updates::ListedHosts;
@@ -77,6 +79,10 @@
 const METRICS_PATH: &str = "/metrics";
 /// Added to the idle timeout that callers are promised.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Largest send buffer of a connection to another host, in bytes. It is far
+/// smaller than a large configuration, so that a transfer ends for its sender
+/// when the receiver has nearly all of it.
+const PEER_SEND_BUFFER: usize = 128 << 10;
 /// Interval at which a drain checks whether all connections are closed.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time after the limit of a drain for the answers to requests that are still
@@ -155,9 +161,13 @@
     spawner.detach(server::serve(
         peers,
         spawner.clone(),
-        server_cfg.clone(),
+        ServerConfig {
+            send_buffer: Some(PEER_SEND_BUFFER),
+            ..server_cfg.clone()
+        },
         ServerControl::default(),
         PeerHandler {
+            cx: Arc::clone(&cx),
             module,
             max_bytes: PeerConfig::default().max_message_bytes,
         },
@@ -211,6 +221,7 @@
         client: Client::new(spawner.clone(), endpoint_client),
         peers: HttpPeers::new(control, no_secret, PeerConfig::default()),
         in_force: ArcSwap::from_pointee(InForce::default()),
+        transfers: Transfers::default(),
         freshness: Freshness::default(),
         endpoint_list: Mutex::default(),
         pools: Pools::default(),
@@ -363,8 +374,9 @@
     }
 }
 
-/// Serves RPC calls of other hosts.
+/// Serves RPC calls of other hosts, and the configuration.
 struct PeerHandler<P: Platform> {
+    cx: Cx<P>,
     module: Arc<RpcModule<Cx<P>>>,
     max_bytes: usize,
 }
@@ -372,6 +384,7 @@
 impl<P: Platform> Clone for PeerHandler<P> {
     fn clone(&self) -> Self {
         Self {
+            cx: Arc::clone(&self.cx),
             module: Arc::clone(&self.module),
             max_bytes: self.max_bytes,
         }
@@ -380,10 +393,11 @@
 
 impl<P: Platform> Handler for PeerHandler<P> {
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
-        if req.uri().path() != RPC_PATH {
-            return empty_response(StatusCode::NOT_FOUND);
+        match req.uri().path() {
+            RPC_PATH => peer_port::handle_control(&self.module, req, self.max_bytes).await,
+            transfers::PATH => transfers::respond(&self.cx, req.uri()),
+            _ => empty_response(StatusCode::NOT_FOUND),
         }
-        peer_port::handle_control(&self.module, req, self.max_bytes).await
     }
 }
 
