Bound the memory of answers that are being received

An endpoint in trouble may send a body without end. Each answer was cut at 4 MB, but nothing bounded all of them together: 32 calls at the same time took a host of 110 MB to 149 MB, where the platform kills it and all its callers get nothing.

All answers that are being received may now take a quarter of the host's memory, like request bodies, which share the code. A call whose answer does not fit ends like one whose answer broke off: retried if its route allows, else 502, since it may have run.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,17 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicoryarch_net::Body;
+use bytes::BytesMut;
 use chicoryarch_net::client::ClientError;
 use http::Method;
 use http::Response;
 use http::response;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::Serialize;
 
 use super::call::CallMeta;
 use super::call::Urgency;
+use super::context::BodyMemory;
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::directory::EndpointState;
@@ -283,17 +285,31 @@
 ///
 /// # Errors
 ///
-/// Returns the reason if the body breaks off, is too large or does not end
-/// before the deadline.
+/// Returns the reason if the body breaks off, is too large, does not end before
+/// the deadline, or does not fit the memory for answers beside the others.
 pub async fn read_body(
-    body: Incoming,
+    memory: &BodyMemory,
+    mut body: Incoming,
     max_bytes: usize,
     deadline: Moment,
 ) -> std::result::Result<Bytes, String> {
     let read = async {
-        Body::collect(body, max_bytes)
-            .await
-            .map_err(|e| format!("the answer broke off: {e}"))
+        let mut reserved = memory.start_body();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| format!("the answer broke off: {e}"))?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if buf.len() + bytes.len() > max_bytes {
+                return Err(format!("the answer is longer than {max_bytes} bytes"));
+            }
+            if !reserved.grow(bytes.len()) {
+                return Err("too many large answers are being received".to_owned());
+            }
+            buf.extend_from_slice(&bytes);
+        }
+        Ok(buf.freeze())
     };
     let expire = async {
         async_io::Timer::after(Moment::now().until(deadline)).await;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -87,11 +87,52 @@
     pub upto: Option<Version>,
 }
 
-/// Memory that callers' requests use on this host.
-#[derive(Debug, Default)]
+/// Memory of bodies that are being received.
+#[derive(Debug)]
 pub struct BodyMemory {
-    /// Bytes reserved for request bodies that are being received.
-    pub bytes: AtomicUsize,
+    reserved: AtomicUsize,
+    max_bytes: usize,
+}
+
+impl BodyMemory {
+    /// Allows all bodies together at most `max_bytes` bytes.
+    pub const fn new(max_bytes: usize) -> Self {
+        Self {
+            reserved: AtomicUsize::new(0),
+            max_bytes,
+        }
+    }
+
+    /// Starts to count the bytes of a body.
+    pub const fn start_body(&self) -> ReservedBytes<'_> {
+        ReservedBytes {
+            memory: self,
+            bytes: 0,
+        }
+    }
+}
+
+/// Memory of one body; released on drop.
+#[derive(Debug)]
+pub struct ReservedBytes<'a> {
+    memory: &'a BodyMemory,
+    bytes: usize,
+}
+
+impl ReservedBytes<'_> {
+    /// Adds to the body; `false` if all bodies together are too large then.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let before = self.memory.reserved.fetch_add(bytes, Ordering::AcqRel);
+        before + bytes <= self.memory.max_bytes
+    }
+}
+
+impl Drop for ReservedBytes<'_> {
+    fn drop(&mut self) {
+        let reserved = &self.memory.reserved;
+        reserved.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
 }
 
 /// The time limit of a drain, for which requests wait.
@@ -164,8 +205,10 @@
     pub spent: SpentPrograms,
     /// Versions that began streams.
     pub origins: Origins,
-    /// Memory that request bodies use.
-    pub body_memory: BodyMemory,
+    /// Memory of request bodies that are being received.
+    pub request_memory: BodyMemory,
+    /// Memory of endpoints' answers that are being received.
+    pub answer_memory: BodyMemory,
     /// Set when the process has received a signal to stop.
     pub is_draining: AtomicBool,
     /// Ends the requests that are still open when a drain is out of time.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -333,7 +333,8 @@
             placement,
         });
     }
-    match attempt::read_body(body, answer::MAX_BUFFERED_BYTES, call.deadline).await {
+    let limit = answer::MAX_BUFFERED_BYTES;
+    match attempt::read_body(&cx.answer_memory, body, limit, call.deadline).await {
         Ok(body) => {
             let ended = match head.status.is_server_error() {
                 true => AttemptEnd::Errored,
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -43,9 +42,6 @@
 const STARTING_RETRY: Duration = Duration::from_millis(500);
 /// Retry time sent to callers while request bodies use all of their memory.
 const MEMORY_RETRY: Duration = Duration::from_millis(500);
-/// Divisor of the host's memory that gives the maximum size of all request
-/// bodies that are being received.
-const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Timeout of a caller that sends no deadline.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -254,19 +250,6 @@
     })
 }
 
-/// Memory reserved for a request body; released on drop.
-struct ReservedBytes<'a, P> {
-    cx: &'a Gateway<P>,
-    bytes: usize,
-}
-
-impl<P> Drop for ReservedBytes<'_, P> {
-    fn drop(&mut self) {
-        let reserved = &self.cx.body_memory.bytes;
-        reserved.fetch_sub(self.bytes, Ordering::AcqRel);
-    }
-}
-
 async fn read_body<P: Platform>(
     cx: &Gateway<P>,
     body: Incoming,
@@ -278,13 +261,8 @@
     if expected > limit {
         return Err(Refusal::new(Outcome::TooLarge, "the body is too large"));
     }
-    let budget = usize::try_from(cx.cfg.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX);
-    let reserved = cx.body_memory.bytes.fetch_add(expected, Ordering::AcqRel);
-    let _reservation = ReservedBytes {
-        cx,
-        bytes: expected,
-    };
-    if reserved + expected > budget {
+    let mut reserved = cx.request_memory.start_body();
+    if !reserved.grow(expected) {
         let detail = "too many bodies are being received";
         return Err(Refusal::not_run(detail, MEMORY_RETRY));
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -79,6 +79,9 @@
 const METRICS_PATH: &str = "/metrics";
 /// Added to the idle timeout that callers are promised.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Divisor of the host's memory that gives the maximum size of all request
+/// bodies that are being received, and of all answers.
+const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Largest send buffer of a connection to another host, in bytes. It is far
 /// smaller than a large configuration, so that a transfer ends for its sender
 /// when the receiver has nearly all of it.
@@ -209,6 +212,7 @@
     };
     let control = Client::new(spawner.clone(), control_client);
     let no_secret = PeerSecret::new(Vec::new());
+    let body_bytes = usize::try_from(cfg.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX);
     let mut roster = Roster::new(cfg.place.host.clone());
     if cfg.place.first_start {
         roster.start_share_at(now + cfg.join_notice);
@@ -228,7 +232,8 @@
         roster: Mutex::new(roster),
         rates: Rates::new(now),
         accounts: Accounts::default(),
-        body_memory: BodyMemory::default(),
+        request_memory: BodyMemory::new(body_bytes),
+        answer_memory: BodyMemory::new(body_bytes),
         isolated: IsolatedGrants::default(),
         spent: SpentPrograms::default(),
         origins: Origins::default(),
