Hold a stream to its time while events are queued

The time limit of a stream was checked between two reads of the engine's bytes, not between the events of one read. An engine in trouble that sends blank lines without end puts 128,000 empty events into one read: its callers, who wait for 5 s, got the end of the stream after 63 s, and the engine's connection stayed open for as long. So did one whose caller stopped reading.

The limit now holds for each event, also while the caller's queue is full. Dropping the blank lines was tried and reverted: an answer must keep the engine's bytes.

endless_answers::a_stream_without_end_never_looks_complete failed before (62.9 s against 5.5 s) and passes; the tests of heads without end and of trickling bodies passed before, too.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -202,8 +202,9 @@
     ) -> StreamEnd {
         let mut body = pin!(body);
         self.splitter.clear();
+        let deadline = self.call.deadline + DEADLINE_GRACE;
         loop {
-            let left = Moment::now().until(self.call.deadline + DEADLINE_GRACE);
+            let left = Moment::now().until(deadline);
             let frame = async { StreamInput::Frame(body.as_mut().frame().await) };
             let disconnected = async {
                 tx.wait_closed().await;
@@ -228,7 +229,7 @@
                     if let Err(e) = self.splitter.feed(&bytes) {
                         return StreamEnd::Broken(e.to_string());
                     }
-                    if let Some(end) = self.send_events(tx, version).await {
+                    if let Some(end) = self.send_events(tx, version, deadline).await {
                         return end;
                     }
                 }
@@ -238,8 +239,17 @@
 
     /// Sends all complete events to the caller. Returns a reason if the stream
     /// must end.
-    async fn send_events(&mut self, tx: &BodySender, version: &Arc<str>) -> Option<StreamEnd> {
+    async fn send_events(
+        &mut self,
+        tx: &BodySender,
+        version: &Arc<str>,
+        deadline: Moment,
+    ) -> Option<StreamEnd> {
         while let Some(event) = self.splitter.next_event() {
+            let left = Moment::now().until(deadline);
+            if left.is_zero() {
+                return Some(StreamEnd::TimedOut);
+            }
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
@@ -251,8 +261,17 @@
             if !self.charge_event() {
                 return Some(StreamEnd::OverBudget);
             }
-            if tx.send(event.bytes).await.is_err() {
-                return Some(StreamEnd::CallerDisconnected);
+            let send = async {
+                let sent = tx.send(event.bytes).await;
+                sent.err().map(|_| StreamEnd::CallerDisconnected)
+            };
+            let expire = async {
+                async_io::Timer::after(left).await;
+                Some(StreamEnd::TimedOut)
+            };
+            let ended = future::or(send, expire).await;
+            if ended.is_some() {
+                return ended;
             }
         }
         None
--- /dev/null
+++ b/tests/gateway_processes/endless_answers.rs
@@ -0,0 +1,223 @@
+//! Endpoints in trouble that send bytes without end, in a head or a body, until
+//! the gateway closes. Guards against calls that wait for their end, memory that
+//! grows with them, untrue answers and connections that stay open.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+
+use super::fleet::Answer;
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+use super::fleet::wait_until;
+
+/// Timeout of the routes to the service `plain`, with half a second to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(3_500);
+/// Time that callers of the tests wait, with half a second to answer.
+const STREAM_LIMIT: Duration = Duration::from_millis(5_500);
+/// Memory of the host, as in its settings.
+const MEMORY_KIB: u64 = 110 << 10;
+/// Calls that run at the same time.
+const CALLS: usize = 32;
+
+/// What an endpoint sends after a request.
+#[derive(Clone, Copy, Debug)]
+struct Flood {
+    /// First bytes; `{id}` stands for the id of the request.
+    start: &'static str,
+    /// Bytes that are repeated without end.
+    repeated: &'static str,
+    /// Pause between two writes.
+    pause: Duration,
+}
+
+const ANSWER_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n";
+
+fn plain_head() -> &'static str {
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\r\n"
+}
+
+fn stream_head() -> &'static str {
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\
+     content-type: text/event-stream\r\n\r\n"
+}
+
+/// An endpoint that floods every caller, and its number of open connections.
+struct FloodingEndpoint {
+    address: SocketAddr,
+    open: Arc<AtomicUsize>,
+}
+
+impl FloodingEndpoint {
+    fn start(flood: Flood) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let endpoint = Self {
+            address: listener.local_addr().expect("its address"),
+            open: Arc::default(),
+        };
+        let open = Arc::clone(&endpoint.open);
+        thread::spawn(move || {
+            for connection in listener.incoming().flatten() {
+                let open = Arc::clone(&open);
+                open.fetch_add(1, Ordering::AcqRel);
+                thread::spawn(move || {
+                    // Ends with an error when the gateway closes.
+                    let _closed = send_flood(connection, flood);
+                    open.fetch_sub(1, Ordering::AcqRel);
+                });
+            }
+        });
+        endpoint
+    }
+}
+
+fn send_flood(mut connection: TcpStream, flood: Flood) -> std::io::Result<()> {
+    let mut request = Vec::new();
+    let mut buf = [0; 4096];
+    while !request.windows(8).any(|bytes| bytes == b"\r\n\r\nbody") {
+        match connection.read(&mut buf)? {
+            0 => return Ok(()),
+            length => request.extend_from_slice(&buf[..length]),
+        }
+    }
+    let request = String::from_utf8_lossy(&request);
+    let id = request
+        .lines()
+        .find_map(|line| line.strip_prefix("request-id: "));
+    let start = flood.start.replace("{id}", id.unwrap_or_default());
+    connection.write_all(start.as_bytes())?;
+    let repeats = if flood.pause.is_zero() { 4096 } else { 1 };
+    let bytes = flood.repeated.repeat(repeats);
+    loop {
+        connection.write_all(bytes.as_bytes())?;
+        thread::sleep(flood.pause);
+    }
+}
+
+fn peak_memory_kib(gateway: &Gateway) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id()));
+    let status = status.expect("the process runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let words = line.expect("the field is known").split_whitespace();
+    let mut words = words.skip(1);
+    words.next().expect("a number").parse().expect("a number")
+}
+
+/// Makes concurrent calls to an endpoint that floods, and checks time, memory
+/// and connections. Returns the answers.
+fn call_flooding(service: &str, path: &str, flood: Flood, limit: Duration) -> Vec<Answer> {
+    let fleet = Fleet::new();
+    let endpoint = FloodingEndpoint::start(flood);
+    fleet.list("e1", service, endpoint.address, "ready");
+    let gateway = fleet.gateway("g1");
+    let answers: Vec<Answer> = thread::scope(|scope| {
+        let call = |n: usize| {
+            let (fleet, gateway) = (&fleet, &gateway);
+            scope.spawn(move || {
+                let id = format!("r{n}");
+                let started = Instant::now();
+                let answer = fleet.call(gateway, path, &[("request-id", &id)]);
+                let spent = started.elapsed();
+                assert!(spent < limit, "{flood:?}: answered after {spent:?}");
+                answer
+            })
+        };
+        let calls: Vec<_> = (0..CALLS).map(call).collect();
+        let ended = calls
+            .into_iter()
+            .map(|call| call.join().expect("an answer"));
+        ended.collect()
+    });
+    wait_until("all connections to the endpoint are closed", || {
+        endpoint.open.load(Ordering::Acquire) == 0
+    });
+    let peak = peak_memory_kib(&gateway);
+    assert!(peak < MEMORY_KIB, "{flood:?}: {peak} KiB");
+    answers
+}
+
+/// Checks that callers of calls that may have run are told nothing else.
+fn assert_unknown_result(flood: Flood) {
+    for answer in call_flooding("plain", "/once/", flood, ANSWER_LIMIT) {
+        let is_unknown = matches!(
+            answer.status,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+        );
+        // Calls beyond the endpoint's room were not sent at all.
+        let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(is_unknown || is_refused, "{flood:?}: {}", answer.status);
+        assert!(!answer.headers.contains_key("response-signature"));
+    }
+}
+
+#[test]
+fn a_head_without_end_is_given_up() {
+    for (start, repeated) in [
+        ("", "x"),
+        ("HTTP/1.1 200 OK\r\nx: ", "x"),
+        (ANSWER_HEAD, "x: y\r\n"),
+    ] {
+        let pause = Duration::ZERO;
+        assert_unknown_result(Flood {
+            start,
+            repeated,
+            pause,
+        });
+    }
+}
+
+#[test]
+fn a_head_that_trickles_without_end_is_given_up() {
+    assert_unknown_result(Flood {
+        start: ANSWER_HEAD,
+        repeated: "x: y\r\n",
+        pause: Duration::from_millis(20),
+    });
+}
+
+#[test]
+fn a_body_without_end_is_given_up() {
+    assert_unknown_result(Flood {
+        start: plain_head(),
+        repeated: "x",
+        pause: Duration::ZERO,
+    });
+}
+
+#[test]
+fn a_body_that_trickles_without_end_is_given_up() {
+    assert_unknown_result(Flood {
+        start: plain_head(),
+        repeated: "x",
+        pause: Duration::from_millis(20),
+    });
+}
+
+#[test]
+fn a_stream_without_end_never_looks_complete() {
+    for (repeated, pause) in [
+        ("x", Duration::ZERO),
+        ("x", Duration::from_millis(20)),
+        ("\n", Duration::ZERO),
+        (": comment\n\n", Duration::ZERO),
+    ] {
+        let flood = Flood {
+            start: stream_head(),
+            repeated,
+            pause,
+        };
+        for answer in call_flooding("engine", "/turns/", flood, STREAM_LIMIT) {
+            assert!(answer.body.is_none() || answer.status != StatusCode::OK);
+        }
+    }
+}
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -306,6 +306,10 @@
         fleet.get(self.addresses.ready, "/v1/readyz") == Some(StatusCode::OK)
     }
 
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).expect("the process is running");
     }
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod calls;
 mod configuration;
+mod endless_answers;
 mod fleet;
 mod large_configuration;
 mod leaving;
