Fetch a configuration that cannot be decoded only once

A host that cannot decode a newer version, as beside a release that adds to the format, stays behind. It fetched the document again every 100 ms from any host that had it, 29 times in three seconds, and so filled the links that other hosts get the version over.

It now remembers the newest version that it could not decode and waits for a later one; the error is logged as before.

large_configuration::a_configuration_that_cannot_be_decoded_is_fetched_once failed before (29 documents instead of 1). Found in review of the new transfers.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -233,7 +233,7 @@
                     },
                 })
             };
-            let Some(frame) = future::or(expire, frame).await? else {
+            let Some(frame) = future::or(frame, expire).await? else {
                 return Ok(buf.freeze());
             };
             let Ok(bytes) = frame.map_err(Into::into)?.into_data() else {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -370,7 +370,8 @@
     }
     cx.spent.merge(&reply.known.spent, Moment::now());
     if let Some(text) = &reply.configuration {
-        updates::apply_configuration(cx, text, reply.known.host.as_str());
+        // An invalid one is logged there.
+        let _is_valid = updates::apply_configuration(cx, text, reply.known.host.as_str());
     }
     let source = Peer {
         host: reply.known.host.clone(),
--- a/src/gateway/transfers.rs
+++ b/src/gateway/transfers.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct Transfers {
     newest: AtomicU64,
+    /// Newest version that this host cannot decode.
+    invalid: AtomicU64,
     is_fetching: AtomicBool,
     is_sending: AtomicBool,
 }
@@ -131,7 +133,8 @@
 /// Records that another host has a version, and fetches it if it is newer.
 pub fn learn<P: Platform>(cx: &Cx<P>, version: u64, from: Peer) {
     let own = cx.in_force.load().table.version;
-    if version <= own {
+    let invalid = cx.transfers.invalid.load(Ordering::Acquire);
+    if version <= own.max(invalid) {
         return;
     }
     if cx.transfers.newest.fetch_max(version, Ordering::AcqRel) < version {
@@ -150,7 +153,11 @@
 }
 
 fn is_behind<P>(cx: &Gateway<P>) -> bool {
-    cx.in_force.load().table.version < cx.transfers.newest.load(Ordering::Acquire)
+    let Transfers {
+        newest, invalid, ..
+    } = &cx.transfers;
+    let own = cx.in_force.load().table.version;
+    own.max(invalid.load(Ordering::Acquire)) < newest.load(Ordering::Acquire)
 }
 
 /// Asks `from` and then other hosts until this host is no longer behind.
@@ -174,11 +181,14 @@
 /// Fetches the configuration from a host that has a newer one and is free to send it.
 async fn fetch<P: Platform>(cx: &Cx<P>, source: &Peer) {
     let version = cx.in_force.load().table.version;
+    let newest = cx.transfers.newest.load(Ordering::Acquire);
     let path = format!("{PATH}?{NEWER_THAN}{version}");
     let why = match cx.peers.fetch(source.address, &path).await {
         Ok(Some(bytes)) => match std::str::from_utf8(&bytes) {
             Ok(text) => {
-                updates::apply_configuration(cx, text, source.host.as_str());
+                if !updates::apply_configuration(cx, text, source.host.as_str()) {
+                    cx.transfers.invalid.fetch_max(newest, Ordering::AcqRel);
+                }
                 return;
             }
             Err(e) => e.to_string(),
@@ -193,7 +203,7 @@
     };
     let line = FailedLine {
         version,
-        newest: cx.transfers.newest.load(Ordering::Acquire),
+        newest,
         from: source.host.as_str(),
         why: &why,
     };
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -55,17 +55,18 @@
 /// `from` of updates that were read from the store.
 const FROM_STORE: &str = "store";
 
-/// Puts a configuration in force unless the present one is as recent.
-pub fn apply_configuration<P: Platform>(cx: &Gateway<P>, text: &str, from: &str) {
+/// Puts a configuration in force unless the present one is as recent. Returns
+/// `false` if it cannot be decoded.
+pub fn apply_configuration<P: Platform>(cx: &Gateway<P>, text: &str, from: &str) -> bool {
     if *cx.in_force.load().text == *text {
         // Decoding a large configuration takes a small host a while.
-        return;
+        return true;
     }
     let table = match routes::decode(text.as_bytes()) {
         Ok(table) => table,
         Err(e) => {
             log::error!("configuration from {from} rejected: {e}");
-            return;
+            return false;
         }
     };
     let version = table.version;
@@ -89,6 +90,7 @@
         };
         cx.log.state("configuration-in-force", &line);
     }
+    true
 }
 
 /// Applies another host's endpoints if they are of a later store version.
@@ -179,7 +181,10 @@
     fn apply<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
         for object in objects.iter().filter(|o| o.name == kinds::CURRENT) {
             match std::str::from_utf8(&object.value) {
-                Ok(text) => apply_configuration(cx, text, FROM_STORE),
+                Ok(text) => {
+                    // An invalid one is logged there.
+                    let _is_valid = apply_configuration(cx, text, FROM_STORE);
+                }
                 Err(e) => log::error!("configuration from the store is not valid UTF-8: {e}"),
             }
         }
--- a/tests/gateway_processes/large_configuration.rs
+++ b/tests/gateway_processes/large_configuration.rs
@@ -1,6 +1,8 @@
 //! Configurations of nearly a megabyte, and the ways by which a host learns of
 //! one. Guards against hosts that keep an older version: the CONFIG incident.
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +13,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::fake_host::FakeHost;
 use super::fleet::Fleet;
 use super::fleet::Gateway;
 use super::fleet::configuration;
@@ -224,3 +227,24 @@
     let spent = time_to_apply(&fleet, &[gateway]);
     assert!(spent < APPLY_LIMIT, "{spent:?}");
 }
+
+/// As beside a release, when hosts of the earlier one cannot decode a new field.
+#[test]
+fn a_configuration_that_cannot_be_decoded_is_fetched_once() {
+    let fleet = Fleet::new();
+    let host = FakeHost {
+        version: 9,
+        document: "{}",
+        sent: Arc::default(),
+    };
+    let address = host.start(&fleet.spawner);
+    let entry = json!({"writer": 1, "value": {"peers": address, "data_centre": "a",
+        "incarnation": 1, "is_founder": false}});
+    fleet.store.put("chicoryarch-hosts", "fake", entry);
+    let _gateway = fleet.gateway("g1");
+    wait_until("the document is fetched", || {
+        host.sent.load(Ordering::Acquire) > 0
+    });
+    std::thread::sleep(APPLY_LIMIT);
+    assert_eq!(host.sent.load(Ordering::Acquire), 1);
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod endless_answers;
+mod fake_host;
 mod fleet;
 mod large_configuration;
 mod leaving;
