--- a/src/gateway/transfers.rs
+++ b/src/gateway/transfers.rs
@@ -42,9 +42,9 @@
 const PART_BYTES: usize = 32 << 10;
 /// Pause between two requests of a host that is behind, if the first one did
 /// not get it the configuration.
-const RETRY_PERIOD: Duration = Duration::from_millis(100);
+const RETRY_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of such requests until the next host reports a newer version.
-const MAX_REQUESTS: u32 = 50;
+const MAX_REQUESTS: u32 = 100;
 
 /// Transfers of this host, and the newest version that it has heard of.
 #[derive(Debug, Default)]
