--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -199,9 +199,7 @@
             },
         }
     }
-}
 
-impl Body {
     /// Reads a whole body within limits on its size and time.
     ///
     /// # Errors
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -128,6 +128,27 @@
         }
     }
 
+    /// Fetches a document of another host; `None` if it has none or does not send
+    /// it now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer, or breaks the document off.
+    pub async fn fetch(&self, to: SocketAddr, path: &str) -> Result<Option<Bytes>> {
+        let req = Request::get(path)
+            .header(header::HOST, "peer")
+            .header(header::AUTHORIZATION, self.secret.header())
+            .body(Body::empty())
+            .map_err(|e| PeerError::Malformed(format!("not a valid request: {e}")))?;
+        match self.exchange(to, req).await {
+            Ok(document) => Ok(Some(document)),
+            Err(PeerError::Status(StatusCode::NOT_FOUND | StatusCode::SERVICE_UNAVAILABLE)) => {
+                Ok(None)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
     fn build_request<P: Serialize>(&self, method: &'static str, params: &P) -> Request<Body> {
         let call = Call {
             jsonrpc: "2.0",
@@ -166,29 +187,6 @@
     }
 }
 
-impl HttpPeers {
-    /// Fetches a document of another host; `None` if it has none or does not send
-    /// it now.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the host does not answer, or breaks the document off.
-    pub async fn fetch(&self, to: SocketAddr, path: &str) -> Result<Option<Bytes>> {
-        let req = Request::get(path)
-            .header(header::HOST, "peer")
-            .header(header::AUTHORIZATION, self.secret.header())
-            .body(Body::empty())
-            .map_err(|e| PeerError::Malformed(format!("not a valid request: {e}")))?;
-        match self.exchange(to, req).await {
-            Ok(document) => Ok(Some(document)),
-            Err(PeerError::Status(StatusCode::NOT_FOUND | StatusCode::SERVICE_UNAVAILABLE)) => {
-                Ok(None)
-            }
-            Err(e) => Err(e),
-        }
-    }
-}
-
 impl Peers for HttpPeers {
     async fn call<P, R>(&self, to: SocketAddr, method: &'static str, params: &P) -> Result<R>
     where
--- a/tests/gateway_processes/endless_answers.rs
+++ b/tests/gateway_processes/endless_answers.rs
@@ -41,16 +41,13 @@
     pause: Duration,
 }
 
-const ANSWER_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n";
-
-fn plain_head() -> &'static str {
-    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\r\n"
-}
-
-fn stream_head() -> &'static str {
-    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\
-     content-type: text/event-stream\r\n\r\n"
-}
+/// Beginning of an answer's head, to which further headers can be added.
+const OPEN_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n";
+/// Head of an answer without a length.
+const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\r\n";
+/// Head of a stream.
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s.1\r\n\
+                           content-type: text/event-stream\r\n\r\n";
 
 /// An endpoint that floods every caller, and its number of open connections.
 struct FloodingEndpoint {
@@ -108,9 +105,8 @@
     let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id()));
     let status = status.expect("the process runs");
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let words = line.expect("the field is known").split_whitespace();
-    let mut words = words.skip(1);
-    words.next().expect("a number").parse().expect("a number")
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|kib| kib.parse().ok()).expect("a number")
 }
 
 /// Makes concurrent calls to an endpoint that floods, and checks time, memory
@@ -165,7 +161,7 @@
     for (start, repeated) in [
         ("", "x"),
         ("HTTP/1.1 200 OK\r\nx: ", "x"),
-        (ANSWER_HEAD, "x: y\r\n"),
+        (OPEN_HEAD, "x: y\r\n"),
     ] {
         let pause = Duration::ZERO;
         assert_unknown_result(Flood {
@@ -179,7 +175,7 @@
 #[test]
 fn a_head_that_trickles_without_end_is_given_up() {
     assert_unknown_result(Flood {
-        start: ANSWER_HEAD,
+        start: OPEN_HEAD,
         repeated: "x: y\r\n",
         pause: Duration::from_millis(20),
     });
@@ -188,7 +184,7 @@
 #[test]
 fn a_body_without_end_is_given_up() {
     assert_unknown_result(Flood {
-        start: plain_head(),
+        start: PLAIN_HEAD,
         repeated: "x",
         pause: Duration::ZERO,
     });
@@ -197,7 +193,7 @@
 #[test]
 fn a_body_that_trickles_without_end_is_given_up() {
     assert_unknown_result(Flood {
-        start: plain_head(),
+        start: PLAIN_HEAD,
         repeated: "x",
         pause: Duration::from_millis(20),
     });
@@ -212,7 +208,7 @@
         (": comment\n\n", Duration::ZERO),
     ] {
         let flood = Flood {
-            start: stream_head(),
+            start: STREAM_HEAD,
             repeated,
             pause,
         };
