--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -39,6 +39,8 @@
 pub struct Behaviour {
     /// Number of events in a stream; 0 for an answer that is not a stream.
     pub events: u64,
+    /// Size of an answer that is not a stream, in bytes; 0 for a short text.
+    pub answer_bytes: usize,
     /// Delay before an answer that is not a stream, and before each event.
     pub pause: Duration,
     /// Number of upcoming requests that run and whose connection then closes
@@ -220,7 +222,11 @@
                 is_mismatched: false,
             } => {
                 Timer::after(behaviour.pause).await;
-                sign(Response::new(Body::from("done")), &id)
+                let body = match behaviour.answer_bytes {
+                    0 => Body::from("done"),
+                    length => Body::from(vec![b'x'; length]),
+                };
+                sign(Response::new(body), &id)
             }
             Outcome::Answered {
                 is_mismatched: true,
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -15,6 +15,7 @@
 /// Tokens per event, as set in the tests' configuration.
 const TOKENS_PER_EVENT: u64 = 10;
 const ENGINE: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(1),
     lost_answers: 0,
--- a/tests/gateway_processes/endless_answers.rs
+++ b/tests/gateway_processes/endless_answers.rs
@@ -18,15 +18,13 @@
 
 use super::fleet::Answer;
 use super::fleet::Fleet;
-use super::fleet::Gateway;
+use super::fleet::MEMORY_KIB;
 use super::fleet::wait_until;
 
 /// Timeout of the routes to the service `plain`, with half a second to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(3_500);
 /// Time that callers of the tests wait, with half a second to answer.
 const STREAM_LIMIT: Duration = Duration::from_millis(5_500);
-/// Memory of the host, as in its settings.
-const MEMORY_KIB: u64 = 110 << 10;
 /// Calls that run at the same time.
 const CALLS: usize = 32;
 
@@ -101,14 +99,6 @@
     }
 }
 
-fn peak_memory_kib(gateway: &Gateway) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id()));
-    let status = status.expect("the process runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let number = line.and_then(|line| line.split_whitespace().nth(1));
-    number.and_then(|kib| kib.parse().ok()).expect("a number")
-}
-
 /// Makes concurrent calls to an endpoint that floods, and checks time, memory
 /// and connections. Returns the answers.
 fn call_flooding(service: &str, path: &str, flood: Flood, limit: Duration) -> Vec<Answer> {
@@ -137,7 +127,7 @@
     wait_until("all connections to the endpoint are closed", || {
         endpoint.open.load(Ordering::Acquire) == 0
     });
-    let peak = peak_memory_kib(&gateway);
+    let peak = gateway.peak_memory_kib();
     assert!(peak < MEMORY_KIB, "{flood:?}: {peak} KiB");
     answers
 }
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -46,6 +46,9 @@
 pub(crate) const HANG_GUARD: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Memory of a gateway, as in its settings.
+pub(crate) const MEMORY_KIB: u64 = 110 << 10;
+
 /// First port for gateways. The range is below the ephemeral ports, so that no
 /// outgoing connection can take a port before the gateway binds it.
 const FIRST_PORT: u16 = 20_000;
@@ -310,6 +313,15 @@
         self.child.id()
     }
 
+    /// Returns the most memory that the process has held so far.
+    pub(crate) fn peak_memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|kib| kib.parse().ok()).expect("a number")
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).expect("the process is running");
     }
--- a/tests/gateway_processes/leaving.rs
+++ b/tests/gateway_processes/leaving.rs
@@ -15,6 +15,7 @@
 const LIST_CHANGE: Duration = Duration::from_secs(1);
 
 const LEAVING: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: 0,
     pause: Duration::ZERO,
     lost_answers: 0,
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -1,5 +1,6 @@
 //! Runs gateways as separate processes against stand-ins of the platform.
 
+mod body_memory;
 mod budget;
 mod calls;
 mod configuration;
--- a/tests/gateway_processes/shutdown.rs
+++ b/tests/gateway_processes/shutdown.rs
@@ -19,6 +19,7 @@
 use super::fleet::wait_until;
 
 const SLOW: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: 0,
     pause: Duration::from_millis(1500),
     lost_answers: 0,
--- a/tests/gateway_processes/streams.rs
+++ b/tests/gateway_processes/streams.rs
@@ -7,6 +7,7 @@
 use super::fleet::Fleet;
 
 const ENGINE: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(5),
     lost_answers: 0,
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -16,6 +16,7 @@
 use super::fleet::wait_until;
 
 const ENGINE: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(5),
     lost_answers: 0,
@@ -29,6 +30,7 @@
 /// Breaks its streams after their first event.
 const BREAKING: Behaviour = Behaviour {
     broken_streams: 1000,
+    answer_bytes: 0,
     events: 50,
     ..ENGINE
 };
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -37,6 +37,7 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 8;
 const ENGINE: Behaviour = Behaviour {
+    answer_bytes: 0,
     events: EVENTS,
     pause: Duration::from_millis(15),
     lost_answers: 0,
