Count the memory that bodies hold rather than the bytes received

Callers saw: nothing yet. A host beside 20 answers without end, 64 requests of unknown length or 64 answers that nobody reads grew past its memory, by which it would have been killed with all of its calls.

Cause: the limit counted bytes as they arrived. The buffers behind them grew by doubling and were copied; the connections' read buffers grew to 400 KiB; requests without a declared length were not counted, nor were answers once they were complete, nor requests while their calls ran.

Now bodies are kept in pieces of up to 64 KiB whose capacity is reserved before it is allocated. An answer's memory is released piece by piece as it is sent, a request's with its call. Read buffers of the client are limited to 64 KiB, as the server's were.

Ruled out: load.

A caller that never reads still holds its part of the memory until its connection fails; other answers are refused beside too many of them.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -21,12 +21,18 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::buffered::BufferedBody;
+
 /// Error of a body that could not be produced or read completely.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
     /// The connection failed or closed before the end of the body.
     #[error("the connection closed before the end of the body: {0}")]
     Connection(#[from] hyper::Error),
+    /// The body does not fit the memory for bodies, in bytes, beside the others
+    /// that are held.
+    #[error("too many bodies are held: their memory is limited to {0} bytes")]
+    MemoryFull(usize),
     /// The producer of a channel body failed or was dropped.
     #[error("the producer of the body stopped: {0}")]
     Producer(String),
@@ -151,6 +157,8 @@
 /// A request or response body without dynamic dispatch.
 #[derive(Debug)]
 pub enum Body {
+    /// Received completely, within the memory for bodies.
+    Buffered(BufferedBody),
     /// Sent through a channel by another task.
     Channel(ChannelBody),
     /// Held in memory.
@@ -245,6 +253,12 @@
     }
 }
 
+impl From<BufferedBody> for Body {
+    fn from(buffered: BufferedBody) -> Self {
+        Self::Buffered(buffered)
+    }
+}
+
 impl From<Vec<u8>> for Body {
     fn from(bytes: Vec<u8>) -> Self {
         Self::Full(Full::new(bytes.into()))
@@ -278,6 +292,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>>>> {
         match self.get_mut() {
+            Self::Buffered(body) => Pin::new(body).poll_frame(cx),
             Self::Channel(body) => body
                 .poll_chunk(cx)
                 .map(|item| item.map(|chunk| chunk.map(Frame::data))),
@@ -290,6 +305,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
+            Self::Buffered(body) => body.is_end_stream(),
             Self::Channel(body) => body.ended,
             Self::Full(full) => full.is_end_stream(),
             Self::Incoming(incoming) => incoming.is_end_stream(),
@@ -298,6 +314,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
+            Self::Buffered(body) => body.size_hint(),
             Self::Channel(_) => SizeHint::default(),
             Self::Full(full) => full.size_hint(),
             Self::Incoming(incoming) => incoming.size_hint(),
--- /dev/null
+++ b/crates/net/src/buffered.rs
@@ -0,0 +1,240 @@
+//! Bodies that are buffered until complete, and the limit on the memory of all
+//! of them together.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+
+use crate::body::BodyError;
+use crate::body::Result;
+
+/// Largest piece of a body whose length is not known, in bytes.
+const MAX_PIECE_BYTES: usize = 64 << 10;
+
+/// Limit on the memory of all bodies that are held at the same time; clones
+/// share it.
+#[derive(Clone, Debug)]
+pub struct BodyMemory(Arc<MemoryLimit>);
+
+#[derive(Debug)]
+struct MemoryLimit {
+    reserved: AtomicUsize,
+    max_bytes: usize,
+}
+
+impl BodyMemory {
+    /// Allows all bodies together at most `max_bytes` bytes.
+    pub fn new(max_bytes: usize) -> Self {
+        Self(Arc::new(MemoryLimit {
+            reserved: AtomicUsize::new(0),
+            max_bytes,
+        }))
+    }
+
+    /// Returns the memory that is reserved now, in bytes.
+    pub fn reserved(&self) -> usize {
+        self.0.reserved.load(Ordering::Acquire)
+    }
+
+    fn start_body(&self) -> ReservedBytes {
+        ReservedBytes {
+            limit: Arc::clone(&self.0),
+            bytes: 0,
+        }
+    }
+}
+
+/// Memory reserved for one body; released on drop.
+#[derive(Debug)]
+pub struct ReservedBytes {
+    limit: Arc<MemoryLimit>,
+    bytes: usize,
+}
+
+impl ReservedBytes {
+    fn grow(&mut self, bytes: usize) -> Result<()> {
+        let max_bytes = self.limit.max_bytes;
+        let add = |reserved: usize| {
+            let sum = reserved.checked_add(bytes)?;
+            (sum <= max_bytes).then_some(sum)
+        };
+        let reserved = &self.limit.reserved;
+        match reserved.fetch_update(Ordering::AcqRel, Ordering::Acquire, add) {
+            Ok(_before) => {
+                self.bytes += bytes;
+                Ok(())
+            }
+            Err(_full) => Err(BodyError::MemoryFull(max_bytes)),
+        }
+    }
+
+    fn shrink(&mut self, bytes: usize) {
+        let released = bytes.min(self.bytes);
+        self.bytes -= released;
+        self.limit.reserved.fetch_sub(released, Ordering::AcqRel);
+    }
+}
+
+impl Drop for ReservedBytes {
+    fn drop(&mut self) {
+        self.shrink(self.bytes);
+    }
+}
+
+/// A complete body in pieces. Its memory is released piece by piece as it is
+/// sent.
+#[derive(Debug)]
+pub struct BufferedBody {
+    pieces: VecDeque<BytesMut>,
+    /// Bytes in all pieces.
+    length: usize,
+    reserved: ReservedBytes,
+}
+
+impl BufferedBody {
+    /// Reads a whole body of at most `max_bytes` bytes. Memory is reserved as
+    /// it is received, also if its length is declared.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::TooLarge`] above the limit,
+    /// [`BodyError::MemoryFull`] if it does not fit the memory beside other
+    /// bodies, and any error of the body itself.
+    pub async fn read<B>(body: B, memory: &BodyMemory, max_bytes: usize) -> Result<Self>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+        B::Error: Into<BodyError>,
+    {
+        let mut buffered = Self::empty(memory);
+        buffered.receive(body, max_bytes).await?;
+        Ok(buffered)
+    }
+
+    /// Reads a whole body like [`BufferedBody::read`] into one piece of memory,
+    /// which stays reserved until the [`ReservedBytes`] are dropped. A declared
+    /// length is reserved at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`BufferedBody::read`].
+    pub async fn read_contiguous<B>(
+        body: B,
+        memory: &BodyMemory,
+        max_bytes: usize,
+    ) -> Result<(Bytes, ReservedBytes)>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+        B::Error: Into<BodyError>,
+    {
+        let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if declared > max_bytes {
+            return Err(BodyError::TooLarge(max_bytes));
+        }
+        let mut buffered = Self::empty(memory);
+        if declared > 0 {
+            buffered.add_piece(declared)?;
+        }
+        buffered.receive(body, max_bytes).await?;
+        buffered.into_contiguous()
+    }
+
+    fn empty(memory: &BodyMemory) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            length: 0,
+            reserved: memory.start_body(),
+        }
+    }
+
+    async fn receive<B>(&mut self, mut body: B, max_bytes: usize) -> Result<()>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+        B::Error: Into<BodyError>,
+    {
+        while let Some(frame) = body.frame().await {
+            let Ok(bytes) = frame.map_err(Into::into)?.into_data() else {
+                continue;
+            };
+            if self.length + bytes.len() > max_bytes {
+                return Err(BodyError::TooLarge(max_bytes));
+            }
+            self.append(&bytes)?;
+        }
+        Ok(())
+    }
+
+    /// Copies received bytes, whose own memory may be far larger than they are.
+    fn append(&mut self, mut bytes: &[u8]) -> Result<()> {
+        while !bytes.is_empty() {
+            let room = |piece: &mut BytesMut| piece.capacity() - piece.len();
+            if self.pieces.back_mut().map_or(0, room) == 0 {
+                let capacity = bytes.len().max(self.length).min(MAX_PIECE_BYTES);
+                self.add_piece(capacity)?;
+            }
+            if let Some(piece) = self.pieces.back_mut() {
+                let (taken, rest) = bytes.split_at(room(piece).min(bytes.len()));
+                piece.extend_from_slice(taken);
+                self.length += taken.len();
+                bytes = rest;
+            }
+        }
+        Ok(())
+    }
+
+    fn add_piece(&mut self, capacity: usize) -> Result<()> {
+        self.reserved.grow(capacity)?;
+        self.pieces.push_back(BytesMut::with_capacity(capacity));
+        Ok(())
+    }
+
+    fn take_piece(&mut self) -> Option<Bytes> {
+        let piece = self.pieces.pop_front()?;
+        self.length -= piece.len();
+        self.reserved.shrink(piece.capacity());
+        Some(piece.freeze())
+    }
+
+    fn into_contiguous(mut self) -> Result<(Bytes, ReservedBytes)> {
+        if self.pieces.len() <= 1 {
+            let piece = self.pieces.pop_front().unwrap_or_default();
+            return Ok((piece.freeze(), self.reserved));
+        }
+        self.reserved.grow(self.length)?;
+        let mut whole = BytesMut::with_capacity(self.length);
+        while let Some(piece) = self.take_piece() {
+            whole.extend_from_slice(&piece);
+        }
+        Ok((whole.freeze(), self.reserved))
+    }
+}
+
+impl http_body::Body for BufferedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let piece = self.get_mut().take_piece();
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.length == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length as u64)
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -68,6 +68,9 @@
     pub max_idle: usize,
     /// Idle limit of a connection if the server announces none.
     pub idle_limit: Duration,
+    /// Largest read buffer of a connection, in bytes; also the largest head of a
+    /// response.
+    pub max_buf_size: usize,
     /// Time without acknowledgements after which a connection fails; `None` for
     /// no detection.
     pub silence_limit: Option<Duration>,
@@ -79,6 +82,7 @@
             connect_timeout: Duration::from_secs(1),
             max_idle: 32,
             idle_limit: Duration::from_secs(60),
+            max_buf_size: 64 * 1024,
             silence_limit: None,
         }
     }
@@ -266,7 +270,9 @@
         if let Some(limit) = self.cfg.silence_limit {
             keepalive::enable(&stream, limit).map_err(ClientError::Connect)?;
         }
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(self.cfg.max_buf_size)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(ClientError::NotSent)?;
         self.spawner.detach(async move {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! depend on programs, customers or endpoints.
 
 pub mod body;
+pub mod buffered;
 pub mod client;
 pub mod keepalive;
 pub mod runtime;
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,7 +1,7 @@
 //! Answers that are buffered until complete before they go to the caller.
 
-use bytes::Bytes;
 use chicoryarch_net::Body;
+use chicoryarch_net::buffered::BufferedBody;
 use http::Response;
 use http::StatusCode;
 use http::response;
@@ -31,8 +31,8 @@
 }
 
 /// Builds the caller's answer from an endpoint's head and complete body.
-pub fn build_response(head: &response::Parts, body: Bytes) -> Response<Body> {
-    let mut response = Response::new(Body::from_bytes(body));
+pub fn build_response(head: &response::Parts, body: BufferedBody) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = endpoints::answer_headers(head);
     response
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,19 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
+use chicoryarch_net::buffered::BodyMemory;
+use chicoryarch_net::buffered::BufferedBody;
+use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::client::ClientError;
 use http::Method;
 use http::Response;
 use http::response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::Serialize;
 
 use super::call::CallMeta;
 use super::call::Urgency;
-use super::context::BodyMemory;
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::directory::EndpointState;
@@ -51,6 +51,8 @@
     pub target: Box<str>,
     /// Complete request body.
     pub body: Bytes,
+    /// Memory of the body, reserved as long as the call.
+    pub body_memory: ReservedBytes,
     /// Version of the configuration that the request is handled by.
     pub configuration: u64,
     /// Route that matches the request.
@@ -289,27 +291,13 @@
 /// the deadline, or does not fit the memory for answers beside the others.
 pub async fn read_body(
     memory: &BodyMemory,
-    mut body: Incoming,
+    body: Incoming,
     max_bytes: usize,
     deadline: Moment,
-) -> std::result::Result<Bytes, String> {
+) -> std::result::Result<BufferedBody, String> {
     let read = async {
-        let mut reserved = memory.start_body();
-        let mut buf = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| format!("the answer broke off: {e}"))?;
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            if buf.len() + bytes.len() > max_bytes {
-                return Err(format!("the answer is longer than {max_bytes} bytes"));
-            }
-            if !reserved.grow(bytes.len()) {
-                return Err("too many large answers are being received".to_owned());
-            }
-            buf.extend_from_slice(&bytes);
-        }
-        Ok(buf.freeze())
+        let read = BufferedBody::read(body, memory, max_bytes).await;
+        read.map_err(|e| format!("the answer was not received: {e}"))
     };
     let expire = async {
         async_io::Timer::after(Moment::now().until(deadline)).await;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,7 +4,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -13,6 +12,7 @@
 use async_channel::Sender;
 use chicoryarch_net::Client;
 use chicoryarch_net::Spawner;
+use chicoryarch_net::buffered::BodyMemory;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
@@ -87,54 +87,6 @@
     pub upto: Option<Version>,
 }
 
-/// Memory of bodies that are being received.
-#[derive(Debug)]
-pub struct BodyMemory {
-    reserved: AtomicUsize,
-    max_bytes: usize,
-}
-
-impl BodyMemory {
-    /// Allows all bodies together at most `max_bytes` bytes.
-    pub const fn new(max_bytes: usize) -> Self {
-        Self {
-            reserved: AtomicUsize::new(0),
-            max_bytes,
-        }
-    }
-
-    /// Starts to count the bytes of a body.
-    pub const fn start_body(&self) -> ReservedBytes<'_> {
-        ReservedBytes {
-            memory: self,
-            bytes: 0,
-        }
-    }
-}
-
-/// Memory of one body; released on drop.
-#[derive(Debug)]
-pub struct ReservedBytes<'a> {
-    memory: &'a BodyMemory,
-    bytes: usize,
-}
-
-impl ReservedBytes<'_> {
-    /// Adds to the body; `false` if all bodies together are too large then.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let before = self.memory.reserved.fetch_add(bytes, Ordering::AcqRel);
-        before + bytes <= self.memory.max_bytes
-    }
-}
-
-impl Drop for ReservedBytes<'_> {
-    fn drop(&mut self) {
-        let reserved = &self.memory.reserved;
-        reserved.fetch_sub(self.bytes, Ordering::AcqRel);
-    }
-}
-
 /// The time limit of a drain, for which requests wait.
 #[derive(Debug)]
 pub struct DrainLimit {
@@ -205,9 +157,9 @@
     pub spent: SpentPrograms,
     /// Versions that began streams.
     pub origins: Origins,
-    /// Memory of request bodies that are being received.
+    /// Memory of request bodies, from their reception until the call ends.
     pub request_memory: BodyMemory,
-    /// Memory of endpoints' answers that are being received.
+    /// Memory of endpoints' answers, until they are sent to the callers.
     pub answer_memory: BodyMemory,
     /// Set when the process has received a signal to stop.
     pub is_draining: AtomicBool,
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodyError;
+use chicoryarch_net::buffered::BufferedBody;
+use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::server::Handler;
 use futures_lite::future;
 use http::HeaderValue;
@@ -144,12 +146,13 @@
         + route
             .timeout
             .min(caller_timeout.saturating_sub(cx.cfg.answer_margin));
-    let body = read_body(cx, body, deadline).await?;
+    let (body, body_memory) = read_body(cx, body, deadline).await?;
     let service = Arc::clone(&route.target(target_seed(&meta)).service);
     let call = Call {
         method: head.method.clone(),
         target: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
         body,
+        body_memory,
         configuration,
         service,
         version: None,
@@ -254,21 +257,15 @@
     cx: &Gateway<P>,
     body: Incoming,
     deadline: Moment,
-) -> Result<Bytes> {
+) -> Result<(Bytes, ReservedBytes)> {
     let limit = cx.in_force.load().table.limits.max_body_bytes;
-    let expected = http_body::Body::size_hint(&body).lower();
-    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
-    if expected > limit {
-        return Err(Refusal::new(Outcome::TooLarge, "the body is too large"));
-    }
-    let mut reserved = cx.request_memory.start_body();
-    if !reserved.grow(expected) {
-        let detail = "too many bodies are being received";
-        return Err(Refusal::not_run(detail, MEMORY_RETRY));
-    }
     let read = async {
-        Body::collect(body, limit).await.map_err(|e| match e {
+        let read = BufferedBody::read_contiguous(body, &cx.request_memory, limit).await;
+        read.map_err(|e| match e {
             BodyError::TooLarge(_) => Refusal::new(Outcome::TooLarge, "the body is too large"),
+            BodyError::MemoryFull(_) => {
+                Refusal::not_run("too many bodies are being received", MEMORY_RETRY)
+            }
             e => Refusal::new(Outcome::Malformed, format!("the body broke off: {e}")),
         })
     };
