Send events that arrive together in one chunk

Callers saw: the end of a stream of tiny events up to 1.1 s after its time, at load (endless_answers::a_stream_without_end_never_looks_complete, known red).

Cause: each blank line pair or comment was an event and a chunk of its own, so that hosts and callers handled some ten bytes at a time. Blank lines were also charged to the budget of the program as events.

Events that are complete at the same time now go out in one chunk of up to 8 KiB, and fewer chunks wait for a slow caller. Blank lines between events are one piece that is no event.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -6,13 +6,16 @@
 /// Maximum size of an event.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// One complete event with its closing blank line.
+/// One complete event with its closing blank line, or blank lines between
+/// events.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
     /// Id, if the event has one.
     pub id: Option<u64>,
     /// Bytes of the event as received, with the closing blank line.
     pub bytes: Bytes,
+    /// Whether it consists of blank lines only and so is no event.
+    pub is_blank: bool,
 }
 
 /// Error for an event that exceeds the size limit.
@@ -46,6 +49,7 @@
         let bytes = self.buf.split_to(end).freeze();
         Some(Event {
             id: event_id(&bytes),
+            is_blank: bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n')),
             bytes,
         })
     }
@@ -61,8 +65,13 @@
     }
 }
 
-/// Returns the position after the blank line that ends the first event.
+/// Returns the position after the blank line that ends the first event, or after
+/// the blank lines before it if there are several.
 fn event_end(buf: &[u8]) -> Option<usize> {
+    let blank_lines = blank_lines_end(buf);
+    if buf[..blank_lines].iter().filter(|b| **b == b'\n').count() > 1 {
+        return Some(blank_lines);
+    }
     let mut line_start = 0;
     for (index, byte) in buf.iter().enumerate() {
         if *byte != b'\n' {
@@ -70,7 +79,7 @@
         }
         let line = &buf[line_start..index];
         let is_blank = matches!(line, b"" | b"\r");
-        // Blank lines before an event belong to it.
+        // A single blank line before an event belongs to it.
         if is_blank && line_start > 0 {
             return Some(index + 1);
         }
@@ -79,6 +88,19 @@
     None
 }
 
+/// Returns the position after the blank lines at the beginning.
+fn blank_lines_end(buf: &[u8]) -> usize {
+    let mut end = 0;
+    while let Some(length) = match &buf[end..] {
+        [b'\n', ..] => Some(1),
+        [b'\r', b'\n', ..] => Some(2),
+        _ => None,
+    } {
+        end += length;
+    }
+    end
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let text = lines
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodySender;
 use futures_lite::future;
@@ -37,8 +38,10 @@
 use crate::platform::endpoints;
 use crate::units::Moment;
 
-/// Number of events that are queued for a slow caller.
-const MAX_QUEUED_EVENTS: usize = 16;
+/// Number of chunks that are queued for a slow caller.
+const MAX_QUEUED_CHUNKS: usize = 4;
+/// Largest chunk that holds several events, in bytes.
+const MAX_CHUNK_BYTES: usize = 8 << 10;
 /// Maximum number of times that one answer is resumed.
 const MAX_RESUMES: u32 = 2;
 /// Maximum number of engines that are asked to resume an answer.
@@ -86,7 +89,7 @@
     open: OpenStream,
     reservation: Option<Reservation<P>>,
 ) -> Response<Body> {
-    let (tx, body) = Body::channel(MAX_QUEUED_EVENTS);
+    let (tx, body) = Body::channel(MAX_QUEUED_CHUNKS);
     let mut headers = endpoints::answer_headers(&open.head);
     // The stream may resume at another engine, whose events differ in length.
     headers.remove(header::CONTENT_LENGTH);
@@ -245,24 +248,17 @@
         version: &Arc<str>,
         deadline: Moment,
     ) -> Option<StreamEnd> {
-        while let Some(event) = self.splitter.next_event() {
+        loop {
             let left = Moment::now().until(deadline);
             if left.is_zero() {
                 return Some(StreamEnd::TimedOut);
             }
-            if event.id.is_some() && event.id <= self.last_event {
-                continue;
-            }
-            self.last_event = event.id.or(self.last_event);
-            if self.events == 0 {
-                let version = self.version.get_or_insert_with(|| Arc::clone(version));
-                origins::report(&self.cx, &self.call, version);
-            }
-            if !self.charge_event() {
-                return Some(StreamEnd::OverBudget);
+            let (chunk, end) = self.next_chunk(version);
+            if chunk.is_empty() {
+                return end;
             }
             let send = async {
-                let sent = tx.send(event.bytes).await;
+                let sent = tx.send(chunk).await;
                 sent.err().map(|_| StreamEnd::CallerDisconnected)
             };
             let expire = async {
@@ -270,16 +266,40 @@
                 Some(StreamEnd::TimedOut)
             };
             let ended = future::or(send, expire).await;
-            if ended.is_some() {
-                return ended;
+            if ended.is_some() || end.is_some() {
+                return ended.or(end);
             }
         }
-        None
     }
 
-    /// Charges an event to the program's budget; `false` if the turn's
-    /// reservation is too small.
-    fn charge_event(&mut self) -> bool {
+    /// Joins events that were received together, so that many small ones cost no
+    /// more than a few large ones. Returns nothing if no event is complete, and
+    /// a reason if the stream must end after these events.
+    fn next_chunk(&mut self, version: &Arc<str>) -> (Bytes, Option<StreamEnd>) {
+        let mut chunk = BytesMut::new();
+        while chunk.len() < MAX_CHUNK_BYTES {
+            let Some(event) = self.splitter.next_event() else {
+                break;
+            };
+            if event.id.is_some() && event.id <= self.last_event {
+                continue;
+            }
+            if !event.is_blank && !self.record_event(event.id, version) {
+                return (chunk.freeze(), Some(StreamEnd::OverBudget));
+            }
+            chunk.extend_from_slice(&event.bytes);
+        }
+        (chunk.freeze(), None)
+    }
+
+    /// Records an event and charges it to the program's budget; `false` if the
+    /// turn's reservation is too small.
+    fn record_event(&mut self, id: Option<u64>, version: &Arc<str>) -> bool {
+        self.last_event = id.or(self.last_event);
+        if self.events == 0 {
+            let version = self.version.get_or_insert_with(|| Arc::clone(version));
+            origins::report(&self.cx, &self.call, version);
+        }
         self.events += 1;
         self.time_to_first_event
             .get_or_insert_with(|| Moment::now().since(self.call.received));
--- a/tests/gateway/event_stream.rs
+++ b/tests/gateway/event_stream.rs
@@ -30,6 +30,37 @@
     assert!(splitter.is_partial());
 }
 
+// Guards against a stream of blank lines that keeps a host busy with two bytes
+// at a time.
+#[test]
+fn blank_lines_without_end_are_one_piece_and_no_event() {
+    for blank_line in ["\n", "\r\n"] {
+        let mut splitter = Splitter::default();
+        let lines = blank_line.repeat(4096);
+        splitter.feed(lines.as_bytes()).expect("few bytes");
+        let piece = splitter.next_event().expect("blank lines");
+        assert_eq!(piece.bytes, lines);
+        assert!(piece.is_blank);
+        assert_eq!(splitter.next_event(), None);
+        assert!(!splitter.is_partial());
+    }
+}
+
+#[test]
+fn an_event_after_blank_lines_is_an_event() {
+    for blank_lines in ["", "\n", "\r\n\n", "\n\n\n"] {
+        let mut splitter = Splitter::default();
+        let stream = format!("{blank_lines}id: 7\ndata: a\n\n");
+        splitter.feed(stream.as_bytes()).expect("few bytes");
+        let pieces: Vec<_> = std::iter::from_fn(|| splitter.next_event()).collect();
+        let events: Vec<_> = pieces.iter().filter(|piece| !piece.is_blank).collect();
+        assert_eq!(events.len(), 1);
+        assert_eq!(events[0].id, Some(7));
+        let bytes: Vec<u8> = pieces.iter().flat_map(|p| p.bytes.to_vec()).collect();
+        assert_eq!(bytes, stream.as_bytes());
+    }
+}
+
 #[test]
 fn an_event_over_the_size_limit_is_refused() {
     let mut splitter = Splitter::default();
