Ask the hosts that reported a newer configuration first

Cause: a host that was behind and whose first source was busy asked others at random, although more hosts had reported the version in the meantime.

They are now remembered and each asked once, before others at random. At most 16 are kept, so that a holder is not asked by all hosts at every retry.

--- a/src/gateway/transfers.rs
+++ b/src/gateway/transfers.rs
@@ -19,6 +19,7 @@
 use http::Response;
 use http::StatusCode;
 use http::Uri;
+use parking_lot::Mutex;
 use serde::Serialize;
 
 use super::context::Cx;
@@ -43,6 +44,8 @@
 /// Pause between two requests of a host that is behind, if the first one did
 /// not get it the configuration.
 const RETRY_PERIOD: Duration = Duration::from_millis(50);
+/// Maximum number of hosts with a newer version that are remembered.
+const MAX_SOURCES: usize = 16;
 /// Maximum number of such requests until the next host reports a newer version.
 const MAX_REQUESTS: u32 = 100;
 
@@ -52,6 +55,9 @@
     newest: AtomicU64,
     /// Newest version that this host cannot decode.
     invalid: AtomicU64,
+    /// Hosts that have reported a newer version since the last fetch, each asked
+    /// once before others are asked at random.
+    sources: Mutex<Vec<Peer>>,
     is_fetching: AtomicBool,
     is_sending: AtomicBool,
 }
@@ -146,9 +152,16 @@
         };
         cx.log.state("configuration-behind", &line);
     }
+    {
+        let mut sources = cx.transfers.sources.lock();
+        let is_known = sources.iter().any(|source| source.host == from.host);
+        if !is_known && sources.len() < MAX_SOURCES {
+            sources.push(from);
+        }
+    }
     // One transfer at a time: several would share the link.
     if !cx.transfers.is_fetching.swap(true, Ordering::AcqRel) {
-        cx.spawner.detach(catch_up(Arc::clone(cx), from));
+        cx.spawner.detach(catch_up(Arc::clone(cx)));
     }
 }
 
@@ -160,24 +173,31 @@
     own.max(invalid.load(Ordering::Acquire)) < newest.load(Ordering::Acquire)
 }
 
-/// Asks `from` and then other hosts until this host is no longer behind.
-async fn catch_up<P: Platform>(cx: Cx<P>, from: Peer) {
-    let mut source = Some(from);
+/// Asks the hosts that have reported a newer version, and then others, until
+/// this host is no longer behind.
+async fn catch_up<P: Platform>(cx: Cx<P>) {
     for _ in 0..MAX_REQUESTS {
-        if let Some(source) = &source {
-            fetch(&cx, source).await;
+        if let Some(source) = next_source(&cx) {
+            fetch(&cx, &source).await;
         }
         if !is_behind(&cx) {
             break;
         }
         let jitter = rand::random_range(0.7..=1.3);
         Timer::after(RETRY_PERIOD.mul_f64(jitter)).await;
-        let data_centre = &cx.cfg.place.data_centre;
-        source = cx.roster.lock().random_host(data_centre, Moment::now());
     }
+    cx.transfers.sources.lock().clear();
     cx.transfers.is_fetching.store(false, Ordering::Release);
 }
 
+fn next_source<P>(cx: &Gateway<P>) -> Option<Peer> {
+    let reported = cx.transfers.sources.lock().pop();
+    reported.or_else(|| {
+        let data_centre = &cx.cfg.place.data_centre;
+        cx.roster.lock().random_host(data_centre, Moment::now())
+    })
+}
+
 /// Fetches the configuration from a host that has a newer one and is free to send it.
 async fn fetch<P: Platform>(cx: &Cx<P>, source: &Peer) {
     let version = cx.in_force.load().table.version;
