Give up a silent watch after 1 s

A watch of configuration or endpoints on a path that carries nothing was given up after its wait of 1.5 s and a timeout of 0.5 s, of the 3 s in which a change has to be in force. Now 1.5 s rather than 1 s are left for the transfer.

So this is a margin by calculation, not by a measurement. Watches that find nothing become half as many again.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -69,7 +69,7 @@
             timeout: Duration::from_millis(500),
             write_timeout: Duration::from_millis(150),
             watch_wait: Duration::from_secs(25),
-            confirm_period: Duration::from_millis(1500),
+            confirm_period: Duration::from_secs(1),
             retry_interval: Duration::from_millis(50),
             settle_timeout: Duration::from_secs(2),
         }
