Soak changes of the configuration beside faults

Up to 5 gateways now get series of versions of up to some 700 kB while links to the store reset, stall, slow down or fall silent, the store is out, rejects calls or has lost its history, and hosts restart. Endpoints see by which version each call was handled: never an older one than was confirmed 3 s before, never an older one than before, and no caller is told that a route or key is unknown.

--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -381,3 +381,17 @@
         "tenants": [{"name": "customer-1", "api_keys": ["key-1"]}],
     })
 }
+
+/// Route `/{name}/` to the service `plain`.
+pub(crate) fn plain_route(name: &str, host: &str) -> Value {
+    json!({"name": name, "host": host, "path_prefix": format!("/{name}/"),
+           "route_type": "safe", "timeout_ms": 3000, "target_latency_ms": 250.0,
+           "service": "plain", "max_attempts": 2, "priority": 3, "public": false,
+           "sticky": false, "resumable": false})
+}
+
+/// Adds routes that no caller uses, of some 200 bytes each.
+pub(crate) fn add_routes(configuration: &mut Value, count: usize) {
+    let routes = configuration["routes"].as_array_mut().expect("a list");
+    routes.extend((0..count).map(|n| plain_route(&format!("padding-{n}"), "padding.example")));
+}
--- a/tests/gateway_processes/large_configuration.rs
+++ b/tests/gateway_processes/large_configuration.rs
@@ -16,7 +16,9 @@
 use super::fake_host::FakeHost;
 use super::fleet::Fleet;
 use super::fleet::Gateway;
+use super::fleet::add_routes;
 use super::fleet::configuration;
+use super::fleet::plain_route;
 use super::fleet::wait_until;
 
 /// Time within which a confirmed change is in force at every host in touch, and
@@ -29,16 +31,10 @@
 
 /// Configuration with many routes and, among them, `/new/`.
 fn large_configuration(version: u64) -> Value {
-    let route = |name: &str, host: &str| {
-        json!({"name": name, "host": host, "path_prefix": format!("/{name}/"),
-               "route_type": "safe", "timeout_ms": 3000, "target_latency_ms": 250.0,
-               "service": "plain", "max_attempts": 2, "priority": 3, "public": false,
-               "sticky": false, "resumable": false})
-    };
     let mut large = configuration(version);
+    add_routes(&mut large, MANY_ROUTES);
     let routes = large["routes"].as_array_mut().expect("a list");
-    routes.extend((0..MANY_ROUTES).map(|n| route(&format!("padding-{n}"), "padding.example")));
-    routes.push(route("new", "h"));
+    routes.push(plain_route("new", "h"));
     large
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,5 +1,5 @@
-//! Soak tests under faults, under planned work only, and of streams beside
-//! engines of several versions: gateways run as separate processes, faults or
+//! Soak tests under faults, under planned work only, of streams beside engines of
+//! several versions, and of configuration changes: gateways run as separate processes, faults or
 //! planned work come from outside, and the guarantees are checked on what
 //! callers and endpoints record.
 //!
@@ -9,6 +9,7 @@
 //! gateways under planned work.
 
 mod callers;
+mod changes;
 mod faults;
 #[allow(dead_code, reason = "the gateway process tests use the rest of it")]
 #[path = "../gateway_processes/fleet.rs"]
@@ -138,3 +139,18 @@
         versions::run_seed(seed);
     }
 }
+
+#[test]
+fn changes_are_in_force_in_time_under_faults() {
+    for seed in [1, 2] {
+        changes::run_seed(seed);
+    }
+}
+
+#[test]
+#[ignore = "run by hand with SOAK_SEEDS=FIRST..LAST"]
+fn changes_are_in_force_in_time_for_chosen_seeds() {
+    for seed in chosen_seeds() {
+        changes::run_seed(seed);
+    }
+}
