--- a/tests/gateway_processes/body_memory.rs
+++ b/tests/gateway_processes/body_memory.rs
@@ -124,6 +124,7 @@
     };
     let callers: Vec<TcpStream> = (0..CALLERS).map(send).collect();
     assert_bounded_memory(&gateway);
-    drop(callers);
+    // The callers still hold their connections.
     wait_until_served(&fleet, &gateway);
+    drop(callers);
 }
