Become ready only once the customers' buckets refill

Cause: a bucket refills no earlier than token_ttl (1 s) after its customer became known, for tokens of an earlier process. Readiness waited only for the epoch of the members to settle, 1.05 s after it was seen. A customer that became known more than 50 ms later had no tokens yet.

Readiness now also waits until the buckets of the customers known then refill.

Ruled out: load. All of guarantees, partial_failures, end_to_end, limit and limit_driver pass. Gateways have no such wait.

--- a/src/process/rates/mod.rs
+++ b/src/process/rates/mod.rs
@@ -193,6 +193,19 @@
         shard.insert(customer.clone(), CustomerEntry { limiter, waiting });
     }
 
+    /// Time from which the buckets of all customers refill.
+    pub fn refills_from(&self) -> Moment {
+        let shards = self.inner.shards.iter();
+        let latest = |shard: &Mutex<Shard>| {
+            let shard = shard.lock();
+            shard
+                .values()
+                .map(|entry| entry.limiter.refills_from())
+                .max()
+        };
+        shards.filter_map(latest).max().unwrap_or_default()
+    }
+
     /// Removes a customer and refuses its waiting calls.
     pub fn remove(&self, customer: &CustomerId) {
         self.shard(customer).lock().remove(customer);
--- a/src/process/ready.rs
+++ b/src/process/ready.rs
@@ -18,8 +18,8 @@
 /// on configuration.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Waits for a lease, catches up on configuration, waits for the rate limiter
-/// if the host holds a lease, then sets the host ready.
+/// Waits for a lease, catches up on configuration, waits until the customers'
+/// buckets refill if the host holds a lease, then sets the host ready.
 pub async fn become_ready<P: Platform>(cx: Cx<P>, timers: Timers, limiter_ready: LimiterReady) {
     wait_for_lease(&cx).await;
     let mut term = cx.distribution.hosts().term();
@@ -34,8 +34,17 @@
         .detach(run_catch_up(Cx::clone(&cx), timers, term));
     // Without the platform there is no lease to wait for; the host then serves
     // what it can.
-    while standing == Standing::Current && has_lease(&cx) && !limiter_ready.is_ready() {
-        Timer::after(POLL_INTERVAL).await;
+    if standing == Standing::Current {
+        let token_ttl = cx.cfg.limit.token_ttl;
+        let known_at = Moment::now();
+        wait_while_leased(&cx, || {
+            limiter_ready.is_ready() && Moment::now() >= known_at + token_ttl
+        })
+        .await;
+        // Not read again: customers that are added all the time would delay it
+        // without end.
+        let refills_from = cx.rates.refills_from();
+        wait_while_leased(&cx, || Moment::now() >= refills_from).await;
     }
     cx.readiness.set(true);
     log::info!("host ready host={} configuration={standing:?}", cx.cfg.host);
@@ -64,6 +73,13 @@
     }
 }
 
+/// Waits for a condition as long as this host holds a lease.
+async fn wait_while_leased<P: Platform>(cx: &Cx<P>, is_met: impl Fn() -> bool) {
+    while has_lease(cx) && !is_met() {
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
 fn has_lease<P: Platform>(cx: &Cx<P>) -> bool {
     let until = cx.membership.snapshot().lease_until;
     until.is_some_and(|until| Moment::now() < until)
--- a/src/request/limit/limiter.rs
+++ b/src/request/limit/limiter.rs
@@ -202,6 +202,11 @@
         limiter
     }
 
+    /// Earliest time at which this host's buckets refill.
+    pub fn refills_from(&self) -> Moment {
+        self.own.not_before()
+    }
+
     /// Applies a newer version of the customer object; ignores older ones.
     pub fn set_limits(&mut self, env: Env<'_>, version: Version, limits: Customer) {
         self.refresh(env);
--- a/src/request/limit/own.rs
+++ b/src/request/limit/own.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Earliest time at which buckets refill.
+    pub fn not_before(&self) -> Moment {
+        self.not_before
+    }
+
     /// Creates, keeps or drops buckets according to a new view.
     ///
     /// The contents of a bucket are kept only if its lease has not lapsed in
--- a/tests/guarantees.rs
+++ b/tests/guarantees.rs
@@ -463,6 +463,21 @@
     }
 }
 
+// Guards against hosts that are ready before their customers' buckets refill, and
+// tell the first callers that the rate is used up.
+#[test]
+fn a_host_is_ready_only_once_its_customers_have_tokens() {
+    let fleet = Fleet::start(FleetSpec {
+        settings: "[limit]\ntoken_ttl_ms = 3000\n".to_owned(),
+        ..FleetSpec::default()
+    });
+    for host in &fleet.hosts {
+        let req = Req::post(COMPLETIONS).bearer(SECRET).body(completion("x"));
+        let answer = fleet.http.send(host.callers, &req);
+        assert!(answer.is_success(), "{answer:?}");
+    }
+}
+
 #[test]
 fn truncated_answer_is_not_delivered_as_complete() {
     let fleet = Fleet::start(FleetSpec::default());
