List the configuration again when its watch lags behind

Cause: a watch returns each version that was missed, whole. A host that was out of touch, or whose link takes longer for a version than the operators do, gets ever longer answers. One beyond the limit of an answer fails, is asked for again from the same revision and fails again; each failure also makes the host take the store for lost. All of the versions were decoded and put in force in turn.

A list holds only the newest version. It is now read after a failed watch of the configuration, and after one that returned several states of it; of these only the last is kept. Lists of endpoints and hosts are larger than what their watches return, and stay as they were.

Ruled out: a fault of one host, as two hosts and their links lagged at the same time; load, as the tests failed without it.

Both new tests failed before (no version in 30 s) and pass now; the log of a gateway in the tests goes to the folder in GATEWAY_LOGS.

--- a/src/connection/platform/http/wire.rs
+++ b/src/connection/platform/http/wire.rs
@@ -119,6 +119,7 @@
         upto: listing.upto,
         objects: present.into_iter().map(Object::from).collect(),
         removed: removed.into_iter().map(|entry| entry.name).collect(),
+        has_superseded: false,
     })
 }
 
--- a/src/connection/platform/memory.rs
+++ b/src/connection/platform/memory.rs
@@ -83,9 +83,8 @@
             .map(|(_, object)| object.clone())
             .collect();
         Ok(Changes {
-            upto: Version(state.newest),
             objects,
-            removed: Vec::new(),
+            ..Changes::up_to(Version(state.newest))
         })
     }
 }
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -94,6 +94,40 @@
     pub objects: Vec<Object>,
     /// Names of the objects removed since the requested version; empty for a list.
     pub removed: Vec<String>,
+    /// Whether earlier states of these objects were received, too: the watch lags
+    /// behind the changes.
+    pub has_superseded: bool,
+}
+
+impl Changes {
+    /// Creates changes up to a version, without any object.
+    pub fn up_to(upto: Version) -> Self {
+        Self {
+            upto,
+            objects: Vec::new(),
+            removed: Vec::new(),
+            has_superseded: false,
+        }
+    }
+
+    /// Adds the state of an object, in place of an earlier one.
+    pub fn put(&mut self, object: Object) {
+        self.discard(&object.name);
+        self.objects.push(object);
+    }
+
+    /// Adds the removal of an object, in place of an earlier state.
+    pub fn remove(&mut self, name: String) {
+        self.discard(&name);
+        self.removed.push(name);
+    }
+
+    fn discard(&mut self, name: &str) {
+        let before = self.objects.len();
+        self.objects.retain(|object| object.name != name);
+        self.has_superseded |= self.objects.len() < before;
+        self.removed.retain(|removed| removed != name);
+    }
 }
 
 /// Entry of the platform's list of endpoint hosts, which may be out of date.
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -319,6 +319,10 @@
         self.cx.follow_state(is_listed).calls_store()
     }
 
+    fn prefers_list(&self) -> bool {
+        S::PREFERS_LIST
+    }
+
     fn batch_delay(&self) -> Duration {
         S::BATCH_DELAY
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -50,6 +50,12 @@
         true
     }
 
+    /// Whether a list is smaller than the changes that a watch returns when it
+    /// lags behind. The objects are listed again then, and after a failed watch.
+    fn prefers_list(&self) -> bool {
+        false
+    }
+
     /// Delay after a change, so that further changes arrive in one batch.
     fn batch_delay(&self) -> Duration {
         Duration::ZERO
@@ -106,6 +112,7 @@
             *backoff = MIN_BACKOFF;
             let upto = changes.upto.max(since);
             let is_empty = changes.objects.is_empty() && changes.removed.is_empty();
+            let is_behind = changes.has_superseded && handler.prefers_list();
             if is_empty {
                 handler.on_unchanged();
             } else {
@@ -116,7 +123,7 @@
             if is_empty && Moment::now().since(started) < MIN_BACKOFF {
                 Timer::after(MIN_BACKOFF).await;
             }
-            Some(upto)
+            (!is_behind).then_some(upto)
         }
         Err(PlatformError::HistoryLost) => {
             // The new list is useless if its history is lost, too.
@@ -126,7 +133,7 @@
         Err(e) => {
             handler.on_error(&e);
             back_off(handler, backoff).await;
-            Some(since)
+            (!handler.prefers_list()).then_some(since)
         }
     }
 }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -159,6 +159,9 @@
     /// Delay after a change, so that further changes arrive in one batch.
     const BATCH_DELAY: Duration;
 
+    /// Whether a list is smaller than the changes that a watch has missed.
+    const PREFERS_LIST: bool = false;
+
     /// Whether this host has a list of the objects.
     fn is_listed<P: Platform>(cx: &Gateway<P>) -> bool;
 
@@ -195,6 +198,8 @@
 impl ObjectKind for OperatorsConfiguration {
     const NAME: &'static str = "configuration";
     const BATCH_DELAY: Duration = CONFIGURATION_DELAY;
+    // Each change is a whole configuration.
+    const PREFERS_LIST: bool = true;
 
     fn is_listed<P: Platform>(cx: &Gateway<P>) -> bool {
         !cx.in_force.load().table.is_unknown()
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -158,11 +158,7 @@
     }
 
     async fn list_objects(&self, kind: &str, prefix: &str) -> Result<Changes> {
-        let mut changes = Changes {
-            upto: Version(0),
-            objects: Vec::new(),
-            removed: Vec::new(),
-        };
+        let mut changes = Changes::up_to(Version(0));
         let mut after = String::new();
         let limits = self.object_limits(Duration::ZERO);
         loop {
@@ -210,18 +206,11 @@
             return Err(PlatformError::HistoryLost);
         }
         let watched: WatchAnswer = objects::parse(kind, "", &answer.body)?;
-        let mut changes = Changes {
-            upto: Version(watched.store_revision),
-            objects: Vec::new(),
-            removed: Vec::new(),
-        };
+        let mut changes = Changes::up_to(Version(watched.store_revision));
         for event in watched.events {
             match objects::parse_object(event.object.get()) {
-                Some(object) if event.deleted => changes.removed.push(object.name),
-                Some(object) => {
-                    changes.removed.retain(|name| *name != object.name);
-                    changes.objects.push(object);
-                }
+                Some(object) if event.deleted => changes.remove(object.name),
+                Some(object) => changes.put(object),
                 None => log::warn!("skipping malformed watch event of kind {kind}"),
             }
         }
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -79,12 +79,24 @@
     }
 }
 
+/// Where the log of a gateway goes: to a file in the folder that `GATEWAY_LOGS`
+/// names, or nowhere.
+fn log_output(settings: &Path) -> Stdio {
+    let Some(folder) = std::env::var_os("GATEWAY_LOGS") else {
+        return Stdio::null();
+    };
+    let name = settings.file_stem().expect("a file");
+    let path = Path::new(&folder).join(name).with_extension("log");
+    let file = fs::File::options().create(true).append(true).open(path);
+    file.expect("the folder takes files").into()
+}
+
 fn start_process(settings: &Path) -> Child {
     Command::new(env!("CARGO_BIN_EXE_chicoryarch"))
         .arg("gateway")
         .env("CHICORYARCH_SETTINGS", settings)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
+        .stdout(log_output(settings))
         .spawn()
         .expect("the process starts")
 }
--- a/tests/gateway_processes/large_configuration.rs
+++ b/tests/gateway_processes/large_configuration.rs
@@ -157,6 +157,47 @@
     assert!(spent < APPLY_LIMIT, "{spent:?}");
 }
 
+#[test]
+fn a_host_that_missed_many_large_versions_gets_only_the_newest() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "plain", Behaviour::default());
+    let proxy = Proxy::start(&fleet.spawner, fleet.store.addr());
+    let gateway = fleet.start_gateway("g1", proxy.address(), &[]);
+    gateway.wait_ready(&fleet);
+    proxy.set(Mode::Stall);
+    for version in 5..12 {
+        fleet
+            .store
+            .put("config", "main", large_configuration(version));
+    }
+    // Every watch that was open is given up.
+    std::thread::sleep(APPLY_LIMIT);
+    proxy.set(SLOW_LINK);
+    let spent = time_to_apply(&fleet, &[gateway]);
+    assert!(spent < APPLY_LIMIT, "{spent:?}");
+}
+
+/// Each version takes as long to arrive as two take to be made.
+#[test]
+fn large_versions_that_arrive_slower_than_they_are_made_do_not_pile_up() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "plain", Behaviour::default());
+    let proxy = Proxy::start(&fleet.spawner, fleet.store.addr());
+    let gateway = fleet.start_gateway("g1", proxy.address(), &[]);
+    gateway.wait_ready(&fleet);
+    proxy.set(Mode::Throttle(1_200_000));
+    for version in 5..20 {
+        let mut large = large_configuration(version);
+        let routes = large["routes"].as_array_mut().expect("a list");
+        routes.pop().expect("the new route");
+        fleet.store.put("config", "main", large);
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    fleet.store.put("config", "main", large_configuration(20));
+    let spent = time_to_apply(&fleet, &[gateway]);
+    assert!(spent < APPLY_LIMIT, "{spent:?}");
+}
+
 #[test]
 fn a_change_is_noticed_although_the_open_watch_carries_nothing() {
     let fleet = Fleet::new();
