Encode objects of the stand-in store once

The stand-in copied and encoded each version of 700 kB for each watch while it held its lock, on the two threads that also carry the links (a debug build).

It now encodes an object when it is written.

--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -45,19 +45,36 @@
     pub is_over_rate: bool,
 }
 
+/// Body of an answer without an object.
+const NO_OBJECT: &str = "null";
+
 #[derive(Clone, Debug)]
 struct Stored {
     spec: Value,
     status: Value,
     revision: u64,
     create_revision: u64,
+    /// The object in JSON.
+    text: Arc<str>,
+}
+
+impl Stored {
+    fn encode(&mut self, name: &str) {
+        self.text = object_json(name, self).to_string().into();
+    }
 }
 
 #[derive(Clone, Debug)]
 struct Change {
     revision: u64,
     kind: String,
-    object: Value,
+    event: Event,
+}
+
+/// A state of an object in JSON, which may be large and is encoded only once.
+#[derive(Clone, Debug)]
+struct Event {
+    object: Arc<str>,
     deleted: bool,
 }
 
@@ -154,7 +171,7 @@
 }
 
 impl State {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Arc<str> {
         self.revision += 1;
         let revision = self.revision;
         let id = (kind.to_owned(), name.to_owned());
@@ -163,11 +180,13 @@
             status: Value::Null,
             revision,
             create_revision: revision,
+            text: Arc::default(),
         });
         stored.spec = spec;
         stored.revision = revision;
-        let object = object_json(name, stored);
-        self.record_change(kind, object.clone(), false);
+        stored.encode(name);
+        let object = Arc::clone(&stored.text);
+        self.record_change(kind, Arc::clone(&object), false);
         object
     }
 
@@ -177,67 +196,65 @@
             return false;
         };
         self.revision += 1;
-        self.record_change(kind, object_json(name, &stored), true);
+        self.record_change(kind, stored.text, true);
         true
     }
 
-    fn record_change(&mut self, kind: &str, object: Value, deleted: bool) {
+    fn record_change(&mut self, kind: &str, object: Arc<str>, deleted: bool) {
         self.history.push(Change {
             revision: self.revision,
             kind: kind.to_owned(),
-            object,
-            deleted,
+            event: Event { object, deleted },
         });
     }
 
-    fn list(&self, kind: &str, after: Option<&str>) -> Value {
+    fn list(&self, kind: &str, after: Option<&str>) -> String {
         let of_kind = self
             .objects
             .iter()
             .filter(|((k, name), _)| k == kind && after.is_none_or(|after| name.as_str() > after));
-        let mut items: Vec<Value> = of_kind
-            .map(|((_, name), stored)| object_json(name, stored))
-            .collect();
+        let mut items: Vec<&str> = of_kind.map(|(_, stored)| &*stored.text).collect();
         let page_size = self.faults.page_size;
         let truncated = page_size > 0 && items.len() > page_size;
         if truncated {
             items.truncate(page_size);
         }
-        json!({"items": items, "truncated": truncated, "store_revision": self.revision})
+        let (items, revision) = (items.join(","), self.revision);
+        format!(r#"{{"items":[{items}],"truncated":{truncated},"store_revision":{revision}}}"#)
     }
 
-    fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+    fn events(&self, kind: &str, since: u64) -> Vec<Event> {
         let changes = self.history.iter();
         changes
             .filter(|change| change.kind == kind && change.revision > since)
-            .map(|change| json!({"object": change.object, "deleted": change.deleted}))
+            .map(|change| change.event.clone())
             .collect()
     }
 
     /// Executes a write and returns the status and body of its answer.
-    fn write(&mut self, call: &Call, body: &Value) -> (StatusCode, Value) {
+    fn write(&mut self, call: &Call, body: &Value) -> (StatusCode, Arc<str>) {
         let name = match (&call.name, body["metadata"]["name"].as_str()) {
             (Some(name), _) => name.clone(),
             (None, Some(name)) => name.to_owned(),
-            (None, None) => return (StatusCode::BAD_REQUEST, Value::Null),
+            (None, None) => return (StatusCode::BAD_REQUEST, NO_OBJECT.into()),
         };
         let id = (call.kind.clone(), name.clone());
         let existing = self.objects.get(&id).cloned();
         let expected = body["metadata"]["revision"].as_u64().or(call.revision);
-        let conflict = |stored: &Stored| (StatusCode::CONFLICT, object_json(&name, stored));
+        let conflict = |stored: &Stored| (StatusCode::CONFLICT, Arc::clone(&stored.text));
         match (&call.method, existing) {
             (&Method::POST, Some(stored)) => conflict(&stored),
             (&Method::POST, None) => {
                 let created = self.put(&call.kind, &name, body["spec"].clone());
                 (StatusCode::OK, created)
             }
-            (_, None) => (StatusCode::NOT_FOUND, Value::Null),
+            (_, None) => (StatusCode::NOT_FOUND, NO_OBJECT.into()),
             (_, Some(stored)) if expected.is_some_and(|e| e != stored.revision) => {
                 conflict(&stored)
             }
             (&Method::DELETE, Some(_)) => {
                 self.delete(&call.kind, &name);
-                (StatusCode::OK, Value::Null)
+                (StatusCode::OK, NO_OBJECT.into())
             }
             (_, Some(_)) if call.is_status => {
                 let stored = self
@@ -245,7 +262,8 @@
                     .get_mut(&id)
                     .expect("the object was found above");
                 stored.status = body["status"].clone();
-                (StatusCode::OK, object_json(&name, stored))
+                stored.encode(&name);
+                (StatusCode::OK, Arc::clone(&stored.text))
             }
             (_, Some(_)) => {
                 let changed = self.put(&call.kind, &name, body["spec"].clone());
@@ -304,10 +322,10 @@
             state.faults
         };
         if faults.is_over_rate {
-            return json_response(StatusCode::TOO_MANY_REQUESTS, &Value::Null);
+            return json_response(StatusCode::TOO_MANY_REQUESTS, NO_OBJECT);
         }
         let Some(call) = Call::parse(&req).filter(|_| !faults.is_unavailable) else {
-            return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, NO_OBJECT);
         };
         if call.method == Method::GET {
             return self.read(&call).await;
@@ -326,7 +344,7 @@
         if is_lost {
             futures_lite::future::pending::<()>().await;
         }
-        json_response(status, &answer)
+        json_response(status, &*answer)
     }
 }
 
@@ -336,29 +354,34 @@
             let id = (call.kind.clone(), name.clone());
             let state = self.0.lock();
             return match state.objects.get(&id) {
-                Some(stored) => json_response(StatusCode::OK, &object_json(name, stored)),
-                None => json_response(StatusCode::NOT_FOUND, &Value::Null),
+                Some(stored) => json_response(StatusCode::OK, &*stored.text),
+                None => json_response(StatusCode::NOT_FOUND, NO_OBJECT),
             };
         }
         let Some(since) = call.watch else {
             let listed = self.0.lock().list(&call.kind, call.after.as_deref());
-            return json_response(StatusCode::OK, &listed);
+            return json_response(StatusCode::OK, listed);
         };
         let mut waited = Duration::ZERO;
         loop {
-            {
+            let (events, revision) = {
                 let state = self.0.lock();
                 if state.faults.is_unavailable {
-                    return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+                    return json_response(StatusCode::SERVICE_UNAVAILABLE, NO_OBJECT);
                 }
                 if since < state.compacted || state.faults.has_no_history {
-                    return json_response(StatusCode::GONE, &Value::Null);
-                }
-                let events = state.events(&call.kind, since);
-                if !events.is_empty() || waited >= call.wait {
-                    let answer = json!({"events": events, "store_revision": state.revision});
-                    return json_response(StatusCode::OK, &answer);
+                    return json_response(StatusCode::GONE, NO_OBJECT);
                 }
+                (state.events(&call.kind, since), state.revision)
+            };
+            if !events.is_empty() || waited >= call.wait {
+                let event = |Event { object, deleted }: &Event| {
+                    format!(r#"{{"object":{object},"deleted":{deleted}}}"#)
+                };
+                let events: Vec<String> = events.iter().map(event).collect();
+                let events = events.join(",");
+                let answer = format!(r#"{{"events":[{events}],"store_revision":{revision}}}"#);
+                return json_response(StatusCode::OK, answer);
             }
             Timer::after(WATCH_POLL).await;
             waited += WATCH_POLL;
@@ -366,8 +389,8 @@
     }
 }
 
-fn json_response(status: StatusCode, body: &Value) -> Response<Body> {
-    let mut response = Response::new(Body::from(body.to_string()));
+fn json_response(status: StatusCode, json: impl Into<String>) -> Response<Body> {
+    let mut response = Response::new(Body::from(json.into()));
     *response.status_mut() = status;
     response
 }
