--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -10,11 +10,13 @@
 
 use async_io::Timer;
 use chicoryarch::configs::platform::PlatformConfig;
+use chicoryarch::connection::platform::Changes;
 use chicoryarch::connection::platform::Envelope;
 use chicoryarch::connection::platform::Expect;
 use chicoryarch::connection::platform::HostStatus;
 use chicoryarch::connection::platform::MAX_VALUE_BYTES;
 use chicoryarch::connection::platform::Nonce;
+use chicoryarch::connection::platform::Object;
 use chicoryarch::connection::platform::Platform;
 use chicoryarch::connection::platform::PlatformError;
 use chicoryarch::connection::platform::Result;
@@ -664,3 +666,37 @@
         assert_eq!(seen, 3);
     });
 }
+
+fn object(name: &str, version: u64) -> Object {
+    Object {
+        name: name.to_owned(),
+        version: Version(version),
+        value: Vec::new(),
+    }
+}
+
+// Guards against a host that puts every version in force that it has missed.
+#[test]
+fn changes_hold_the_latest_state_of_each_object() {
+    let mut changes = Changes::up_to(Version(9));
+    changes.put(object("a", 1));
+    changes.put(object("b", 2));
+    assert!(!changes.has_superseded);
+    changes.put(object("a", 3));
+    assert!(changes.has_superseded);
+    assert_eq!(changes.objects, [object("b", 2), object("a", 3)]);
+    changes.remove("b".to_owned());
+    assert_eq!(changes.objects, [object("a", 3)]);
+    assert_eq!(changes.removed, ["b"]);
+    changes.put(object("b", 4));
+    assert_eq!(changes.objects, [object("a", 3), object("b", 4)]);
+    assert!(changes.removed.is_empty());
+}
+
+#[test]
+fn an_object_that_returns_after_its_removal_is_not_superseded() {
+    let mut changes = Changes::up_to(Version(9));
+    changes.remove("a".to_owned());
+    changes.put(object("a", 2));
+    assert!(!changes.has_superseded);
+}
--- a/tests/soak/changes.rs
+++ b/tests/soak/changes.rs
@@ -92,7 +92,10 @@
 /// A fault that ends later.
 enum Fault {
     Link(usize),
-    Store,
+    /// Of the store, which no host can reach in an outage.
+    Store {
+        is_outage: bool,
+    },
 }
 
 /// A store, an endpoint, and gateways that reach the store through proxies.
@@ -213,12 +216,17 @@
         ];
         let faults = *all.choose(&mut self.rng).expect("a fault");
         self.fleet.store.set_faults(faults);
-        self.start_fault(Fault::Store);
-        if let Some((end, _)) = self.faults.last()
-            && !faults.has_no_history
-        {
-            self.outages.push((Instant::now(), *end));
+        let is_outage = !faults.has_no_history;
+        if is_outage {
+            let now = Instant::now();
+            self.outages.push((now, now));
         }
+        self.start_fault(Fault::Store { is_outage });
+    }
+
+    fn is_store_disturbed(&self) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|(_, fault)| matches!(fault, Fault::Store { .. }))
     }
 
     fn restart(&mut self) {
@@ -243,7 +251,12 @@
         for (_, fault) in ended {
             match fault {
                 Fault::Link(n) => self.proxies[n].set(self.usual_mode),
-                Fault::Store => self.fleet.store.set_faults(StoreFaults::default()),
+                Fault::Store { is_outage } => {
+                    self.fleet.store.set_faults(StoreFaults::default());
+                    if let (true, Some(outage)) = (is_outage, self.outages.last_mut()) {
+                        outage.1 = Instant::now();
+                    }
+                }
             }
         }
     }
@@ -255,13 +268,7 @@
             match self.rng.random_range(0..10) {
                 0..4 => self.change_configuration(),
                 4..7 => self.disturb_link(),
-                7 if self
-                    .outages
-                    .last()
-                    .is_none_or(|last| last.1 < Instant::now()) =>
-                {
-                    self.disturb_store();
-                }
+                7 if !self.is_store_disturbed() => self.disturb_store(),
                 8 => self.restart(),
                 9 => {
                     let n = self.random_gateway();
