--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -90,12 +90,13 @@
 
 /// Returns the position after the blank lines at the beginning.
 fn blank_lines_end(buf: &[u8]) -> usize {
-    let mut end = 0;
-    while let Some(length) = match &buf[end..] {
+    let blank_line_length = |rest: &[u8]| match rest {
         [b'\n', ..] => Some(1),
         [b'\r', b'\n', ..] => Some(2),
         _ => None,
-    } {
+    };
+    let mut end = 0;
+    while let Some(length) = blank_line_length(&buf[end..]) {
         end += length;
     }
     end
