Wait until a frozen process of the tests is suspended

SIGSTOP stops a process one thread after another, and the test did not wait for it: a request that came in between was begun by the owner, so that the host that took over could only say that its result is unknown, which is true.

The tests now wait until all threads are suspended.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -86,6 +86,19 @@
     /// Suspends the process with SIGSTOP.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
+        // The signal stops one thread after another.
+        wait_until("all threads are suspended", || {
+            let threads = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+            let mut threads = threads.expect("the process is running").flatten();
+            threads.all(|thread| {
+                let stat = fs::read_to_string(thread.path().join("stat"));
+                // The state follows the name, which is in brackets.
+                let stat = stat.expect("the thread is running");
+                stat.rsplit(')')
+                    .next()
+                    .is_some_and(|rest| rest.starts_with(" T"))
+            })
+        });
     }
 
     /// Resumes a suspended process with SIGCONT.
