Log and count the limits that endpoints announce

An endpoint in need names the requests a second that it takes from all hosts together. No host read that, and no log showed it, so the hypotheses of the incident could not be told apart. Each change is logged now, with the calls that this host has placed there since the change before. The choice of an endpoint is the same as before.

--- a/.ci/wire_names.py
+++ b/.ci/wire_names.py
@@ -12,7 +12,7 @@
     "request-id", "deadline-ms", "last-event-id", "affinity-key", "token-usage",
     "prompt-prefix", "program-id", "session-id", "program-deadline-ms", "token-budget",
     "expect-instance", "request-urgency", "not-executed", "response-signature",
-    "server-load", "instance-id", "retain_context", "readyz", "/v1/objects",
+    "server-load", "server-limit", "instance-id", "retain_context", "readyz", "/v1/objects",
     "store_revision", "create_revision", "cold_remaining_ms", "route_type",
     "target_latency_ms", "kv_capacity_tokens", "stream_stride",
     "api_keys", "node_name", "listen.front", "listen.ready", "provider.",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -29,6 +29,7 @@
 use crate::connection::platform::Platform;
 use crate::platform::endpoints;
 use crate::platform::endpoints::Verdict;
+use crate::protection::announced_limit::LimitNotice;
 use crate::units::Moment;
 
 #[derive(Serialize)]
@@ -40,6 +41,24 @@
     is_listed_ready: bool,
 }
 
+#[derive(Serialize)]
+struct LimitLine<'a> {
+    endpoint: &'a str,
+    service: &'a str,
+    /// Requests a second that it takes from all hosts; `None` at the end of the
+    /// limit.
+    per_s: Option<f64>,
+    before_per_s: Option<f64>,
+    /// Calls that this host has placed there since the change before.
+    placed_before: u64,
+}
+
+#[derive(Serialize)]
+struct UnreadableLimitLine<'a> {
+    endpoint: &'a str,
+    service: &'a str,
+}
+
 /// An authorized request of a caller.
 #[derive(Debug)]
 pub struct Call {
@@ -241,6 +260,9 @@
     if !is_other_endpoint && endpoints::is_leaving(&head) {
         record_departure(cx, placement);
     }
+    if !is_other_endpoint {
+        record_limit(cx, placement, verdict, &head);
+    }
     match verdict {
         Verdict::Answer => AttemptResult::Answered(Box::new(Response::from_parts(head, body))),
         Verdict::NotRun { is_other_endpoint } => AttemptResult::NotRun {
@@ -283,6 +305,42 @@
     }
 }
 
+fn record_limit<P: Platform>(
+    cx: &Gateway<P>,
+    placement: &PlacementGuard,
+    verdict: Verdict,
+    head: &response::Parts,
+) {
+    let notice = match endpoints::limit_notice(head) {
+        // A late answer to another request may be older than the limit.
+        LimitNotice::Absent if verdict == Verdict::Mismatched => return,
+        notice => notice,
+    };
+    let endpoint = placement.endpoint();
+    if notice == LimitNotice::Unreadable {
+        let line = UnreadableLimitLine {
+            endpoint: &endpoint.id,
+            service: &endpoint.service,
+        };
+        cx.log.request("endpoint-limit-unreadable", &line);
+    }
+    let change = placement
+        .pool
+        .lock()
+        .record_limit(endpoint, notice, Moment::now());
+    if let Some((change, placed)) = change {
+        cx.metrics.limit_changes.inc();
+        let line = LimitLine {
+            endpoint: &endpoint.id,
+            service: &endpoint.service,
+            per_s: change.per_s,
+            before_per_s: change.before,
+            placed_before: placed,
+        };
+        cx.log.request("endpoint-limit", &line);
+    }
+}
+
 /// Reads a complete body of at most `max_bytes` bytes.
 ///
 /// # Errors
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -70,6 +70,8 @@
     pub grants: Counter,
     /// Endpoints that gave notice of their shutdown in an answer.
     pub departures: Counter,
+    /// Changes of the limits that endpoints announce.
+    pub limit_changes: Counter,
     /// Exchanges of state with another host that failed.
     pub failed_exchanges: Counter,
     configuration_version: Gauge<f64, AtomicU64>,
@@ -90,6 +92,7 @@
             borrowed: Counter::default(),
             grants: Counter::default(),
             departures: Counter::default(),
+            limit_changes: Counter::default(),
             failed_exchanges: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -128,6 +131,11 @@
             "Endpoints that announced their shutdown in an answer",
             self.departures.clone(),
         );
+        r.register(
+            "limit_changes",
+            "Changes of the limits that endpoints announce in answers",
+            self.limit_changes.clone(),
+        );
         r.register(
             "failed_exchanges",
             "Exchanges of state with another host that failed",
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -15,6 +15,9 @@
 use super::load_curve::LoadCurve;
 use super::prefixes::Prefixes;
 use crate::gateway::call::PromptPart;
+use crate::protection::announced_limit::AnnouncedLimit;
+use crate::protection::announced_limit::LimitChange;
+use crate::protection::announced_limit::LimitNotice;
 use crate::units::Moment;
 
 /// Time after which a reported load is no longer used.
@@ -131,6 +134,9 @@
     error_rate: f64,
     updated_at: Moment,
     prefixes: Prefixes,
+    limit: AnnouncedLimit,
+    /// Calls that this host has placed there since the limit last changed.
+    placed: u64,
 }
 
 impl Member {
@@ -147,6 +153,8 @@
             error_rate: 0.0,
             updated_at: Moment::default(),
             prefixes: Prefixes::default(),
+            limit: AnnouncedLimit::default(),
+            placed: 0,
         }
     }
 
@@ -324,6 +332,7 @@
         let (_, member) = best?;
         let load = model.load(member) / f64::from(member.endpoint.slots);
         member.running += 1;
+        member.placed += 1;
         member.prefixes.record_prompt(criteria.parts, now);
         let endpoint = Arc::clone(&member.endpoint);
         Some(Placement { endpoint, load })
@@ -394,6 +403,23 @@
         self.departures.record(endpoint, now)
     }
 
+    /// Records what an answer of an endpoint says about its limit. Returns the
+    /// change, if there is any, with the number of calls that this host has
+    /// placed there since the change before.
+    pub fn record_limit(
+        &mut self,
+        endpoint: &Endpoint,
+        notice: LimitNotice,
+        now: Moment,
+    ) -> Option<(LimitChange, u64)> {
+        let member = self.members.get_mut(&endpoint.id)?;
+        if member.endpoint.started_ms != endpoint.started_ms {
+            return None;
+        }
+        let change = member.limit.record(notice, now)?;
+        Some((change, std::mem::take(&mut member.placed)))
+    }
+
     /// Whether an endpoint is listed, even if it is draining.
     pub fn contains(&self, id: &str) -> bool {
         self.members.contains_key(id)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operator;
 pub mod platform;
 pub mod process;
+pub mod protection;
 pub mod request;
 pub mod units;
 pub mod utils;
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -20,6 +20,7 @@
 use crate::gateway::call::Urgency;
 use crate::gateway::directory::Endpoint;
 use crate::gateway::placing::ReportedLoad;
+use crate::protection::announced_limit::LimitNotice;
 
 pub(super) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 /// Name of the customer to whom the caller's key belongs.
@@ -32,6 +33,9 @@
 /// Numbers of running requests, waiting requests and slots, comma-separated.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 
+/// Requests a second that an endpoint in need takes from all hosts together, as
+/// a decimal number. In all its answers for as long as it holds.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// `1` in all answers of an endpoint that is shutting down.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
@@ -139,6 +143,20 @@
     values.iter().any(|value| value.as_bytes() == b"1")
 }
 
+/// Returns what an endpoint's answer says about its limit.
+pub fn limit_notice(head: &response::Parts) -> LimitNotice {
+    let mut values = head.headers.get_all(SERVER_LIMIT).iter();
+    let Some(value) = values.next() else {
+        return LimitNotice::Absent;
+    };
+    let text = value.to_str().ok().filter(|_| values.next().is_none());
+    let rate = text.and_then(|text| text.trim().parse::<f64>().ok());
+    match rate.filter(|rate| rate.is_finite() && *rate >= 0.0) {
+        Some(rate) => LimitNotice::PerSecond(rate),
+        None => LimitNotice::Unreadable,
+    }
+}
+
 /// Returns the headers of an endpoint's answer to forward to the caller.
 pub fn answer_headers(head: &response::Parts) -> HeaderMap {
     let mut headers = end_to_end(&head.headers);
--- /dev/null
+++ b/src/protection/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions that protect endpoints, without I/O or clocks.
+
+pub mod announced_limit;
