Add failing tests of endpoints that announce a limit

The stand-in endpoint announces limits and records when requests arrive; its test settings use one constant.

--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use chicoryarch_net::Body;
@@ -31,11 +32,13 @@
 const TENANT: HeaderName = HeaderName::from_static("tenant");
 /// Sent with the value `1` in all answers of an endpoint that is shutting down.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that an endpoint in need takes from all callers together.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Maximum body size of a request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// Behaviour of an endpoint, including the faults it injects.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Behaviour {
     /// Number of events in a stream; 0 for an answer that is not a stream.
     pub events: u64,
@@ -57,6 +60,31 @@
     pub failed_requests: u32,
     /// Whether answers announce that the endpoint is shutting down.
     pub is_leaving: bool,
+    /// Text by which all answers announce a limit of the requests a second;
+    /// `None` for no limit. The endpoint itself does not enforce it.
+    pub limit: Option<&'static str>,
+}
+
+impl Behaviour {
+    /// A short answer and no faults.
+    pub const SOUND: Self = Self {
+        events: 0,
+        answer_bytes: 0,
+        pause: Duration::ZERO,
+        lost_answers: 0,
+        broken_streams: 0,
+        refused_requests: 0,
+        mismatched_answers: 0,
+        failed_requests: 0,
+        is_leaving: false,
+        limit: None,
+    };
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self::SOUND
+    }
 }
 
 /// A request executed by an endpoint.
@@ -77,6 +105,7 @@
     id: String,
     behaviour: Behaviour,
     runs: Vec<Run>,
+    arrivals: Vec<Instant>,
     answers: u64,
     sent_events: u64,
 }
@@ -104,6 +133,7 @@
             id: id.to_owned(),
             behaviour,
             runs: Vec::new(),
+            arrivals: Vec::new(),
             answers: 0,
             sent_events: 0,
         }));
@@ -135,6 +165,11 @@
         self.state.lock().runs.clone()
     }
 
+    /// Returns when each request arrived, including those that were refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// Returns the number of answers, including refusals.
     pub fn answers(&self) -> u64 {
         self.state.lock().answers
@@ -173,6 +208,10 @@
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert(SERVER_LEAVING, value);
         }
+        if let Some(limit) = behaviour.limit {
+            let value = HeaderValue::from_static(limit);
+            response.headers_mut().insert(SERVER_LIMIT, value);
+        }
         response
     }
 }
@@ -237,6 +276,7 @@
     fn decide_outcome(&self, headers: &HeaderMap) -> (Outcome, Behaviour) {
         let mut state = self.state.lock();
         state.answers += 1;
+        state.arrivals.push(Instant::now());
         let behaviour = state.behaviour;
         if header_text(headers, &EXPECT_INSTANCE).is_some_and(|id| id != state.id) {
             return (Outcome::WrongInstance, behaviour);
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -15,15 +15,9 @@
 /// Tokens per event, as set in the tests' configuration.
 const TOKENS_PER_EVENT: u64 = 10;
 const ENGINE: Behaviour = Behaviour {
-    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(1),
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
-    is_leaving: false,
+    ..Behaviour::SOUND
 };
 const BUDGET: u64 = 420;
 
--- a/tests/gateway_processes/leaving.rs
+++ b/tests/gateway_processes/leaving.rs
@@ -15,15 +15,8 @@
 const LIST_CHANGE: Duration = Duration::from_secs(1);
 
 const LEAVING: Behaviour = Behaviour {
-    answer_bytes: 0,
-    events: 0,
-    pause: Duration::ZERO,
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
     is_leaving: true,
+    ..Behaviour::SOUND
 };
 
 /// Sends a request to the only endpoint, which answers it with a notice, and
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod large_configuration;
 mod leaving;
+mod limits;
 mod shutdown;
 mod store;
 mod streams;
--- a/tests/gateway_processes/shutdown.rs
+++ b/tests/gateway_processes/shutdown.rs
@@ -19,15 +19,8 @@
 use super::fleet::wait_until;
 
 const SLOW: Behaviour = Behaviour {
-    answer_bytes: 0,
-    events: 0,
     pause: Duration::from_millis(1500),
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
-    is_leaving: false,
+    ..Behaviour::SOUND
 };
 
 #[test]
--- a/tests/gateway_processes/streams.rs
+++ b/tests/gateway_processes/streams.rs
@@ -7,15 +7,9 @@
 use super::fleet::Fleet;
 
 const ENGINE: Behaviour = Behaviour {
-    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(5),
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
-    is_leaving: false,
+    ..Behaviour::SOUND
 };
 
 fn complete_stream() -> String {
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -16,15 +16,9 @@
 use super::fleet::wait_until;
 
 const ENGINE: Behaviour = Behaviour {
-    answer_bytes: 0,
     events: 5,
     pause: Duration::from_millis(5),
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
-    is_leaving: false,
+    ..Behaviour::SOUND
 };
 
 /// Breaks its streams after their first event.
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -37,15 +37,9 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 8;
 const ENGINE: Behaviour = Behaviour {
-    answer_bytes: 0,
     events: EVENTS,
     pause: Duration::from_millis(15),
-    lost_answers: 0,
-    broken_streams: 0,
-    refused_requests: 0,
-    mismatched_answers: 0,
-    failed_requests: 0,
-    is_leaving: false,
+    ..Behaviour::SOUND
 };
 /// More requests than an engine gets.
 const ALL: u32 = 100_000;
