Draw a token for each request to an endpoint with a limit

Callers saw nothing, but endpoints that announced a limit got two to three times the requests that they take.

Tokens of an endpoint are now made at one host, by rendezvous hash among the hosts of its data centre, and each attempt draws one, whichever way it comes: first tries, retries and resumed streams pass through choice::place. Equal shares of the hosts are no way out: one host sent more than a whole limit, others a call in 15 s. A denied host passes the endpoint over until its turn, and the call goes to another endpoint or is refused at once with that time. While hosts are cut off from each other, a home hands out the part of the limit that the hosts it reaches make up, so that the sides' parts add up to one limit.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -90,6 +90,8 @@
     pub version: Option<Arc<str>>,
     /// Urgency at the engine; `None` if the call generates no tokens.
     pub urgency: Option<Urgency>,
+    /// Whether it begins a program.
+    pub is_first_turn: bool,
 }
 
 /// Counts a request at an endpoint. Drop removes it from the count and records
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -40,6 +40,7 @@
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::process::events::EventLog;
+use crate::protection::limit_bucket::LimitBuckets;
 use crate::units::Moment;
 
 /// The configuration in force, decoded and as text.
@@ -155,6 +156,8 @@
     pub isolated: IsolatedGrants,
     /// Programs that have spent their budget.
     pub spent: SpentPrograms,
+    /// Tokens for endpoints with limits that this host is the home of.
+    pub limit_buckets: Mutex<LimitBuckets>,
     /// Versions that began streams.
     pub origins: Origins,
     /// Memory of request bodies, from their reception until the call ends.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -13,12 +13,14 @@
 use super::attempt::AttemptResult;
 use super::attempt::Call;
 use super::attempt::PlacementGuard;
+use super::choice;
+use super::choice::Choice;
+use super::choice::NoChoice;
 use super::context::Cx;
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::lines;
 use super::placing::AttemptEnd;
-use super::placing::Criteria;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
@@ -82,7 +84,7 @@
     let mut attempts = Attempts::default();
     loop {
         check_deadline(&call, &attempts)?;
-        let placement = choose_endpoint(cx, &call, &attempts)?;
+        let placement = choose_endpoint(cx, &call, &attempts).await?;
         let deadline = attempt_deadline(&call, &attempts);
         let result = attempt::send(cx, &call, &placement, call.meta.resume_after, deadline).await;
         let why = match result {
@@ -173,116 +175,52 @@
     Refusal::new(Outcome::UnknownResult, "an earlier attempt may have run")
 }
 
-fn choose_endpoint<P: Platform>(
+async fn choose_endpoint<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
     attempts: &Attempts,
 ) -> Result<PlacementGuard> {
     let ids = attempts.ids();
-    if let Some(placement) = place_call(cx, call, &ids) {
-        return Ok(placement);
-    }
+    let others = Choice {
+        excluded: &ids,
+        ..Choice::of(call)
+    };
+    let none = match choice::place(cx, call, others).await {
+        Ok(placement) => return Ok(placement),
+        Err(none) => none,
+    };
     let Some(last) = attempts.ran.last() else {
-        let detail = format!("no endpoint of service {} takes work", call.service);
-        return Err(Refusal::not_run(detail, NO_ENDPOINT_RETRY));
+        return Err(no_endpoint(call, &none));
     };
     // No other endpoint is left; a repeatable call may use the same one again.
     let again = Choice {
         only: Some(&last.id),
         ..Choice::of(call)
     };
-    place_among(cx, call, again)
-        .ok_or_else(|| Refusal::new(Outcome::UnknownResult, "no other endpoint takes work"))
-}
-
-/// Where a broken stream may go on.
-#[derive(Clone, Copy, Debug)]
-pub struct ResumeTarget<'a> {
-    /// Version that made the first event of the stream; `None` before it.
-    pub version: Option<&'a str>,
-    /// Endpoint that broke the stream.
-    pub failed_endpoint: &'a str,
-    /// Endpoints that have ended or cannot be reached.
-    pub gone: &'a [Box<str>],
-}
-
-/// Chooses an endpoint that resumes a broken stream.
-///
-/// If the route allows only one endpoint per request, this is the endpoint
-/// that broke the stream, unless it is gone or no longer listed.
-pub fn place_resume<P: Platform>(
-    cx: &Gateway<P>,
-    call: &Call,
-    target: &ResumeTarget<'_>,
-) -> Option<PlacementGuard> {
-    let failed = target.failed_endpoint;
-    let pool = cx.pools.get(&call.service)?;
-    let is_listed = pool.lock().contains(failed);
-    let is_gone = target.gone.iter().any(|id| **id == *failed);
-    let only = (is_listed && !is_gone && call.route.max_runs < 2).then_some(failed);
-    let choice = Choice {
-        version: target.version,
-        excluded: target.gone,
-        only,
-    };
-    place_among(cx, call, choice)
-}
-
-/// Chooses the best endpoint for a call among those that are not excluded.
-pub fn place_call<P: Platform>(
-    cx: &Gateway<P>,
-    call: &Call,
-    excluded: &[Box<str>],
-) -> Option<PlacementGuard> {
-    let choice = Choice {
-        excluded,
-        ..Choice::of(call)
-    };
-    place_among(cx, call, choice)
-}
-
-/// Endpoints among which one is chosen.
-#[derive(Clone, Copy, Debug, Default)]
-struct Choice<'a> {
-    version: Option<&'a str>,
-    excluded: &'a [Box<str>],
-    only: Option<&'a str>,
+    let placement = choice::place(cx, call, again).await;
+    placement.map_err(|_| Refusal::new(Outcome::UnknownResult, "no other endpoint takes work"))
 }
 
-impl<'a> Choice<'a> {
-    fn of(call: &'a Call) -> Self {
-        Self {
-            version: call.version.as_deref(),
-            ..Self::default()
+fn no_endpoint(call: &Call, none: &NoChoice) -> Refusal {
+    match none {
+        NoChoice::NoEndpoint => {
+            let detail = format!("no endpoint of service {} takes work", call.service);
+            Refusal::not_run(detail, NO_ENDPOINT_RETRY)
+        }
+        NoChoice::AtLimit {
+            endpoint,
+            per_s,
+            wait,
+        } => {
+            let detail = format!(
+                "the endpoints of service {} are at their limits, {endpoint} of {per_s} a second",
+                call.service
+            );
+            Refusal::not_run(detail, *wait)
         }
     }
 }
 
-fn place_among<P: Platform>(
-    cx: &Gateway<P>,
-    call: &Call,
-    choice: Choice<'_>,
-) -> Option<PlacementGuard> {
-    let Choice {
-        version,
-        excluded,
-        only,
-    } = choice;
-    let pool = cx.pools.get(&call.service)?;
-    let parts = call.meta.cacheable_parts(call.route.is_sticky);
-    let criteria = Criteria {
-        parts: &parts,
-        excluded,
-        only,
-        version,
-        received: call.received,
-        is_isolated: cx.is_isolated(),
-    };
-    let local = cx.cfg.place.data_centre.as_str();
-    let chosen = pool.lock().choose(&criteria, local, Moment::now())?;
-    Some(PlacementGuard::new(pool, chosen))
-}
-
 fn log_attempt<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -162,6 +162,7 @@
         received,
         deadline,
         caller_deadline,
+        is_first_turn: false,
         meta,
     };
     run(cx, call).await
@@ -188,6 +189,10 @@
     if let Some(customer) = &customer {
         rate::admit(cx, customer, stage, call.deadline).await?;
     }
+    let call = Call {
+        is_first_turn: stage == ProgramStage::New,
+        ..call
+    };
     let answer = dispatch::run(cx, Arc::new(call), reservation).await;
     if let (Err(refusal), Some(customer)) = (&answer, &customer)
         && refusal.outcome == Outcome::NotRun
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -72,6 +72,8 @@
     pub departures: Counter,
     /// Changes of the limits that endpoints announce.
     pub limit_changes: Counter,
+    /// Calls that were denied a token of an endpoint's limit.
+    pub limit_denials: Counter,
     /// Exchanges of state with another host that failed.
     pub failed_exchanges: Counter,
     configuration_version: Gauge<f64, AtomicU64>,
@@ -93,6 +95,7 @@
             grants: Counter::default(),
             departures: Counter::default(),
             limit_changes: Counter::default(),
+            limit_denials: Counter::default(),
             failed_exchanges: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -136,6 +139,11 @@
             "Changes of the limits that endpoints announce in answers",
             self.limit_changes.clone(),
         );
+        r.register(
+            "limit_denials",
+            "Calls that passed over an endpoint that was at its limit",
+            self.limit_denials.clone(),
+        );
         r.register(
             "failed_exchanges",
             "Exchanges of state with another host that failed",
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -18,6 +18,7 @@
 use crate::protection::announced_limit::AnnouncedLimit;
 use crate::protection::announced_limit::LimitChange;
 use crate::protection::announced_limit::LimitNotice;
+use crate::protection::limit_bucket::KnownLimit;
 use crate::units::Moment;
 
 /// Time after which a reported load is no longer used.
@@ -113,6 +114,29 @@
     pub received: Moment,
     /// Whether endpoints in other data centres are unreachable.
     pub is_isolated: bool,
+    /// Whether endpoints that have announced a limit are passed over.
+    pub skips_limited: bool,
+}
+
+impl Criteria<'_> {
+    fn allows(&self, member: &Member, departures: &Departures) -> bool {
+        let endpoint = &member.endpoint;
+        let is_version = self
+            .version
+            .is_none_or(|version| *version == *endpoint.version);
+        is_version
+            && !(self.skips_limited && member.limit.per_s().is_some())
+            && match self.only {
+                Some(only) => {
+                    *endpoint.id == *only && !departures.has_left_before(endpoint, self.received)
+                }
+                None => {
+                    member.is_ready()
+                        && !departures.has_left(endpoint)
+                        && !self.excluded.contains(&endpoint.id)
+                }
+            }
+    }
 }
 
 /// An endpoint with its load and health, as estimated by this host.
@@ -135,6 +159,8 @@
     updated_at: Moment,
     prefixes: Prefixes,
     limit: AnnouncedLimit,
+    /// The endpoint's limit has no room for calls of this host before this time.
+    at_limit_until: Moment,
     /// Calls that this host has placed there since the limit last changed.
     placed: u64,
 }
@@ -154,6 +180,7 @@
             updated_at: Moment::default(),
             prefixes: Prefixes::default(),
             limit: AnnouncedLimit::default(),
+            at_limit_until: Moment::default(),
             placed: 0,
         }
     }
@@ -162,6 +189,21 @@
         self.endpoint.state == EndpointState::Ready
     }
 
+    /// The limit that is in force; `None` if there is none.
+    fn known_limit(&self) -> Option<KnownLimit> {
+        Some(KnownLimit {
+            per_s: self.limit.per_s()?,
+            answered_at: self.limit.answered_at()?,
+        })
+    }
+
+    /// Time until its limit may have room for a call of this host; `None` if it
+    /// may have some now.
+    fn limit_wait(&self, now: Moment) -> Option<Duration> {
+        let wait = now.until(self.at_limit_until);
+        (self.limit.per_s().is_some() && !wait.is_zero()).then_some(wait)
+    }
+
     /// Updates the estimates with a call. Earlier estimates decay with time.
     fn update_estimates(&mut self, latency_ratio: Option<f64>, is_error: bool, now: Moment) {
         let decay = self.decay(now);
@@ -201,6 +243,8 @@
 pub struct Placement {
     /// The chosen endpoint.
     pub endpoint: Arc<Endpoint>,
+    /// Its limit, of which the call needs a token; `None` if there is none.
+    pub limit: Option<KnownLimit>,
     /// Estimated requests per slot at the time of the choice.
     load: f64,
 }
@@ -306,22 +350,7 @@
         let rng = &mut self.rng;
         let departures = &self.departures;
         let usable = self.members.values_mut().filter(|member| {
-            let endpoint = &member.endpoint;
-            let is_version = criteria
-                .version
-                .is_none_or(|version| *version == *endpoint.version);
-            is_version
-                && match criteria.only {
-                    Some(only) => {
-                        *endpoint.id == *only
-                            && !departures.has_left_before(endpoint, criteria.received)
-                    }
-                    None => {
-                        member.is_ready()
-                            && !departures.has_left(endpoint)
-                            && !criteria.excluded.contains(&endpoint.id)
-                    }
-                }
+            criteria.allows(member, departures) && member.limit_wait(now).is_none()
         });
         // Random noise spreads calls over endpoints of equal cost.
         let mut cost =
@@ -333,9 +362,41 @@
         let load = model.load(member) / f64::from(member.endpoint.slots);
         member.running += 1;
         member.placed += 1;
-        member.prefixes.record_prompt(criteria.parts, now);
+        let limit = member.known_limit();
+        if limit.is_none() {
+            member.prefixes.record_prompt(criteria.parts, now);
+        }
         let endpoint = Arc::clone(&member.endpoint);
-        Some(Placement { endpoint, load })
+        Some(Placement {
+            endpoint,
+            limit,
+            load,
+        })
+    }
+
+    /// Returns the endpoint whose limit will have room first for a call with
+    /// these criteria, with its limit and the time until then. `None` if no
+    /// endpoint is passed over for its limit.
+    pub fn next_within_limit(
+        &self,
+        criteria: &Criteria<'_>,
+        now: Moment,
+    ) -> Option<(&Endpoint, f64, Duration)> {
+        let allowed = self.members.values();
+        let allowed = allowed.filter(|member| criteria.allows(member, &self.departures));
+        let waits = allowed.filter_map(|member| {
+            let wait = member.limit_wait(now)?;
+            Some((&*member.endpoint, member.limit.per_s()?, wait))
+        });
+        waits.min_by_key(|(_, _, wait)| *wait)
+    }
+
+    /// Records that an endpoint's limit has no room for calls of this host for
+    /// a time.
+    pub fn record_at_limit(&mut self, id: &str, wait: Duration, now: Moment) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.at_limit_until = now + wait;
+        }
     }
 
     /// Records the load that an endpoint reported.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,10 +24,10 @@
 use super::attempt::Call;
 use super::attempt::NotRunCause;
 use super::attempt::PlacementGuard;
+use super::choice;
+use super::choice::ResumeTarget;
 use super::context::Cx;
 use super::context::Gateway;
-use super::dispatch;
-use super::dispatch::ResumeTarget;
 use super::event_stream::Splitter;
 use super::lines;
 use super::origins;
@@ -326,7 +326,7 @@
                 failed_endpoint,
                 gone: &gone,
             };
-            let placement = dispatch::place_resume(&self.cx, &self.call, &target)?;
+            let placement = choice::place_resume(&self.cx, &self.call, &target).await?;
             let after = self.last_event.or(self.call.meta.resume_after);
             let result = attempt::send(&self.cx, &self.call, &placement, after, self.call.deadline);
             let disconnected = async {
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -280,6 +280,33 @@
         self.home_among(key, |_, _| true) == Home::Own
     }
 
+    /// Returns the home of a key among the responsive hosts of a data centre
+    /// or, if there are none, among all responsive hosts.
+    pub fn home_near(&self, key: u64, data_centre: &str, now: Moment) -> Home {
+        let is_usable =
+            |host: &HostId, state: &HostState| *host == self.own || state.is_responsive(now);
+        let is_near = |host: &HostId, state: &HostState| {
+            state.entry.data_centre.as_str() == data_centre && is_usable(host, state)
+        };
+        let mut hosts = self.hosts.iter();
+        match hosts.any(|(host, state)| is_near(host, state)) {
+            true => self.home_among(key, is_near),
+            false => self.home_among(key, is_usable),
+        }
+    }
+
+    /// Returns the part of the listed hosts that respond, this one included; 1
+    /// if none is listed. What the hosts share divides by it while they are
+    /// cut off from each other: each side counts its own.
+    pub fn responsive_share(&self) -> f64 {
+        let responds = |(host, state): &(&HostId, &HostState)| {
+            **host == self.own || state.unresponsive_since.is_none()
+        };
+        let responsive = self.hosts.iter().filter(responds).count();
+        let count = |n: usize| f64::from(u32::try_from(n.max(1)).unwrap_or(u32::MAX));
+        count(responsive) / count(self.hosts.len())
+    }
+
     fn home_among(&self, key: u64, is_usable: impl Fn(&HostId, &HostState) -> bool) -> Home {
         let usable = self
             .hosts
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -47,6 +47,7 @@
 use super::isolation;
 use super::isolation::IsolatedGrants;
 use super::isolation::SpentPrograms;
+use super::limit_draws;
 use super::metrics::GatewayMetrics;
 use super::origins;
 use super::origins::Origins;
@@ -160,7 +161,9 @@
         ServerControl::default(),
         ReadyHandler(Arc::clone(&cx)),
     ));
-    let module = Arc::new(exchange::rpc_module(&cx));
+    let mut module = exchange::rpc_module(&cx);
+    limit_draws::register(&mut module).expect("method names are distinct");
+    let module = Arc::new(module);
     spawner.detach(server::serve(
         peers,
         spawner.clone(),
@@ -236,6 +239,7 @@
         answer_memory: BodyMemory::new(body_bytes),
         isolated: IsolatedGrants::default(),
         spent: SpentPrograms::default(),
+        limit_buckets: Mutex::default(),
         origins: Origins::default(),
         scout_reports: ScoutReports::default(),
         remote_contact: RemoteContact::default(),
--- a/src/protection/announced_limit.rs
+++ b/src/protection/announced_limit.rs
@@ -32,6 +32,12 @@
 }
 
 impl AnnouncedLimit {
+    /// The state before an endpoint's first answer.
+    pub const NONE: Self = Self {
+        per_s: None,
+        answered_at: None,
+    };
+
     /// Records what the endpoint answered at `at`, unless a later answer is
     /// known. Returns the change, if there is any.
     pub fn record(&mut self, notice: LimitNotice, at: Moment) -> Option<LimitChange> {
@@ -56,4 +62,10 @@
     pub const fn per_s(&self) -> Option<f64> {
         self.per_s
     }
+
+    /// When the endpoint last answered, with a limit or without; `None` before
+    /// its first answer.
+    pub const fn answered_at(&self) -> Option<Moment> {
+        self.answered_at
+    }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -41,6 +41,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the moment `span` earlier, but not before the clock's origin.
+    pub const fn minus(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span))
+    }
+
     /// Time until a later moment; zero if that moment is earlier.
     pub fn until(self, later: Self) -> Duration {
         later.0.saturating_sub(self.0)
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -129,6 +129,24 @@
     assert!(!free.arrivals().is_empty());
 }
 
+// Guards against calls that are refused beside a free endpoint, since the
+// limits of many others are asked first.
+#[test]
+fn a_free_endpoint_is_found_beyond_many_at_their_limits() {
+    let fleet = Fleet::new();
+    let scarce = Behaviour {
+        limit: Some("0.1"),
+        ..Behaviour::SOUND
+    };
+    for n in 0..8 {
+        fleet.endpoint(&format!("limited{n}"), "plain", scarce);
+    }
+    fleet.endpoint("free", "plain", Behaviour::SOUND);
+    let gateways = gateways::<2>(&fleet);
+    let seen = press(&fleet, &gateways, "/safe/", run_for(NOTICE * 2));
+    assert!(seen.iter().all(|seen| seen.status == StatusCode::OK));
+}
+
 // Guards against requests that wait for, or flood, endpoints that are all at
 // their limits.
 #[test]
