--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -287,3 +287,37 @@
     press(&fleet, &gateways, "/safe/", run_for(WINDOW));
     assert_within(&endpoint, 6.0, start);
 }
+
+// Guards against hosts that know of a limit only once an endpoint has answered
+// them, and send all that comes until then.
+#[test]
+fn a_host_that_starts_keeps_a_limit_before_its_first_answer() {
+    const CALLS: usize = 100;
+    let fleet = Fleet::new();
+    let slow = Behaviour {
+        pause: Duration::from_millis(800),
+        limit: Some("2"),
+        ..Behaviour::SOUND
+    };
+    let limited = fleet.endpoint("e1", "plain", slow);
+    let free = Behaviour {
+        limit: None,
+        ..slow
+    };
+    fleet.endpoint("e2", "plain", free);
+    let gateways = gateways::<2>(&fleet);
+    press(&fleet, &gateways, "/safe/", run_for(NOTICE));
+    let started = fleet.gateway("g2");
+    std::thread::sleep(NOTICE + NOTICE / 2);
+    let start = Instant::now();
+    std::thread::scope(|scope| {
+        for call in 0..CALLS {
+            let (fleet, started) = (&fleet, &started);
+            scope.spawn(move || {
+                let id = format!("n{call}");
+                fleet.call(started, "/safe/", &[("request-id", &id)])
+            });
+        }
+    });
+    assert_within(&limited, 2.0, start);
+}
