Tell other hosts of the limits that endpoints announce

Exchanges between hosts carry the newest limits now, at most 128 of the last 10 s.

Before: 50 of 100 calls of a host that starts reached an endpoint that takes 2 a second, where 17 are allowed.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -40,6 +40,7 @@
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::process::events::EventLog;
+use crate::protection::announced_limit::SharedLimit;
 use crate::protection::limit_bucket::LimitBuckets;
 use crate::units::Moment;
 
@@ -52,6 +53,12 @@
     pub text: Arc<str>,
 }
 
+/// Age above which a limit that an endpoint has announced is not told to other
+/// hosts.
+const MAX_TOLD_AGE: Duration = Duration::from_secs(10);
+/// Maximum number of limits in one message to another host.
+const MAX_TOLD_LIMITS: usize = 128;
+
 /// Endpoint pools by service, each with its own lock.
 #[derive(Debug, Default)]
 pub struct Pools(RwLock<HashMap<Arc<str>, Arc<Mutex<Pool>>>>);
@@ -63,6 +70,28 @@
         self.0.read().get(service).cloned()
     }
 
+    /// Returns the limits to tell other hosts, the latest first.
+    pub fn limits(&self, now: Moment) -> Vec<SharedLimit> {
+        let pools = self.0.read();
+        let pools = pools.values();
+        let mut limits: Vec<_> = pools
+            .flat_map(|pool| pool.lock().limits(MAX_TOLD_AGE, now))
+            .collect();
+        limits.sort_unstable_by_key(|limit| limit.age_ms);
+        limits.truncate(MAX_TOLD_LIMITS);
+        limits
+    }
+
+    /// Records the limits that another host tells and returns those that this
+    /// host did not know.
+    pub fn learn_limits<'a>(&self, told: &'a [SharedLimit], now: Moment) -> Vec<&'a SharedLimit> {
+        let is_new = |limit: &&SharedLimit| {
+            let pool = self.get(&limit.service);
+            pool.is_some_and(|pool| pool.lock().learn_limit(limit, now))
+        };
+        told.iter().filter(is_new).collect()
+    }
+
     /// Updates all pools with the listed endpoints.
     pub fn replace(&self, endpoints: &[Arc<Endpoint>]) {
         let now = Moment::now();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -43,6 +43,7 @@
 use crate::connection::platform::Platform;
 use crate::ids::HostId;
 use crate::ids::Version;
+use crate::protection::announced_limit::SharedLimit;
 use crate::units::Moment;
 
 /// Exchanges versions and newer state between two hosts.
@@ -95,6 +96,9 @@
     pub is_current: bool,
     /// Hashes of programs whose budget it recently found spent.
     pub spent: Vec<u64>,
+    /// Limits that endpoints have recently announced.
+    #[serde(default)]
+    pub limits: Vec<SharedLimit>,
 }
 
 /// Reply to an exchange: the state that is newer at the replying host.
@@ -119,6 +123,15 @@
     why: &'a str,
 }
 
+#[derive(Serialize)]
+struct ToldLimitLine<'a> {
+    endpoint: &'a str,
+    service: &'a str,
+    per_s: f64,
+    age_ms: u64,
+    from: &'a str,
+}
+
 /// Creates the module of methods that other hosts call.
 ///
 /// # Panics
@@ -188,6 +201,24 @@
         fetches_configuration: true,
         is_current: cx.store_contact.is_up() && cx.is_scout(),
         spent: cx.spent.recent(Moment::now()),
+        limits: cx.pools.limits(Moment::now()),
+    }
+}
+
+/// Records what any message of another host tells beside versions.
+fn learn<P: Platform>(cx: &Gateway<P>, remote: &HostVersions) {
+    let now = Moment::now();
+    cx.spent.merge(&remote.spent, now);
+    for limit in cx.pools.learn_limits(&remote.limits, now) {
+        cx.metrics.limit_changes.inc();
+        let line = ToldLimitLine {
+            endpoint: &limit.endpoint,
+            service: &limit.service,
+            per_s: limit.per_s,
+            age_ms: limit.age_ms,
+            from: remote.host.as_str(),
+        };
+        cx.log.request("endpoint-limit-told", &line);
     }
 }
 
@@ -197,7 +228,7 @@
     if let Some(caller) = caller {
         transfers::learn(cx, remote.configuration, caller);
     }
-    cx.spent.merge(&remote.spent, Moment::now());
+    learn(cx, remote);
     let own = host_versions(cx);
     let in_force = cx.in_force.load();
     let is_newer = in_force.table.version > remote.configuration;
@@ -368,7 +399,7 @@
     } else {
         cx.scout_reports.record_failure(from);
     }
-    cx.spent.merge(&reply.known.spent, Moment::now());
+    learn(cx, &reply.known);
     if let Some(text) = &reply.configuration {
         // An invalid one is logged there.
         let _is_valid = updates::apply_configuration(cx, text, reply.known.host.as_str());
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -18,6 +18,7 @@
 use crate::protection::announced_limit::AnnouncedLimit;
 use crate::protection::announced_limit::LimitChange;
 use crate::protection::announced_limit::LimitNotice;
+use crate::protection::announced_limit::SharedLimit;
 use crate::protection::limit_bucket::KnownLimit;
 use crate::units::Moment;
 
@@ -481,6 +482,38 @@
         Some((change, std::mem::take(&mut member.placed)))
     }
 
+    /// Returns the limits that endpoints have confirmed within `max_age`.
+    pub fn limits(&self, max_age: Duration, now: Moment) -> Vec<SharedLimit> {
+        let shared = self.members.values().filter_map(|member| {
+            let limit = member.known_limit()?;
+            let age = now.since(limit.answered_at);
+            let endpoint = &member.endpoint;
+            (age < max_age).then(|| SharedLimit {
+                service: Arc::clone(&endpoint.service),
+                endpoint: endpoint.id.clone(),
+                started_ms: endpoint.started_ms,
+                per_s: limit.per_s,
+                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        shared.collect()
+    }
+
+    /// Records a limit that another host tells, unless this host knows a later
+    /// answer of the endpoint. Returns whether the limit is another than before.
+    pub fn learn_limit(&mut self, told: &SharedLimit, now: Moment) -> bool {
+        let Some(member) = self.members.get_mut(&told.endpoint) else {
+            return false;
+        };
+        let is_rate = told.per_s.is_finite() && told.per_s >= 0.0;
+        if !is_rate || member.endpoint.started_ms != told.started_ms {
+            return false;
+        }
+        let answered_at = now.minus(Duration::from_millis(told.age_ms));
+        let notice = LimitNotice::PerSecond(told.per_s);
+        member.limit.record(notice, answered_at).is_some()
+    }
+
     /// Whether an endpoint is listed, even if it is draining.
     pub fn contains(&self, id: &str) -> bool {
         self.members.contains_key(id)
--- a/src/protection/announced_limit.rs
+++ b/src/protection/announced_limit.rs
@@ -1,5 +1,10 @@
 //! Request rates that endpoints in need announce in their answers.
 
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::units::Moment;
 
 /// What one answer of an endpoint says about its limit.
@@ -23,6 +28,21 @@
     pub per_s: Option<f64>,
 }
 
+/// A limit as one host tells another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SharedLimit {
+    /// Name of the endpoint's service.
+    pub service: Arc<str>,
+    /// Id of the endpoint.
+    pub endpoint: Box<str>,
+    /// Its start time in Unix milliseconds; 0 if unknown.
+    pub started_ms: u64,
+    /// Requests a second that it takes from all hosts together.
+    pub per_s: f64,
+    /// Time in milliseconds since it last said so to the sender.
+    pub age_ms: u64,
+}
+
 /// The newest known limit of one process of an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnnouncedLimit {
