Log what identifies a request over its caller's attempts

The id of a request is new with each attempt of its caller, so the logs could not show that the same request comes again at other hosts, nor whether an engine had made events of it before it broke the stream off. A hash of path, caller and body and the count of the engine's events join the lines of attempts that may have run and of broken streams. No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -30,6 +30,8 @@
 use crate::platform::endpoints;
 use crate::platform::endpoints::Verdict;
 use crate::protection::announced_limit::LimitNotice;
+use crate::protection::fingerprint::Fingerprint;
+use crate::protection::fingerprint::RequestIdentity;
 use crate::units::Moment;
 
 #[derive(Serialize)]
@@ -94,6 +96,20 @@
     pub is_first_turn: bool,
 }
 
+impl Call {
+    /// Returns the hash that the call shares with its caller's other attempts.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let customer = self.customer.as_ref();
+        Fingerprint::of(&RequestIdentity {
+            method: self.method.as_str(),
+            host: &self.meta.host,
+            target: &self.target,
+            customer: customer.map_or("", |customer| &customer.name),
+            body: &self.body,
+        })
+    }
+}
+
 /// Counts a request at an endpoint. Drop removes it from the count and records
 /// how it ended.
 #[derive(Debug)]
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -28,6 +28,7 @@
 use super::reservation::Reservation;
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
+use crate::protection::fingerprint::Fingerprint;
 use crate::units::Moment;
 
 /// Number of refusals by endpoints after which a call is refused.
@@ -52,6 +53,8 @@
     attempt: usize,
     outcome: &'a str,
     why: &'a str,
+    /// Hash of path, caller and body; `None` if the call did not run.
+    fingerprint: Option<Fingerprint>,
     left_ms: u128,
 }
 
@@ -237,6 +240,7 @@
         attempt: attempts.refused.len() + attempts.ran.len() + 1,
         outcome,
         why,
+        fingerprint: (outcome != "not-run").then(|| call.fingerprint()),
         left_ms: Moment::now().until(call.deadline).as_millis(),
     };
     cx.log.request("attempt-failed", &line);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -36,6 +36,7 @@
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
 use crate::platform::endpoints;
+use crate::protection::fingerprint::Fingerprint;
 use crate::units::Moment;
 
 /// Number of chunks that are queued for a slow caller.
@@ -74,6 +75,10 @@
     /// Caller's attempt that the request resumes.
     resumed_attempt: Option<&'a str>,
     events: u64,
+    /// Events that this engine made.
+    engine_events: u64,
+    /// Hash of path, caller and body, if the engine broke the stream off.
+    fingerprint: Option<Fingerprint>,
     resumes: u32,
     first_ms: Option<u128>,
     spent_ms: u128,
@@ -105,6 +110,7 @@
         splitter: Splitter::default(),
         last_event: None,
         events: 0,
+        engine_events: 0,
         resumes: 0,
         time_to_first_event: None,
     };
@@ -145,6 +151,8 @@
     splitter: Splitter,
     last_event: Option<u64>,
     events: u64,
+    /// Events of the engine that makes the stream now.
+    engine_events: u64,
     resumes: u32,
     time_to_first_event: Option<Duration>,
 }
@@ -204,6 +212,7 @@
         version: &Arc<str>,
     ) -> StreamEnd {
         let mut body = pin!(body);
+        self.engine_events = 0;
         self.splitter.clear();
         let deadline = self.call.deadline + DEADLINE_GRACE;
         loop {
@@ -301,6 +310,7 @@
             origins::report(&self.cx, &self.call, version);
         }
         self.events += 1;
+        self.engine_events += 1;
         self.time_to_first_event
             .get_or_insert_with(|| Moment::now().since(self.call.received));
         let tokens = self.tokens_per_event;
@@ -381,6 +391,8 @@
             configuration_age_ms: self.cx.configuration_age_ms(),
             resumed_attempt: self.call.meta.resumed_attempt.as_deref(),
             events: self.events,
+            engine_events: self.engine_events,
+            fingerprint: (outcome == "broken").then(|| self.call.fingerprint()),
             resumes: self.resumes,
             first_ms: self.time_to_first_event.map(|first| first.as_millis()),
             spent_ms: spent.as_millis(),
--- /dev/null
+++ b/src/protection/fingerprint.rs
@@ -0,0 +1,48 @@
+//! Identity of a request over the attempts of its caller, at all hosts.
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// What makes two attempts the same request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestIdentity<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Host that the caller named.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Customer that the caller belongs to; empty if the call needs no key.
+    pub customer: &'a str,
+    /// Complete body.
+    pub body: &'a [u8],
+}
+
+/// Hash of a request, equal on all hosts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the hash of a request.
+    pub fn of(request: &RequestIdentity<'_>) -> Self {
+        let mut hasher = Sha256::new();
+        let names = [
+            request.method,
+            request.host,
+            request.target,
+            request.customer,
+        ];
+        for name in names {
+            // The length separates a field from the next.
+            hasher.update(name.len().to_be_bytes());
+            hasher.update(name);
+        }
+        hasher.update(request.body);
+        let digest = hasher.finalize();
+        let first = digest[..8].try_into().expect("a digest has 32 bytes");
+        Self(u64::from_be_bytes(first))
+    }
+}
--- a/src/protection/mod.rs
+++ b/src/protection/mod.rs
@@ -1,4 +1,5 @@
 //! Decisions that protect endpoints, without I/O or clocks.
 
 pub mod announced_limit;
+pub mod fingerprint;
 pub mod limit_bucket;
