--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use chicoryarch_net::Body;
 use chicoryarch_net::Spawner;
 use chicoryarch_net::body::BodySender;
 use chicoryarch_net::server::Handler;
+use futures_lite::future;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -34,6 +37,13 @@
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Requests a second that an endpoint in need takes from all callers together.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Text in a request's body that ends the endpoint once it begins to run it.
+pub const DEADLY: &str = "deadly";
+/// Time from the start of a deadly request to the end of the endpoint.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// Time after which connections break when the endpoint has ended; its listener
+/// is closed by then.
+const BREAK_DELAY: Duration = Duration::from_millis(10);
 /// Maximum body size of a request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -108,6 +118,7 @@
     arrivals: Vec<Instant>,
     answers: u64,
     sent_events: u64,
+    has_crashed: bool,
 }
 
 /// A running endpoint; clones refer to the same server.
@@ -136,12 +147,22 @@
             arrivals: Vec::new(),
             answers: 0,
             sent_events: 0,
+            has_crashed: false,
         }));
+        let (crash_tx, crash_rx) = async_channel::bounded(1);
         let api = Api {
             state: Arc::clone(&state),
             spawner: spawner.clone(),
+            crash_tx,
+            crash_rx: crash_rx.clone(),
         };
         let server = RunningServer::start(spawner, address, api).await?;
+        let listener = server.clone();
+        spawner.detach(async move {
+            // The channel carries no items; `recv` returns when it is closed.
+            let _closed = crash_rx.recv().await;
+            listener.stop();
+        });
         Ok(Self { server, state })
     }
 
@@ -155,6 +176,11 @@
         self.server.stop();
     }
 
+    /// Whether a request has ended the endpoint.
+    pub fn has_crashed(&self) -> bool {
+        self.state.lock().has_crashed
+    }
+
     /// Replaces the behaviour, including the remaining fault counts.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.state.lock().behaviour = behaviour;
@@ -185,6 +211,9 @@
 struct Api {
     state: Arc<Mutex<State>>,
     spawner: Spawner,
+    /// Closed when the endpoint ends.
+    crash_tx: Sender<()>,
+    crash_rx: Receiver<()>,
 }
 
 /// Outcome of a request.
@@ -201,9 +230,21 @@
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
         let (head, body) = req.into_parts();
         // Endpoints read the whole request before they answer.
-        let _received = Body::collect(body, MAX_BODY_BYTES).await;
+        let received = Body::collect(body, MAX_BODY_BYTES).await;
         let (outcome, behaviour) = self.decide_outcome(&head.headers);
-        let mut response = self.answer(&head.headers, outcome, behaviour).await;
+        let is_run = !matches!(outcome, Outcome::WrongInstance | Outcome::Refused);
+        let deadly = received.is_ok_and(|body| {
+            let mut windows = body.windows(DEADLY.len());
+            windows.any(|text| text == DEADLY.as_bytes())
+        });
+        if is_run && deadly {
+            Timer::after(CRASH_DELAY).await;
+            self.state.lock().has_crashed = true;
+            self.crash_tx.close();
+            return self.crashed().await;
+        }
+        let answer = self.answer(&head.headers, outcome, behaviour);
+        let mut response = future::or(self.crashed(), answer).await;
         if behaviour.is_leaving {
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert(SERVER_LEAVING, value);
@@ -217,6 +258,13 @@
 }
 
 impl Api {
+    /// Waits until the endpoint has ended and breaks the connection.
+    async fn crashed(&self) -> Response<Body> {
+        let _closed = self.crash_rx.recv().await;
+        Timer::after(BREAK_DELAY).await;
+        broken_response("the endpoint has crashed").await
+    }
+
     async fn answer(
         &self,
         headers: &HeaderMap,
@@ -232,16 +280,7 @@
                 response.headers_mut().insert(NOT_EXECUTED, value);
                 response
             }
-            Outcome::Lost => {
-                let (tx, body) = Body::channel(1);
-                tx.fail("answer dropped by the lost_answers fault").await;
-                let mut response = Response::new(body);
-                // A body that fails before its first byte closes the connection.
-                response
-                    .headers_mut()
-                    .insert(header::CONTENT_LENGTH, HeaderValue::from_static("5"));
-                response
-            }
+            Outcome::Lost => broken_response("answer dropped by the lost_answers fault").await,
             Outcome::Answered { .. } | Outcome::Broken if behaviour.events > 0 => {
                 let (tx, body) = Body::channel(4);
                 let after = header_text(headers, &LAST_EVENT_ID).and_then(|t| t.parse().ok());
@@ -322,6 +361,10 @@
 ) {
     for id in after + 1..=behaviour.events {
         Timer::after(behaviour.pause).await;
+        if state.lock().has_crashed {
+            tx.fail("the endpoint has crashed").await;
+            return;
+        }
         if is_broken && id == after + 2 {
             let half = format!("id: {id}\nda");
             // The caller may have disconnected.
@@ -352,6 +395,18 @@
     response
 }
 
+/// Returns a response that closes its connection before its first byte.
+async fn broken_response(why: &'static str) -> Response<Body> {
+    let (tx, body) = Body::channel(1);
+    tx.fail(why).await;
+    let mut response = Response::new(body);
+    let length = HeaderValue::from_static("5");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length);
+    response
+}
+
 fn empty_response(code: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = code;
--- /dev/null
+++ b/tests/gateway_processes/crashes.rs
@@ -0,0 +1,172 @@
+//! Requests that end the endpoints that begin to run them.
+//!
+//! Such a request comes again under new ids, at any host. Each host alone sees
+//! few of the endpoints that end, so each test counts them all.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::EndpointStandin;
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::endpoint::DEADLY;
+use http::StatusCode;
+
+use super::fleet::Answer;
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+
+/// Endpoints that a request may end, and after which it is not sent any more.
+const MAX_CRASHES: usize = 3;
+const ENDPOINTS: usize = 8;
+/// Time within which hosts tell each other.
+const EXCHANGE: Duration = Duration::from_millis(1500);
+const BODY: &str = DEADLY;
+
+fn endpoints(fleet: &Fleet, service: &str, behaviour: Behaviour) -> Vec<EndpointStandin> {
+    let ids = (0..ENDPOINTS).map(|n| format!("e{n}"));
+    ids.map(|id| fleet.endpoint(&id, service, behaviour))
+        .collect()
+}
+
+fn crashes(endpoints: &[EndpointStandin]) -> usize {
+    endpoints.iter().filter(|e| e.has_crashed()).count()
+}
+
+fn send(fleet: &Fleet, gateway: &Gateway, path: &str, id: &str, body: &str) -> Answer {
+    fleet.call_with_body(gateway, path, &[("request-id", id)], body)
+}
+
+/// Starts gateways and waits until they know each other.
+fn gateways<const N: usize>(fleet: &Fleet) -> [Gateway; N] {
+    let gateways: [Gateway; N] = std::array::from_fn(|n| fleet.gateway(&format!("g{n}")));
+    std::thread::sleep(EXCHANGE);
+    gateways
+}
+
+/// Sends the deadly request again and again to the gateways in turn.
+fn send_deadly(fleet: &Fleet, gateways: &[Gateway], path: &str, times: usize) -> Vec<Answer> {
+    let sent = (0..times).map(|n| {
+        let gateway = &gateways[n % gateways.len()];
+        send(fleet, gateway, path, &format!("deadly{n}"), BODY)
+    });
+    sent.collect()
+}
+
+fn assert_barred(answers: &[Answer]) {
+    let last = answers.last().expect("answers");
+    assert_eq!(last.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(last.headers.contains_key("retry-after"));
+}
+
+// Guards against a call that ends one endpoint after another, since each retry
+// and each host begins anew.
+#[test]
+fn a_deadly_call_ends_few_endpoints_at_all_hosts() {
+    let fleet = Fleet::new();
+    let endpoints = endpoints(&fleet, "plain", Behaviour::SOUND);
+    let gateways = gateways::<3>(&fleet);
+    let answers = send_deadly(&fleet, &gateways, "/safe/", 12);
+    assert!(crashes(&endpoints) <= MAX_CRASHES);
+    assert_barred(&answers);
+    let other = send(&fleet, &gateways[0], "/safe/", "other", "sound");
+    assert_eq!(other.status, StatusCode::OK);
+}
+
+// Guards against a call that may run once and whose caller is told that it has
+// not run although it ended its endpoint.
+#[test]
+fn what_ended_an_endpoint_is_not_said_to_have_not_run() {
+    let fleet = Fleet::new();
+    let endpoints = endpoints(&fleet, "plain", Behaviour::SOUND);
+    let gateways = gateways::<2>(&fleet);
+    let answers = send_deadly(&fleet, &gateways, "/once/", 8);
+    assert_eq!(crashes(&endpoints), MAX_CRASHES);
+    let unknown = answers.iter().take_while(|answer| answer.status == 502);
+    assert_eq!(unknown.count(), MAX_CRASHES);
+    assert_barred(&answers);
+}
+
+// Guards against a stream that is resumed at engine after engine.
+#[test]
+fn a_deadly_stream_ends_few_engines() {
+    let fleet = Fleet::new();
+    let engine = Behaviour {
+        events: 4,
+        ..Behaviour::SOUND
+    };
+    let engines = endpoints(&fleet, "engine", engine);
+    let gateways = gateways::<3>(&fleet);
+    let answers = send_deadly(&fleet, &gateways, "/turns/", 12);
+    assert!(crashes(&engines) <= MAX_CRASHES);
+    assert_barred(&answers);
+}
+
+// Guards against knowledge that ends with the host that gained it.
+#[test]
+fn a_deadly_call_stays_barred_after_its_hosts_are_killed() {
+    let fleet = Fleet::new();
+    let endpoints = endpoints(&fleet, "plain", Behaviour::SOUND);
+    let [mut first, mut second, third] = gateways::<3>(&fleet);
+    send_deadly(&fleet, std::slice::from_ref(&first), "/safe/", 4);
+    std::thread::sleep(EXCHANGE);
+    first.kill();
+    second.kill();
+    let started = fleet.gateway("g3");
+    std::thread::sleep(EXCHANGE);
+    for gateway in [&third, &started] {
+        let answer = send(&fleet, gateway, "/safe/", "again", BODY);
+        assert_barred(&[answer]);
+    }
+    assert!(crashes(&endpoints) <= MAX_CRASHES);
+}
+
+// Guards against blaming calls that run beside a deadly one.
+#[test]
+fn calls_beside_a_deadly_one_are_served_and_stay_welcome() {
+    let fleet = Fleet::new();
+    let slow = Behaviour {
+        pause: Duration::from_millis(300),
+        ..Behaviour::SOUND
+    };
+    let endpoints = endpoints(&fleet, "plain", slow);
+    let gateways = gateways::<2>(&fleet);
+    std::thread::scope(|scope| {
+        let (fleet, gateways) = (&fleet, &gateways);
+        let beside: Vec<_> = (0..24)
+            .map(|n| {
+                let body = format!("sound {n}");
+                let call = move || send(fleet, &gateways[n % 2], "/safe/", &body, &body).status;
+                scope.spawn(call)
+            })
+            .collect();
+        send_deadly(fleet, gateways, "/safe/", 6);
+        let served = beside
+            .into_iter()
+            .map(|call| call.join().expect("a status"));
+        let served = served.filter(|status| *status == StatusCode::OK).count();
+        // Each call has two attempts, and three endpoints end.
+        assert!(served >= 20, "{served} of 24");
+    });
+    assert!(crashes(&endpoints) <= MAX_CRASHES);
+    std::thread::sleep(EXCHANGE);
+    for n in 0..24 {
+        let body = format!("sound {n}");
+        let again = send(&fleet, &gateways[n % 2], "/safe/", &format!("{n}"), &body);
+        assert_eq!(again.status, StatusCode::OK);
+    }
+}
+
+// Guards against blaming a call for endpoints that lose answers and live on.
+#[test]
+fn lost_answers_of_a_living_endpoint_bar_nothing() {
+    let fleet = Fleet::new();
+    let lossy = Behaviour {
+        lost_answers: 4,
+        ..Behaviour::SOUND
+    };
+    endpoints(&fleet, "plain", lossy);
+    let gateways = gateways::<2>(&fleet);
+    for n in 0..12 {
+        let answer = send(&fleet, &gateways[n % 2], "/once/", &format!("{n}"), "sound");
+        assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -269,6 +269,17 @@
 
     /// Sends a request and reads its answer.
     pub(crate) fn call(&self, to: &Gateway, path: &str, headers: &[(&str, &str)]) -> Answer {
+        self.call_with_body(to, path, headers, "body")
+    }
+
+    /// Sends a request with a body and reads its answer.
+    pub(crate) fn call_with_body(
+        &self,
+        to: &Gateway,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
         let mut req = Request::post(path)
             .header("host", "h")
             .header("deadline-ms", "5000")
@@ -276,7 +287,9 @@
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
-        let req = req.body(Body::from("body")).expect("a valid request");
+        let req = req
+            .body(Body::from_bytes(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("a valid request");
         let sent = self
             .client
             .send_fresh(to.addresses.callers, req, HANG_GUARD);
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod calls;
 mod configuration;
+mod crashes;
 mod endless_answers;
 mod fake_host;
 mod fleet;
