--- /dev/null
+++ b/tests/protection/main.rs
@@ -0,0 +1,3 @@
+//! Decisions that protect endpoints, in virtual time.
+
+mod limits;
