Bar requests that crash the endpoints that run them, at all hosts

A host sent what an engine had crashed on to the next one at once and forgot it with the answer; each attempt of the caller began anew at any host (hypothesis 1).

Hosts now tell each other which processes ended under which requests. Three bar a request, two requests of a family with two each bar the family, and an answer clears both. Suspects go to one engine that all hosts choose alike. What was sent is answered 502; what is barred has not been sent and is refused with the time until it is forgotten.

Ruled out: load on engines that return (hypothesis 3) - with the requests barred no engine ends any more while the load is the same.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -99,14 +99,24 @@
 impl Call {
     /// Returns the hash that the call shares with its caller's other attempts.
     pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&self.identity())
+    }
+
+    /// Returns the hash that it shares with calls of the customer to the path
+    /// whose bodies begin alike.
+    pub fn family(&self) -> Fingerprint {
+        Fingerprint::of_family(&self.identity())
+    }
+
+    fn identity(&self) -> RequestIdentity<'_> {
         let customer = self.customer.as_ref();
-        Fingerprint::of(&RequestIdentity {
+        RequestIdentity {
             method: self.method.as_str(),
             host: &self.meta.host,
             target: &self.target,
             customer: customer.map_or("", |customer| &customer.name),
             body: &self.body,
-        })
+        }
     }
 }
 
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,10 +9,12 @@
 use super::attempt::Call;
 use super::attempt::PlacementGuard;
 use super::context::Gateway;
+use super::crashes;
 use super::limit_draws;
 use super::placing::Criteria;
 use crate::connection::platform::Platform;
 use crate::protection::limit_bucket::Draw;
+use crate::protection::suspects::Standing;
 use crate::units::Moment;
 
 /// Number of endpoints whose limits are asked for room before only endpoints
@@ -136,6 +138,10 @@
         received: call.received,
         is_isolated: cx.is_isolated(),
         skips_limited: false,
+        suspect: match crashes::standing(cx, call) {
+            Standing::Clear => None,
+            Standing::Suspect | Standing::Barred { .. } => Some(call.family()),
+        },
     };
     let local = cx.cfg.place.data_centre.as_str();
     for draws in 0..=MAX_DRAWS {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -42,6 +42,7 @@
 use crate::process::events::EventLog;
 use crate::protection::announced_limit::SharedLimit;
 use crate::protection::limit_bucket::LimitBuckets;
+use crate::protection::suspects::Suspects;
 use crate::units::Moment;
 
 /// The configuration in force, decoded and as text.
@@ -187,6 +188,8 @@
     pub spent: SpentPrograms,
     /// Tokens for endpoints with limits that this host is the home of.
     pub limit_buckets: Mutex<LimitBuckets>,
+    /// Requests under which endpoints have ended.
+    pub suspects: Mutex<Suspects>,
     /// Versions that began streams.
     pub origins: Origins,
     /// Memory of request bodies, from their reception until the call ends.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -18,6 +18,7 @@
 use super::choice::NoChoice;
 use super::context::Cx;
 use super::context::Gateway;
+use super::crashes;
 use super::directory::Endpoint;
 use super::lines;
 use super::placing::AttemptEnd;
@@ -99,6 +100,7 @@
                         return Ok(relay::start(cx, call, open, reservation));
                     }
                     ReceivedAnswer::Broken { why, endpoint } => {
+                        crashes::record_lost(cx, &call, &endpoint).await;
                         attempts.ran.push(endpoint);
                         why
                     }
@@ -124,12 +126,14 @@
             }
             AttemptResult::Unknown { why } => {
                 log_attempt(cx, &call, &placement, &attempts, "unknown", &why);
-                attempts.ran.push(Arc::clone(placement.endpoint()));
+                let endpoint = Arc::clone(placement.endpoint());
                 placement.end(AttemptEnd::Failed);
+                crashes::record_lost(cx, &call, &endpoint).await;
+                attempts.ran.push(endpoint);
                 why
             }
         };
-        if !may_repeat(&call, &attempts) {
+        if !may_repeat(&call, &attempts) || crashes::is_barred(cx, &call) {
             return Err(Refusal::new(Outcome::UnknownResult, why));
         }
         cx.metrics.retries.inc();
@@ -283,6 +287,7 @@
                 false => AttemptEnd::Answered,
             };
             answer::log_answered(cx, call, &placement, head.status);
+            crashes::record_answer(cx, call);
             placement.end(ended);
             ReceivedAnswer::Complete(answer::build_response(&head, body))
         }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -24,6 +24,7 @@
 use super::call::Urgency;
 use super::context::Cx;
 use super::context::Gateway;
+use super::crashes;
 use super::dispatch;
 use super::lines;
 use super::origins;
@@ -169,6 +170,7 @@
 }
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
+    crashes::refuse_barred(cx, &call)?;
     let call = match origins::required_origin(cx, &call).await? {
         Some(origin) => Call {
             service: origin.service,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -44,6 +44,7 @@
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::protection::announced_limit::SharedLimit;
+use crate::protection::suspects::Crash;
 use crate::units::Moment;
 
 /// Exchanges versions and newer state between two hosts.
@@ -99,6 +100,9 @@
     /// Limits that endpoints have recently announced.
     #[serde(default)]
     pub limits: Vec<SharedLimit>,
+    /// Endpoints that have ended under requests.
+    #[serde(default)]
+    pub crashes: Vec<Crash>,
 }
 
 /// Reply to an exchange: the state that is newer at the replying host.
@@ -202,6 +206,7 @@
         is_current: cx.store_contact.is_up() && cx.is_scout(),
         spent: cx.spent.recent(Moment::now()),
         limits: cx.pools.limits(Moment::now()),
+        crashes: cx.suspects.lock().to_tell(Moment::now()),
     }
 }
 
@@ -209,6 +214,9 @@
 fn learn<P: Platform>(cx: &Gateway<P>, remote: &HostVersions) {
     let now = Moment::now();
     cx.spent.merge(&remote.spent, now);
+    for crash in &remote.crashes {
+        cx.suspects.lock().record(crash, now);
+    }
     for limit in cx.pools.learn_limits(&remote.limits, now) {
         cx.metrics.limit_changes.inc();
         let line = ToldLimitLine {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -74,6 +74,10 @@
     pub limit_changes: Counter,
     /// Calls that were denied a token of an endpoint's limit.
     pub limit_denials: Counter,
+    /// Connections lost to endpoints that had ended.
+    pub crashes: Counter,
+    /// Requests refused since endpoints have ended under them.
+    pub barred: Counter,
     /// Exchanges of state with another host that failed.
     pub failed_exchanges: Counter,
     configuration_version: Gauge<f64, AtomicU64>,
@@ -96,6 +100,8 @@
             departures: Counter::default(),
             limit_changes: Counter::default(),
             limit_denials: Counter::default(),
+            crashes: Counter::default(),
+            barred: Counter::default(),
             failed_exchanges: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -144,6 +150,16 @@
             "Calls that passed over an endpoint that was at its limit",
             self.limit_denials.clone(),
         );
+        r.register(
+            "crashes",
+            "Calls under which an endpoint ended before it made any of the answer",
+            self.crashes.clone(),
+        );
+        r.register(
+            "barred",
+            "Calls refused since several endpoints have ended under the request",
+            self.barred.clone(),
+        );
         r.register(
             "failed_exchanges",
             "Exchanges of state with another host that failed",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod choice;
 pub mod contact;
 pub mod context;
+pub mod crashes;
 pub mod departures;
 pub mod directory;
 pub mod dispatch;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -19,6 +19,7 @@
 use crate::protection::announced_limit::LimitChange;
 use crate::protection::announced_limit::LimitNotice;
 use crate::protection::announced_limit::SharedLimit;
+use crate::protection::fingerprint::Fingerprint;
 use crate::protection::limit_bucket::KnownLimit;
 use crate::units::Moment;
 
@@ -117,6 +118,9 @@
     pub is_isolated: bool,
     /// Whether endpoints that have announced a limit are passed over.
     pub skips_limited: bool,
+    /// Set for a request that may crash its endpoint. All hosts then choose the
+    /// same endpoint for it, so that it ends one at a time.
+    pub suspect: Option<Fingerprint>,
 }
 
 impl Criteria<'_> {
@@ -354,8 +358,10 @@
             criteria.allows(member, departures) && member.limit_wait(now).is_none()
         });
         // Random noise spreads calls over endpoints of equal cost.
-        let mut cost =
-            |member: &Member| model.cost(member, criteria) + rng.random_range(0.0..TIE_MS);
+        let mut cost = |member: &Member| match criteria.suspect {
+            Some(suspect) => model.rank(member, suspect, criteria),
+            None => model.cost(member, criteria) + rng.random_range(0.0..TIE_MS),
+        };
         let best = usable
             .map(|member| (cost(member), member))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -514,6 +520,13 @@
         member.limit.record(notice, answered_at).is_some()
     }
 
+    /// Whether an endpoint is shutting down, as it or the list has announced.
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let member = self.members.get(&endpoint.id);
+        let is_draining = member.is_some_and(|member| !member.is_ready());
+        is_draining || self.departures.has_left(endpoint)
+    }
+
     /// Whether an endpoint is listed, even if it is draining.
     pub fn contains(&self, id: &str) -> bool {
         self.members.contains_key(id)
@@ -572,4 +585,16 @@
         }
         cost
     }
+
+    /// Rank of an endpoint for a suspect: an order by rendezvous hash, with
+    /// endpoints that have failed last.
+    fn rank(&self, member: &Member, suspect: Fingerprint, criteria: &Criteria<'_>) -> f64 {
+        let hash = super::hash_of(&format!("{} {}", suspect.0, member.endpoint.id));
+        let is_remote = *member.endpoint.data_centre != *self.local;
+        let is_unreachable = is_remote && criteria.is_isolated;
+        let is_ejected = self.now < member.ejected_until;
+        super::fraction(hash)
+            + if is_unreachable { 2.0 } else { 0.0 }
+            + if is_ejected { 1.0 } else { 0.0 }
+    }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,6 +28,7 @@
 use super::choice::ResumeTarget;
 use super::context::Cx;
 use super::context::Gateway;
+use super::crashes;
 use super::event_stream::Splitter;
 use super::lines;
 use super::origins;
@@ -191,7 +192,12 @@
                 StreamEnd::Broken(why) => {
                     self.log(&placement, "broken", &why);
                     let failed_endpoint = placement.endpoint().id.clone();
+                    let endpoint = Arc::clone(placement.endpoint());
                     placement.end(AttemptEnd::Failed);
+                    // An engine that has made events was not ended by this run.
+                    if self.engine_events == 0 {
+                        crashes::record_lost(&self.cx, &self.call, &endpoint).await;
+                    }
                     match self.resume(&tx, &failed_endpoint).await {
                         Some(next) => (body, placement) = next,
                         None => {
@@ -310,6 +316,9 @@
             origins::report(&self.cx, &self.call, version);
         }
         self.events += 1;
+        if self.engine_events == 0 {
+            crashes::record_answer(&self.cx, &self.call);
+        }
         self.engine_events += 1;
         self.time_to_first_event
             .get_or_insert_with(|| Moment::now().since(self.call.received));
@@ -328,7 +337,8 @@
         let resumable = matches!(self.call.route.kind, RouteKind::Stream { resumable: true });
         let mut gone = Vec::new();
         for _ in 0..MAX_RESUME_ATTEMPTS {
-            if !resumable || self.resumes >= MAX_RESUMES {
+            let is_barred = crashes::is_barred(&self.cx, &self.call);
+            if !resumable || is_barred || self.resumes >= MAX_RESUMES {
                 return None;
             }
             let target = ResumeTarget {
@@ -363,7 +373,9 @@
                 AttemptResult::Unknown { why } => {
                     self.resumes += 1;
                     self.log(&placement, "not-resumed", &why);
+                    let endpoint = Arc::clone(placement.endpoint());
                     placement.end(AttemptEnd::Failed);
+                    crashes::record_lost(&self.cx, &self.call, &endpoint).await;
                 }
                 AttemptResult::Answered(response) => {
                     self.resumes += 1;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -38,6 +38,7 @@
 use super::context::Gateway;
 use super::context::InForce;
 use super::context::Pools;
+use super::crashes;
 use super::entry::CallerHandler;
 use super::exchange;
 use super::follow;
@@ -163,6 +164,7 @@
     ));
     let mut module = exchange::rpc_module(&cx);
     limit_draws::register(&mut module).expect("method names are distinct");
+    crashes::register(&mut module).expect("method names are distinct");
     let module = Arc::new(module);
     spawner.detach(server::serve(
         peers,
@@ -240,6 +242,7 @@
         isolated: IsolatedGrants::default(),
         spent: SpentPrograms::default(),
         limit_buckets: Mutex::default(),
+        suspects: Mutex::default(),
         origins: Origins::default(),
         scout_reports: ScoutReports::default(),
         remote_contact: RemoteContact::default(),
--- a/src/protection/fingerprint.rs
+++ b/src/protection/fingerprint.rs
@@ -5,6 +5,9 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+/// Number of bytes at the start of a body that a family shares.
+const FAMILY_BODY_BYTES: usize = 64;
+
 /// What makes two attempts the same request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestIdentity<'a> {
@@ -28,19 +31,35 @@
 impl Fingerprint {
     /// Returns the hash of a request.
     pub fn of(request: &RequestIdentity<'_>) -> Self {
+        Self::hash(&[
+            request.method.as_bytes(),
+            request.host.as_bytes(),
+            request.target.as_bytes(),
+            request.customer.as_bytes(),
+            request.body,
+        ])
+    }
+
+    /// Returns the hash that all requests of the customer to the path share
+    /// whose bodies begin alike.
+    pub fn of_family(request: &RequestIdentity<'_>) -> Self {
+        let path = request.target.split('?').next().unwrap_or_default();
+        Self::hash(&[
+            request.method.as_bytes(),
+            request.host.as_bytes(),
+            path.as_bytes(),
+            request.customer.as_bytes(),
+            &request.body[..request.body.len().min(FAMILY_BODY_BYTES)],
+        ])
+    }
+
+    fn hash(fields: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
-        let names = [
-            request.method,
-            request.host,
-            request.target,
-            request.customer,
-        ];
-        for name in names {
+        for field in fields {
             // The length separates a field from the next.
-            hasher.update(name.len().to_be_bytes());
-            hasher.update(name);
+            hasher.update(field.len().to_be_bytes());
+            hasher.update(field);
         }
-        hasher.update(request.body);
         let digest = hasher.finalize();
         let first = digest[..8].try_into().expect("a digest has 32 bytes");
         Self(u64::from_be_bytes(first))
--- a/src/protection/mod.rs
+++ b/src/protection/mod.rs
@@ -3,3 +3,4 @@
 pub mod announced_limit;
 pub mod fingerprint;
 pub mod limit_bucket;
+pub mod suspects;
--- a/tests/protection/main.rs
+++ b/tests/protection/main.rs
@@ -1,3 +1,4 @@
 //! Decisions that protect endpoints, in virtual time.
 
 mod limits;
+mod suspects;
--- /dev/null
+++ b/tests/protection/suspects.rs
@@ -0,0 +1,130 @@
+//! What hosts conclude from endpoints that ended under requests.
+
+use std::time::Duration;
+
+use chicoryarch::protection::fingerprint::Fingerprint;
+use chicoryarch::protection::suspects::Crash;
+use chicoryarch::protection::suspects::ProcessKey;
+use chicoryarch::protection::suspects::Standing;
+use chicoryarch::protection::suspects::Suspects;
+use chicoryarch::units::Moment;
+
+const START: Duration = Duration::from_secs(10_000);
+
+fn at(seconds: u64) -> Moment {
+    Moment::from_start(START + Duration::from_secs(seconds))
+}
+
+fn crash(family: u64, request: u64, process: u64) -> Crash {
+    Crash {
+        family: Fingerprint(family),
+        request: Fingerprint(request),
+        process: ProcessKey(process),
+        age_ms: 0,
+    }
+}
+
+fn is_barred(suspects: &Suspects, family: u64, request: u64, now: Moment) -> bool {
+    let standing = suspects.standing(Fingerprint(family), Fingerprint(request), now);
+    matches!(standing, Standing::Barred { .. })
+}
+
+/// Returns what is known after `processes` have ended under a request.
+fn after(processes: u64) -> Suspects {
+    let mut suspects = Suspects::default();
+    for process in 0..processes {
+        suspects.record(&crash(1, 10, process), at(process));
+    }
+    suspects
+}
+
+// Guards against a request that goes on to a fourth endpoint, and against one
+// that is barred for ever.
+#[test]
+fn three_ended_processes_bar_a_request_for_a_time() {
+    assert!(!is_barred(&after(2), 1, 10, at(3)));
+    let mut suspects = after(3);
+    assert!(is_barred(&suspects, 1, 10, at(3)));
+    assert!(!is_barred(&suspects, 1, 11, at(3)));
+    assert!(!is_barred(&suspects, 1, 10, at(3_600)));
+    suspects.record(&crash(2, 20, 99), at(3_600));
+    assert!(!suspects.knows(Fingerprint(1)));
+}
+
+// Guards against one crash that several hosts report counting several times.
+#[test]
+fn a_process_counts_once() {
+    let mut suspects = after(1);
+    for _ in 0..5 {
+        suspects.record(&crash(1, 10, 0), at(1));
+    }
+    assert!(!is_barred(&suspects, 1, 10, at(1)));
+}
+
+// Guards against blaming what ran beside a request that ends its endpoints.
+#[test]
+fn processes_of_a_barred_request_count_against_no_other() {
+    let mut suspects = Suspects::default();
+    for process in 0..2 {
+        suspects.record(&crash(2, 20, process), at(0));
+        suspects.record(&crash(1, 10, process), at(0));
+    }
+    suspects.record(&crash(1, 10, 2), at(1));
+    suspects.record(&crash(2, 20, 2), at(1));
+    suspects.record(&crash(2, 20, 3), at(2));
+    assert!(is_barred(&suspects, 1, 10, at(2)));
+    assert!(!is_barred(&suspects, 2, 20, at(2)));
+}
+
+// Guards against requests that differ only in their later bytes and each end
+// three endpoints, and against barring a family that is answered meanwhile.
+#[test]
+fn a_family_is_barred_unless_it_is_answered() {
+    let end_twice = |suspects: &mut Suspects, request: u64| {
+        for process in 0..2 {
+            let process = request * 100 + process;
+            suspects.record(&crash(1, request, process), at(1));
+        }
+    };
+    let mut suspects = Suspects::default();
+    end_twice(&mut suspects, 10);
+    assert!(!is_barred(&suspects, 1, 12, at(1)));
+    end_twice(&mut suspects, 11);
+    assert!(is_barred(&suspects, 1, 12, at(1)));
+    assert!(!is_barred(&suspects, 2, 12, at(1)));
+    suspects.record_answer(Fingerprint(1), Fingerprint(13), at(2));
+    assert!(!is_barred(&suspects, 1, 12, at(2)));
+}
+
+// Guards against an answered request that stays suspect.
+#[test]
+fn an_answer_clears_a_request() {
+    let mut suspects = after(2);
+    suspects.record_answer(Fingerprint(1), Fingerprint(10), at(3));
+    suspects.record(&crash(1, 10, 7), at(4));
+    assert!(!is_barred(&suspects, 1, 10, at(4)));
+}
+
+// Guards against memory and messages that grow with the number of requests.
+#[test]
+fn memory_and_messages_are_bounded() {
+    let mut suspects = after(3);
+    for request in 0..20_000 {
+        suspects.record(&crash(request, request, 1_000 + request), at(3));
+    }
+    let known = (0..20_000).filter(|family| suspects.knows(Fingerprint(*family)));
+    assert!(known.count() <= 1024);
+    assert!(suspects.to_tell(at(3)).len() <= 128);
+    assert!(is_barred(&suspects, 1, 10, at(3)));
+}
+
+// Guards against knowledge that ends with the host that gained it.
+#[test]
+fn what_is_told_bars_the_request_elsewhere() {
+    let told = after(3).to_tell(at(5));
+    let mut other = Suspects::default();
+    for crash in &told {
+        other.record(crash, at(5));
+    }
+    assert!(is_barred(&other, 1, 10, at(5)));
+}
