Do not make a family suspect for one request that was present at a crash

A request that was present at a crash and never came again kept its family suspect for a minute, and all calls of its customer to the path went to one endpoint. A family is suspect only once several processes ended under one of its requests and none of it was answered since.

Before: protection suspects::a_bystander_does_not_make_its_family_suspect failed (Suspect, not Clear).

--- a/src/protection/suspects.rs
+++ b/src/protection/suspects.rs
@@ -121,13 +121,19 @@
         records.map(Record::last).max().unwrap_or_default()
     }
 
-    fn is_barred(&self) -> bool {
+    /// Number of requests under which several processes have ended since one
+    /// of the family was answered.
+    fn counted(&self) -> usize {
         let answered_at = self.answered_at.unwrap_or_default();
         let counts = |record: &&Record| {
             let later = record.ended.values().filter(|at| **at > answered_at);
             later.count() >= CRASHES_TO_COUNT
         };
-        self.requests.values().filter(counts).count() >= REQUESTS_TO_BAR
+        self.requests.values().filter(counts).count()
+    }
+
+    fn is_barred(&self) -> bool {
+        self.counted() >= REQUESTS_TO_BAR
     }
 
     /// Whether it or one of its requests is barred.
@@ -198,20 +204,23 @@
         let Some(family) = self.families.get(&family) else {
             return Standing::Clear;
         };
-        if let Some(record) = family.requests.get(&request) {
-            let left = record.left(now);
-            if record.is_barred() && !left.is_zero() {
-                let crashes = record.ended.len();
-                return Standing::Barred { crashes, left };
-            }
+        let own = family.requests.get(&request);
+        let own = own.filter(|record| !record.left(now).is_zero());
+        if let Some(record) = own.filter(|record| record.is_barred()) {
+            return Standing::Barred {
+                crashes: record.ended.len(),
+                left: record.left(now),
+            };
         }
         let left = now.until(family.last() + FAMILY_BARRED_TIME);
         if family.is_barred() && !left.is_zero() {
             let crashes = family.crashes();
             return Standing::Barred { crashes, left };
         }
-        let mut records = family.requests.values();
-        match records.any(|record| !record.left(now).is_zero()) {
+        // One crash at which another request of the family was present says
+        // nothing of this one.
+        let is_family_suspect = family.counted() > 0 && !left.is_zero();
+        match own.is_some() || is_family_suspect {
             true => Standing::Suspect,
             false => Standing::Clear,
         }
--- a/tests/protection/suspects.rs
+++ b/tests/protection/suspects.rs
@@ -128,3 +128,19 @@
     }
     assert!(is_barred(&other, 1, 10, at(5)));
 }
+
+// Guards against sending all of a caller's requests to one endpoint since one
+// of them was present at a crash and never came again.
+#[test]
+fn a_bystander_does_not_make_its_family_suspect() {
+    let mut suspects = after(1);
+    let standing = |suspects: &Suspects, request| {
+        suspects.standing(Fingerprint(1), Fingerprint(request), at(2))
+    };
+    assert_eq!(standing(&suspects, 10), Standing::Suspect);
+    assert_eq!(standing(&suspects, 11), Standing::Clear);
+    suspects.record(&crash(1, 10, 1), at(2));
+    assert_eq!(standing(&suspects, 11), Standing::Suspect);
+    suspects.record_answer(Fingerprint(1), Fingerprint(12), at(2));
+    assert_eq!(standing(&suspects, 11), Standing::Clear);
+}
