Do not blame calls for endpoints that are no longer listed

Some endpoints leave without notice: their entry is removed, and they end some time later. Calls that were lost then were counted like crashes, and a call that met three of them was barred.

Before: crashes::endpoints_that_are_no_longer_listed_bar_nothing failed (503 instead of 502 at the fourth). After: it passes, with the other six.

--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -126,6 +126,7 @@
 pub struct EndpointStandin {
     server: RunningServer,
     state: Arc<Mutex<State>>,
+    crash_tx: Sender<()>,
 }
 
 impl EndpointStandin {
@@ -153,7 +154,7 @@
         let api = Api {
             state: Arc::clone(&state),
             spawner: spawner.clone(),
-            crash_tx,
+            crash_tx: crash_tx.clone(),
             crash_rx: crash_rx.clone(),
         };
         let server = RunningServer::start(spawner, address, api).await?;
@@ -163,7 +164,11 @@
             let _closed = crash_rx.recv().await;
             listener.stop();
         });
-        Ok(Self { server, state })
+        Ok(Self {
+            server,
+            state,
+            crash_tx,
+        })
     }
 
     /// Returns the listen address.
@@ -176,6 +181,12 @@
         self.server.stop();
     }
 
+    /// Ends the endpoint: it refuses connections and breaks the open ones.
+    pub fn crash(&self) {
+        self.state.lock().has_crashed = true;
+        self.crash_tx.close();
+    }
+
     /// Whether a request has ended the endpoint.
     pub fn has_crashed(&self) -> bool {
         self.state.lock().has_crashed
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -521,10 +521,10 @@
     }
 
     /// Whether an endpoint is shutting down, as it or the list has announced.
+    /// Some are removed from the list when they begin to.
     pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
         let member = self.members.get(&endpoint.id);
-        let is_draining = member.is_some_and(|member| !member.is_ready());
-        is_draining || self.departures.has_left(endpoint)
+        !member.is_some_and(Member::is_ready) || self.departures.has_left(endpoint)
     }
 
     /// Whether an endpoint is listed, even if it is draining.
--- a/tests/gateway_processes/crashes.rs
+++ b/tests/gateway_processes/crashes.rs
@@ -13,6 +13,7 @@
 use super::fleet::Answer;
 use super::fleet::Fleet;
 use super::fleet::Gateway;
+use super::fleet::wait_until;
 
 /// Endpoints that a request may end, and after which it is not sent any more.
 const MAX_CRASHES: usize = 3;
@@ -170,3 +171,36 @@
         assert_ne!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     }
 }
+
+// Guards against blaming calls for endpoints that leave without notice: their
+// entries are removed, and they end some time later.
+#[test]
+fn endpoints_that_are_no_longer_listed_bar_nothing() {
+    const CALLS: usize = MAX_CRASHES + 1;
+    let fleet = Fleet::new();
+    let slow = Behaviour {
+        pause: Duration::from_millis(1300),
+        ..Behaviour::SOUND
+    };
+    let [gateway] = gateways::<1>(&fleet);
+    for n in 0..CALLS {
+        let id = format!("leaving{n}");
+        let leaving = fleet.endpoint(&id, "plain", slow);
+        wait_until("the endpoint takes calls", || {
+            send(&fleet, &gateway, "/once/", &format!("w{n}"), &id).status == StatusCode::OK
+        });
+        std::thread::scope(|scope| {
+            let (fleet, gateway) = (&fleet, &gateway);
+            let call = scope.spawn(move || send(fleet, gateway, "/once/", &id, "sound").status);
+            std::thread::sleep(Duration::from_millis(300));
+            fleet.store.delete("servers", &format!("leaving{n}"));
+            std::thread::sleep(EXCHANGE / 2);
+            leaving.crash();
+            assert_eq!(call.join().expect("a status"), StatusCode::BAD_GATEWAY);
+        });
+    }
+    fleet.endpoint("staying", "plain", Behaviour::SOUND);
+    wait_until("the call is served", || {
+        send(&fleet, &gateway, "/once/", "again", "sound").status == StatusCode::OK
+    });
+}
