Bar the family of a barred request sooner

Variants of a barred request each ended two more endpoints before the family was barred; two that came at once at two hosts could be sent four times more, where the users' rule allows three. Beside a barred request, one ended process of another is enough now, unless the family was answered since.

Before: suspects::a_variant_of_a_barred_request_ends_one_endpoint failed (not barred). After: it passes, with the other eleven of protection.

--- a/src/protection/suspects.rs
+++ b/src/protection/suspects.rs
@@ -121,19 +121,24 @@
         records.map(Record::last).max().unwrap_or_default()
     }
 
-    /// Number of requests under which several processes have ended since one
-    /// of the family was answered.
-    fn counted(&self) -> usize {
+    /// Number of requests under which at least `crashes` processes have ended
+    /// since one of the family was answered.
+    fn requests_with(&self, crashes: usize) -> usize {
         let answered_at = self.answered_at.unwrap_or_default();
-        let counts = |record: &&Record| {
+        let has_ended = |record: &&Record| {
             let later = record.ended.values().filter(|at| **at > answered_at);
-            later.count() >= CRASHES_TO_COUNT
+            later.count() >= crashes
         };
-        self.requests.values().filter(counts).count()
+        self.requests.values().filter(has_ended).count()
     }
 
     fn is_barred(&self) -> bool {
-        self.counted() >= REQUESTS_TO_BAR
+        // Variants of a barred request are barred sooner.
+        let crashes = match self.requests_with(CRASHES_TO_BAR) {
+            0 => CRASHES_TO_COUNT,
+            _ => 1,
+        };
+        self.requests_with(crashes) >= REQUESTS_TO_BAR
     }
 
     /// Whether it or one of its requests is barred.
@@ -219,7 +224,7 @@
         }
         // One crash at which another request of the family was present says
         // nothing of this one.
-        let is_family_suspect = family.counted() > 0 && !left.is_zero();
+        let is_family_suspect = family.requests_with(CRASHES_TO_COUNT) > 0 && !left.is_zero();
         match own.is_some() || is_family_suspect {
             true => Standing::Suspect,
             false => Standing::Clear,
--- a/tests/protection/suspects.rs
+++ b/tests/protection/suspects.rs
@@ -144,3 +144,18 @@
     suspects.record_answer(Fingerprint(1), Fingerprint(12), at(2));
     assert_eq!(standing(&suspects, 11), Standing::Clear);
 }
+
+// Guards against variants of a barred request that each end two more endpoints
+// before their family is barred.
+#[test]
+fn a_variant_of_a_barred_request_ends_one_endpoint() {
+    let mut suspects = after(3);
+    assert!(!is_barred(&suspects, 1, 11, at(3)));
+    suspects.record(&crash(1, 11, 50), at(4));
+    assert!(is_barred(&suspects, 1, 11, at(4)));
+    assert!(is_barred(&suspects, 1, 12, at(4)));
+    let mut answered = after(3);
+    answered.record(&crash(1, 11, 50), at(4));
+    answered.record_answer(Fingerprint(1), Fingerprint(13), at(5));
+    assert!(!is_barred(&answered, 1, 12, at(5)));
+}
