Log when a host reaches no endpoint of a service while others do

The log of a host could not tell a host without a path from endpoints that are down for all, nor from ejections that outlast the cut. Each host now checks its paths when a connection cannot be opened or when nothing has come from any endpoint for 0.4 s while calls wait: it opens connections to endpoints of several data centres and, if none opens, asks other hosts. Which endpoint a call goes to does not change yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -128,6 +128,8 @@
     placement: Placement,
     started: Moment,
     ended: AttemptEnd,
+    /// Whether the call waits for the endpoint on a connection of this host.
+    is_waiting: bool,
 }
 
 impl PlacementGuard {
@@ -138,6 +140,7 @@
             placement,
             started: Moment::now(),
             ended: AttemptEnd::Abandoned,
+            is_waiting: false,
         }
     }
 
@@ -146,6 +149,26 @@
         &self.placement.endpoint
     }
 
+    /// Records that the call begins to wait for the endpoint.
+    pub fn begin_wait(&mut self) {
+        if !self.is_waiting {
+            self.is_waiting = true;
+            self.pool.lock().path.begin_wait(Moment::now());
+        }
+    }
+
+    /// Records that the endpoint has sent something.
+    pub fn record_heard(&self) {
+        if self.is_waiting {
+            self.pool.lock().path.record_heard(Moment::now());
+        }
+    }
+
+    /// Records that no connection to the endpoint could be opened.
+    pub fn record_unreachable(&self) {
+        self.pool.lock().path.record_unreachable();
+    }
+
     /// Ends the request. A guard that is dropped without this call counts as
     /// [`AttemptEnd::Abandoned`].
     pub fn end(mut self, ended: AttemptEnd) {
@@ -159,6 +182,9 @@
         let spent = now.since(self.started);
         let mut pool = self.pool.lock();
         pool.record_end(&self.placement, self.ended, spent, now);
+        if self.is_waiting {
+            pool.path.end_wait();
+        }
     }
 }
 
@@ -208,7 +234,7 @@
 pub async fn send<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
-    placement: &PlacementGuard,
+    placement: &mut PlacementGuard,
     resume_after: Option<u64>,
     attempt_deadline: Moment,
 ) -> AttemptResult {
@@ -237,6 +263,7 @@
         }
     };
     let to = placement.endpoint().address;
+    placement.begin_wait();
     let sent = match call.route.kind {
         // The call may not be repeated, and it would be lost on a connection
         // that the endpoint has already dropped.
@@ -248,13 +275,20 @@
         _ => cx.client.send(to, req, time_left).await,
     };
     match sent {
-        Ok(response) => classify_answer(cx, call, placement, response),
+        Ok(response) => {
+            placement.record_heard();
+            classify_answer(cx, call, placement, response)
+        }
+        Err(e @ ClientError::Connect(_)) => {
+            placement.record_unreachable();
+            AttemptResult::NotRun {
+                why: e.to_string(),
+                cause: NotRunCause::Gone,
+            }
+        }
         Err(e) if e.is_not_sent() => AttemptResult::NotRun {
             why: e.to_string(),
-            cause: match e {
-                ClientError::Connect(_) => NotRunCause::Gone,
-                _ => NotRunCause::NotSent,
-            },
+            cause: NotRunCause::NotSent,
         },
         Err(ClientError::Timeout(_)) => AttemptResult::TimedOut,
         Err(e) => AttemptResult::Unknown { why: e.to_string() },
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -71,6 +71,15 @@
         self.0.read().get(service).cloned()
     }
 
+    /// Returns all pools with the names of their services.
+    pub fn all(&self) -> Vec<(Arc<str>, Arc<Mutex<Pool>>)> {
+        let pools = self.0.read();
+        let pools = pools.iter();
+        pools
+            .map(|(service, pool)| (Arc::clone(service), Arc::clone(pool)))
+            .collect()
+    }
+
     /// Returns the limits to tell other hosts, the latest first.
     pub fn limits(&self, now: Moment) -> Vec<SharedLimit> {
         let pools = self.0.read();
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -88,9 +88,10 @@
     let mut attempts = Attempts::default();
     loop {
         check_deadline(&call, &attempts)?;
-        let placement = choose_endpoint(cx, &call, &attempts).await?;
+        let mut placement = choose_endpoint(cx, &call, &attempts).await?;
         let deadline = attempt_deadline(&call, &attempts);
-        let result = attempt::send(cx, &call, &placement, call.meta.resume_after, deadline).await;
+        let result =
+            attempt::send(cx, &call, &mut placement, call.meta.resume_after, deadline).await;
         let why = match result {
             AttemptResult::Answered(response) => {
                 match receive_answer(cx, &call, placement, *response).await {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -78,6 +78,8 @@
     pub crashes: Counter,
     /// Requests refused since endpoints have ended under them.
     pub barred: Counter,
+    /// Times at which this host was found to be cut off from a service.
+    pub paths_lost: Counter,
     /// Exchanges of state with another host that failed.
     pub failed_exchanges: Counter,
     configuration_version: Gauge<f64, AtomicU64>,
@@ -102,6 +104,7 @@
             limit_denials: Counter::default(),
             crashes: Counter::default(),
             barred: Counter::default(),
+            paths_lost: Counter::default(),
             failed_exchanges: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -160,6 +163,11 @@
             "Calls refused since several endpoints have ended under the request",
             self.barred.clone(),
         );
+        r.register(
+            "paths_lost",
+            "Times at which the host was found to be cut off from all endpoints of a service",
+            self.paths_lost.clone(),
+        );
         r.register(
             "failed_exchanges",
             "Exchanges of state with another host that failed",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod load_curve;
 pub mod metrics;
 pub mod origins;
+pub mod paths;
 pub mod placing;
 pub mod prefixes;
 pub mod quota;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use rand::SeedableRng;
+use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
 use super::departures::Departures;
@@ -21,6 +22,7 @@
 use crate::protection::announced_limit::SharedLimit;
 use crate::protection::fingerprint::Fingerprint;
 use crate::protection::limit_bucket::KnownLimit;
+use crate::protection::paths::ServicePath;
 use crate::units::Moment;
 
 /// Time after which a reported load is no longer used.
@@ -267,6 +269,8 @@
     versions: HashMap<Arc<str>, Moment>,
     /// Endpoints that have given notice of their shutdown.
     departures: Departures,
+    /// This host's own paths to the endpoints.
+    pub path: ServicePath,
     /// Breaks ties between endpoints of equal cost.
     rng: ChaCha8Rng,
 }
@@ -286,6 +290,7 @@
             mean_load: HashMap::new(),
             versions: HashMap::new(),
             departures: Departures::default(),
+            path: ServicePath::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -527,6 +532,25 @@
         !member.is_some_and(Member::is_ready) || self.departures.has_left(endpoint)
     }
 
+    /// Returns endpoints whose reachability shows that of the service: random
+    /// ones of as many data centres as possible, `local` first.
+    pub fn probe_targets(&mut self, local: &str, count: usize) -> Vec<Arc<Endpoint>> {
+        let ready = self.members.values().filter(|member| member.is_ready());
+        let mut ready: Vec<_> = ready.map(|member| &member.endpoint).collect();
+        ready.shuffle(&mut self.rng);
+        let mut seen: HashMap<&str, usize> = HashMap::new();
+        let mut ranked: Vec<(usize, bool, &Arc<Endpoint>)> = Vec::new();
+        for endpoint in ready {
+            let rank = seen.entry(&endpoint.data_centre).or_default();
+            ranked.push((*rank, *endpoint.data_centre != *local, endpoint));
+            *rank += 1;
+        }
+        ranked.sort_by_key(|(rank, is_remote, _)| (*rank, *is_remote));
+        ranked.truncate(count);
+        let targets = ranked.into_iter().map(|(_, _, endpoint)| endpoint);
+        targets.cloned().collect()
+    }
+
     /// Whether an endpoint is listed, even if it is draining.
     pub fn contains(&self, id: &str) -> bool {
         self.members.contains_key(id)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -166,8 +166,7 @@
             ..
         } = open;
         loop {
-            let version = Arc::clone(&placement.endpoint().version);
-            let end = self.forward_events(&tx, body, &version).await;
+            let end = self.forward_events(&tx, body, &placement).await;
             match end {
                 StreamEnd::Complete => {
                     self.log(&placement, "whole", "");
@@ -215,9 +214,10 @@
         &mut self,
         tx: &BodySender,
         body: Incoming,
-        version: &Arc<str>,
+        placement: &PlacementGuard,
     ) -> StreamEnd {
         let mut body = pin!(body);
+        let version = &placement.endpoint().version;
         self.engine_events = 0;
         self.splitter.clear();
         let deadline = self.call.deadline + DEADLINE_GRACE;
@@ -241,6 +241,7 @@
                 }
                 StreamInput::Frame(None) => return StreamEnd::Complete,
                 StreamInput::Frame(Some(Ok(frame))) => {
+                    placement.record_heard();
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
@@ -346,9 +347,10 @@
                 failed_endpoint,
                 gone: &gone,
             };
-            let placement = choice::place_resume(&self.cx, &self.call, &target).await?;
+            let mut placement = choice::place_resume(&self.cx, &self.call, &target).await?;
             let after = self.last_event.or(self.call.meta.resume_after);
-            let result = attempt::send(&self.cx, &self.call, &placement, after, self.call.deadline);
+            let deadline = self.call.deadline;
+            let result = attempt::send(&self.cx, &self.call, &mut placement, after, deadline);
             let disconnected = async {
                 tx.wait_closed().await;
                 AttemptResult::TimedOut
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -52,6 +52,7 @@
 use super::metrics::GatewayMetrics;
 use super::origins;
 use super::origins::Origins;
+use super::paths;
 use super::rate::Rates;
 use super::roster;
 use super::roster::Roster;
@@ -165,6 +166,7 @@
     let mut module = exchange::rpc_module(&cx);
     limit_draws::register(&mut module).expect("method names are distinct");
     crashes::register(&mut module).expect("method names are distinct");
+    paths::register(&mut module).expect("method names are distinct");
     let module = Arc::new(module);
     spawner.detach(server::serve(
         peers,
@@ -294,6 +296,7 @@
     spawner.detach(home_balance::run(Arc::clone(cx)));
     spawner.detach(isolation::run(Arc::clone(cx)));
     spawner.detach(exchange::run(Arc::clone(cx)));
+    spawner.detach(paths::run(Arc::clone(cx)));
     spawner.detach(exchange::replenish_rates(Arc::clone(cx)));
 }
 
--- a/src/protection/mod.rs
+++ b/src/protection/mod.rs
@@ -3,4 +3,5 @@
 pub mod announced_limit;
 pub mod fingerprint;
 pub mod limit_bucket;
+pub mod paths;
 pub mod suspects;
