--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -32,6 +32,7 @@
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
 const TENANT: HeaderName = HeaderName::from_static("tenant");
 /// Sent with the value `1` in all answers of an endpoint that is shutting down.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
@@ -108,6 +109,8 @@
     pub headers: Vec<String>,
     /// Event after which the stream resumes; `None` for a new stream.
     pub resume_after: Option<u64>,
+    /// Time that is left for the request, in milliseconds.
+    pub time_left_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -351,6 +354,7 @@
             customer: header_text(headers, &TENANT),
             headers: names.collect(),
             resume_after: header_text(headers, &LAST_EVENT_ID).and_then(|t| t.parse().ok()),
+            time_left_ms: header_text(headers, &DEADLINE_MS).and_then(|t| t.parse().ok()),
         };
         state.runs.push(run);
         (outcome, behaviour)
--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -45,6 +45,8 @@
     pub is_over_rate: bool,
 }
 
+/// Kind of the endpoints' entries.
+const ENDPOINTS: &str = "servers";
 /// Body of an answer without an object.
 const NO_OBJECT: &str = "null";
 
@@ -87,6 +89,7 @@
     compacted: u64,
     faults: StoreFaults,
     calls: u64,
+    has_views: bool,
 }
 
 /// A running store; clones refer to the same server.
@@ -104,11 +107,41 @@
     /// Returns the error of binding `address`.
     pub async fn start(spawner: &Spawner, address: SocketAddr) -> io::Result<Self> {
         let state = Arc::<Mutex<State>>::default();
-        let api = Api(Arc::clone(&state));
+        let api = Api {
+            state: Arc::clone(&state),
+            replaced: Arc::default(),
+        };
         let server = RunningServer::start(spawner, address, api).await?;
         Ok(Self { server, state })
     }
 
+    /// Starts a second server of the same objects that names other addresses,
+    /// each with the one in its place: the endpoints as one host reaches them.
+    ///
+    /// From then on the versions of the list of endpoints, in all views, count
+    /// changes of endpoints only. A host then takes no other host's list, which
+    /// names other addresses, for newer than its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding a free port.
+    pub async fn view(
+        &self,
+        spawner: &Spawner,
+        replaced: &[(SocketAddr, SocketAddr)],
+    ) -> io::Result<SocketAddr> {
+        self.state.lock().has_views = true;
+        let quoted = |address: &SocketAddr| format!("\"{address}\"");
+        let replaced = replaced.iter().map(|(from, to)| (quoted(from), quoted(to)));
+        let api = Api {
+            state: Arc::clone(&self.state),
+            replaced: replaced.collect(),
+        };
+        let any_port = "127.0.0.1:0".parse().expect("an address");
+        let server = RunningServer::start(spawner, any_port, api).await?;
+        Ok(server.addr())
+    }
+
     /// Returns the listen address.
     pub fn addr(&self) -> SocketAddr {
         self.server.addr()
@@ -208,6 +241,16 @@
         });
     }
 
+    /// Revision that a list or watch of a kind reports.
+    fn revision_of(&self, kind: &str) -> u64 {
+        if !self.has_views || kind != ENDPOINTS {
+            return self.revision;
+        }
+        let changes = self.history.iter().rev();
+        let mut of_kind = changes.filter(|change| change.kind == kind);
+        of_kind.next().map_or(self.compacted, |c| c.revision)
+    }
+
     fn list(&self, kind: &str, after: Option<&str>) -> String {
         let of_kind = self
             .objects
@@ -219,7 +262,7 @@
         if truncated {
             items.truncate(page_size);
         }
-        let (items, revision) = (items.join(","), self.revision);
+        let (items, revision) = (items.join(","), self.revision_of(kind));
         format!(r#"{{"items":[{items}],"truncated":{truncated},"store_revision":{revision}}}"#)
     }
 
@@ -312,12 +355,16 @@
 }
 
 #[derive(Clone)]
-struct Api(Arc<Mutex<State>>);
+struct Api {
+    state: Arc<Mutex<State>>,
+    /// Texts that answers to reads contain, each with the one in its place.
+    replaced: Arc<[(String, String)]>,
+}
 
 impl Handler for Api {
     async fn handle(&self, req: Request<Incoming>, _from: SocketAddr) -> Response<Body> {
         let faults = {
-            let mut state = self.0.lock();
+            let mut state = self.state.lock();
             state.calls += 1;
             state.faults
         };
@@ -328,14 +375,15 @@
             return json_response(StatusCode::SERVICE_UNAVAILABLE, NO_OBJECT);
         };
         if call.method == Method::GET {
-            return self.read(&call).await;
+            let (status, text) = self.read(&call).await;
+            return json_response(status, self.replace(text));
         }
         let body = Body::collect(req.into_body(), MAX_BODY_BYTES).await;
-        let write_time = self.0.lock().faults.write_time;
+        let write_time = self.state.lock().faults.write_time;
         Timer::after(write_time).await;
         let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or(Value::Null);
         let (status, answer, is_lost) = {
-            let mut state = self.0.lock();
+            let mut state = self.state.lock();
             let (status, answer) = state.write(&call, &body);
             let is_lost = state.faults.lost_answers > 0;
             state.faults.lost_answers = state.faults.lost_answers.saturating_sub(1);
@@ -349,30 +397,37 @@
 }
 
 impl Api {
-    async fn read(&self, call: &Call) -> Response<Body> {
+    fn replace(&self, text: String) -> String {
+        let replaced = self.replaced.iter();
+        replaced.fold(text, |text, (from, to)| text.replace(from, to))
+    }
+
+    async fn read(&self, call: &Call) -> (StatusCode, String) {
         if let Some(name) = &call.name {
             let id = (call.kind.clone(), name.clone());
-            let state = self.0.lock();
+            let state = self.state.lock();
             return match state.objects.get(&id) {
-                Some(stored) => json_response(StatusCode::OK, &*stored.text),
-                None => json_response(StatusCode::NOT_FOUND, NO_OBJECT),
+                Some(stored) => (StatusCode::OK, stored.text.to_string()),
+                None => (StatusCode::NOT_FOUND, NO_OBJECT.to_owned()),
             };
         }
         let Some(since) = call.watch else {
-            let listed = self.0.lock().list(&call.kind, call.after.as_deref());
-            return json_response(StatusCode::OK, listed);
+            let listed = self.state.lock().list(&call.kind, call.after.as_deref());
+            return (StatusCode::OK, listed);
         };
         let mut waited = Duration::ZERO;
         loop {
             let (events, revision) = {
-                let state = self.0.lock();
+                let state = self.state.lock();
                 if state.faults.is_unavailable {
-                    return json_response(StatusCode::SERVICE_UNAVAILABLE, NO_OBJECT);
+                    return (StatusCode::SERVICE_UNAVAILABLE, NO_OBJECT.to_owned());
                 }
-                if since < state.compacted || state.faults.has_no_history {
-                    return json_response(StatusCode::GONE, NO_OBJECT);
+                let revision = state.revision_of(&call.kind);
+                let is_lost = since < state.compacted && since < revision;
+                if is_lost || state.faults.has_no_history {
+                    return (StatusCode::GONE, NO_OBJECT.to_owned());
                 }
-                (state.events(&call.kind, since), state.revision)
+                (state.events(&call.kind, since), revision)
             };
             if !events.is_empty() || waited >= call.wait {
                 let event = |Event { object, deleted }: &Event| {
@@ -381,7 +436,7 @@
                 let events: Vec<String> = events.iter().map(event).collect();
                 let events = events.join(",");
                 let answer = format!(r#"{{"events":[{events}],"store_revision":{revision}}}"#);
-                return json_response(StatusCode::OK, answer);
+                return (StatusCode::OK, answer);
             }
             Timer::after(WATCH_POLL).await;
             waited += WATCH_POLL;
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -21,6 +21,7 @@
 use chicoryarch_net::client::ClientConfig;
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::ObjectsStandin;
+use chicoryarch_standins::fleet::Proxy;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use http::HeaderMap;
 use http::Request;
@@ -167,6 +168,18 @@
         endpoint
     }
 
+    /// Starts a path to an endpoint that one gateway has for itself.
+    pub(crate) fn link(&self, to: SocketAddr) -> Proxy {
+        Proxy::start(&self.spawner, to)
+    }
+
+    /// Starts a view of the store that names other addresses of endpoints, and
+    /// returns its address.
+    pub(crate) fn store_view(&self, replaced: &[(SocketAddr, SocketAddr)]) -> SocketAddr {
+        let view = self.store.view(&self.spawner, replaced);
+        async_io::block_on(view).expect("a free port")
+    }
+
     /// Writes an endpoint's entry to the store.
     pub(crate) fn list(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         self.list_version(id, service, address, "v1", state);
