Send the calls of a cut-off host through a host with a path

Cause: a host knew endpoints that fail, but not that it is itself the one that fails: it tried endpoint after endpoint on its own paths, which other hosts did not share. Ruled out by the lines on lost paths: endpoints that are down (no paths-unclear line), and ejections that outlast the cut.

A host that is found to be cut off now sends each attempt through a host that has a path. It stays the one that admits, counts, chooses and resumes; the other sends one request to one listed endpoint and copies the answer. A lost hop is unknown, and says nothing about the endpoint. A cut-off host forgets what it held against endpoints, and takes none for crashed unless a host that reaches others finds it gone. Calls that were lost on a silent path run once more at the same endpoint, if they may be repeated.

The proxies of the tests now refuse connections once their endpoint has ended, as the endpoint itself does.

--- a/crates/standins/src/fleet/proxy.rs
+++ b/crates/standins/src/fleet/proxy.rs
@@ -123,12 +123,13 @@
                 generation: AtomicU64::new(0),
                 connections: AtomicU64::new(0),
             }),
-            door_tx,
+            door_tx: door_tx.clone(),
         };
         let accepting = Accepting {
             link: Arc::clone(&proxy.link),
             spawner: spawner.clone(),
             to,
+            door_tx,
             address,
             _reservation: reservation,
         };
@@ -186,6 +187,7 @@
     link: Arc<Link>,
     spawner: Spawner,
     to: SocketAddr,
+    door_tx: Sender<Door>,
     address: SocketAddr,
     /// Keeps the port while nothing listens there.
     _reservation: OwnedFd,
@@ -247,7 +249,7 @@
     }
 
     fn connect(&self, client: TcpStream) {
-        let (link, to) = (Arc::clone(&self.link), self.to);
+        let (link, to, door_tx) = (Arc::clone(&self.link), self.to, self.door_tx.clone());
         link.connections.fetch_add(1, Ordering::AcqRel);
         self.spawner.detach(async move {
             let generation = link.generation.load(Ordering::Acquire);
@@ -266,6 +268,12 @@
                 let replies = connection(&upstream, &client, true).forward();
                 future::or(requests, replies).await;
             }
+            // An upstream that has ended is seen as such through the proxy too.
+            if TcpStream::connect(to).await.is_err() {
+                let _stopped = door_tx.send(Door::Refuses).await;
+                Timer::after(POLL_INTERVAL).await;
+            }
+            drop(client);
         });
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoint;
 pub mod forward;
 pub mod headers;
+pub mod hop;
 pub mod operator_port;
 pub mod peer;
 pub mod peer_port;
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -11,6 +11,7 @@
 use super::attempt::PlacementGuard;
 use super::context::Gateway;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::platform::endpoints;
 use crate::units::Moment;
 
@@ -24,6 +25,8 @@
     route: &'a str,
     service: &'a str,
     endpoint: &'a str,
+    /// Host through which the call was sent.
+    via: Option<&'a HostId>,
     configuration: u64,
     configuration_age_ms: Option<u128>,
     status: u16,
@@ -52,6 +55,7 @@
         route: &call.route.name,
         service: &call.service,
         endpoint: &placement.endpoint().id,
+        via: placement.via(),
         configuration: call.configuration,
         configuration_age_ms: cx.configuration_age_ms(),
         status: status.as_u16(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Timer;
 use bytes::Bytes;
+use chicoryarch_net::Body;
 use chicoryarch_net::buffered::BodyMemory;
 use chicoryarch_net::buffered::BufferedBody;
 use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::client::ClientError;
+use futures_lite::future;
 use http::Method;
+use http::Request;
 use http::Response;
 use http::response;
 use hyper::body::Incoming;
@@ -20,6 +24,12 @@
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::directory::EndpointState;
+use super::hop;
+use super::hop::HopAttempt;
+use super::hop::HopResult;
+use super::hop::OpenHop;
+use super::paths;
+use super::paths::PathWait;
 use super::placing::AttemptEnd;
 use super::placing::Placement;
 use super::placing::Pool;
@@ -27,6 +37,7 @@
 use super::routes::Route;
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::platform::endpoints;
 use crate::platform::endpoints::Verdict;
 use crate::protection::announced_limit::LimitNotice;
@@ -128,8 +139,17 @@
     placement: Placement,
     started: Moment,
     ended: AttemptEnd,
-    /// Whether the call waits for the endpoint on a connection of this host.
-    is_waiting: bool,
+    way: Way,
+}
+
+/// How a call gets to its endpoint.
+#[derive(Debug)]
+enum Way {
+    Unsent,
+    /// By a connection of this host.
+    Own(PathWait),
+    /// Through another host.
+    Hop(OpenHop),
 }
 
 impl PlacementGuard {
@@ -140,7 +160,7 @@
             placement,
             started: Moment::now(),
             ended: AttemptEnd::Abandoned,
-            is_waiting: false,
+            way: Way::Unsent,
         }
     }
 
@@ -149,24 +169,49 @@
         &self.placement.endpoint
     }
 
-    /// Records that the call begins to wait for the endpoint.
-    pub fn begin_wait(&mut self) {
-        if !self.is_waiting {
-            self.is_waiting = true;
-            self.pool.lock().path.begin_wait(Moment::now());
+    /// Records that the endpoint has sent something.
+    pub fn record_heard(&self) {
+        if let Way::Own(wait) = &self.way {
+            wait.record_heard();
         }
     }
 
-    /// Records that the endpoint has sent something.
-    pub fn record_heard(&self) {
-        if self.is_waiting {
-            self.pool.lock().path.record_heard(Moment::now());
+    /// Host through which the request is sent; `None` if it is sent directly.
+    pub fn via(&self) -> Option<&HostId> {
+        match &self.way {
+            Way::Hop(open) => Some(&open.host),
+            Way::Own(_) | Way::Unsent => None,
+        }
+    }
+
+    /// What a broken connection tells of the endpoint's health: nothing if it
+    /// may be that of the host in between.
+    pub const fn broken_evidence(&self) -> AttemptEnd {
+        match &self.way {
+            Way::Hop(_) => AttemptEnd::Abandoned,
+            Way::Own(_) | Way::Unsent => AttemptEnd::Failed,
+        }
+    }
+
+    /// Waits until this host has been cut off for `grace`, by a cut in which its
+    /// connections are silent. Never ends if the request is not sent directly.
+    pub async fn path_lost(&self, grace: Duration) {
+        if !matches!(self.way, Way::Own(_)) {
+            future::pending::<()>().await;
+        }
+        loop {
+            let silent_cut = self.pool.lock().path.silent_cut();
+            // The channel carries no items; `recv` returns when it is closed.
+            let _closed = silent_cut.recv().await;
+            Timer::after(grace).await;
+            if self.is_cut_off() {
+                return;
+            }
         }
     }
 
-    /// Records that no connection to the endpoint could be opened.
-    pub fn record_unreachable(&self) {
-        self.pool.lock().path.record_unreachable();
+    fn is_cut_off(&self) -> bool {
+        self.pool.lock().path.is_cut_off()
     }
 
     /// Ends the request. A guard that is dropped without this call counts as
@@ -182,9 +227,6 @@
         let spent = now.since(self.started);
         let mut pool = self.pool.lock();
         pool.record_end(&self.placement, self.ended, spent, now);
-        if self.is_waiting {
-            pool.path.end_wait();
-        }
     }
 }
 
@@ -193,8 +235,11 @@
 pub enum NotRunCause {
     /// It had no room.
     Full,
-    /// No connection could be opened, or another endpoint uses the address.
+    /// No connection could be opened by a host that reaches others, or another
+    /// endpoint uses the address.
     Gone,
+    /// No host with a path to the endpoint took the request.
+    NoPath,
     /// The request could not be sent.
     NotSent,
 }
@@ -204,6 +249,7 @@
     pub const fn evidence(self) -> AttemptEnd {
         match self {
             Self::Full => AttemptEnd::Full,
+            Self::NoPath => AttemptEnd::Abandoned,
             Self::Gone | Self::NotSent => AttemptEnd::Failed,
         }
     }
@@ -227,71 +273,175 @@
     Unknown {
         /// Reason for the log.
         why: String,
+        /// What that tells of the endpoint's health.
+        evidence: AttemptEnd,
     },
 }
 
-/// Sends a call to an endpoint and waits for the head of its answer.
+impl AttemptResult {
+    fn unknown(why: impl Into<String>) -> Self {
+        Self::Unknown {
+            why: why.into(),
+            evidence: AttemptEnd::Failed,
+        }
+    }
+}
+
+/// Sends a call to an endpoint and waits for the head of its answer. A host that
+/// is cut off from the service sends it through another host.
 pub async fn send<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
     placement: &mut PlacementGuard,
     resume_after: Option<u64>,
-    attempt_deadline: Moment,
+    deadline: Moment,
 ) -> AttemptResult {
-    let now = Moment::now();
-    let time_left = now.until(attempt_deadline);
-    let attempt = endpoints::Attempt {
-        method: &call.method,
-        target: &call.target,
-        headers: &call.meta.forwarded,
-        body: &call.body,
-        endpoint: placement.endpoint(),
-        customer: call.customer.as_ref().map(|customer| &*customer.name),
-        time_left: now
-            .until(call.caller_deadline)
-            .min(time_left.max(MIN_ENDPOINT_TIMEOUT)),
-        urgency: call.urgency,
+    let attempt = Attempt {
+        call,
         resume_after,
+        deadline,
     };
-    let req = match endpoints::build_request(&attempt) {
+    if !placement.is_cut_off() {
+        match send_directly(cx, &attempt, placement).await {
+            Direct::Done(result) => return result,
+            Direct::NotConnected { why } => {
+                if paths::check(cx, &call.service).await {
+                    let cause = NotRunCause::Gone;
+                    return AttemptResult::NotRun { why, cause };
+                }
+            }
+        }
+    }
+    send_through_host(cx, &attempt, placement).await
+}
+
+/// An attempt at an endpoint that is yet to be sent.
+struct Attempt<'a> {
+    call: &'a Call,
+    resume_after: Option<u64>,
+    deadline: Moment,
+}
+
+impl Attempt<'_> {
+    fn request(&self, endpoint: &Endpoint) -> http::Result<Request<Body>> {
+        let call = self.call;
+        let now = Moment::now();
+        let time_left = now.until(self.deadline).max(MIN_ENDPOINT_TIMEOUT);
+        endpoints::build_request(&endpoints::Attempt {
+            method: &call.method,
+            target: &call.target,
+            headers: &call.meta.forwarded,
+            body: &call.body,
+            endpoint,
+            customer: call.customer.as_ref().map(|customer| &*customer.name),
+            time_left: now.until(call.caller_deadline).min(time_left),
+            urgency: call.urgency,
+            resume_after: self.resume_after,
+        })
+    }
+
+    /// Maximum idle time of the connection that is used; `None` for any.
+    fn max_idle(&self) -> Option<Duration> {
+        // A call that may not be repeated would be lost on a connection that
+        // the endpoint has already dropped.
+        (self.call.route.kind == RouteKind::Once).then_some(MAX_IDLE_FOR_ONCE)
+    }
+}
+
+/// Result of an attempt by this host's own path.
+enum Direct {
+    Done(AttemptResult),
+    /// No connection could be opened, so nothing was sent.
+    NotConnected {
+        why: String,
+    },
+}
+
+async fn send_directly<P: Platform>(
+    cx: &Gateway<P>,
+    attempt: &Attempt<'_>,
+    placement: &mut PlacementGuard,
+) -> Direct {
+    let req = match attempt.request(placement.endpoint()) {
         Ok(req) => req,
         Err(e) => {
-            return AttemptResult::NotRun {
+            return Direct::Done(AttemptResult::NotRun {
                 why: format!("the request cannot be built: {e}"),
                 cause: NotRunCause::NotSent,
-            };
+            });
         }
     };
     let to = placement.endpoint().address;
-    placement.begin_wait();
-    let sent = match call.route.kind {
-        // The call may not be repeated, and it would be lost on a connection
-        // that the endpoint has already dropped.
-        RouteKind::Once => {
-            cx.client
-                .send_recent(to, req, time_left, MAX_IDLE_FOR_ONCE)
-                .await
+    let time_left = Moment::now().until(attempt.deadline);
+    placement.way = Way::Own(PathWait::begin(Arc::clone(&placement.pool)));
+    let sent = async {
+        let max_idle = attempt.max_idle().unwrap_or(Duration::MAX);
+        Some(cx.client.send_recent(to, req, time_left, max_idle).await)
+    };
+    let path_lost = async {
+        // The answer to a call that may not be repeated may still arrive.
+        if attempt.call.route.kind == RouteKind::Once {
+            future::pending::<()>().await;
         }
-        _ => cx.client.send(to, req, time_left).await,
+        // A connection that is being opened fails by then, and nothing is sent.
+        placement.path_lost(cx.cfg.connect_timeout).await;
+        None
+    };
+    let Some(sent) = future::or(sent, path_lost).await else {
+        return Direct::Done(AttemptResult::Unknown {
+            why: "the host was cut off from the service".to_owned(),
+            evidence: AttemptEnd::Abandoned,
+        });
     };
-    match sent {
+    Direct::Done(match sent {
         Ok(response) => {
             placement.record_heard();
-            classify_answer(cx, call, placement, response)
+            classify_answer(cx, attempt.call, placement, response)
         }
-        Err(e @ ClientError::Connect(_)) => {
-            placement.record_unreachable();
-            AttemptResult::NotRun {
-                why: e.to_string(),
-                cause: NotRunCause::Gone,
-            }
-        }
-        Err(e) if e.is_not_sent() => AttemptResult::NotRun {
+        Err(e @ ClientError::Connect(_)) => return Direct::NotConnected { why: e.to_string() },
+        Err(e @ ClientError::NotSent(_)) => AttemptResult::NotRun {
             why: e.to_string(),
             cause: NotRunCause::NotSent,
         },
         Err(ClientError::Timeout(_)) => AttemptResult::TimedOut,
-        Err(e) => AttemptResult::Unknown { why: e.to_string() },
+        Err(e) => AttemptResult::unknown(e.to_string()),
+    })
+}
+
+async fn send_through_host<P: Platform>(
+    cx: &Gateway<P>,
+    attempt: &Attempt<'_>,
+    placement: &mut PlacementGuard,
+) -> AttemptResult {
+    placement.way = Way::Unsent;
+    let endpoint = Arc::clone(placement.endpoint());
+    let hop = HopAttempt {
+        endpoint: &endpoint,
+        deadline: attempt.deadline,
+        max_idle: attempt.max_idle(),
+    };
+    let build = || attempt.request(&endpoint).ok();
+    match hop::send(cx, hop, build).await {
+        HopResult::Answered(response, open) => {
+            placement.way = Way::Hop(open);
+            classify_answer(cx, attempt.call, placement, *response)
+        }
+        HopResult::HostLost(why) => AttemptResult::Unknown {
+            why,
+            evidence: AttemptEnd::Abandoned,
+        },
+        HopResult::EndpointLost => {
+            AttemptResult::unknown("another host lost its connection to the endpoint")
+        }
+        HopResult::NotTaken => AttemptResult::NotRun {
+            why: "this host is cut off from the service, and no other took the call".to_owned(),
+            cause: NotRunCause::NoPath,
+        },
+        HopResult::NotSent => AttemptResult::NotRun {
+            why: "another host could not send it to the endpoint".to_owned(),
+            cause: NotRunCause::Gone,
+        },
+        HopResult::TimedOut => AttemptResult::TimedOut,
     }
 }
 
@@ -334,12 +484,8 @@
                 false => NotRunCause::Full,
             },
         },
-        Verdict::Mismatched => AttemptResult::Unknown {
-            why: "the answer belongs to another request".to_owned(),
-        },
-        Verdict::Unsigned => AttemptResult::Unknown {
-            why: "the answer lacks the endpoint's digest".to_owned(),
-        },
+        Verdict::Mismatched => AttemptResult::unknown("the answer belongs to another request"),
+        Verdict::Unsigned => AttemptResult::unknown("the answer lacks the endpoint's digest"),
     }
 }
 
@@ -420,8 +566,8 @@
         read.map_err(|e| format!("the answer was not received: {e}"))
     };
     let expire = async {
-        async_io::Timer::after(Moment::now().until(deadline)).await;
+        Timer::after(Moment::now().until(deadline)).await;
         Err("the answer did not end in time".to_owned())
     };
-    futures_lite::future::or(read, expire).await
+    future::or(read, expire).await
 }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -143,7 +143,11 @@
             Standing::Suspect | Standing::Barred { .. } => Some(call.family()),
         },
     };
-    let local = cx.cfg.place.data_centre.as_str();
+    // Calls through another host gain nothing from an endpoint nearby.
+    let local = match pool.lock().path.is_cut_off() {
+        true => "",
+        false => cx.cfg.place.data_centre.as_str(),
+    };
     for draws in 0..=MAX_DRAWS {
         let criteria = Criteria {
             skips_limited: draws == MAX_DRAWS,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 use crate::ids::Version;
 use crate::process::events::EventLog;
 use crate::protection::announced_limit::SharedLimit;
+use crate::protection::helpers::Helpers;
 use crate::protection::limit_bucket::LimitBuckets;
 use crate::protection::suspects::Suspects;
 use crate::units::Moment;
@@ -80,6 +82,15 @@
             .collect()
     }
 
+    /// Returns the services that this host is cut off from.
+    pub fn cut_off_services(&self) -> Vec<Arc<str>> {
+        let pools = self.0.read();
+        let cut_off = pools
+            .iter()
+            .filter(|(_, pool)| pool.lock().path.is_cut_off());
+        cut_off.map(|(service, _)| Arc::clone(service)).collect()
+    }
+
     /// Returns the limits to tell other hosts, the latest first.
     pub fn limits(&self, now: Moment) -> Vec<SharedLimit> {
         let pools = self.0.read();
@@ -197,6 +208,10 @@
     pub spent: SpentPrograms,
     /// Tokens for endpoints with limits that this host is the home of.
     pub limit_buckets: Mutex<LimitBuckets>,
+    /// Hosts that may forward calls while this one is cut off.
+    pub helpers: Arc<Mutex<Helpers>>,
+    /// Number of other hosts' calls that this host is forwarding.
+    pub forwarded: Arc<AtomicUsize>,
     /// Requests under which endpoints have ended.
     pub suspects: Mutex<Suspects>,
     /// Versions that began streams.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -17,6 +17,8 @@
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::exchange;
+use super::hop;
+use super::paths;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::roster::KeeperCount;
@@ -29,6 +31,10 @@
 
 /// Reports processes that ended under a request.
 const CRASHED_METHOD: &str = "gateway.crashed";
+/// Asks a host whether an endpoint's process has ended.
+const HAS_ENDED_METHOD: &str = "gateway.has_ended";
+/// Connections that the asked host opens one after the other at most.
+const WITNESS_CONNECTIONS: u32 = 3;
 /// Hosts that are told at once; the exchange tells the others.
 const TOLD_AT_ONCE: KeeperCount = KeeperCount { local: 1, any: 1 };
 
@@ -52,11 +58,12 @@
     left_ms: u128,
 }
 
-/// Registers the method that other hosts call to report crashes.
+/// Registers the methods that other hosts call to report crashes and to ask
+/// about them.
 ///
 /// # Errors
 ///
-/// Returns an error if the method's name is taken.
+/// Returns an error if a method's name is taken.
 pub fn register<P: Platform>(module: &mut RpcModule<Cx<P>>) -> Result<(), RegisterMethodError> {
     module.register_method(CRASHED_METHOD, |params, cx, _| {
         let told: Vec<Crash> = params.one()?;
@@ -70,6 +77,10 @@
             .map(|crash| suspects.crashes_of(crash.family, crash.request, now));
         Ok::<_, ErrorObjectOwned>(known.unwrap_or_default())
     })?;
+    module.register_async_method(HAS_ENDED_METHOD, |params, cx, _| async move {
+        let endpoint: Box<str> = params.one()?;
+        Ok::<_, ErrorObjectOwned>(is_found_ended(&cx, &endpoint).await)
+    })?;
     Ok(())
 }
 
@@ -190,9 +201,48 @@
     }
 }
 
-/// Whether an endpoint's process is gone: its machine refuses connections. One
-/// that cannot be reached may be cut off.
-async fn has_ended<P>(cx: &Gateway<P>, endpoint: &Endpoint) -> bool {
+/// Whether an endpoint's process is gone: its machine refuses connections,
+/// while the host that tries reaches other endpoints. A host that is cut off
+/// asks another.
+async fn has_ended<P: Platform>(cx: &Gateway<P>, endpoint: &Endpoint) -> bool {
+    let pool = cx.pools.get(&endpoint.service);
+    let is_cut_off = pool.is_some_and(|pool| pool.lock().path.is_cut_off());
+    if !is_cut_off {
+        if !refuses_connections(cx, endpoint).await {
+            return false;
+        }
+        if paths::reaches_another(cx, endpoint).await {
+            // The cut may have ended in between.
+            return refuses_connections(cx, endpoint).await;
+        }
+    }
+    let Some(witness) = hop::choose_host(cx, endpoint) else {
+        return false;
+    };
+    let limit = cx.cfg.connect_timeout * WITNESS_CONNECTIONS;
+    let reply = exchange::call_peer_within::<_, _, bool>(
+        cx,
+        &witness,
+        HAS_ENDED_METHOD,
+        &endpoint.id,
+        limit,
+    );
+    reply.await.unwrap_or_default()
+}
+
+/// Whether this host, by its own paths, finds that an endpoint's process is
+/// gone.
+async fn is_found_ended<P: Platform>(cx: &Gateway<P>, id: &str) -> bool {
+    let endpoint = cx.endpoint_list.lock().directory.get(id).cloned();
+    let Some(endpoint) = endpoint else {
+        return false;
+    };
+    refuses_connections(cx, &endpoint).await
+        && paths::reaches_another(cx, &endpoint).await
+        && refuses_connections(cx, &endpoint).await
+}
+
+async fn refuses_connections<P>(cx: &Gateway<P>, endpoint: &Endpoint) -> bool {
     let connect = async { TcpStream::connect(endpoint.address).await.map(drop) };
     let expire = async {
         Timer::after(cx.cfg.connect_timeout).await;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -173,6 +173,11 @@
         self.entries.len() != before
     }
 
+    /// Returns an endpoint by its id.
+    pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
+        self.entries.get(id).map(|entry| &entry.endpoint)
+    }
+
     /// Returns the endpoints of all services, including draining ones.
     pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.entries.values().map(|entry| &entry.endpoint)
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -29,6 +29,7 @@
 use super::reservation::Reservation;
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::protection::fingerprint::Fingerprint;
 use crate::units::Moment;
 
@@ -54,6 +55,8 @@
     attempt: usize,
     outcome: &'a str,
     why: &'a str,
+    /// Host through which the call was sent.
+    via: Option<&'a HostId>,
     /// Hash of path, caller and body; `None` if the call did not run.
     fingerprint: Option<Fingerprint>,
     left_ms: u128,
@@ -66,9 +69,22 @@
     refused: Vec<Box<str>>,
     /// Endpoints that may have run the call.
     ran: Vec<Arc<Endpoint>>,
+    /// Whether the last attempt was lost on the way to or from its endpoint,
+    /// which may be sound.
+    is_lost_on_way: bool,
 }
 
 impl Attempts {
+    fn runs(&self) -> u32 {
+        u32::try_from(self.ran.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The only endpoint that may still run the call, once as many have as may.
+    fn only(&self, max_runs: u32) -> Option<&str> {
+        let last = self.ran.last()?;
+        (self.runs() >= max_runs).then_some(&*last.id)
+    }
+
     fn ids(&self) -> Vec<Box<str>> {
         let ran = self.ran.iter().map(|endpoint| endpoint.id.clone());
         self.refused.iter().cloned().chain(ran).collect()
@@ -88,6 +104,7 @@
     let mut attempts = Attempts::default();
     loop {
         check_deadline(&call, &attempts)?;
+        attempts.is_lost_on_way = false;
         let mut placement = choose_endpoint(cx, &call, &attempts).await?;
         let deadline = attempt_deadline(&call, &attempts);
         let result =
@@ -125,11 +142,14 @@
                 }
                 "no answer in time".to_owned()
             }
-            AttemptResult::Unknown { why } => {
+            AttemptResult::Unknown { why, evidence } => {
                 log_attempt(cx, &call, &placement, &attempts, "unknown", &why);
                 let endpoint = Arc::clone(placement.endpoint());
-                placement.end(AttemptEnd::Failed);
-                crashes::record_lost(cx, &call, &endpoint).await;
+                placement.end(evidence);
+                attempts.is_lost_on_way = evidence == AttemptEnd::Abandoned;
+                if !attempts.is_lost_on_way {
+                    crashes::record_lost(cx, &call, &endpoint).await;
+                }
                 attempts.ran.push(endpoint);
                 why
             }
@@ -166,13 +186,13 @@
     Err(Refusal::new(Outcome::TimedOut, "no time is left"))
 }
 
-/// Whether a call without an answer to its last attempt may run again.
+/// Whether a call without an answer to its last attempt may run again. One that
+/// was lost on the way may run once more at the same endpoint.
 fn may_repeat(call: &Call, attempts: &Attempts) -> bool {
-    let runs = u32::try_from(attempts.ran.len()).unwrap_or(u32::MAX);
+    let max_runs = call.route.max_runs + u32::from(attempts.is_lost_on_way);
     match call.route.kind {
-        RouteKind::Idempotent => runs < call.route.max_runs,
-        RouteKind::Once => false,
-        RouteKind::Stream { resumable } => resumable && runs < call.route.max_runs,
+        RouteKind::Idempotent | RouteKind::Stream { resumable: true } => attempts.runs() < max_runs,
+        RouteKind::Once | RouteKind::Stream { resumable: false } => false,
     }
 }
 
@@ -191,6 +211,7 @@
     let ids = attempts.ids();
     let others = Choice {
         excluded: &ids,
+        only: attempts.only(call.route.max_runs),
         ..Choice::of(call)
     };
     let none = match choice::place(cx, call, others).await {
@@ -245,6 +266,7 @@
         attempt: attempts.refused.len() + attempts.ran.len() + 1,
         outcome,
         why,
+        via: placement.via(),
         fingerprint: (outcome != "not-run").then(|| call.fingerprint()),
         left_ms: Moment::now().until(call.deadline).as_millis(),
     };
@@ -294,7 +316,8 @@
         }
         Err(why) => {
             let endpoint = Arc::clone(placement.endpoint());
-            placement.end(AttemptEnd::Failed);
+            let evidence = placement.broken_evidence();
+            placement.end(evidence);
             ReceivedAnswer::Broken { why, endpoint }
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -71,6 +71,9 @@
 const URGENT_FANOUT: usize = 3;
 /// Fraction of a follower's exchanges that go to any host instead of a scout.
 const ANY_HOST_SHARE: f64 = 0.25;
+/// Time for which a host that says that it is cut off is not asked to forward
+/// calls.
+const CUT_OFF_TTL: Duration = Duration::from_secs(2);
 /// Interval between two checks for rate buckets that run low.
 const REPLENISH_PERIOD: Duration = Duration::from_millis(200);
 
@@ -103,6 +106,9 @@
     /// Endpoints that have ended under requests.
     #[serde(default)]
     pub crashes: Vec<Crash>,
+    /// Services that it is cut off from.
+    #[serde(default)]
+    pub cut_off: Vec<Arc<str>>,
 }
 
 /// Reply to an exchange: the state that is newer at the replying host.
@@ -207,6 +213,7 @@
         spent: cx.spent.recent(Moment::now()),
         limits: cx.pools.limits(Moment::now()),
         crashes: cx.suspects.lock().to_tell(Moment::now()),
+        cut_off: cx.pools.cut_off_services(),
     }
 }
 
@@ -217,6 +224,10 @@
     for crash in &remote.crashes {
         cx.suspects.lock().record(crash, now);
     }
+    for service in &remote.cut_off {
+        let until = now + CUT_OFF_TTL;
+        cx.helpers.lock().avoid(&remote.host, service, until, now);
+    }
     for limit in cx.pools.learn_limits(&remote.limits, now) {
         cx.metrics.limit_changes.inc();
         let line = ToldLimitLine {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -80,6 +80,10 @@
     pub barred: Counter,
     /// Times at which this host was found to be cut off from a service.
     pub paths_lost: Counter,
+    /// Attempts that were sent through another host.
+    pub hops: Counter,
+    /// Other hosts' calls that this host was asked to forward.
+    pub forwarded: Counter,
     /// Exchanges of state with another host that failed.
     pub failed_exchanges: Counter,
     configuration_version: Gauge<f64, AtomicU64>,
@@ -105,6 +109,8 @@
             crashes: Counter::default(),
             barred: Counter::default(),
             paths_lost: Counter::default(),
+            hops: Counter::default(),
+            forwarded: Counter::default(),
             failed_exchanges: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -168,6 +174,16 @@
             "Times at which the host was found to be cut off from all endpoints of a service",
             self.paths_lost.clone(),
         );
+        r.register(
+            "hops",
+            "Attempts that were sent through another host",
+            self.hops.clone(),
+        );
+        r.register(
+            "forwarded",
+            "Calls of other hosts that the host was asked to forward",
+            self.forwarded.clone(),
+        );
         r.register(
             "failed_exchanges",
             "Exchanges of state with another host that failed",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,8 @@
 pub mod following;
 pub mod freshness;
 pub mod home_balance;
+pub mod hop;
+pub mod hop_port;
 pub mod hosts;
 pub mod isolation;
 pub mod limit_draws;
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -69,6 +69,29 @@
     cut_ms: u128,
 }
 
+/// A call that waits for an endpoint on a connection of this host.
+#[derive(Debug)]
+pub struct PathWait(Arc<Mutex<Pool>>);
+
+impl PathWait {
+    /// Counts a call that begins to wait.
+    pub fn begin(pool: Arc<Mutex<Pool>>) -> Self {
+        pool.lock().path.begin_wait(Moment::now());
+        Self(pool)
+    }
+
+    /// Records that the endpoint has sent something.
+    pub fn record_heard(&self) {
+        self.0.lock().path.record_heard(Moment::now());
+    }
+}
+
+impl Drop for PathWait {
+    fn drop(&mut self) {
+        self.0.lock().path.end_wait();
+    }
+}
+
 /// Registers the method by which hosts ask each other.
 ///
 /// # Errors
@@ -135,6 +158,7 @@
         reached_by: reached_by.as_ref(),
     };
     if pool.path.record_check(probed, reached_by.is_some(), now) {
+        pool.forgive();
         cx.metrics.paths_lost.inc();
         cx.log.state("paths-lost", &line);
     } else if probed != Probed::Reached {
@@ -146,7 +170,14 @@
 async fn probe_again<P: Platform>(cx: &Gateway<P>, service: &str, pool: &Mutex<Pool>) {
     let targets = targets(cx, pool, REGAIN_PROBES);
     let probed = probe(cx, &targets).await;
-    let regained = pool.lock().path.record_probe(probed, Moment::now());
+    let regained = {
+        let mut pool = pool.lock();
+        let regained = pool.path.record_probe(probed, Moment::now());
+        if regained.is_some() {
+            pool.forgive();
+        }
+        regained
+    };
     if let Some(length) = regained {
         let line = RegainedLine {
             service,
@@ -171,6 +202,23 @@
     probe(cx, &targets).await == Probed::Reached
 }
 
+/// Whether this host reaches an endpoint other than the given one: of the same
+/// service or, if it has no other, of any.
+pub async fn reaches_another<P: Platform>(cx: &Gateway<P>, endpoint: &Endpoint) -> bool {
+    let others = |pool: &Mutex<Pool>| {
+        let mut targets = targets(cx, pool, CHECK_PROBES);
+        targets.retain(|target| target.id != endpoint.id);
+        targets
+    };
+    let pool = cx.pools.get(&endpoint.service);
+    let mut targets = pool.map(|pool| others(&pool)).unwrap_or_default();
+    if targets.is_empty() {
+        let pools = cx.pools.all();
+        targets = pools.iter().flat_map(|(_, pool)| others(pool)).collect();
+    }
+    probe(cx, &targets).await == Probed::Reached
+}
+
 fn targets<P>(cx: &Gateway<P>, pool: &Mutex<Pool>, count: usize) -> Vec<Arc<Endpoint>> {
     let local = cx.cfg.place.data_centre.as_str();
     pool.lock().probe_targets(local, count)
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -461,6 +461,16 @@
         }
     }
 
+    /// Forgets the failures of all endpoints: those of a host that is cut off
+    /// say nothing about them.
+    pub fn forgive(&mut self) {
+        for member in self.members.values_mut() {
+            member.failures = 0;
+            member.ejected_until = Moment::default();
+            member.error_rate = 0.0;
+        }
+    }
+
     /// Counts the parts of a prompt as cached at an endpoint, as another host
     /// reports.
     pub fn expect_cached(&mut self, id: &str, parts: &[PromptPart], now: Moment) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -36,6 +36,7 @@
 use super::reservation::Reservation;
 use super::routes::RouteKind;
 use crate::connection::platform::Platform;
+use crate::ids::HostId;
 use crate::platform::endpoints;
 use crate::protection::fingerprint::Fingerprint;
 use crate::units::Moment;
@@ -48,6 +49,9 @@
 const MAX_RESUMES: u32 = 2;
 /// Maximum number of engines that are asked to resume an answer.
 const MAX_RESUME_ATTEMPTS: usize = 4;
+/// Time for which a stream of a host that is cut off may be silent before it
+/// goes on through another host.
+const MAX_CUT_OFF_SILENCE: Duration = Duration::from_millis(400);
 /// Time after a call's deadline at which the gateway ends its stream. Engines
 /// stop by themselves at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
@@ -70,6 +74,8 @@
     line: Option<&'a str>,
     route: &'a str,
     endpoint: &'a str,
+    /// Host through which the call was sent.
+    via: Option<&'a HostId>,
     version: &'a str,
     configuration: u64,
     configuration_age_ms: Option<u128>,
@@ -192,7 +198,8 @@
                     self.log(&placement, "broken", &why);
                     let failed_endpoint = placement.endpoint().id.clone();
                     let endpoint = Arc::clone(placement.endpoint());
-                    placement.end(AttemptEnd::Failed);
+                    let evidence = placement.broken_evidence();
+                    placement.end(evidence);
                     // An engine that has made events was not ended by this run.
                     if self.engine_events == 0 {
                         crashes::record_lost(&self.cx, &self.call, &endpoint).await;
@@ -232,7 +239,18 @@
                 async_io::Timer::after(left).await;
                 StreamInput::TimedOut
             };
-            match future::or(frame, future::or(disconnected, expire)).await {
+            let path_lost = async {
+                if !self.is_resumable() {
+                    future::pending::<()>().await;
+                }
+                placement.path_lost(MAX_CUT_OFF_SILENCE).await;
+                StreamInput::PathLost
+            };
+            let ended = future::or(disconnected, future::or(expire, path_lost));
+            match future::or(frame, ended).await {
+                StreamInput::PathLost => {
+                    return StreamEnd::Broken("the host was cut off from the service".to_owned());
+                }
                 StreamInput::CallerDisconnected => return StreamEnd::CallerDisconnected,
                 StreamInput::TimedOut => return StreamEnd::TimedOut,
                 StreamInput::Frame(Some(Err(e))) => return StreamEnd::Broken(e.to_string()),
@@ -335,7 +353,7 @@
         tx: &BodySender,
         failed_endpoint: &str,
     ) -> Option<(Incoming, PlacementGuard)> {
-        let resumable = matches!(self.call.route.kind, RouteKind::Stream { resumable: true });
+        let resumable = self.is_resumable();
         let mut gone = Vec::new();
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let is_barred = crashes::is_barred(&self.cx, &self.call);
@@ -372,12 +390,14 @@
                     }
                     placement.end(cause.evidence());
                 }
-                AttemptResult::Unknown { why } => {
+                AttemptResult::Unknown { why, evidence } => {
                     self.resumes += 1;
                     self.log(&placement, "not-resumed", &why);
                     let endpoint = Arc::clone(placement.endpoint());
-                    placement.end(AttemptEnd::Failed);
-                    crashes::record_lost(&self.cx, &self.call, &endpoint).await;
+                    placement.end(evidence);
+                    if evidence == AttemptEnd::Failed {
+                        crashes::record_lost(&self.cx, &self.call, &endpoint).await;
+                    }
                 }
                 AttemptResult::Answered(response) => {
                     self.resumes += 1;
@@ -390,6 +410,10 @@
         None
     }
 
+    fn is_resumable(&self) -> bool {
+        matches!(self.call.route.kind, RouteKind::Stream { resumable: true })
+    }
+
     fn log(&self, placement: &PlacementGuard, outcome: &'static str, why: &str) {
         let Gateway { log, metrics, .. } = &*self.cx;
         let spent = Moment::now().since(self.call.received);
@@ -400,6 +424,7 @@
             line: program.map(|program| &*program.session),
             route: &self.call.route.name,
             endpoint: &placement.endpoint().id,
+            via: placement.via(),
             version: &placement.endpoint().version,
             configuration: self.call.configuration,
             configuration_age_ms: self.cx.configuration_age_ms(),
@@ -421,5 +446,6 @@
 enum StreamInput {
     CallerDisconnected,
     Frame(Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>),
+    PathLost,
     TimedOut,
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -477,6 +477,23 @@
         others.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// Returns the other responsive host of the least cost, among those that
+    /// have one.
+    pub fn cheapest(
+        &self,
+        now: Moment,
+        cost: impl Fn(&HostId, &DataCentre) -> Option<f64>,
+    ) -> Option<Peer> {
+        let others = self
+            .hosts
+            .iter()
+            .filter(|(host, state)| **host != self.own && state.is_responsive(now));
+        let costs = others
+            .filter_map(|(host, state)| Some((cost(host, &state.entry.data_centre)?, host, state)));
+        let (_, host, state) = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+        Some(state.peer(host))
+    }
+
     /// Returns a host by name.
     pub fn peer(&self, host: &HostId) -> Option<Peer> {
         Some(self.hosts.get(host)?.peer(host))
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -44,6 +44,7 @@
 use super::follow;
 use super::freshness::Freshness;
 use super::home_balance;
+use super::hop_port;
 use super::hosts;
 use super::isolation;
 use super::isolation::IsolatedGrants;
@@ -65,6 +66,7 @@
 use super::updates::OperatorsConfiguration;
 use crate::configs::gateway::GatewayConfig;
 use crate::configs::peer::PeerConfig;
+use crate::connection::hop;
 use crate::connection::peer::HttpPeers;
 use crate::connection::peer::PeerSecret;
 use crate::connection::peer::RPC_PATH;
@@ -244,6 +246,8 @@
         isolated: IsolatedGrants::default(),
         spent: SpentPrograms::default(),
         limit_buckets: Mutex::default(),
+        helpers: Arc::default(),
+        forwarded: Arc::default(),
         suspects: Mutex::default(),
         origins: Origins::default(),
         scout_reports: ScoutReports::default(),
@@ -310,7 +314,7 @@
 }
 
 /// Fails the readiness check, waits until all connections of callers are closed
-/// and hands the remaining budgets and the origins of streams over to other
+/// and all calls that other hosts forward have ended, and hands the remaining budgets and the origins of streams over to other
 /// hosts.
 async fn drain<P: Platform>(cx: &Cx<P>, control: &ServerControl) {
     cx.is_draining.store(true, Ordering::Release);
@@ -319,9 +323,9 @@
     let deadline = Moment::now() + cx.cfg.grace.saturating_sub(cx.cfg.drain_margin);
     Timer::after(cx.cfg.drain_notice).await;
     control.stop();
-    wait_closed(control, deadline).await;
+    wait_closed(cx, control, deadline).await;
     cx.drain_limit.end();
-    wait_closed(control, deadline + LAST_ANSWERS).await;
+    wait_closed(cx, control, deadline + LAST_ANSWERS).await;
     origins::hand_over(cx).await;
     home_balance::close(cx).await;
     let requests = control.requests();
@@ -330,8 +334,9 @@
     Timer::after(DRAIN_POLL * 5).await;
 }
 
-async fn wait_closed(control: &ServerControl, deadline: Moment) {
-    while !control.is_closed() && Moment::now() < deadline {
+async fn wait_closed<P>(cx: &Gateway<P>, control: &ServerControl, deadline: Moment) {
+    let is_closed = || control.is_closed() && cx.forwarded.load(Ordering::Acquire) == 0;
+    while !is_closed() && Moment::now() < deadline {
         Timer::after(DRAIN_POLL).await;
     }
 }
@@ -389,7 +394,8 @@
     }
 }
 
-/// Serves RPC calls of other hosts, and the configuration.
+/// Serves RPC calls of other hosts, calls that they forward, and the
+/// configuration.
 struct PeerHandler<P: Platform> {
     cx: Cx<P>,
     module: Arc<RpcModule<Cx<P>>>,
@@ -411,6 +417,7 @@
         match req.uri().path() {
             RPC_PATH => peer_port::handle_control(&self.module, req, self.max_bytes).await,
             transfers::PATH => transfers::respond(&self.cx, req.uri()),
+            path if hop::is_hop(path) => hop_port::handle(&self.cx, req).await,
             _ => empty_response(StatusCode::NOT_FOUND),
         }
     }
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -1,5 +1,6 @@
 //! Builds requests to endpoints and interprets the headers of their answers.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -92,6 +93,26 @@
     Ok(req)
 }
 
+/// Returns the id of the caller's request; empty if there is none.
+pub fn request_id(headers: &HeaderMap) -> Cow<'_, str> {
+    let id = headers.get(REQUEST_ID);
+    id.map_or(Cow::Borrowed(""), |id| {
+        String::from_utf8_lossy(id.as_bytes())
+    })
+}
+
+/// Reduces the time until the endpoint stops processing the request.
+pub fn reduce_time_left(headers: &mut HeaderMap, spent: Duration) {
+    let left_ms = headers.get(DEADLINE_MS).and_then(|value| {
+        let left_ms = value.to_str().ok()?.parse::<u64>().ok()?;
+        let spent_ms = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        Some(left_ms.saturating_sub(spent_ms).max(1))
+    });
+    if let Some(left_ms) = left_ms {
+        headers.insert(DEADLINE_MS, HeaderValue::from(left_ms));
+    }
+}
+
 /// Classification of an endpoint's answer by its status and headers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/src/protection/paths.rs
+++ b/src/protection/paths.rs
@@ -73,8 +73,6 @@
     waiting: u32,
     waiting_since: Moment,
     silence: Duration,
-    /// Whether a connection could not be opened since the last check.
-    has_failed: bool,
     is_checking: bool,
     checked_at: Option<Moment>,
     cut: Option<Cut>,
@@ -95,7 +93,6 @@
             waiting: 0,
             waiting_since: Moment::default(),
             silence: SILENCE,
-            has_failed: false,
             is_checking: false,
             checked_at: None,
             cut: None,
@@ -129,11 +126,6 @@
         self.silence = SILENCE;
     }
 
-    /// Records that a connection to an endpoint could not be opened.
-    pub const fn record_unreachable(&mut self) {
-        self.has_failed = true;
-    }
-
     /// Number of calls that wait for an endpoint.
     pub const fn waiting(&self) -> u32 {
         self.waiting
@@ -181,8 +173,7 @@
             }
             return is_due.then_some(Due::Probe);
         }
-        let has_cause =
-            self.is_unproven() || self.is_silent(now) || self.has_failed && !self.is_checked(now);
+        let has_cause = self.is_unproven() || self.is_silent(now);
         let is_due = has_cause && !self.is_checking;
         self.is_checking |= is_due;
         is_due.then_some(Due::Check)
@@ -210,7 +201,6 @@
         now: Moment,
     ) -> bool {
         self.is_checking = false;
-        self.has_failed = false;
         self.checked_at = Some(now);
         if probed == Probed::Reached {
             self.reached_at = Some(now);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod fleet_model;
 mod fleet_starts_together;
 mod half_the_engines_slow;
+mod hop_messages;
 mod ingress;
 mod lines_change_hosts;
 mod load_curve;
--- a/tests/protection/main.rs
+++ b/tests/protection/main.rs
@@ -1,4 +1,5 @@
 //! Decisions that protect endpoints, in virtual time.
 
+mod cut_off;
 mod limits;
 mod suspects;
