--- a/tests/gateway_processes/cut_off_hosts.rs
+++ b/tests/gateway_processes/cut_off_hosts.rs
@@ -372,6 +372,34 @@
     });
 }
 
+// Guards against a stream that hangs when the host in between is cut off too,
+// and against calls that are refused although the own path works again.
+#[test]
+fn calls_return_to_the_own_path_when_the_other_host_is_cut_off() {
+    let slow = Behaviour {
+        events: 30,
+        pause: Duration::from_millis(100),
+        ..Behaviour::SOUND
+    };
+    let deployment = Deployment::new(Behaviour::SOUND, slow);
+    let hosts = deployment.hosts::<2>();
+    hosts[0].cut(Cut::Silent);
+    deployment.served(&hosts[0], "/safe/", 4);
+    std::thread::sleep(NOTICED);
+    std::thread::scope(|scope| {
+        let (deployment, hosts) = (&deployment, &hosts);
+        let events = scope.spawn(move || read_events(deployment, &hosts[0], "moved"));
+        std::thread::sleep(Duration::from_millis(700));
+        hosts[0].heal();
+        hosts[1].cut(Cut::Silent);
+        assert_eq!(deployment.served(&hosts[0], "/safe/", 20), 20);
+        let events = events.join().expect("the caller's thread");
+        assert_eq!(events.len(), 30);
+        let longest = events.windows(2).map(|pair| pair[1].1 - pair[0].1).max();
+        assert!(longest < Some(Duration::from_millis(2000)), "{longest:?}");
+    });
+}
+
 // Guards against engines that work on after the caller of a cut-off host left.
 #[test]
 fn the_callers_close_reaches_the_engine_through_another_host() {
