Find another way when the host in between fails

What callers saw: at hosts that are cut off, calls were refused as not run, or hung, for a second or more whenever the host in between was cut off as well, or had reported one slow endpoint.

Cause: a hop that timed out at its endpoint was held against the host in between for a second; the host in between waited on its own silent path; and a host whose own paths worked again did not try them until it trusted them.

Hosts now report a time-out before the first host gives up, and only their silence is held against them; a forwarded call that may be repeated ends when its path is lost, and runs once more at the same endpoint by another way; a call that no host takes uses the own path if the last probe got through, and is refused at once if not; and a host that says in an exchange which services it is cut off from is asked for the others again.

--- a/src/connection/hop.rs
+++ b/src/connection/hop.rs
@@ -27,9 +27,20 @@
 const ENDPOINT: HeaderName = HeaderName::from_static("chicoryarch-endpoint");
 /// Maximum idle time of the connection that is used, in milliseconds.
 const MAX_IDLE_MS: HeaderName = HeaderName::from_static("chicoryarch-max-idle-ms");
+/// `true` if the call may run again.
+const REPEATABLE: HeaderName = HeaderName::from_static("chicoryarch-repeatable");
 /// Outcome of the hop, in each response.
 const HOP: HeaderName = HeaderName::from_static("chicoryarch-hop");
 
+/// Headers that are added to the request for the endpoint.
+const OWN_HEADERS: [HeaderName; 5] = [
+    ENDPOINT,
+    FROM,
+    MAX_IDLE_MS,
+    headers::REMAINING_MS,
+    REPEATABLE,
+];
+
 /// What the other host needs to know beside the request for the endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Hop {
@@ -41,6 +52,9 @@
     pub time_left: Duration,
     /// Maximum idle time of the connection that is used; `None` for any.
     pub max_idle: Option<Duration>,
+    /// Whether the call may run again, so that it need not wait on a path that
+    /// is lost.
+    pub is_repeatable: bool,
 }
 
 /// How a hop ended.
@@ -61,6 +75,9 @@
     NotSent,
     /// No time was left to send the call. Not run.
     OutOfTime,
+    /// The call was sent and the host was then cut off from the endpoint's
+    /// service. It may have run.
+    PathLost,
     /// No answer arrived in time. It may have run.
     TimedOut,
     /// The host knows no such endpoint, or cannot read the hop. Not run.
@@ -73,7 +90,7 @@
 pub struct UnknownOutcome;
 
 impl HopOutcome {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Answered,
         Self::Busy,
         Self::Draining,
@@ -81,6 +98,7 @@
         Self::NoPath,
         Self::NotSent,
         Self::OutOfTime,
+        Self::PathLost,
         Self::TimedOut,
         Self::UnknownEndpoint,
     ];
@@ -95,6 +113,7 @@
             Self::NoPath => "no-path",
             Self::NotSent => "not-sent",
             Self::OutOfTime => "out-of-time",
+            Self::PathLost => "path-lost",
             Self::TimedOut => "timed-out",
             Self::UnknownEndpoint => "unknown-endpoint",
         }
@@ -131,6 +150,7 @@
         headers::REMAINING_MS,
         headers::value(hop.time_left.as_millis()),
     );
+    fields.insert(REPEATABLE, headers::value(hop.is_repeatable));
     fields.remove(MAX_IDLE_MS);
     if let Some(max_idle) = hop.max_idle {
         fields.insert(MAX_IDLE_MS, headers::value(max_idle.as_millis()));
@@ -157,10 +177,11 @@
         endpoint: headers::read_one::<String>(fields, &ENDPOINT).ok()??.into(),
         time_left: millis(fields, &headers::REMAINING_MS)??,
         max_idle: millis(fields, &MAX_IDLE_MS)?,
+        is_repeatable: headers::read_one(fields, &REPEATABLE).ok()??,
     };
     *req.uri_mut() = path;
     let fields = req.headers_mut();
-    for name in [FROM, ENDPOINT, MAX_IDLE_MS, headers::REMAINING_MS] {
+    for name in OWN_HEADERS {
         fields.remove(name);
     }
     Some(hop)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -196,17 +196,9 @@
     /// Waits until this host has been cut off for `grace`, by a cut in which its
     /// connections are silent. Never ends if the request is not sent directly.
     pub async fn path_lost(&self, grace: Duration) {
-        if !matches!(self.way, Way::Own(_)) {
-            future::pending::<()>().await;
-        }
-        loop {
-            let silent_cut = self.pool.lock().path.silent_cut();
-            // The channel carries no items; `recv` returns when it is closed.
-            let _closed = silent_cut.recv().await;
-            Timer::after(grace).await;
-            if self.is_cut_off() {
-                return;
-            }
+        match &self.way {
+            Way::Own(wait) => wait.path_lost(grace).await,
+            Way::Hop(_) | Way::Unsent => future::pending().await,
         }
     }
 
@@ -214,6 +206,10 @@
         self.pool.lock().path.is_cut_off()
     }
 
+    fn is_reached_again(&self) -> bool {
+        self.pool.lock().path.is_reached_again()
+    }
+
     /// Ends the request. A guard that is dropped without this call counts as
     /// [`AttemptEnd::Abandoned`].
     pub fn end(mut self, ended: AttemptEnd) {
@@ -285,6 +281,20 @@
             evidence: AttemptEnd::Failed,
         }
     }
+
+    fn lost_on_way(why: impl Into<String>) -> Self {
+        Self::Unknown {
+            why: why.into(),
+            evidence: AttemptEnd::Abandoned,
+        }
+    }
+
+    fn no_path(why: impl Into<String>) -> Self {
+        Self::NotRun {
+            why: why.into(),
+            cause: NotRunCause::NoPath,
+        }
+    }
 }
 
 /// Sends a call to an endpoint and waits for the head of its answer. A host that
@@ -312,7 +322,17 @@
             }
         }
     }
-    send_through_host(cx, &attempt, placement).await
+    match send_through_host(cx, &attempt, placement).await {
+        Some(result) => result,
+        // The cut may have ended.
+        None if placement.is_reached_again() => {
+            match send_directly(cx, &attempt, placement).await {
+                Direct::Done(result) => result,
+                Direct::NotConnected { why } => AttemptResult::no_path(why),
+            }
+        }
+        None => AttemptResult::no_path("this host is cut off, and no other took the call"),
+    }
 }
 
 /// An attempt at an endpoint that is yet to be sent.
@@ -380,7 +400,7 @@
     };
     let path_lost = async {
         // The answer to a call that may not be repeated may still arrive.
-        if attempt.call.route.kind == RouteKind::Once {
+        if !attempt.call.route.kind.is_repeatable() {
             future::pending::<()>().await;
         }
         // A connection that is being opened fails by then, and nothing is sent.
@@ -388,10 +408,8 @@
         None
     };
     let Some(sent) = future::or(sent, path_lost).await else {
-        return Direct::Done(AttemptResult::Unknown {
-            why: "the host was cut off from the service".to_owned(),
-            evidence: AttemptEnd::Abandoned,
-        });
+        let why = "the host was cut off from the service";
+        return Direct::Done(AttemptResult::lost_on_way(why));
     };
     Direct::Done(match sent {
         Ok(response) => {
@@ -408,41 +426,37 @@
     })
 }
 
+/// Sends an attempt through another host; `None` if none takes it.
 async fn send_through_host<P: Platform>(
     cx: &Gateway<P>,
     attempt: &Attempt<'_>,
     placement: &mut PlacementGuard,
-) -> AttemptResult {
+) -> Option<AttemptResult> {
     placement.way = Way::Unsent;
     let endpoint = Arc::clone(placement.endpoint());
     let hop = HopAttempt {
         endpoint: &endpoint,
         deadline: attempt.deadline,
         max_idle: attempt.max_idle(),
+        is_repeatable: attempt.call.route.kind.is_repeatable(),
     };
     let build = || attempt.request(&endpoint).ok();
-    match hop::send(cx, hop, build).await {
+    Some(match hop::send(cx, hop, build).await {
         HopResult::Answered(response, open) => {
             placement.way = Way::Hop(open);
             classify_answer(cx, attempt.call, placement, *response)
         }
-        HopResult::HostLost(why) => AttemptResult::Unknown {
-            why,
-            evidence: AttemptEnd::Abandoned,
-        },
+        HopResult::LostOnWay(why) => AttemptResult::lost_on_way(why),
         HopResult::EndpointLost => {
             AttemptResult::unknown("another host lost its connection to the endpoint")
         }
-        HopResult::NotTaken => AttemptResult::NotRun {
-            why: "this host is cut off from the service, and no other took the call".to_owned(),
-            cause: NotRunCause::NoPath,
-        },
+        HopResult::NotTaken => return None,
         HopResult::NotSent => AttemptResult::NotRun {
             why: "another host could not send it to the endpoint".to_owned(),
             cause: NotRunCause::Gone,
         },
         HopResult::TimedOut => AttemptResult::TimedOut,
-    }
+    })
 }
 
 /// Maximum idle time of a connection that is reused for a call that may not be
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 use super::attempt;
 use super::attempt::AttemptResult;
 use super::attempt::Call;
+use super::attempt::NotRunCause;
 use super::attempt::PlacementGuard;
 use super::choice;
 use super::choice::Choice;
@@ -128,6 +129,9 @@
                 log_attempt(cx, &call, &placement, &attempts, "not-run", &why);
                 attempts.refused.push(placement.endpoint().id.clone());
                 placement.end(cause.evidence());
+                if cause == NotRunCause::NoPath && attempts.ran.is_empty() {
+                    return Err(Refusal::not_run(why, NO_CAPACITY_RETRY));
+                }
                 if attempts.refused.len() >= MAX_REFUSALS {
                     return Err(refusal_after(&attempts, &why));
                 }
@@ -190,10 +194,7 @@
 /// was lost on the way may run once more at the same endpoint.
 fn may_repeat(call: &Call, attempts: &Attempts) -> bool {
     let max_runs = call.route.max_runs + u32::from(attempts.is_lost_on_way);
-    match call.route.kind {
-        RouteKind::Idempotent | RouteKind::Stream { resumable: true } => attempts.runs() < max_runs,
-        RouteKind::Once | RouteKind::Stream { resumable: false } => false,
-    }
+    call.route.kind.is_repeatable() && attempts.runs() < max_runs
 }
 
 fn refusal_after(attempts: &Attempts, why: &str) -> Refusal {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -224,10 +224,7 @@
     for crash in &remote.crashes {
         cx.suspects.lock().record(crash, now);
     }
-    for service in &remote.cut_off {
-        let until = now + CUT_OFF_TTL;
-        cx.helpers.lock().avoid(&remote.host, service, until, now);
-    }
+    learn_paths(cx, remote, now);
     for limit in cx.pools.learn_limits(&remote.limits, now) {
         cx.metrics.limit_changes.inc();
         let line = ToldLimitLine {
@@ -241,6 +238,15 @@
     }
 }
 
+/// Records which services another host can forward calls to.
+fn learn_paths<P>(cx: &Gateway<P>, remote: &HostVersions, now: Moment) {
+    let mut helpers = cx.helpers.lock();
+    helpers.allow(&remote.host);
+    for service in &remote.cut_off {
+        helpers.avoid(&remote.host, service, now + CUT_OFF_TTL, now);
+    }
+}
+
 fn exchange_reply<P: Platform>(cx: &Cx<P>, remote: &HostVersions) -> ExchangeReply {
     cx.record_message(&remote.host);
     let caller = cx.roster.lock().peer(&remote.host);
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -26,12 +26,16 @@
 use crate::units::Moment;
 
 /// Number of hosts that are asked to forward one attempt.
-const MAX_HOSTS: usize = 4;
+const MAX_HOSTS: usize = 12;
 /// Time for which a host is not asked after it could not help.
 const AVOIDED: Duration = Duration::from_secs(1);
 /// The same for a host that is shutting down or forwards no calls.
 const AVOIDED_LONG: Duration = Duration::from_secs(5);
 
+/// Part of an attempt's time within which the other host must have reported
+/// that there is no answer.
+const REPORT_TIME: Duration = Duration::from_millis(10);
+
 /// A call that goes through another host; counts there until it is dropped.
 #[derive(Debug)]
 pub struct OpenHop {
@@ -61,8 +65,9 @@
 pub enum HopResult {
     /// The endpoint answered.
     Answered(Box<Response<Incoming>>, OpenHop),
-    /// The connection to the other host was lost. The call may have run.
-    HostLost(String),
+    /// The connection to the other host was lost, or its path to the endpoint.
+    /// The call may have run.
+    LostOnWay(String),
     /// The other host lost its connection to the endpoint. The call may have
     /// run.
     EndpointLost,
@@ -83,6 +88,8 @@
     pub deadline: Moment,
     /// Maximum idle time of the connections that are used; `None` for any.
     pub max_idle: Option<Duration>,
+    /// Whether the call may run again.
+    pub is_repeatable: bool,
 }
 
 /// Chooses a host that may reach an endpoint; `None` if there is none.
@@ -105,14 +112,16 @@
     for _ in 0..MAX_HOSTS {
         let now = Moment::now();
         let time_left = now.until(attempt.deadline);
-        let Some(peer) = choose_host(cx, attempt.endpoint) else {
+        let host = choose_host(cx, attempt.endpoint);
+        let Some(peer) = host.filter(|_| !time_left.is_zero()) else {
             return HopResult::NotTaken;
         };
         let hop = Hop {
             from: cx.cfg.place.host.clone(),
             endpoint: attempt.endpoint.id.clone(),
-            time_left,
+            time_left: time_left.saturating_sub(REPORT_TIME),
             max_idle: attempt.max_idle,
+            is_repeatable: attempt.is_repeatable,
         };
         let Some(req) = build().and_then(|req| hop::wrap(req, &hop).ok()) else {
             return HopResult::NotSent;
@@ -130,13 +139,17 @@
                 match e {
                     e if e.is_not_sent() => continue,
                     ClientError::Timeout(_) => return HopResult::TimedOut,
-                    e => return HopResult::HostLost(format!("through {}: {e}", peer.host)),
+                    e => return HopResult::LostOnWay(format!("through {}: {e}", peer.host)),
                 }
             }
         };
         match hop::take_outcome(response.headers_mut()) {
             Some(HopOutcome::Answered) => return HopResult::Answered(Box::new(response), open),
             Some(HopOutcome::Lost) => return HopResult::EndpointLost,
+            Some(HopOutcome::PathLost) => {
+                let why = format!("{} was cut off from the service", peer.host);
+                return HopResult::LostOnWay(why);
+            }
             Some(HopOutcome::NotSent | HopOutcome::OutOfTime) => return HopResult::NotSent,
             Some(HopOutcome::TimedOut) => return HopResult::TimedOut,
             Some(HopOutcome::Busy | HopOutcome::NoPath | HopOutcome::UnknownEndpoint) => {
--- a/src/gateway/hop_port.rs
+++ b/src/gateway/hop_port.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodySender;
 use chicoryarch_net::buffered::BufferedBody;
@@ -15,6 +16,7 @@
 use http::Request;
 use http::Response;
 use http_body::Body as _;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -23,6 +25,7 @@
 use super::context::Gateway;
 use super::directory::Endpoint;
 use super::paths;
+use super::paths::MAX_CUT_OFF_SILENCE;
 use super::paths::PathWait;
 use crate::connection::headers::end_to_end;
 use crate::connection::hop;
@@ -126,13 +129,25 @@
     let req = adapt(req, now.since(received));
     let wait = PathWait::begin(pool);
     let max_idle = hop.max_idle.unwrap_or(Duration::MAX);
-    let sent = cx
-        .client
-        .send_recent(endpoint.address, req, time_left, max_idle);
-    match sent.await {
+    let sent = async {
+        let to = endpoint.address;
+        let sent = cx.client.send_recent(to, req, time_left, max_idle);
+        Ok(sent.await)
+    };
+    let path_lost = async {
+        path_lost(&wait, hop, cx.cfg.connect_timeout).await;
+        Err(HopOutcome::PathLost)
+    };
+    match future::or(sent, path_lost).await? {
         Ok(response) => {
             wait.record_heard();
-            Ok(pass_on(cx, response, wait, (open, memory)))
+            let call = ForwardedCall {
+                hop: hop.clone(),
+                wait,
+                _open: open,
+                _memory: memory,
+            };
+            Ok(pass_on(cx, response, call))
         }
         Err(ClientError::Connect(_)) => match paths::check(cx, &endpoint.service).await {
             true => Err(HopOutcome::NotSent),
@@ -175,11 +190,27 @@
     req
 }
 
+/// Waits until this host is cut off too; never ends for a call that may not run
+/// again, whose answer may still arrive.
+async fn path_lost(wait: &PathWait, hop: &Hop, grace: Duration) {
+    if !hop.is_repeatable {
+        future::pending::<()>().await;
+    }
+    wait.path_lost(grace).await;
+}
+
+/// A call whose answer is being copied.
+struct ForwardedCall {
+    hop: Hop,
+    wait: PathWait,
+    _open: OpenCall,
+    _memory: ReservedBytes,
+}
+
 fn pass_on<P: Platform>(
     cx: &Cx<P>,
     response: Response<Incoming>,
-    wait: PathWait,
-    held: (OpenCall, ReservedBytes),
+    call: ForwardedCall,
 ) -> Response<Body> {
     let (head, body) = response.into_parts();
     let is_empty = body.is_end_stream();
@@ -189,36 +220,46 @@
     *response.headers_mut() = endpoints::answer_headers(&head);
     hop::set_outcome(response.headers_mut(), HopOutcome::Answered);
     if !is_empty {
-        cx.spawner.detach(async move {
-            copy(body, tx, &wait).await;
-            drop(held);
-        });
+        cx.spawner.detach(call.copy(body, tx));
     }
     response
 }
 
-/// Copies an answer chunk by chunk until it ends or the other host closes.
-async fn copy(body: Incoming, tx: BodySender, wait: &PathWait) {
-    let mut body = pin!(body);
-    loop {
-        let frame = async { Some(body.as_mut().frame().await) };
-        let closed = async {
-            tx.wait_closed().await;
-            None
-        };
-        let Some(frame) = future::or(frame, closed).await else {
-            return;
-        };
-        wait.record_heard();
-        match frame {
-            None => return tx.finish().await,
-            Some(Err(e)) => return tx.fail(e.to_string()).await,
-            Some(Ok(frame)) => {
-                let Ok(chunk) = frame.into_data() else {
-                    continue;
-                };
-                if tx.send(chunk).await.is_err() {
-                    return;
+/// What ends a wait for the next chunk of an answer.
+enum Input {
+    Closed,
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    PathLost,
+}
+
+impl ForwardedCall {
+    /// Copies an answer chunk by chunk until it ends, the other host closes or
+    /// this one is cut off.
+    async fn copy(self, body: Incoming, tx: BodySender) {
+        let mut body = pin!(body);
+        loop {
+            let frame = async { Input::Frame(body.as_mut().frame().await) };
+            let closed = async {
+                tx.wait_closed().await;
+                Input::Closed
+            };
+            let path_lost = async {
+                path_lost(&self.wait, &self.hop, MAX_CUT_OFF_SILENCE).await;
+                Input::PathLost
+            };
+            match future::or(frame, future::or(closed, path_lost)).await {
+                Input::Closed => return,
+                Input::PathLost => return tx.fail("the path to the endpoint is lost").await,
+                Input::Frame(None) => return tx.finish().await,
+                Input::Frame(Some(Err(e))) => return tx.fail(e.to_string()).await,
+                Input::Frame(Some(Ok(frame))) => {
+                    self.wait.record_heard();
+                    let Ok(chunk) = frame.into_data() else {
+                        continue;
+                    };
+                    if tx.send(chunk).await.is_err() {
+                        return;
+                    }
                 }
             }
         }
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -46,6 +46,9 @@
 /// Age up to which this host's last contact with an endpoint answers another
 /// host's question without a probe.
 const CONTACT_TTL: Duration = Duration::from_millis(500);
+/// Time for which a stream of a host that is cut off may be silent before it
+/// goes on through another host.
+pub const MAX_CUT_OFF_SILENCE: Duration = Duration::from_millis(400);
 /// Interval at which the paths are looked after.
 const PERIOD: Duration = Duration::from_millis(100);
 
@@ -84,6 +87,20 @@
     pub fn record_heard(&self) {
         self.0.lock().path.record_heard(Moment::now());
     }
+
+    /// Waits until this host has been cut off for `grace`, by a cut in which its
+    /// connections are silent.
+    pub async fn path_lost(&self, grace: Duration) {
+        loop {
+            let silent_cut = self.0.lock().path.silent_cut();
+            // The channel carries no items; `recv` returns when it is closed.
+            let _closed = silent_cut.recv().await;
+            Timer::after(grace).await;
+            if self.0.lock().path.is_cut_off() {
+                return;
+            }
+        }
+    }
 }
 
 impl Drop for PathWait {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,9 +32,9 @@
 use super::event_stream::Splitter;
 use super::lines;
 use super::origins;
+use super::paths::MAX_CUT_OFF_SILENCE;
 use super::placing::AttemptEnd;
 use super::reservation::Reservation;
-use super::routes::RouteKind;
 use crate::connection::platform::Platform;
 use crate::ids::HostId;
 use crate::platform::endpoints;
@@ -49,9 +49,6 @@
 const MAX_RESUMES: u32 = 2;
 /// Maximum number of engines that are asked to resume an answer.
 const MAX_RESUME_ATTEMPTS: usize = 4;
-/// Time for which a stream of a host that is cut off may be silent before it
-/// goes on through another host.
-const MAX_CUT_OFF_SILENCE: Duration = Duration::from_millis(400);
 /// Time after a call's deadline at which the gateway ends its stream. Engines
 /// stop by themselves at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
@@ -240,7 +237,7 @@
                 StreamInput::TimedOut
             };
             let path_lost = async {
-                if !self.is_resumable() {
+                if !self.call.route.kind.is_repeatable() {
                     future::pending::<()>().await;
                 }
                 placement.path_lost(MAX_CUT_OFF_SILENCE).await;
@@ -353,7 +350,7 @@
         tx: &BodySender,
         failed_endpoint: &str,
     ) -> Option<(Incoming, PlacementGuard)> {
-        let resumable = self.is_resumable();
+        let resumable = self.call.route.kind.is_repeatable();
         let mut gone = Vec::new();
         for _ in 0..MAX_RESUME_ATTEMPTS {
             let is_barred = crashes::is_barred(&self.cx, &self.call);
@@ -410,10 +407,6 @@
         None
     }
 
-    fn is_resumable(&self) -> bool {
-        matches!(self.call.route.kind, RouteKind::Stream { resumable: true })
-    }
-
     fn log(&self, placement: &PlacementGuard, outcome: &'static str, why: &str) {
         let Gateway { log, metrics, .. } = &*self.cx;
         let spent = Moment::now().since(self.call.received);
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -23,6 +23,17 @@
     },
 }
 
+impl RouteKind {
+    /// Whether a call without an answer may run again.
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::Once => false,
+            Self::Stream { resumable } => resumable,
+        }
+    }
+}
+
 /// A service and its share of a route's calls.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
--- a/src/protection/helpers.rs
+++ b/src/protection/helpers.rs
@@ -30,6 +30,11 @@
         *known = until.max(*known);
     }
 
+    /// Asks a host for calls of all services again.
+    pub fn allow(&mut self, host: &HostId) {
+        self.avoided.retain(|(avoided, _), _| avoided != host);
+    }
+
     /// Asks a host for no call of any service before a time.
     pub fn avoid_host(&mut self, host: &HostId, until: Moment, now: Moment) {
         self.avoid(host, "", until, now);
--- a/src/protection/paths.rs
+++ b/src/protection/paths.rs
@@ -141,6 +141,11 @@
         self.cut.is_some()
     }
 
+    /// Whether the last probe of a host that is cut off reached an endpoint.
+    pub fn is_reached_again(&self) -> bool {
+        self.cut.is_some_and(|cut| cut.reached_since.is_some())
+    }
+
     /// Whether an endpoint was reached within a time.
     pub fn is_reached_within(&self, span: Duration, now: Moment) -> bool {
         let reached_at = self.reached_at;
--- a/tests/gateway/hop_messages.rs
+++ b/tests/gateway/hop_messages.rs
@@ -23,6 +23,7 @@
         endpoint: "e1".into(),
         time_left: Duration::from_millis(1234),
         max_idle: None,
+        is_repeatable: true,
     };
     (hop::wrap(req, &hop).expect("a valid path"), hop)
 }
@@ -40,7 +41,7 @@
 
 #[test]
 fn a_request_without_a_whole_hop_is_no_hop() {
-    for name in ["from", "endpoint", "remaining-ms"] {
+    for name in ["from", "endpoint", "remaining-ms", "repeatable"] {
         let (mut req, _) = wrapped();
         req.headers_mut().remove(format!("chicoryarch-{name}"));
         assert_eq!(hop::unwrap(&mut req), None, "{name}");
