Cut hosts off from the endpoints in the soak

A scenario of its own, so that the seeds of the others keep their faults: each gateway has its own paths to the endpoints, which are cut silently, by resets or by refusals, for one service or both, beside all other faults.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::Run;
 use chicoryarch_standins::fleet::objects::StoreFaults;
+use chicoryarch_standins::fleet::proxy::Cut;
 use chicoryarch_standins::fleet::proxy::Mode;
 use chicoryarch_standins::fleet::proxy::Proxy;
 use rand::Rng;
@@ -32,6 +33,8 @@
     pub(crate) endpoints: Vec<EndpointStandin>,
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) gateways: Vec<Gateway>,
+    /// Paths of each gateway to the endpoints; empty if it reaches them directly.
+    links: Vec<Vec<Proxy>>,
     version: u64,
 }
 
@@ -45,6 +48,15 @@
 
 impl Deployment {
     pub(crate) fn new(seed: u64, gateways: usize) -> Self {
+        Self::start(seed, gateways, false)
+    }
+
+    /// Starts gateways that have paths of their own to the endpoints.
+    pub(crate) fn with_own_paths(seed: u64, gateways: usize) -> Self {
+        Self::start(seed, gateways, true)
+    }
+
+    fn start(seed: u64, gateways: usize, has_own_paths: bool) -> Self {
         let fleet = Fleet::new();
         let endpoints = vec![
             fleet.endpoint("p1", "plain", behaviour(false)),
@@ -52,8 +64,18 @@
             fleet.endpoint("e1", "engine", behaviour(true)),
             fleet.endpoint("e2", "engine", behaviour(true)),
         ];
-        let start = || Proxy::start(&fleet.spawner, fleet.store.addr());
-        let proxies: Vec<Proxy> = (0..gateways).map(|_| start()).collect();
+        let mut links = Vec::new();
+        let start = |_| {
+            if !has_own_paths {
+                return Proxy::start(&fleet.spawner, fleet.store.addr());
+            }
+            let own: Vec<Proxy> = endpoints.iter().map(|e| fleet.link(e.addr())).collect();
+            let pairs = endpoints.iter().zip(&own);
+            let replaced: Vec<_> = pairs.map(|(e, link)| (e.addr(), link.address())).collect();
+            links.push(own);
+            Proxy::start(&fleet.spawner, fleet.store_view(&replaced))
+        };
+        let proxies: Vec<Proxy> = (0..gateways).map(start).collect();
         let gateways: Vec<Gateway> = proxies
             .iter()
             .enumerate()
@@ -75,6 +97,7 @@
             endpoints,
             proxies,
             gateways,
+            links,
             version: 1,
         }
     }
@@ -97,12 +120,18 @@
     pub(crate) fn inject(&mut self, duration: Duration) {
         let end = Instant::now() + duration;
         while Instant::now() < end {
-            self.inject_one();
+            match !self.links.is_empty() && self.rng.random_bool(0.4) {
+                true => self.cut_or_heal(),
+                false => self.inject_one(),
+            }
             thread::sleep(Duration::from_millis(self.rng.random_range(20..400)));
         }
         for proxy in &self.proxies {
             proxy.set(Mode::Forward);
         }
+        for link in self.links.iter().flatten() {
+            link.heal();
+        }
         self.fleet.store.set_faults(StoreFaults::default());
         for (n, endpoint) in self.endpoints.iter().enumerate() {
             endpoint.set_behaviour(behaviour(n >= 2));
@@ -112,6 +141,25 @@
         }
     }
 
+    /// Cuts a gateway off from some or all endpoints, or ends its cuts.
+    fn cut_or_heal(&mut self) {
+        let gateway = self.rng.random_range(0..self.links.len());
+        let cut = match self.rng.random_range(0..4) {
+            0 => Some(Cut::Silent),
+            1 => Some(Cut::Reset),
+            2 => Some(Cut::Refuse),
+            _ => None,
+        };
+        let is_cut = [0, 2].map(|_| self.rng.random_bool(0.8));
+        for (n, link) in self.links[gateway].iter().enumerate() {
+            match cut {
+                Some(cut) if is_cut[n / 2] => link.cut(cut),
+                Some(_) => (),
+                None => link.heal(),
+            }
+        }
+    }
+
     fn inject_one(&mut self) {
         let gateway = self.rng.random_range(0..self.gateways.len());
         match self.rng.random_range(0..12) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,4 +1,5 @@
-//! Soak tests under faults, under planned work only, of streams beside engines of
+//! Soak tests under faults, also of hosts that are cut off from the endpoints,
+//! under planned work only, of streams beside engines of
 //! several versions, and of configuration changes: gateways run as separate processes, faults or
 //! planned work come from outside, and the guarantees are checked on what
 //! callers and endpoints record.
@@ -41,7 +42,14 @@
 const REGRESSION_SEEDS: [u64; 0] = [];
 
 fn run_seed(seed: u64) {
-    let mut deployment = Deployment::new(seed, GATEWAYS);
+    run_faults(seed, Deployment::new(seed, GATEWAYS));
+}
+
+fn run_cuts_seed(seed: u64) {
+    run_faults(seed, Deployment::with_own_paths(seed, GATEWAYS));
+}
+
+fn run_faults(seed: u64, mut deployment: Deployment) {
     let stop = AtomicBool::new(false);
     let calls: Vec<CallRecord> = std::thread::scope(|scope| {
         let addresses = deployment.addresses();
@@ -111,6 +119,22 @@
     }
 }
 
+#[test]
+fn guarantees_hold_while_hosts_are_cut_off() {
+    for seed in [1, 2] {
+        run_cuts_seed(seed);
+    }
+}
+
+#[test]
+#[ignore = "run by hand with SOAK_SEEDS=FIRST..LAST"]
+fn guarantees_hold_while_hosts_are_cut_off_for_chosen_seeds() {
+    for seed in chosen_seeds() {
+        eprintln!("cuts seed {seed}");
+        run_cuts_seed(seed);
+    }
+}
+
 #[test]
 fn planned_work_cuts_off_no_request() {
     run_planned_seed(1);
