Take a service without listed endpoints for reachable

A check of the paths to such a service had nothing to probe and counted that as refused. Callers saw nothing of it: without an endpoint there is none to choose. Found by reading.

--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -158,7 +158,11 @@
         }
     }
     let targets = targets(cx, &pool, CHECK_PROBES);
-    let probed = probe(cx, &targets).await;
+    let probed = match targets.is_empty() {
+        // Endpoints that are not listed tell nothing of the paths.
+        true => Probed::Reached,
+        false => probe(cx, &targets).await,
+    };
     let (asked, reached_by) = match probed {
         Probed::Reached => (0, None),
         Probed::Refused | Probed::Silent => ask_others(cx, service).await,
