--- a/tests/gateway_processes/cut_off_hosts.rs
+++ b/tests/gateway_processes/cut_off_hosts.rs
@@ -35,6 +35,12 @@
     ..Behaviour::SOUND
 };
 
+/// Refuses all requests.
+const FULL: Behaviour = Behaviour {
+    refused_requests: 1000,
+    ..ENGINE
+};
+
 /// A gateway with paths of its own to the endpoints.
 struct Host {
     gateway: Gateway,
@@ -568,6 +574,103 @@
     assert!(answered >= 1);
 }
 
+// Guards against programs that get more than their budget by a host that is cut
+// off.
+#[test]
+fn the_budget_of_a_program_holds_across_the_hop() {
+    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
+    let hosts = deployment.hosts::<2>();
+    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let sent = || -> u64 { deployment.engines.iter().map(|e| e.sent_events()).sum() };
+    let before = sent();
+    let statuses: Vec<u16> = (0..12)
+        .map(|n| {
+            let id = format!("b{n}");
+            let headers = [
+                ("request-id", &*id),
+                ("program-id", "p"),
+                ("session-id", "s"),
+                ("token-usage", "100,50"),
+                ("token-budget", "420"),
+            ];
+            let host = &hosts[n % 2].gateway;
+            let answer = deployment.fleet.call(host, "/turns/", &headers);
+            answer.status.as_u16()
+        })
+        .collect();
+    assert_eq!(statuses.last(), Some(&402), "{statuses:?}");
+    assert!(statuses.iter().filter(|s| **s == 200).count() >= 4);
+    // Each event has ten tokens.
+    assert!((sent() - before) * 10 <= 420, "{} events", sent() - before);
+}
+
+// Guards against a stream that goes on in another order, with a gap, or at an
+// engine of another version after it broke behind another host.
+#[test]
+fn a_broken_stream_goes_on_in_order_and_at_its_version_across_the_hop() {
+    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
+    let fleet = &deployment.fleet;
+    let breaking = Behaviour {
+        broken_streams: 1,
+        ..ENGINE
+    };
+    for engine in &deployment.engines {
+        engine.set_behaviour(breaking);
+    }
+    let others: Vec<EndpointStandin> = (0..3)
+        .map(|n| fleet.endpoint_of_version(&format!("other{n}"), "engine", "v2", FULL))
+        .collect();
+    let endpoints = [deployment.endpoints(), others.clone()].concat();
+    let hosts: [Host; 2] =
+        std::array::from_fn(|n| Host::start(fleet, &format!("g{n}"), &endpoints));
+    std::thread::sleep(EXCHANGE);
+    hosts[0].cut(Cut::Silent);
+    deployment.served(&hosts[0], "/safe/", 4);
+    std::thread::sleep(NOTICED);
+    for n in 0..8 {
+        let answer = deployment.call(&hosts[0], "/turns/", &format!("v{n}"));
+        let body = answer.body.expect("a whole stream");
+        let whole: String = (1..=5)
+            .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+            .collect();
+        assert_eq!(body, whole.as_bytes());
+    }
+    // Each engine breaks the first stream that it gets, and takes it up again.
+    let used = deployment.engines.iter().map(EndpointStandin::runs);
+    let used: Vec<_> = used.filter(|runs| !runs.is_empty()).collect();
+    assert!(!used.is_empty());
+    for runs in used {
+        let resumed = runs.iter().filter(|run| run.resume_after == Some(1));
+        assert_eq!(resumed.count(), 1);
+    }
+    let ran: usize = others.iter().map(|e| e.runs().len()).sum();
+    assert_eq!(ran, 0);
+}
+
+// Guards against answers to another request that a host passes on.
+#[test]
+fn an_answer_to_another_request_is_not_passed_on_through_another_host() {
+    let mismatched = Behaviour {
+        mismatched_answers: 3,
+        ..Behaviour::SOUND
+    };
+    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
+    let hosts = deployment.hosts::<2>();
+    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    for endpoint in &deployment.plain {
+        endpoint.set_behaviour(mismatched);
+    }
+    for n in 0..20 {
+        let id = format!("m{n}");
+        let answer = deployment.call(&hosts[0], "/once/", &id);
+        match answer.status.as_u16() {
+            200 => assert_eq!(answer.headers["request-id"], *id),
+            status => assert_eq!(status, 502),
+        }
+        assert_eq!(deployment.runs_of(&id), 1);
+    }
+}
+
 // Guards against calls that are passed on and on while most hosts are cut off.
 #[test]
 fn calls_are_served_while_most_hosts_are_cut_off() {
