--- a/tests/gateway_processes/cut_off_hosts.rs
+++ b/tests/gateway_processes/cut_off_hosts.rs
@@ -482,6 +482,38 @@
     assert_eq!(deployment.runs_of("lost"), 1);
 }
 
+// Guards against a host that was suspended and then runs calls whose callers
+// have long been told that there is no answer.
+#[test]
+fn a_host_that_was_suspended_runs_no_call_that_was_given_up() {
+    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
+    let hosts = deployment.hosts::<2>();
+    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let call = |id: &str| {
+        let mut caller =
+            TcpStream::connect(hosts[0].gateway.addresses.callers).expect("a connection");
+        let req = format!(
+            "POST /once/ HTTP/1.1\r\nhost: h\r\nrequest-id: {id}\r\ndeadline-ms: 400\r\n\
+             credential: key-1\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        caller.write_all(req.as_bytes()).expect("the request fits");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an answer");
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    };
+    hosts[1].gateway.signal(Signal::STOP);
+    std::thread::scope(|scope| {
+        for n in 0..8 {
+            scope.spawn(move || call(&format!("late{n}")));
+        }
+    });
+    std::thread::sleep(Duration::from_millis(1500));
+    hosts[1].gateway.signal(Signal::CONT);
+    std::thread::sleep(Duration::from_secs(1));
+    let late = (0..8).map(|n| deployment.runs_of(&format!("late{n}")));
+    assert_eq!(late.sum::<usize>(), 0);
+}
+
 // Guards against a planned stop that cuts off what another host passed on.
 #[test]
 fn a_host_that_stops_ends_what_it_forwards_first() {
