--- a/tests/gateway_processes/cut_off_hosts.rs
+++ b/tests/gateway_processes/cut_off_hosts.rs
@@ -140,12 +140,20 @@
 /// Cuts a host off and waits until it has noticed.
 fn cut_and_wait(deployment: &Deployment, host: &Host, cut: Cut) {
     host.cut(cut);
-    // Calls tell the host of the cut; their answers are not counted.
+    // Calls tell the host of the cut; how they end does not matter.
     deployment.served(host, "/safe/", 4);
-    deployment.served(host, "/turns/", 2);
+    let _ended = send(host, "/turns/", "first", 600).read_to_string(&mut String::new());
     std::thread::sleep(NOTICED);
 }
 
+/// Starts two hosts, the first of which is cut off silently.
+fn cut_off_deployment(plain: Behaviour, engine: Behaviour) -> (Deployment, [Host; 2]) {
+    let deployment = Deployment::new(plain, engine);
+    let hosts = deployment.hosts::<2>();
+    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    (deployment, hosts)
+}
+
 // Guards against callers that are refused, or wait in vain, at a host that is
 // cut off from all endpoints although other hosts reach them.
 #[test]
@@ -291,9 +299,7 @@
 // they come to a host that is cut off.
 #[test]
 fn deadly_requests_end_few_endpoints_through_another_host() {
-    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, ENGINE);
     let fleet = &deployment.fleet;
     let answers: Vec<_> = (0..6)
         .map(|n| {
@@ -308,17 +314,31 @@
     assert_eq!(answers, [502, 502, 502, 503, 503, 503]);
 }
 
-/// Reads the events of a stream and when each arrived.
-fn read_events(deployment: &Deployment, host: &Host, id: &str) -> Vec<(String, Duration)> {
+/// Sends a request and returns the caller's connection.
+fn send(host: &Host, path: &str, id: &str, deadline_ms: u32) -> TcpStream {
     let mut caller = TcpStream::connect(host.gateway.addresses.callers).expect("a connection");
     caller
         .set_read_timeout(Some(HANG_GUARD))
         .expect("the timeout is valid");
     let req = format!(
-        "POST /turns/ HTTP/1.1\r\nhost: h\r\nrequest-id: {id}\r\ndeadline-ms: 8000\r\n\
+        "POST {path} HTTP/1.1\r\nhost: h\r\nrequest-id: {id}\r\ndeadline-ms: {deadline_ms}\r\n\
          credential: key-1\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
     );
     caller.write_all(req.as_bytes()).expect("the request fits");
+    caller
+}
+
+/// Sends a request and returns the text of its answer.
+fn answer_to(host: &Host, path: &str, id: &str, deadline_ms: u32) -> String {
+    let mut answer = String::new();
+    let read = send(host, path, id, deadline_ms).read_to_string(&mut answer);
+    read.expect("an answer");
+    answer
+}
+
+/// Reads the events of a stream and when each arrived.
+fn read_events(deployment: &Deployment, host: &Host, id: &str) -> Vec<(String, Duration)> {
+    let mut caller = send(host, "/turns/", id, 8000);
     let started = Instant::now();
     let mut buf = [0; 4096];
     let mut seen = String::new();
@@ -334,6 +354,11 @@
     events
 }
 
+fn assert_no_gap(events: &[(String, Duration)], limit: Duration) {
+    let longest = events.windows(2).map(|pair| pair[1].1 - pair[0].1).max();
+    assert!(longest < Some(limit), "{longest:?}");
+}
+
 // Guards against streams that another host collects before it passes them on.
 #[test]
 fn a_stream_goes_on_event_by_event_through_another_host() {
@@ -342,9 +367,7 @@
         pause: Duration::from_millis(200),
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(Behaviour::SOUND, slow);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, slow);
     let events = read_events(&deployment, &hosts[0], "slow");
     assert_eq!(events.len(), 6);
     for (n, (_, at)) in events.iter().enumerate() {
@@ -373,8 +396,7 @@
         hosts[0].cut(Cut::Silent);
         let events = events.join().expect("the caller's thread");
         assert_eq!(events.len(), 20);
-        let longest = events.windows(2).map(|pair| pair[1].1 - pair[0].1).max();
-        assert!(longest < Some(Duration::from_millis(1500)), "{longest:?}");
+        assert_no_gap(&events, Duration::from_millis(1500));
     });
 }
 
@@ -387,11 +409,7 @@
         pause: Duration::from_millis(100),
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(Behaviour::SOUND, slow);
-    let hosts = deployment.hosts::<2>();
-    hosts[0].cut(Cut::Silent);
-    deployment.served(&hosts[0], "/safe/", 4);
-    std::thread::sleep(NOTICED);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, slow);
     std::thread::scope(|scope| {
         let (deployment, hosts) = (&deployment, &hosts);
         let events = scope.spawn(move || read_events(deployment, &hosts[0], "moved"));
@@ -401,8 +419,7 @@
         assert_eq!(deployment.served(&hosts[0], "/safe/", 20), 20);
         let events = events.join().expect("the caller's thread");
         assert_eq!(events.len(), 30);
-        let longest = events.windows(2).map(|pair| pair[1].1 - pair[0].1).max();
-        assert!(longest < Some(Duration::from_millis(2000)), "{longest:?}");
+        assert_no_gap(&events, Duration::from_millis(2000));
     });
 }
 
@@ -414,15 +431,8 @@
         pause: Duration::from_millis(50),
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(Behaviour::SOUND, slow);
-    let hosts = deployment.hosts::<2>();
-    hosts[0].cut(Cut::Silent);
-    deployment.served(&hosts[0], "/safe/", 4);
-    std::thread::sleep(NOTICED);
-    let mut caller = TcpStream::connect(hosts[0].gateway.addresses.callers).expect("a connection");
-    let req = "POST /turns/ HTTP/1.1\r\nhost: h\r\nrequest-id: left\r\ndeadline-ms: 8000\r\n\
-               credential: key-1\r\ncontent-length: 4\r\n\r\nbody";
-    caller.write_all(req.as_bytes()).expect("the request fits");
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, slow);
+    let caller = send(&hosts[0], "/turns/", "left", 8000);
     let sent = || -> u64 { deployment.engines.iter().map(|e| e.sent_events()).sum() };
     wait_until("the stream runs", || sent() >= 5);
     drop(caller);
@@ -435,15 +445,8 @@
 // Guards against endpoints that are given more time than the caller has left.
 #[test]
 fn the_time_left_holds_across_the_hop() {
-    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
-    let req = "POST /once/ HTTP/1.1\r\nhost: h\r\nrequest-id: timed\r\ndeadline-ms: 700\r\n\
-               credential: key-1\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody";
-    let mut caller = TcpStream::connect(hosts[0].gateway.addresses.callers).expect("a connection");
-    caller.write_all(req.as_bytes()).expect("the request fits");
-    let mut answer = String::new();
-    caller.read_to_string(&mut answer).expect("an answer");
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, ENGINE);
+    let answer = answer_to(&hosts[0], "/once/", "timed", 700);
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     let runs = deployment.plain.iter().flat_map(EndpointStandin::runs);
     let left: Vec<_> = runs
@@ -466,9 +469,7 @@
         pause: Duration::from_millis(600),
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(slow, ENGINE);
-    let mut hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, mut hosts) = cut_off_deployment(slow, ENGINE);
     std::thread::scope(|scope| {
         let [cut_off, helper] = &mut hosts;
         let (deployment, cut_off) = (&deployment, &*cut_off);
@@ -486,19 +487,9 @@
 // have long been told that there is no answer.
 #[test]
 fn a_host_that_was_suspended_runs_no_call_that_was_given_up() {
-    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, ENGINE);
     let call = |id: &str| {
-        let mut caller =
-            TcpStream::connect(hosts[0].gateway.addresses.callers).expect("a connection");
-        let req = format!(
-            "POST /once/ HTTP/1.1\r\nhost: h\r\nrequest-id: {id}\r\ndeadline-ms: 400\r\n\
-             credential: key-1\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
-        );
-        caller.write_all(req.as_bytes()).expect("the request fits");
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).expect("an answer");
+        let answer = answer_to(&hosts[0], "/once/", id, 400);
         assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
     };
     hosts[1].gateway.signal(Signal::STOP);
@@ -560,9 +551,7 @@
         limit: Some("10.0"),
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(limited, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(limited, ENGINE);
     let arrivals = || -> usize { deployment.plain.iter().map(|e| e.arrivals().len()).sum() };
     let before = arrivals();
     let started = Instant::now();
@@ -610,9 +599,7 @@
 // off.
 #[test]
 fn the_budget_of_a_program_holds_across_the_hop() {
-    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, ENGINE);
     let sent = || -> u64 { deployment.engines.iter().map(|e| e.sent_events()).sum() };
     let before = sent();
     let statuses: Vec<u16> = (0..12)
@@ -686,9 +673,7 @@
         mismatched_answers: 3,
         ..Behaviour::SOUND
     };
-    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
-    let hosts = deployment.hosts::<2>();
-    cut_and_wait(&deployment, &hosts[0], Cut::Silent);
+    let (deployment, hosts) = cut_off_deployment(Behaviour::SOUND, ENGINE);
     for endpoint in &deployment.plain {
         endpoint.set_behaviour(mismatched);
     }
