--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,8 +10,10 @@
 import world
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-ZONES = ["a", "a", "b", "b", "c", "c"]
-CUT = ["front-a-0", "front-b-2"]  # 2 of 6: a share of 0.35
+ZONES = ["a", "b", "c"]
+# Twice a share of 0.35 of 3 machines.
+CUT = ["front-a-0", "front-b-1"]
+LEFT = "front-c-2"
 CUT_S = 12
 BUDGET = 1000
 TURN = 100
@@ -19,15 +21,10 @@
 
 
 def choose_program(fleet):
-    """A program that is kept on a machine which is not cut off, and whose
-    stand-ins within the two zones are the machines that are."""
+    """A program that is kept on the machine which is not cut off."""
     machines = [g.name for g in fleet.gateways]
-    for number in range(100000):
-        program = f"p{number:x}"
-        local = [world.home_of(program, [m for m in machines if f"-{z}-" in m]) for z in "ab"]
-        if local == CUT and "-c-" in world.home_of(program, machines):
-            return program
-    raise world.CannotRun("no such program")
+    names = (f"p{number:x}" for number in range(1000))
+    return next(name for name in names if world.home_of(name, machines) == LEFT)
 
 
 class Program:
@@ -83,14 +80,14 @@
     await asyncio.sleep(6)
     program = Program(fleet)
     by_name = {g.name: g for g in fleet.gateways}
-    await program.turn(by_name["front-c-4"], "main")
+    await program.turn(by_name[LEFT], "main")
     until = asyncio.get_running_loop().time() + CUT_S
     if world.TROUBLE:
         fleet.record(f"{CUT} are cut off")
-        fleet.paths.cut.update(CUT)
+        fleet.cut_off(CUT)
     await asyncio.sleep(3)
     lines = [
-        line(program, by_name[name], name, until - 2) for name in (*CUT, "front-c-4", "front-c-5")
+        line(program, by_name[name], name, until - 2) for name in (*CUT, LEFT)
     ]
     await asyncio.gather(*lines)
     await asyncio.sleep(max(0, until - asyncio.get_running_loop().time()))
