Count the engines that a stream ends after its first event

Cause: a break after an event was not looked into, and the first event of the next engine cleared the request and its family. An event shows that an engine has begun, not that the request does not end it. Now only a complete answer clears a request, and each break is looked into; while this host's own path is lost, the stream does not wait for that. Ruled out: hosts that keep what they know to themselves; they had nothing to tell.

A stream often shares the crash of another. One such crash makes it neither suspect nor told to all hosts, two make it suspect apart from its family, four bar it. A family keeps 128 requests in place of 16, and the one that says least yields, so that those beside a deadly request do not displace it. The time of an answer is kept, so that older news do not undo it.

--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -40,6 +40,9 @@
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Text in a request's body that ends the endpoint once it begins to run it.
 pub const DEADLY: &str = "deadly";
+/// Text in a request's body that ends the endpoint after the first event of its
+/// stream.
+pub const DEADLY_MIDWAY: &str = "fatal";
 /// Time from the start of a deadly request to the end of the endpoint.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// Time after which connections break when the endpoint has ended; its listener
@@ -247,17 +250,18 @@
         let received = Body::collect(body, MAX_BODY_BYTES).await;
         let (outcome, behaviour) = self.decide_outcome(&head.headers);
         let is_run = !matches!(outcome, Outcome::WrongInstance | Outcome::Refused);
-        let deadly = received.is_ok_and(|body| {
-            let mut windows = body.windows(DEADLY.len());
-            windows.any(|text| text == DEADLY.as_bytes())
-        });
-        if is_run && deadly {
+        let body = received.unwrap_or_default();
+        if is_run && contains(&body, DEADLY) {
             Timer::after(CRASH_DELAY).await;
-            self.state.lock().has_crashed = true;
-            self.crash_tx.close();
+            self.crash();
             return self.crashed().await;
         }
-        let answer = self.answer(&head.headers, outcome, behaviour);
+        let answer = async {
+            if is_run && contains(&body, DEADLY_MIDWAY) {
+                return self.crash_midway(&head.headers);
+            }
+            self.answer(&head.headers, outcome, behaviour).await
+        };
         let mut response = future::or(self.crashed(), answer).await;
         if behaviour.is_leaving {
             let value = HeaderValue::from_static("1");
@@ -271,7 +275,35 @@
     }
 }
 
+fn contains(body: &[u8], text: &str) -> bool {
+    body.windows(text.len()).any(|part| part == text.as_bytes())
+}
+
 impl Api {
+    fn crash(&self) {
+        self.state.lock().has_crashed = true;
+        self.crash_tx.close();
+    }
+
+    /// Begins a stream and ends the endpoint after its first event.
+    fn crash_midway(&self, headers: &HeaderMap) -> Response<Body> {
+        let id = header_text(headers, &REQUEST_ID).unwrap_or_default();
+        let after = header_text(headers, &LAST_EVENT_ID).and_then(|t| t.parse::<u64>().ok());
+        let event = after.unwrap_or(0) + 1;
+        let (tx, body) = Body::channel(4);
+        let api = self.clone();
+        self.spawner.detach(async move {
+            let event = format!("id: {event}\ndata: piece {event}\n\n");
+            // The caller may have disconnected.
+            let _sent = tx.send(event.into()).await;
+            Timer::after(CRASH_DELAY).await;
+            api.crash();
+            Timer::after(BREAK_DELAY).await;
+            tx.fail("the endpoint has crashed").await;
+        });
+        sign(Response::new(body), &id)
+    }
+
     /// Waits until the endpoint has ended and breaks the connection.
     async fn crashed(&self) -> Response<Body> {
         let _closed = self.crash_rx.recv().await;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -140,7 +140,8 @@
         skips_limited: false,
         suspect: match crashes::standing(cx, call) {
             Standing::Clear => None,
-            Standing::Suspect | Standing::Barred { .. } => Some(call.family()),
+            Standing::Suspect(key) => Some(key),
+            Standing::Barred { .. } => Some(call.family()),
         },
     };
     // Calls through another host gain nothing from an endpoint nearby.
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -45,6 +45,8 @@
     family: Fingerprint,
     endpoint: &'a str,
     service: &'a str,
+    /// Whether the endpoint had made events of the request's stream.
+    is_midway: bool,
     /// Processes that have ended under the request, as far as is known here.
     crashes: usize,
     is_barred: bool,
@@ -96,7 +98,8 @@
     suspects.standing(family, request, Moment::now())
 }
 
-/// Records that an endpoint has answered a call or made an event for it.
+/// Records that an endpoint has answered a call completely. The first event of
+/// a stream shows nothing yet: the endpoint may end after it.
 pub fn record_answer<P>(cx: &Gateway<P>, call: &Call) {
     let family = call.family();
     if cx.suspects.lock().knows(family) {
@@ -135,9 +138,23 @@
     })
 }
 
-/// Records that a call's connection was lost before the endpoint made anything
-/// of the answer, if the endpoint's process has ended.
-pub async fn record_lost<P: Platform>(cx: &Cx<P>, call: &Call, endpoint: &Endpoint) {
+/// How far an endpoint had got with a call whose connection was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// Nothing of the answer had arrived, or nothing but its head.
+    None,
+    /// The endpoint had made events of a stream.
+    Events,
+}
+
+/// Records that a call's connection was lost before its answer was complete, if
+/// the endpoint's process has ended.
+pub async fn record_lost<P: Platform>(
+    cx: &Cx<P>,
+    call: &Call,
+    endpoint: &Endpoint,
+    progress: Progress,
+) {
     let pool = cx.pools.get(&call.service);
     let is_leaving = pool.is_none_or(|pool| pool.lock().is_leaving(endpoint));
     if is_leaving || !has_ended(cx, endpoint).await {
@@ -151,6 +168,7 @@
             endpoint.id, endpoint.started_ms
         ))),
         age_ms: 0,
+        is_midway: progress == Progress::Events,
     };
     let now = Moment::now();
     let (standing, known) = {
@@ -167,6 +185,7 @@
         family: crash.family,
         endpoint: &endpoint.id,
         service: &endpoint.service,
+        is_midway: crash.is_midway,
         crashes: known.len(),
         is_barred: matches!(standing, Standing::Barred { .. }),
     };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -20,6 +20,7 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::crashes;
+use super::crashes::Progress;
 use super::directory::Endpoint;
 use super::lines;
 use super::placing::AttemptEnd;
@@ -119,7 +120,7 @@
                         return Ok(relay::start(cx, call, open, reservation));
                     }
                     ReceivedAnswer::Broken { why, endpoint } => {
-                        crashes::record_lost(cx, &call, &endpoint).await;
+                        crashes::record_lost(cx, &call, &endpoint, Progress::None).await;
                         attempts.ran.push(endpoint);
                         why
                     }
@@ -152,7 +153,7 @@
                 placement.end(evidence);
                 attempts.is_lost_on_way = evidence == AttemptEnd::Abandoned;
                 if !attempts.is_lost_on_way {
-                    crashes::record_lost(cx, &call, &endpoint).await;
+                    crashes::record_lost(cx, &call, &endpoint, Progress::None).await;
                 }
                 attempts.ran.push(endpoint);
                 why
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,6 +29,8 @@
 use super::context::Cx;
 use super::context::Gateway;
 use super::crashes;
+use super::crashes::Progress;
+use super::directory::Endpoint;
 use super::event_stream::Splitter;
 use super::lines;
 use super::origins;
@@ -133,7 +135,11 @@
     /// The engine sent the complete stream.
     Complete,
     /// The stream broke before its end.
-    Broken(String),
+    Broken {
+        why: String,
+        /// Whether this host has lost its way to the engine, which may go on.
+        is_path_lost: bool,
+    },
     CallerDisconnected,
     /// The tokens reserved from the program's budget do not cover the next
     /// event.
@@ -142,6 +148,15 @@
     TimedOut,
 }
 
+impl StreamEnd {
+    fn broken(why: impl Into<String>) -> Self {
+        Self::Broken {
+            why: why.into(),
+            is_path_lost: false,
+        }
+    }
+}
+
 struct Relay<P: Platform> {
     cx: Cx<P>,
     call: Arc<Call>,
@@ -173,6 +188,7 @@
             match end {
                 StreamEnd::Complete => {
                     self.log(&placement, "whole", "");
+                    crashes::record_answer(&self.cx, &self.call);
                     placement.end(AttemptEnd::Answered);
                     tx.finish().await;
                     return;
@@ -191,17 +207,13 @@
                     tx.fail("the call's time is up").await;
                     return;
                 }
-                StreamEnd::Broken(why) => {
+                StreamEnd::Broken { why, is_path_lost } => {
                     self.log(&placement, "broken", &why);
-                    let failed_endpoint = placement.endpoint().id.clone();
                     let endpoint = Arc::clone(placement.endpoint());
                     let evidence = placement.broken_evidence();
                     placement.end(evidence);
-                    // An engine that has made events was not ended by this run.
-                    if self.engine_events == 0 {
-                        crashes::record_lost(&self.cx, &self.call, &endpoint).await;
-                    }
-                    match self.resume(&tx, &failed_endpoint).await {
+                    self.record_lost(&endpoint, is_path_lost).await;
+                    match self.resume(&tx, &endpoint.id).await {
                         Some(next) => (body, placement) = next,
                         None => {
                             tx.fail(why).await;
@@ -246,13 +258,16 @@
             let ended = future::or(disconnected, future::or(expire, path_lost));
             match future::or(frame, ended).await {
                 StreamInput::PathLost => {
-                    return StreamEnd::Broken("the host was cut off from the service".to_owned());
+                    return StreamEnd::Broken {
+                        why: "the host was cut off from the service".to_owned(),
+                        is_path_lost: true,
+                    };
                 }
                 StreamInput::CallerDisconnected => return StreamEnd::CallerDisconnected,
                 StreamInput::TimedOut => return StreamEnd::TimedOut,
-                StreamInput::Frame(Some(Err(e))) => return StreamEnd::Broken(e.to_string()),
+                StreamInput::Frame(Some(Err(e))) => return StreamEnd::broken(e.to_string()),
                 StreamInput::Frame(None) if self.splitter.is_partial() => {
-                    return StreamEnd::Broken("the stream ended within an event".to_owned());
+                    return StreamEnd::broken("the stream ended within an event");
                 }
                 StreamInput::Frame(None) => return StreamEnd::Complete,
                 StreamInput::Frame(Some(Ok(frame))) => {
@@ -261,7 +276,7 @@
                         continue;
                     };
                     if let Err(e) = self.splitter.feed(&bytes) {
-                        return StreamEnd::Broken(e.to_string());
+                        return StreamEnd::broken(e.to_string());
                     }
                     if let Some(end) = self.send_events(tx, version, deadline).await {
                         return end;
@@ -332,9 +347,6 @@
             origins::report(&self.cx, &self.call, version);
         }
         self.events += 1;
-        if self.engine_events == 0 {
-            crashes::record_answer(&self.cx, &self.call);
-        }
         self.engine_events += 1;
         self.time_to_first_event
             .get_or_insert_with(|| Moment::now().since(self.call.received));
@@ -343,6 +355,26 @@
         reservation.is_none_or(|reservation| reservation.record_sent(tokens))
     }
 
+    /// Records that an engine broke the stream, in case its process has ended.
+    async fn record_lost(&self, engine: &Arc<Endpoint>, is_path_lost: bool) {
+        if self.engine_events == 0 {
+            crashes::record_lost(&self.cx, &self.call, engine, Progress::None).await;
+        } else if is_path_lost {
+            // Whether the engine has ended takes long to find out, and the stream
+            // need not wait for it.
+            let (cx, call, engine) = (
+                Arc::clone(&self.cx),
+                Arc::clone(&self.call),
+                Arc::clone(engine),
+            );
+            self.cx.spawner.detach(async move {
+                crashes::record_lost(&cx, &call, &engine, Progress::Events).await;
+            });
+        } else {
+            crashes::record_lost(&self.cx, &self.call, engine, Progress::Events).await;
+        }
+    }
+
     /// Resumes the stream at an engine after the last event that was sent to
     /// the caller.
     async fn resume(
@@ -393,7 +425,7 @@
                     let endpoint = Arc::clone(placement.endpoint());
                     placement.end(evidence);
                     if evidence == AttemptEnd::Failed {
-                        crashes::record_lost(&self.cx, &self.call, &endpoint).await;
+                        crashes::record_lost(&self.cx, &self.call, &endpoint, Progress::None).await;
                     }
                 }
                 AttemptResult::Answered(response) => {
--- a/src/protection/suspects.rs
+++ b/src/protection/suspects.rs
@@ -6,9 +6,11 @@
 //! one path that begin alike) once several of them end processes and none is
 //! answered.
 //!
-//! What else ran on an endpoint that ended is not to blame: an answer clears a
-//! request and its family, and the processes that ended under a barred request
-//! count against no other.
+//! What else ran on an endpoint that ended is not to blame: a complete answer
+//! clears a request and its family, and the processes that ended under a barred
+//! request count against no other. A stream that has made events runs for long
+//! and is likely to be present at other requests' crashes, so such a crash
+//! counts for less than one before the first event.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -23,6 +25,11 @@
 /// Number of ended processes that bar a request. A bystander may be present at
 /// one or two crashes.
 const CRASHES_TO_BAR: usize = 3;
+/// Number of ended processes that bar a request if it had made events at some of
+/// them. One attempt of a caller is present at three at most.
+const MIDWAY_CRASHES_TO_BAR: usize = 4;
+/// Number of ended processes that make a request suspect that had made events.
+const MIDWAY_CRASHES_TO_SUSPECT: usize = 2;
 /// Number of ended processes that make a request count against its family.
 const CRASHES_TO_COUNT: usize = 2;
 /// Number of such requests that bar a family.
@@ -40,8 +47,9 @@
 const DROPPED_FAMILIES: usize = 128;
 /// Interval at which what is over is forgotten.
 const FORGET_PERIOD: Duration = Duration::from_secs(1);
-/// Maximum number of requests of one family that are remembered.
-const MAX_REQUESTS: usize = 16;
+/// Maximum number of requests of one family that are remembered. More than run
+/// on an endpoint, so that those beside a request do not displace it.
+const MAX_REQUESTS: usize = 128;
 /// Maximum number of ended processes that are remembered of one request.
 const MAX_PROCESSES: usize = 8;
 /// Age up to which the crashes of suspects are told to other hosts.
@@ -65,6 +73,10 @@
     pub process: ProcessKey,
     /// Time in milliseconds since it ended.
     pub age_ms: u64,
+    /// Whether it had made events of the request's stream. Hosts of earlier
+    /// releases do not tell it.
+    #[serde(default)]
+    pub is_midway: bool,
 }
 
 /// What is known of a request.
@@ -72,8 +84,9 @@
 pub enum Standing {
     /// No process has ended under it or its family of late.
     Clear,
-    /// Some have, but it may have been a bystander.
-    Suspect,
+    /// Some have, but it may have been a bystander. All hosts choose the same
+    /// endpoint for suspects with the same hash.
+    Suspect(Fingerprint),
     /// It is not sent to any endpoint.
     Barred {
         /// Number of processes that ended under what is barred.
@@ -83,19 +96,54 @@
     },
 }
 
+#[derive(Clone, Copy, Debug)]
+struct EndedProcess {
+    at: Moment,
+    is_midway: bool,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// When each process ended.
-    ended: BTreeMap<ProcessKey, Moment>,
+    ended: BTreeMap<ProcessKey, EndedProcess>,
+    /// When the request was last answered completely. Crashes before are not
+    /// counted, also if another host tells them later.
+    answered_at: Option<Moment>,
 }
 
 impl Record {
     fn last(&self) -> Moment {
-        self.ended.values().copied().max().unwrap_or_default()
+        let ended = self.ended.values().map(|ended| ended.at);
+        ended.chain(self.answered_at).max().unwrap_or_default()
+    }
+
+    /// Number of processes that ended before they had made an event.
+    fn early_crashes(&self) -> usize {
+        self.ended.values().filter(|ended| !ended.is_midway).count()
     }
 
     fn is_barred(&self) -> bool {
-        self.ended.len() >= CRASHES_TO_BAR
+        self.early_crashes() >= CRASHES_TO_BAR || self.ended.len() >= MIDWAY_CRASHES_TO_BAR
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.early_crashes() > 0 || self.ended.len() >= MIDWAY_CRASHES_TO_SUSPECT
+    }
+
+    /// Returns the part of the record that is later than `since`.
+    fn after(&self, since: Moment) -> Self {
+        let later = self.ended.iter().filter(|(_, ended)| ended.at > since);
+        Self {
+            ended: later.map(|(process, ended)| (*process, *ended)).collect(),
+            answered_at: self.answered_at,
+        }
+    }
+
+    /// Number of crashes that count against the request's family.
+    fn crashes_for_family(&self) -> usize {
+        match self.is_barred() {
+            true => self.ended.len(),
+            false => self.early_crashes(),
+        }
     }
 
     fn left(&self, now: Moment) -> Duration {
@@ -125,10 +173,8 @@
     /// since one of the family was answered.
     fn requests_with(&self, crashes: usize) -> usize {
         let answered_at = self.answered_at.unwrap_or_default();
-        let has_ended = |record: &&Record| {
-            let later = record.ended.values().filter(|at| **at > answered_at);
-            later.count() >= crashes
-        };
+        let has_ended =
+            |record: &&Record| record.after(answered_at).crashes_for_family() >= crashes;
         self.requests.values().filter(has_ended).count()
     }
 
@@ -141,6 +187,15 @@
         self.requests_with(crashes) >= REQUESTS_TO_BAR
     }
 
+    /// Drops the request that says least, to make room for another.
+    fn drop_weakest(&mut self) {
+        let weight = |record: &Record| (record.is_barred(), record.ended.len(), record.last());
+        let weakest = self.requests.iter().min_by_key(|(_, r)| weight(r));
+        if let Some(request) = weakest.map(|(request, _)| *request) {
+            self.requests.remove(&request);
+        }
+    }
+
     /// Whether it or one of its requests is barred.
     fn has_barred(&self) -> bool {
         self.requests.values().any(Record::is_barred) || self.is_barred()
@@ -183,29 +238,40 @@
         self.forget(now);
         let family = self.families.entry(crash.family).or_default();
         if family.requests.len() >= MAX_REQUESTS && !family.requests.contains_key(&crash.request) {
-            return false;
+            family.drop_weakest();
         }
         let record = family.requests.entry(crash.request).or_default();
-        if record.ended.contains_key(&crash.process) || record.ended.len() >= MAX_PROCESSES {
+        let is_answered = record.answered_at.is_some_and(|answered| at <= answered);
+        let is_known = record.ended.contains_key(&crash.process);
+        if is_answered || is_known || record.ended.len() >= MAX_PROCESSES {
             return false;
         }
-        record.ended.insert(crash.process, at);
+        let ended = EndedProcess {
+            at,
+            is_midway: crash.is_midway,
+        };
+        record.ended.insert(crash.process, ended);
         if record.is_barred() {
             self.explain(crash.family, crash.request);
         }
         true
     }
 
-    /// Records that an endpoint has answered a request, which clears it.
+    /// Records that an endpoint has answered a request completely, which clears
+    /// it.
     pub fn record_answer(&mut self, family: Fingerprint, request: Fingerprint, now: Moment) {
         if let Some(family) = self.families.get_mut(&family) {
             family.answered_at = Some(now);
-            family.requests.remove(&request);
+            if let Some(record) = family.requests.get_mut(&request) {
+                record.answered_at = Some(now);
+                record.ended.clear();
+            }
         }
     }
 
     /// Returns what is known of a request.
     pub fn standing(&self, family: Fingerprint, request: Fingerprint, now: Moment) -> Standing {
+        let family_key = family;
         let Some(family) = self.families.get(&family) else {
             return Standing::Clear;
         };
@@ -225,9 +291,12 @@
         // One crash at which another request of the family was present says
         // nothing of this one.
         let is_family_suspect = family.requests_with(CRASHES_TO_COUNT) > 0 && !left.is_zero();
-        match own.is_some() || is_family_suspect {
-            true => Standing::Suspect,
-            false => Standing::Clear,
+        match own.filter(|record| record.is_suspect()) {
+            _ if is_family_suspect => Standing::Suspect(family_key),
+            Some(record) if record.early_crashes() > 0 => Standing::Suspect(family_key),
+            // Apart from its family, part of which shared the crashes only.
+            Some(_) => Standing::Suspect(request),
+            None => Standing::Clear,
         }
     }
 
@@ -240,7 +309,8 @@
             for (request, record) in &family.requests {
                 let is_barred = is_family_barred || record.is_barred();
                 let is_recent = now.since(record.last()) < TELL_TIME;
-                if is_barred || is_recent {
+                // The keepers of other requests have been told.
+                if is_barred || (is_recent && record.is_suspect()) {
                     told.push((!is_barred, now.since(record.last()), *key, *request));
                 }
             }
@@ -257,11 +327,12 @@
         let known = self.families.get(&family);
         let record = known.and_then(|family| family.requests.get(&request));
         let ended = record.into_iter().flat_map(|record| &record.ended);
-        let crashes = ended.map(|(process, at)| Crash {
+        let crashes = ended.map(|(process, ended)| Crash {
             family,
             request,
             process: *process,
-            age_ms: u64::try_from(now.since(*at).as_millis()).unwrap_or(u64::MAX),
+            age_ms: u64::try_from(now.since(ended.at).as_millis()).unwrap_or(u64::MAX),
+            is_midway: ended.is_midway,
         });
         crashes.collect()
     }
--- a/tests/gateway_processes/crashes.rs
+++ b/tests/gateway_processes/crashes.rs
@@ -8,6 +8,7 @@
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::DEADLY;
+use chicoryarch_standins::fleet::endpoint::DEADLY_MIDWAY;
 use http::StatusCode;
 
 use super::fleet::Answer;
@@ -17,6 +18,8 @@
 
 /// Endpoints that a request may end, and after which it is not sent any more.
 const MAX_CRASHES: usize = 3;
+/// The same for a request that ends them after the first event of its stream.
+const MAX_MIDWAY_CRASHES: usize = 4;
 const ENDPOINTS: usize = 8;
 /// Time within which hosts tell each other.
 const EXCHANGE: Duration = Duration::from_millis(1500);
@@ -204,3 +207,111 @@
         send(&fleet, &gateway, "/once/", "again", "sound").status == StatusCode::OK
     });
 }
+
+const STREAMING: Behaviour = Behaviour {
+    events: 8,
+    pause: Duration::from_millis(100),
+    ..Behaviour::SOUND
+};
+
+/// Sends a stream as its caller does: the first attempt, and later ones that
+/// take it up after its first event.
+fn send_midway(fleet: &Fleet, gateway: &Gateway, n: usize) -> Answer {
+    let id = format!("midway{n}");
+    let headers = [
+        ("request-id", id.as_str()),
+        ("resumes", "midway0"),
+        ("last-event-id", "1"),
+    ];
+    let headers = if n == 0 { &headers[..1] } else { &headers[..] };
+    fleet.call_with_body(gateway, "/turns/", headers, DEADLY_MIDWAY)
+}
+
+// Guards against a stream that ends each engine after an event: the event
+// cleared the stream, and its crashes were not counted, at this host or at
+// another that took the stream up.
+#[test]
+fn a_stream_that_ends_engines_after_an_event_is_barred_at_all_hosts() {
+    let fleet = Fleet::new();
+    let engines = endpoints(&fleet, "engine", STREAMING);
+    let gateways = gateways::<3>(&fleet);
+    let answers: Vec<Answer> = (0..8)
+        .map(|n| send_midway(&fleet, &gateways[n % 3], n))
+        .collect();
+    assert!(crashes(&engines) <= MAX_MIDWAY_CRASHES);
+    assert_barred(&answers);
+}
+
+// The same at a host that was started after the crashes.
+#[test]
+fn a_stream_that_ends_engines_after_an_event_stays_barred_after_kills() {
+    let fleet = Fleet::new();
+    let engines = endpoints(&fleet, "engine", STREAMING);
+    let [mut first, mut second, third] = gateways::<3>(&fleet);
+    for n in 0..3 {
+        send_midway(&fleet, &first, n);
+    }
+    std::thread::sleep(EXCHANGE);
+    first.kill();
+    second.kill();
+    let started = fleet.gateway("g3");
+    std::thread::sleep(EXCHANGE);
+    for (n, gateway) in [&third, &started].into_iter().enumerate() {
+        assert_barred(&[send_midway(&fleet, gateway, 3 + n)]);
+    }
+    assert!(crashes(&engines) <= MAX_MIDWAY_CRASHES);
+}
+
+/// Runs streams beside `crash` and asserts that most go on, and that none is
+/// barred when it comes again.
+fn assert_streams_beside_go_on(fleet: &Fleet, gateways: &[Gateway], crash: impl FnOnce()) {
+    const STREAMS: usize = 24;
+    let stream = |n: usize, id: &str| {
+        let body = format!("sound {n}");
+        send(fleet, &gateways[n % gateways.len()], "/turns/", id, &body)
+    };
+    std::thread::scope(|scope| {
+        let beside: Vec<_> = (0..STREAMS)
+            .map(|n| scope.spawn(move || stream(n, &format!("beside{n}")).body.is_some()))
+            .collect();
+        std::thread::sleep(STREAMING.pause * 2);
+        crash();
+        let whole = beside.into_iter().map(|call| call.join().expect("a call"));
+        let whole = whole.filter(|whole| *whole).count();
+        assert!(whole * 2 > STREAMS, "{whole} of {STREAMS}");
+    });
+    std::thread::sleep(EXCHANGE);
+    for n in 0..STREAMS {
+        let again = stream(n, &format!("again{n}"));
+        assert_eq!(again.status, StatusCode::OK);
+        assert!(again.body.is_some());
+    }
+}
+
+// Guards against barring streams that ran beside one that ends its engines.
+#[test]
+fn streams_beside_a_deadly_one_go_on_and_stay_welcome() {
+    let fleet = Fleet::new();
+    let engines = endpoints(&fleet, "engine", STREAMING);
+    let gateways = gateways::<2>(&fleet);
+    assert_streams_beside_go_on(&fleet, &gateways, || {
+        for n in 0..4 {
+            send_midway(&fleet, &gateways[n % 2], n);
+        }
+    });
+    assert!(crashes(&engines) <= MAX_MIDWAY_CRASHES);
+}
+
+// Guards against barring streams since engines crash for reasons of their own.
+#[test]
+fn streams_that_share_crashes_stay_welcome() {
+    let fleet = Fleet::new();
+    let engines = endpoints(&fleet, "engine", STREAMING);
+    let gateways = gateways::<2>(&fleet);
+    assert_streams_beside_go_on(&fleet, &gateways, || {
+        for engine in &engines[..5] {
+            engine.crash();
+            std::thread::sleep(STREAMING.pause);
+        }
+    });
+}
--- a/tests/protection/suspects.rs
+++ b/tests/protection/suspects.rs
@@ -21,6 +21,15 @@
         request: Fingerprint(request),
         process: ProcessKey(process),
         age_ms: 0,
+        is_midway: false,
+    }
+}
+
+/// A process that ended after it had made events of the request's stream.
+fn midway_crash(family: u64, request: u64, process: u64) -> Crash {
+    Crash {
+        is_midway: true,
+        ..crash(family, request, process)
     }
 }
 
@@ -137,10 +146,11 @@
     let standing = |suspects: &Suspects, request| {
         suspects.standing(Fingerprint(1), Fingerprint(request), at(2))
     };
-    assert_eq!(standing(&suspects, 10), Standing::Suspect);
+    let by_family = Standing::Suspect(Fingerprint(1));
+    assert_eq!(standing(&suspects, 10), by_family);
     assert_eq!(standing(&suspects, 11), Standing::Clear);
     suspects.record(&crash(1, 10, 1), at(2));
-    assert_eq!(standing(&suspects, 11), Standing::Suspect);
+    assert_eq!(standing(&suspects, 11), by_family);
     suspects.record_answer(Fingerprint(1), Fingerprint(12), at(2));
     assert_eq!(standing(&suspects, 11), Standing::Clear);
 }
@@ -159,3 +169,69 @@
     answered.record_answer(Fingerprint(1), Fingerprint(13), at(5));
     assert!(!is_barred(&answered, 1, 12, at(5)));
 }
+
+// Guards against a stream that ends engines after an event and is not barred.
+#[test]
+fn processes_that_end_midway_bar_a_request() {
+    let mut suspects = Suspects::default();
+    for process in 0..4 {
+        assert!(!is_barred(&suspects, 1, 10, at(process)));
+        suspects.record(&midway_crash(1, 10, process), at(process));
+    }
+    assert!(is_barred(&suspects, 1, 10, at(4)));
+    let told = suspects.to_tell(at(5));
+    let mut other = Suspects::default();
+    for crash in &told {
+        other.record(crash, at(5));
+    }
+    assert!(is_barred(&other, 1, 10, at(5)));
+}
+
+// Guards against blaming a stream for a crash that it only shared, or keeping
+// its family together with the one that is to blame.
+#[test]
+fn a_stream_that_shared_crashes_is_kept_apart_from_its_family() {
+    let mut suspects = Suspects::default();
+    let standing = |suspects: &Suspects, request| {
+        suspects.standing(Fingerprint(1), Fingerprint(request), at(2))
+    };
+    for request in 10..30 {
+        suspects.record(&midway_crash(1, request, 0), at(0));
+        assert_eq!(standing(&suspects, request), Standing::Clear);
+        suspects.record(&midway_crash(1, request, 1), at(1));
+        let apart = Standing::Suspect(Fingerprint(request));
+        assert_eq!(standing(&suspects, request), apart);
+    }
+    assert_eq!(standing(&suspects, 50), Standing::Clear);
+    suspects.record(&midway_crash(1, 10, 2), at(2));
+    assert!(!is_barred(&suspects, 1, 10, at(2)));
+}
+
+// Guards against a deadly request that is not remembered since many ran beside
+// it.
+#[test]
+fn requests_beside_a_deadly_one_do_not_displace_it() {
+    let mut suspects = Suspects::default();
+    for process in 0..4 {
+        suspects.record(&midway_crash(1, 10, process), at(process));
+        for beside in 0..120 {
+            let beside = 1000 * (process + 1) + beside;
+            suspects.record(&midway_crash(1, beside, process), at(process));
+        }
+    }
+    assert!(is_barred(&suspects, 1, 10, at(4)));
+}
+
+// Guards against an answered request that another host's earlier news make
+// suspect again.
+#[test]
+fn crashes_before_an_answer_stay_forgotten() {
+    let mut suspects = after(2);
+    suspects.record_answer(Fingerprint(1), Fingerprint(10), at(3));
+    for process in 0..3 {
+        suspects.record(&crash(1, 10, process), at(2));
+    }
+    assert!(!is_barred(&suspects, 1, 10, at(4)));
+    let standing = suspects.standing(Fingerprint(1), Fingerprint(10), at(4));
+    assert_eq!(standing, Standing::Clear);
+}
