Let one process alone give a program its extra turn

Cause: each isolated host decided alone that its data centre gives the one turn that the guarantee allows, and no data centre sees what the others give. The same on two related paths: the turn was forgotten as soon as its host began to draw it from the budget, also if that failed, and given again in the next cut; and hosts of one data centre whose lists differ named different hosts for it.

Now the turn belongs to one process: the first one of the founder that rendezvous hashing names, as with allowances, but of another host than the allowance's. It counts as given until it has been drawn from the budget. Hosts of earlier releases are not asked, since each data centre of theirs gives such a turn; what they ask for by the old name is answered by the new rule.

Evidence: data_centres_cut_off_together_give_a_program_one_extra_turn fails on the code before (450 and 500 tokens, 450 allowed) and passes, as do a model of hosts that join, restart and are cut off, and the tests of isolated hosts.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -15,7 +16,6 @@
 use super::budget::Balance;
 use super::context::Gateway;
 use super::lines::LineLocations;
-use super::roster;
 use super::roster::Founders;
 use super::roster::Peer;
 use crate::ids::HostId;
@@ -55,8 +55,10 @@
 pub struct Accounts {
     shards: [Mutex<HashMap<Arc<str>, ProgramAccount>>; SHARDS],
     hasher: RandomState,
-    /// Hosts of the system's first start. Set on those hosts only.
+    /// Hosts of the system's first start, once they are known.
     founders: OnceLock<Founders>,
+    /// Whether this is the first process of one of them.
+    is_founder: AtomicBool,
     /// Hashes of the programs whose balance was evicted here. Their allowance
     /// may be spent, so it is not issued again.
     evicted: Mutex<HashSet<u64>>,
@@ -70,6 +72,7 @@
             shards: Default::default(),
             hasher: RandomState::new(),
             founders: OnceLock::new(),
+            is_founder: AtomicBool::new(false),
             evicted: Mutex::default(),
             is_closed: AtomicBool::new(false),
         }
@@ -77,11 +80,30 @@
 }
 
 impl Accounts {
-    /// Allows this process to issue the allowances of those programs that
-    /// rendezvous hashing over the founders assigns to this host.
-    pub fn set_founders(&self, founders: Founders) {
+    /// Sets the list of founders. The process of a founder, its first one, may
+    /// issue the allowances and extra turns that the list assigns to its host.
+    pub fn set_founders(&self, founders: Founders, is_founder: bool) {
         // All hosts agree on one list, so a second value is the same.
         let _already_set = self.founders.set(founders);
+        self.is_founder.store(is_founder, Ordering::Release);
+    }
+
+    fn issued_by(&self) -> Option<&Founders> {
+        let is_founder = self.is_founder.load(Ordering::Acquire);
+        self.founders.get().filter(|_| is_founder)
+    }
+
+    /// Returns the host that may issue the extra turn of the program with this
+    /// key; `None` if it is not known.
+    pub(super) fn extra_turn_host(&self, key: u64) -> Option<HostId> {
+        self.founders.get()?.extra_turn_host(key).cloned()
+    }
+
+    /// Whether this process, and no other, may issue the extra turn of the
+    /// program with this key.
+    pub(super) fn holds_extra_turn(&self, own: &HostId, key: u64) -> bool {
+        let founders = self.issued_by();
+        founders.is_some_and(|founders| founders.extra_turn_host(key) == Some(own))
     }
 
     pub(super) fn with_account<T>(
@@ -124,11 +146,9 @@
 
     /// Whether this process, and no other, may issue the program's allowance.
     fn has_allowance(&self, own: &HostId, program: &str) -> bool {
-        let Some(founders) = self.founders.get() else {
-            return false;
-        };
         let key = super::hash_of(program);
-        if roster::rendezvous_host(founders.hosts.iter(), key) != Some(own) {
+        let founders = self.issued_by();
+        if founders.and_then(|founders| founders.allowance_host(key)) != Some(own) {
             return false;
         }
         let evicted = self.evicted.lock();
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -54,7 +54,6 @@
 #[derive(Debug, Default)]
 pub struct StoreContact {
     is_up: AtomicBool,
-    was_ever_up: AtomicBool,
     is_probing: AtomicBool,
     answered_at: Mutex<Moment>,
 }
@@ -65,11 +64,6 @@
         self.is_up.load(Ordering::Acquire)
     }
 
-    /// Whether the store has responded since the process started.
-    pub fn was_ever_up(&self) -> bool {
-        self.was_ever_up.load(Ordering::Acquire)
-    }
-
     /// Marks a probe as running; `false` if one already is.
     pub fn begin_probe(&self) -> bool {
         !self.is_probing.swap(true, Ordering::AcqRel)
@@ -92,7 +86,6 @@
     /// one.
     pub fn record_outcome(&self, is_up: bool) -> bool {
         if is_up {
-            self.was_ever_up.store(true, Ordering::Release);
             *self.answered_at.lock() = Moment::now();
         }
         self.is_up.swap(is_up, Ordering::AcqRel) != is_up
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -53,8 +53,12 @@
 pub const DRAW_METHOD: &str = "gateway.draw";
 /// Returns unspent tokens to a program's balance.
 pub const PUT_BACK_METHOD: &str = "gateway.put_back";
-/// Draws tokens that an isolated data centre may issue.
-pub const DRAW_ISOLATED_METHOD: &str = "gateway.draw_isolated";
+/// Draws tokens of a program's extra turn from the only host that may issue it.
+/// Hosts of earlier releases do not know the method: each data centre of theirs
+/// issues such a turn.
+pub const EXTRA_TURN_METHOD: &str = "gateway.extra_turn";
+/// Name that hosts of earlier releases use for it.
+const DRAW_ISOLATED_METHOD: &str = "gateway.draw_isolated";
 /// Hands balances over to the host that is their home now.
 pub const HAND_OVER_METHOD: &str = "gateway.hand_over";
 /// Reports where a session of a program runs.
@@ -162,10 +166,12 @@
         let req: DrawRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(home_balance::draw_here(&cx, &req).await)
     })?;
-    module.register_method(DRAW_ISOLATED_METHOD, |params, cx, _| {
-        let req: DrawRequest = params.one()?;
-        Ok::<_, ErrorObjectOwned>(isolation::draw_here(cx, &req))
-    })?;
+    for method in [EXTRA_TURN_METHOD, DRAW_ISOLATED_METHOD] {
+        module.register_method(method, |params, cx, _| {
+            let req: DrawRequest = params.one()?;
+            Ok::<_, ErrorObjectOwned>(isolation::draw_here(cx, &req))
+        })?;
+    }
     module.register_method(PUT_BACK_METHOD, |params, cx, _| {
         let req: PutBackRequest = params.one()?;
         home_balance::return_to_balance(cx, &req);
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -26,6 +26,8 @@
 /// Time that founders give the preferred writer of their list before they write
 /// it themselves.
 const FOUNDERS_WAIT: Duration = Duration::from_millis(800);
+/// Number of reads after which a host does without the list of founders.
+const MAX_FOUNDERS_READS: usize = 8;
 /// Interval between two checks for unresponsive hosts.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -34,11 +36,12 @@
     name: &'a str,
 }
 
-/// Writes this host's entry and, if the host is a founder, agrees on the list
-/// of founders with the others.
+/// Writes this host's entry and learns the list of founders. A founder agrees on
+/// it with the others.
 pub async fn register_host<P: Platform>(cx: Cx<P>) {
     let is_founder = write_until_stored(&cx, cx.cfg.place.first_start).await;
     if !is_founder {
+        learn_founders(&cx).await;
         return;
     }
     Timer::after(cx.cfg.join_notice).await;
@@ -49,13 +52,29 @@
     loop {
         if let Some(founders) = read_or_write_founders(&cx).await {
             cx.log.state("founders-agreed", &founders);
-            cx.accounts.set_founders(founders);
+            cx.accounts.set_founders(founders, true);
             return;
         }
         wait_for_store(&cx).await;
     }
 }
 
+/// Reads the list of founders, whom other hosts ask for extra turns.
+async fn learn_founders<P: Platform>(cx: &Gateway<P>) {
+    let (kind, name) = (roster::FOUNDERS_KIND, roster::FOUNDERS_NAME);
+    for _ in 0..MAX_FOUNDERS_READS {
+        match platform::read_value::<Founders>(&cx.store, kind, name).await {
+            Ok(Some((_, founders))) => return cx.accounts.set_founders(founders, false),
+            // They may not have agreed yet.
+            Ok(None) => drop(Timer::after(cx.cfg.join_notice).await),
+            Err(e) => {
+                log::debug!("cannot read the list of founders yet: {e}");
+                wait_for_store(cx).await;
+            }
+        }
+    }
+}
+
 /// Writes this host's entry again after other hosts removed it.
 pub async fn register_again<P: Platform>(cx: Cx<P>) {
     write_until_stored(&cx, false).await;
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -1,27 +1,32 @@
 //! Budgets in a data centre that is isolated: cut off by a network partition
 //! from all others and from the store.
 //!
-//! Such a data centre issues each program at most the tokens of one turn, once.
-//! The guarantee on budgets allows a program one turn beyond its budget, and
-//! this is that turn: the guarantee holds whatever the other side of the
-//! partition issues in the meantime. After the partition the tokens are drawn
-//! from the program's balance, so that a later partition finds the budget
-//! reduced. Hosts also share which programs have spent their budget, so that
-//! these get no tokens here.
+//! The guarantee on budgets allows a program one turn beyond its budget. Any
+//! number of data centres may be isolated at once, and none can see what the
+//! others issue, so only one process may issue that turn: the one that rendezvous
+//! hashing over the founders names, as with allowances. Whatever happens to that
+//! process, no other takes its place. It serves its own data centre, and others
+//! as far as they reach it.
+//!
+//! After the partition the tokens are drawn from the program's balance, and the
+//! turn may be issued again. Until that succeeds, it counts as issued. Hosts also
+//! share which programs have spent their budget, so that these get no tokens
+//! here.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use async_io::Timer;
 use parking_lot::Mutex;
+use serde::Serialize;
 
 use super::context::Cx;
 use super::context::Gateway;
 use super::draw_messages::DrawRequest;
 use super::exchange;
-use super::exchange::DRAW_ISOLATED_METHOD;
+use super::exchange::EXTRA_TURN_METHOD;
+use super::refusal::Outcome;
 use super::reservation;
-use super::roster::Home;
 use crate::connection::platform::Platform;
 use crate::units::Moment;
 
@@ -36,52 +41,92 @@
 /// Divisor of the requested tokens, or of the turn's maximum if that is less,
 /// that gives the smallest number of tokens issued.
 const MIN_GRANT_DIVISOR: u64 = 3;
+/// Maximum number of extra turns that are remembered, to bound the memory. At
+/// that number no more are issued.
+const MAX_EXTRA_TURNS: usize = 1 << 16;
+
+#[derive(Serialize)]
+struct ExtraTurnLine<'a> {
+    program: &'a str,
+    budget: u64,
+    /// Tokens that the turn is short of.
+    wanted: u64,
+    tokens: u64,
+}
 
-/// Tokens issued to one program.
+/// Tokens issued to one program beyond its budget.
 #[derive(Clone, Debug)]
-struct IssuedTokens {
+struct ExtraTurn {
     budget: u64,
     /// Maximum output of the turn in tokens.
     turn: u64,
+    /// Tokens that have not been drawn from the program's balance since.
     tokens: u64,
+    /// Whether the balance cannot cover them any more.
+    is_final: bool,
 }
 
-/// Tokens that this host issued while its data centre was isolated.
+/// Extra turns that this process has issued.
 #[derive(Debug, Default)]
-pub struct IsolatedGrants(Mutex<HashMap<String, IssuedTokens>>);
+pub struct ExtraTurns(Mutex<HashMap<String, ExtraTurn>>);
 
-impl IsolatedGrants {
+impl ExtraTurns {
     /// Issues up to `wanted` tokens, but to each program at most the maximum of
     /// one turn in total. Returns 0 if too few are left.
     pub fn draw(&self, program: &str, budget: u64, turn: u64, wanted: u64) -> u64 {
-        let mut grants = self.0.lock();
-        let issued = grants.entry(program.to_owned()).or_insert(IssuedTokens {
+        let mut turns = self.0.lock();
+        // None is forgotten to make room, since it would be issued again.
+        if turns.len() >= MAX_EXTRA_TURNS && !turns.contains_key(program) {
+            return 0;
+        }
+        let issued = turns.entry(program.to_owned()).or_insert(ExtraTurn {
             budget,
             turn,
             tokens: 0,
+            is_final: false,
         });
         let left = issued.turn.min(turn).saturating_sub(issued.tokens);
         let tokens = wanted.min(left);
-        if tokens * MIN_GRANT_DIVISOR < wanted.min(turn) {
+        if tokens.saturating_mul(MIN_GRANT_DIVISOR) < wanted.min(turn) {
             return 0;
         }
         issued.tokens += tokens;
         tokens
     }
 
-    /// Removes the issued tokens and returns requests that draw them from the
-    /// programs' balances.
-    pub fn take_all(&self) -> Vec<DrawRequest> {
-        let issued = std::mem::take(&mut *self.0.lock());
-        let draw = |(program, issued): (String, IssuedTokens)| DrawRequest {
-            program,
+    /// Returns requests that draw the issued tokens from the programs' balances.
+    pub fn unsettled(&self) -> Vec<DrawRequest> {
+        let turns = self.0.lock();
+        let open = turns
+            .iter()
+            .filter(|(_, issued)| issued.tokens > 0 && !issued.is_final);
+        let draw = |(program, issued): (&String, &ExtraTurn)| DrawRequest {
+            program: program.clone(),
             budget: issued.budget,
             wanted: issued.tokens,
             turn: issued.tokens,
             may_wait: false,
             session: 0,
         };
-        issued.into_iter().map(draw).collect()
+        open.map(draw).collect()
+    }
+
+    /// Records that issued tokens have been drawn from the program's balance.
+    pub fn record_drawn(&self, program: &str, tokens: u64) {
+        let mut turns = self.0.lock();
+        if let Some(issued) = turns.get_mut(program) {
+            issued.tokens = issued.tokens.saturating_sub(tokens);
+            if issued.tokens == 0 {
+                turns.remove(program);
+            }
+        }
+    }
+
+    /// Records that the program's balance does not cover the issued tokens.
+    pub fn record_spent(&self, program: &str) {
+        if let Some(issued) = self.0.lock().get_mut(program) {
+            issued.is_final = true;
+        }
     }
 }
 
@@ -124,37 +169,56 @@
     }
 }
 
-/// Draws tokens for a turn from this data centre if it is isolated; 0 if there
-/// are none.
+/// Draws tokens for a turn while this data centre is isolated; 0 if there are
+/// none within reach.
 pub async fn draw<P: Platform>(cx: &Cx<P>, req: &DrawRequest) -> u64 {
     if !cx.is_isolated() {
         return 0;
     }
     let key = super::hash_of(&req.program);
-    let home = cx.roster.lock().local_home(key, &cx.cfg.place.data_centre);
-    match home {
-        Home::Own => draw_here(cx, req),
-        Home::Other(peer) => {
-            let reply =
-                exchange::call_peer::<_, _, u64>(cx, &peer, DRAW_ISOLATED_METHOD, req).await;
-            reply.unwrap_or(0)
-        }
+    let Some(host) = cx.accounts.extra_turn_host(key) else {
+        return 0;
+    };
+    if host == cx.cfg.place.host {
+        return draw_here(cx, req);
     }
+    let local = &cx.cfg.place.data_centre;
+    let holder = {
+        let roster = cx.roster.lock();
+        roster
+            .peer(&host)
+            .filter(|_| !roster.is_remote(&host, local))
+    };
+    let Some(holder) = holder else {
+        return 0;
+    };
+    let reply = exchange::call_peer::<_, _, u64>(cx, &holder, EXTRA_TURN_METHOD, req).await;
+    reply.unwrap_or(0)
 }
 
-/// Issues tokens if this host is isolated, too.
+/// Issues tokens if this process, and no other, may issue the program's extra
+/// turn.
 pub fn draw_here<P: Platform>(cx: &Gateway<P>, req: &DrawRequest) -> u64 {
-    // A process that has never reached the store may have had a predecessor
-    // that issued tokens during this partition.
-    if !cx.is_isolated() || !cx.store_contact.was_ever_up() || cx.spent.contains(&req.program) {
+    let key = super::hash_of(&req.program);
+    let may_issue = cx.accounts.holds_extra_turn(&cx.cfg.place.host, key);
+    if !may_issue || cx.spent.contains(&req.program) {
         return 0;
     }
-    cx.isolated
-        .draw(&req.program, req.budget, req.turn, req.wanted)
+    let tokens = cx
+        .extra_turns
+        .draw(&req.program, req.budget, req.turn, req.wanted);
+    let line = ExtraTurnLine {
+        program: &req.program,
+        budget: req.budget,
+        wanted: req.wanted,
+        tokens,
+    };
+    cx.log.request("extra-turn", &line);
+    tokens
 }
 
-/// Draws the issued tokens from the programs' balances after each partition,
-/// until the process ends.
+/// Draws the tokens of extra turns from the programs' balances after each
+/// partition, until the process ends.
 pub async fn run<P: Platform>(cx: Cx<P>) {
     loop {
         Timer::after(SETTLE_PERIOD).await;
@@ -165,18 +229,21 @@
 }
 
 async fn settle<P: Platform>(cx: &Cx<P>) {
-    for req in cx.isolated.take_all() {
-        if req.wanted == 0 {
-            continue;
-        }
+    for req in cx.extra_turns.unsettled() {
         match reservation::draw(cx, &req).await {
             // The drawn tokens stay unused, since the program has already had
             // them.
-            Ok(_) => (),
-            Err(refusal) => log::debug!(
-                "cannot draw tokens issued during isolation: {}",
-                refusal.detail
-            ),
+            Ok(_) => cx.extra_turns.record_drawn(&req.program, req.wanted),
+            Err(refusal) if refusal.outcome == Outcome::BudgetSpent => {
+                cx.extra_turns.record_spent(&req.program);
+            }
+            Err(refusal) => {
+                log::debug!(
+                    "cannot draw the tokens of an extra turn: {}",
+                    refusal.detail
+                );
+                return;
+            }
         }
     }
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -48,6 +48,23 @@
     pub hosts: Vec<HostId>,
 }
 
+impl Founders {
+    /// Returns the host whose first process alone may issue the allowance of the
+    /// program with this key.
+    pub fn allowance_host(&self, key: u64) -> Option<&HostId> {
+        rendezvous_host(self.hosts.iter(), key)
+    }
+
+    /// Returns the host whose first process alone may issue the program's extra
+    /// turn. It is another than for the allowance, since that serves a partition
+    /// better.
+    pub fn extra_turn_host(&self, key: u64) -> Option<&HostId> {
+        let first = self.allowance_host(key)?;
+        let others = self.hosts.iter().filter(|host| *host != first);
+        rendezvous_host(others, key).or(Some(first))
+    }
+}
+
 /// State of a host as seen from this one.
 #[derive(Clone, Debug)]
 struct HostState {
@@ -245,13 +262,6 @@
         state.is_some_and(|state| state.entry.data_centre != *own)
     }
 
-    /// Returns the home of a key among the hosts of data centre `own`, for use
-    /// while it is isolated. Suspected hosts are included, so that all hosts of
-    /// the data centre choose the same home.
-    pub fn local_home(&self, key: u64, own: &DataCentre) -> Home {
-        self.home_among(key, |_, state| state.entry.data_centre == *own)
-    }
-
     /// Excludes a host for a while, since it did not respond.
     pub fn mark_suspect(&mut self, host: &HostId, now: Moment) {
         if let Some(state) = self.hosts.get_mut(host) {
--- a/tests/gateway/cut_off_data_centre.rs
+++ b/tests/gateway/cut_off_data_centre.rs
@@ -5,10 +5,12 @@
 
 use chicoryarch::gateway::budget::Account;
 use chicoryarch::gateway::directory::Endpoint;
-use chicoryarch::gateway::isolation::IsolatedGrants;
+use chicoryarch::gateway::isolation::ExtraTurns;
 use chicoryarch::gateway::isolation::SpentPrograms;
 use chicoryarch::gateway::placing::Criteria;
 use chicoryarch::gateway::placing::Pool;
+use chicoryarch::gateway::roster::Founders;
+use chicoryarch::ids::HostId;
 use proptest::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
@@ -22,7 +24,7 @@
 
 #[test]
 fn a_program_gets_at_most_one_turn_in_total() {
-    let grants = IsolatedGrants::default();
+    let grants = ExtraTurns::default();
     assert_eq!(grants.draw("p", BUDGET, TURN, TURN), TURN);
     assert_eq!(grants.draw("p", BUDGET, TURN, 40), 0);
     assert_eq!(grants.draw("q", BUDGET, TURN, 60), 60);
@@ -32,12 +34,26 @@
 
 #[test]
 fn issued_tokens_are_drawn_once_after_a_partition() {
-    let grants = IsolatedGrants::default();
+    let grants = ExtraTurns::default();
     grants.draw("p", BUDGET, TURN, 100);
-    let drawn = grants.take_all();
+    let drawn = grants.unsettled();
     assert_eq!(drawn.len(), 1);
     assert_eq!((drawn[0].wanted, drawn[0].budget), (100, BUDGET));
-    assert!(grants.take_all().is_empty());
+    grants.record_drawn("p", 100);
+    assert!(grants.unsettled().is_empty());
+}
+
+// An issued turn was forgotten when the attempt to draw it from the budget
+// began, and issued again in the next partition.
+#[test]
+fn a_turn_that_the_budget_does_not_cover_is_not_issued_again() {
+    let grants = ExtraTurns::default();
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), TURN);
+    assert_eq!(grants.unsettled().len(), 1);
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), 0);
+    grants.record_spent("p");
+    assert!(grants.unsettled().is_empty());
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), 0);
 }
 
 #[test]
@@ -67,7 +83,7 @@
     #[test]
     fn random_draws_issue_at_most_one_turn(seed in any::<u64>()) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let grants = IsolatedGrants::default();
+        let grants = ExtraTurns::default();
         let mut issued = 0;
         for _ in 0..20 {
             issued += grants.draw("p", BUDGET, TURN, rng.random_range(1..=TURN));
@@ -100,3 +116,106 @@
         .expect("one");
     assert_ne!(&*placed.endpoint.id, "near");
 }
+
+/// A process of a host. Only the first one of a founder may issue extra turns.
+#[derive(Default)]
+struct Process {
+    is_founder: bool,
+    turns: ExtraTurns,
+}
+
+/// Hosts of several data centres, any of which may be cut off from all others.
+struct Hosts {
+    founders: Founders,
+    processes: Vec<Process>,
+    names: Vec<HostId>,
+}
+
+impl Hosts {
+    fn new(founders: usize) -> Self {
+        let names: Vec<HostId> = (0..founders).map(Self::name).collect();
+        Self {
+            founders: Founders {
+                hosts: names.clone(),
+            },
+            processes: names
+                .iter()
+                .map(|_| Process {
+                    is_founder: true,
+                    ..Process::default()
+                })
+                .collect(),
+            names,
+        }
+    }
+
+    fn name(n: usize) -> HostId {
+        format!("host-{n}").parse().expect("a name")
+    }
+
+    fn join(&mut self) {
+        self.names.push(Self::name(self.names.len()));
+        self.processes.push(Process::default());
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.processes[host] = Process::default();
+    }
+
+    /// What the host issues of the program's extra turn when asked.
+    fn draw(&self, host: usize, key: u64, wanted: u64) -> u64 {
+        let Process { is_founder, turns } = &self.processes[host];
+        let holder = self.founders.extra_turn_host(key);
+        match *is_founder && holder == Some(&self.names[host]) {
+            true => turns.draw("p", BUDGET, TURN, wanted),
+            false => 0,
+        }
+    }
+}
+
+proptest! {
+    // Each of several data centres that were cut off at once issued a turn, and
+    // so did hosts that took another's place.
+    #[test]
+    fn all_hosts_together_issue_at_most_one_turn(seed in any::<u64>()) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut hosts = Hosts::new(rng.random_range(1..9));
+        let key = rng.random();
+        let mut issued = 0;
+        for _ in 0..60 {
+            let host = rng.random_range(0..hosts.processes.len());
+            match rng.random_range(0..10) {
+                0 => hosts.join(),
+                1 => hosts.restart(host),
+                2 => {
+                    let turns = &hosts.processes[host].turns;
+                    for draw in turns.unsettled() {
+                        if rng.random_bool(0.5) {
+                            // The tokens are now part of the budget.
+                            issued -= draw.wanted;
+                            turns.record_drawn("p", draw.wanted);
+                        } else if rng.random_bool(0.3) {
+                            turns.record_spent("p");
+                        }
+                    }
+                }
+                _ => issued += hosts.draw(host, key, rng.random_range(1..=TURN)),
+            }
+            prop_assert!(issued <= TURN);
+        }
+    }
+}
+
+// Guards against a partition in which one host holds both the allowance and the
+// extra turn, and the other side nothing.
+#[test]
+fn the_extra_turn_belongs_to_another_host_than_the_allowance() {
+    let hosts = Hosts::new(6);
+    for key in 0..100 {
+        let extra = hosts.founders.extra_turn_host(key);
+        assert!(extra.is_some());
+        assert_ne!(extra, hosts.founders.allowance_host(key));
+    }
+    let alone = Hosts::new(1);
+    assert_eq!(alone.founders.extra_turn_host(7), Some(&alone.names[0]));
+}
--- /dev/null
+++ b/tests/gateway_processes/cut_off_data_centres.rs
@@ -0,0 +1,184 @@
+//! Data centres that are cut off from each other and from the store, one host
+//! in each.
+
+use std::time::Duration;
+
+use chicoryarch_standins::fleet::Proxy;
+use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::proxy::Cut;
+use http::StatusCode;
+
+use super::fleet::Addresses;
+use super::fleet::Fleet;
+use super::fleet::Gateway;
+use super::fleet::wait_until;
+
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+/// Hosts that are cut off; the third stays in touch with the store.
+const CUT_OFF: [usize; 2] = [0, 1];
+const IN_TOUCH: usize = 2;
+/// Tokens of a turn: five events of ten.
+const TURN: u64 = 50;
+/// A multiple of the turn, and half of it too, so that no turn is given a part.
+const BUDGET: u64 = 400;
+const ENGINE: Behaviour = Behaviour {
+    events: 5,
+    pause: Duration::from_millis(1),
+    ..Behaviour::SOUND
+};
+/// Time within which a host has noticed that it is isolated, or no more.
+const NOTICED: Duration = Duration::from_millis(3500);
+const PROGRAMS: usize = 8;
+/// Turns of a program that a host is asked for at most.
+const MAX_TURNS: usize = 12;
+
+/// Paths of one host to the store and to the other hosts.
+struct Links {
+    store: Proxy,
+    peers: Vec<(usize, Proxy)>,
+}
+
+struct DataCentres {
+    fleet: Fleet,
+    hosts: Vec<Gateway>,
+    links: Vec<Links>,
+}
+
+impl DataCentres {
+    fn start() -> Self {
+        let fleet = Fleet::new();
+        fleet.endpoint("e1", "engine", ENGINE);
+        let addresses: Vec<Addresses> = DATA_CENTRES.map(|_| fleet.free_addresses()).into();
+        let links: Vec<Links> = (0..addresses.len())
+            .map(|own| {
+                let others = (0..addresses.len()).filter(|n| *n != own);
+                let peers: Vec<_> = others
+                    .map(|n| (n, fleet.link(addresses[n].peers)))
+                    .collect();
+                let replaced: Vec<_> = peers
+                    .iter()
+                    .map(|(n, link)| (addresses[*n].peers, link.address()))
+                    .collect();
+                Links {
+                    store: fleet.link(fleet.store_view(&replaced)),
+                    peers,
+                }
+            })
+            .collect();
+        let mut started = Self {
+            fleet,
+            hosts: Vec::new(),
+            links,
+        };
+        for (n, addresses) in addresses.into_iter().enumerate() {
+            let host = started.host(n, addresses, true);
+            started.hosts.push(host);
+        }
+        for host in &started.hosts {
+            host.wait_ready(&started.fleet);
+        }
+        wait_until("the founders are agreed", || {
+            let founders = started.fleet.store.spec("chicoryarch-founders", "first");
+            founders.is_some()
+        });
+        std::thread::sleep(Duration::from_secs(1));
+        started
+    }
+
+    fn host(&self, n: usize, addresses: Addresses, is_first: bool) -> Gateway {
+        let store = self.links[n].store.address();
+        let data_centre = DATA_CENTRES[n];
+        let name = format!("g{n}");
+        self.fleet
+            .start_gateway_in(data_centre, &name, addresses, store, &[], is_first)
+    }
+
+    /// Paths from and to a host.
+    fn paths(&self, host: usize) -> impl Iterator<Item = &Proxy> {
+        let links = self.links.iter().enumerate();
+        let peers = links.flat_map(move |(own, links)| {
+            let peers = links.peers.iter();
+            let peers = peers.filter(move |(to, _)| own == host || *to == host);
+            peers.map(|(_, link)| link)
+        });
+        peers.chain([&self.links[host].store])
+    }
+
+    fn cut_off(&self) {
+        for link in CUT_OFF.iter().flat_map(|host| self.paths(*host)) {
+            link.cut(Cut::Silent);
+        }
+        std::thread::sleep(NOTICED);
+    }
+
+    fn heal(&self) {
+        for link in CUT_OFF.iter().flat_map(|host| self.paths(*host)) {
+            link.heal();
+        }
+        std::thread::sleep(NOTICED);
+    }
+
+    fn restart(&mut self, n: usize) {
+        self.hosts[n].kill();
+        self.hosts[n] = self.host(n, self.hosts[n].addresses, false);
+    }
+
+    /// Runs turns of a program at a host until it is refused one. Returns the
+    /// tokens that it handed out.
+    fn tokens(&self, host: usize, program: &str, round: &str) -> u64 {
+        let turn = |n: usize| {
+            let id = format!("{program}-{round}-{host}-{n}");
+            let headers = [
+                ("request-id", id.as_str()),
+                ("program-id", program),
+                ("token-usage", "100,50"),
+                ("token-budget", "400"),
+            ];
+            self.fleet.call(&self.hosts[host], "/turns/", &headers)
+        };
+        let answers = (0..MAX_TURNS).map(turn);
+        let served = answers.take_while(|answer| answer.status == StatusCode::OK);
+        served.map(|_| TURN).sum()
+    }
+
+    /// Runs turns of all programs at all hosts; the tokens of each program.
+    fn round(&self, name: &str) -> Vec<u64> {
+        std::thread::scope(|scope| {
+            let run = |n: usize| {
+                let program = format!("p{n}");
+                let hosts = 0..self.hosts.len();
+                hosts.map(|host| self.tokens(host, &program, name)).sum()
+            };
+            let runs: Vec<_> = (0..PROGRAMS).map(|n| scope.spawn(move || run(n))).collect();
+            let tokens = runs.into_iter().map(|run| run.join().expect("the sum"));
+            tokens.collect()
+        })
+    }
+}
+
+fn add(sums: &mut [u64], tokens: &[u64]) {
+    for (sum, tokens) in sums.iter_mut().zip(tokens) {
+        *sum += tokens;
+        assert!(*sum <= BUDGET + TURN, "{sums:?}");
+    }
+}
+
+// Each of two data centres that were cut off at once gave a program a turn
+// beyond its budget, and again in a second cut or after a restart.
+#[test]
+fn data_centres_cut_off_together_give_a_program_one_extra_turn() {
+    let mut world = DataCentres::start();
+    let mut sums = vec![0; PROGRAMS];
+    let first = world.tokens(IN_TOUCH, "p0", "before");
+    sums[0] += first;
+    world.cut_off();
+    add(&mut sums, &world.round("cut"));
+    assert!(sums.iter().any(|sum| *sum > BUDGET), "{sums:?}");
+    world.restart(CUT_OFF[0]);
+    world.heal();
+    for host in &world.hosts {
+        host.wait_ready(&world.fleet);
+    }
+    world.cut_off();
+    add(&mut sums, &world.round("again"));
+}
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Returns free addresses of a gateway.
+    pub(crate) fn free_addresses(&self) -> Addresses {
+        Addresses {
+            callers: self.free_address(),
+            ready: self.free_address(),
+            peers: self.free_address(),
+        }
+    }
+
     /// Starts an endpoint and adds it to the list in the store.
     pub(crate) fn endpoint(
         &self,
@@ -213,11 +222,7 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
     ) -> Gateway {
-        let addresses = Addresses {
-            callers: self.free_address(),
-            ready: self.free_address(),
-            peers: self.free_address(),
-        };
+        let addresses = self.free_addresses();
         self.start_gateway_at(name, addresses, store, seeds, true)
     }
 
@@ -228,10 +233,23 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
         is_first: bool,
+    ) -> Gateway {
+        self.start_gateway_in("a", name, addresses, store, seeds, is_first)
+    }
+
+    /// Starts a gateway in a data centre.
+    pub(crate) fn start_gateway_in(
+        &self,
+        data_centre: &str,
+        name: &str,
+        addresses: Addresses,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        is_first: bool,
     ) -> Gateway {
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
         let settings = format!(
-            "node_name={name}\nzone=a\nlisten.front={}\nlisten.ready={}\nlisten.control={}\n\
+            "node_name={name}\nzone={data_centre}\nlisten.front={}\nlisten.ready={}\nlisten.control={}\n\
              seeds={}\nbootstrap={is_first}\nlimits.memory_mb=110\nbounds.grace_s=8\n\
              provider.address={store}\n",
             addresses.callers,
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod configuration;
 mod crashes;
+mod cut_off_data_centres;
 mod cut_off_hosts;
 mod endless_answers;
 mod fake_host;
