Prove a list of endpoints fresh before concluding a stream's version from it

Cause: without a record of where a stream began, a host concluded from its own list that its service has had one version only. It took the list for fresh as long as the last call to the store had succeeded, and its memory of versions for complete although a version can come and go in a lagging watch, before a list that is read anew, or between two copies of another host's list.

Now the store must confirm, after the request has arrived, that the host has seen all changes, and the list must have been followed without a gap for as long as a caller can hold a part of a stream. Hosts tell each other how far back that goes and which versions there were, so streams of the only version still go on at hosts that follow others and, which is new, at hosts that have just started. Hosts of earlier releases ignore the new fields; their lists prove nothing.

--- a/src/connection/platform/http/wire.rs
+++ b/src/connection/platform/http/wire.rs
@@ -120,6 +120,7 @@
         objects: present.into_iter().map(Object::from).collect(),
         removed: removed.into_iter().map(|entry| entry.name).collect(),
         has_superseded: false,
+        superseded: Vec::new(),
     })
 }
 
--- a/src/connection/platform/mod.rs
+++ b/src/connection/platform/mod.rs
@@ -97,8 +97,13 @@
     /// Whether earlier states of these objects were received, too: the watch lags
     /// behind the changes.
     pub has_superseded: bool,
+    /// These earlier states, as far as they are small.
+    pub superseded: Vec<Object>,
 }
 
+/// Size up to which an earlier state of an object is kept, in bytes.
+const MAX_SUPERSEDED_BYTES: usize = 4 << 10;
+
 impl Changes {
     /// Creates changes up to a version, without any object.
     pub fn up_to(upto: Version) -> Self {
@@ -107,6 +112,7 @@
             objects: Vec::new(),
             removed: Vec::new(),
             has_superseded: false,
+            superseded: Vec::new(),
         }
     }
 
@@ -123,9 +129,13 @@
     }
 
     fn discard(&mut self, name: &str) {
-        let before = self.objects.len();
-        self.objects.retain(|object| object.name != name);
-        self.has_superseded |= self.objects.len() < before;
+        let earlier = self.objects.extract_if(.., |object| object.name == name);
+        for object in earlier {
+            self.has_superseded = true;
+            if object.value.len() <= MAX_SUPERSEDED_BYTES {
+                self.superseded.push(object);
+            }
+        }
         self.removed.retain(|removed| removed != name);
     }
 }
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -19,6 +19,7 @@
 use crate::connection::platform::Platform;
 use crate::connection::platform::PlatformError;
 use crate::ids::HostId;
+use crate::ids::Version;
 use crate::units::Moment;
 
 /// Interval of the probes that a scout sends to an unreachable store, and the
@@ -284,8 +285,12 @@
         S::apply_changes(&self.cx, changes);
     }
 
-    fn on_unchanged(&self) {
-        S::confirm(&self.cx);
+    fn on_unchanged(&self, upto: Version) {
+        S::confirm(&self.cx, upto);
+    }
+
+    fn known_version(&self) -> Option<Version> {
+        S::known_version(&self.cx)
     }
 
     fn on_error(&self, error: &PlatformError) {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -44,6 +44,7 @@
 use crate::protection::announced_limit::SharedLimit;
 use crate::protection::helpers::Helpers;
 use crate::protection::limit_bucket::LimitBuckets;
+use crate::protection::listed_versions::ListedVersions;
 use crate::protection::suspects::Suspects;
 use crate::units::Moment;
 
@@ -136,6 +137,35 @@
     /// Store version up to which changes are applied; `None` before the first
     /// list.
     pub upto: Option<Version>,
+    /// Store version up to which there are no further changes, as far as is
+    /// known.
+    pub seen: Option<Version>,
+    /// Versions that endpoints were listed with.
+    pub versions: ListedVersions,
+}
+
+impl EndpointList {
+    /// Records that changes up to a store version are applied.
+    pub fn advance(&mut self, upto: Version) {
+        self.upto = self.upto.max(Some(upto));
+        self.seen = self.seen.max(self.upto);
+    }
+
+    /// Records that a list of store version `upto` has no changes up to `seen`.
+    pub fn confirm(&mut self, upto: Option<Version>, seen: Option<Version>) {
+        if upto.is_some() && self.upto == upto {
+            self.seen = self.seen.max(seen);
+        }
+    }
+
+    /// Records that the versions of all endpoints are listed.
+    pub fn record_versions(&mut self, now: Moment) {
+        self.versions.forget(now);
+        for endpoint in self.directory.endpoints() {
+            self.versions
+                .record(&endpoint.service, &endpoint.version, now);
+        }
+    }
 }
 
 /// The time limit of a drain, for which requests wait.
@@ -194,6 +224,9 @@
     pub freshness: Freshness,
     /// Endpoints as listed by the store or by other hosts.
     pub endpoint_list: Mutex<EndpointList>,
+    /// When the last call was sent that showed the list of endpoints to be up to
+    /// date; locked while such a call is under way.
+    pub list_proved_at: async_lock::Mutex<Moment>,
     /// Endpoint pools for the choice of endpoints.
     pub pools: Pools,
     /// Known hosts.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -27,13 +27,13 @@
 use super::crashes;
 use super::dispatch;
 use super::lines;
-use super::origins;
 use super::quota::ProgramStage;
 use super::rate;
 use super::refusal::Outcome;
 use super::refusal::Refusal;
 use super::refusal::Result;
 use super::reservation;
+use super::resumption;
 use super::routes::Customer;
 use super::routes::Route;
 use crate::connection::headers;
@@ -171,7 +171,7 @@
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
     crashes::refuse_barred(cx, &call)?;
-    let call = match origins::required_origin(cx, &call).await? {
+    let call = match resumption::required_origin(cx, &call).await? {
         Some(origin) => Call {
             service: origin.service,
             version: Some(origin.version),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -44,6 +44,7 @@
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::protection::announced_limit::SharedLimit;
+use crate::protection::listed_versions::SharedVersions;
 use crate::protection::suspects::Crash;
 use crate::units::Moment;
 
@@ -94,6 +95,12 @@
     pub configuration_age_ms: Option<u64>,
     /// Store version of its endpoints; `None` if it has none.
     pub endpoints: Option<Version>,
+    /// Store version up to which these endpoints have not changed.
+    #[serde(default)]
+    pub endpoints_seen: Option<Version>,
+    /// Whether it may have missed versions of endpoints.
+    #[serde(default)]
+    pub needs_versions: bool,
     /// Store version of its list of hosts; `None` if it has none.
     pub hosts: Option<Version>,
     /// Whether it fetches a newer configuration by itself. Hosts of earlier
@@ -125,6 +132,10 @@
     pub configuration: Option<Arc<str>>,
     /// Endpoints; `None` if they are not newer.
     pub endpoints: Option<Vec<SharedEndpoint>>,
+    /// Versions that endpoints were listed with, beside endpoints or for a host
+    /// that needs them.
+    #[serde(default)]
+    pub versions: Option<SharedVersions>,
     /// Hosts; `None` if they are not newer.
     pub hosts: Option<Vec<(HostId, HostEntry)>>,
 }
@@ -205,7 +216,11 @@
 
 fn host_versions<P: Platform>(cx: &Gateway<P>) -> HostVersions {
     let hosts = cx.roster.lock().version();
-    let endpoints = cx.endpoint_list.lock().upto;
+    let (endpoints, endpoints_seen, needs_versions) = {
+        let listed = cx.endpoint_list.lock();
+        let is_complete = listed.versions.is_complete(Moment::now());
+        (listed.upto, listed.seen, !is_complete)
+    };
     HostVersions {
         host: cx.cfg.place.host.clone(),
         configuration: cx.in_force.load().table.version,
@@ -213,6 +228,8 @@
             .configuration_age_ms()
             .map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
         endpoints,
+        endpoints_seen,
+        needs_versions,
         hosts,
         fetches_configuration: true,
         is_current: cx.store_contact.is_up() && cx.is_scout(),
@@ -264,14 +281,21 @@
     let in_force = cx.in_force.load();
     let is_newer = in_force.table.version > remote.configuration;
     let is_expected = is_newer && !remote.fetches_configuration;
+    let now = Moment::now();
     let endpoints = (own.endpoints > remote.endpoints).then(|| {
         let listed = cx.endpoint_list.lock();
-        listed.directory.export(Moment::now())
+        listed.directory.export(now)
+    });
+    let versions = (endpoints.is_some() || remote.needs_versions).then(|| {
+        let mut listed = cx.endpoint_list.lock();
+        listed.record_versions(now);
+        listed.versions.export(listed.seen?, now)
     });
     let hosts = (own.hosts > remote.hosts).then(|| cx.roster.lock().entries());
     ExchangeReply {
         configuration: is_expected.then(|| Arc::clone(&in_force.text)),
         endpoints,
+        versions: versions.flatten(),
         hosts,
         known: own,
     }
@@ -441,15 +465,28 @@
     };
     transfers::learn(cx, reply.known.configuration, source);
     adopt_confirmation(cx, &reply.known);
+    let versions = reply.versions.as_ref();
     if let (Some(upto), Some(endpoints)) = (reply.known.endpoints, reply.endpoints) {
-        updates::apply_endpoints(cx, upto, endpoints, reply.known.host.as_str());
+        updates::apply_endpoints(cx, upto, endpoints, versions, reply.known.host.as_str());
+    } else if let Some(told) = versions {
+        let mut listed = cx.endpoint_list.lock();
+        let seen = listed.seen;
+        listed.versions.import(told, seen, Moment::now());
     }
+    confirm_endpoints(cx, &reply.known);
     if let (Some(upto), Some(hosts)) = (reply.known.hosts, reply.hosts) {
         updates::apply_hosts(cx, upto, hosts);
     }
     Some(())
 }
 
+/// Takes over how long another host has known the endpoints that are listed
+/// here.
+fn confirm_endpoints<P>(cx: &Gateway<P>, remote: &HostVersions) {
+    let mut listed = cx.endpoint_list.lock();
+    listed.confirm(remote.endpoints, remote.endpoints_seen);
+}
+
 /// Takes over another host's confirmation of the version that is in force here.
 fn adopt_confirmation<P: Platform>(cx: &Gateway<P>, remote: &HostVersions) {
     let is_same = cx.in_force.load().table.version == remote.configuration;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -30,8 +30,14 @@
     /// Called with the changes since the previous call.
     fn on_change(&self, changes: Changes) -> impl Future<Output = ()> + Send;
 
-    /// Called when a watch ended without a change.
-    fn on_unchanged(&self) {}
+    /// Called when a watch ended without a change up to a store version.
+    fn on_unchanged(&self, _upto: Version) {}
+
+    /// Store version up to which the objects are known from elsewhere, from which
+    /// a watch can go on.
+    fn known_version(&self) -> Option<Version> {
+        None
+    }
 
     /// Called when a call to the store failed.
     fn on_error(&self, error: &PlatformError);
@@ -89,6 +95,11 @@
         };
         while let Some(version) = since {
             wait_until_active(&handler).await;
+            // While others watched, this host may have learned of later changes.
+            let version = handler
+                .known_version()
+                .max(Some(version))
+                .unwrap_or(version);
             since = {
                 let watch = store.watch(kind, version, watch_wait);
                 poll_watch(watch, &handler, version, &mut backoff).await
@@ -114,7 +125,7 @@
             let is_empty = changes.objects.is_empty() && changes.removed.is_empty();
             let is_behind = changes.has_superseded && handler.prefers_list();
             if is_empty {
-                handler.on_unchanged();
+                handler.on_unchanged(upto);
             } else {
                 handler.on_change(changes).await;
                 Timer::after(handler.batch_delay()).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod reservation;
+pub mod resumption;
 pub mod roster;
 pub mod routes;
 pub mod serve;
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -21,9 +21,6 @@
 use super::exchange;
 use super::exchange::ORIGIN_METHOD;
 use super::exchange::STREAMS_BEGUN_METHOD;
-use super::placing::VERSION_MEMORY;
-use super::refusal::Refusal;
-use super::refusal::Result;
 use super::roster::KeeperCount;
 use super::roster::Peer;
 use crate::connection::platform::Platform;
@@ -40,10 +37,6 @@
 /// Hosts that are asked where a stream began: those that may have been told,
 /// also if the host that told them is among the first or some have failed.
 pub const ASKED: KeeperCount = KeeperCount { local: 2, any: 3 };
-/// Retry time of a caller whose stream has no known origin, since a host that
-/// did not answer in time may do so then.
-const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(100);
-
 /// Service and software version whose engine made the first event of a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamOrigin {
@@ -177,49 +170,8 @@
     }
 }
 
-#[derive(Serialize)]
-struct ResumeLine<'a> {
-    request: &'a str,
-    resumed_attempt: Option<&'a str>,
-    version: Option<&'a str>,
-    /// Whether this host or another knew where the stream began; otherwise the
-    /// version is the only one that was listed of late.
-    is_recorded: bool,
-}
-
-/// Returns where a call must run: at the service and version that began its
-/// stream. `None` if the call begins a stream, or is none.
-///
-/// # Errors
-///
-/// A refusal if the origin is not known, or if the route does not lead to its
-/// service any more.
-pub async fn required_origin<P: Platform>(cx: &Cx<P>, call: &Call) -> Result<Option<StreamOrigin>> {
-    if !call.meta.resumes_stream() {
-        return Ok(None);
-    }
-    let recorded = find(cx, stream_key(call)).await;
-    let is_recorded = recorded.is_some();
-    let origin = match recorded {
-        Some(origin) => Some(origin).filter(|origin| call.route.leads_to(&origin.service)),
-        None => sole_origin(cx, call),
-    };
-    let line = ResumeLine {
-        request: &call.meta.id,
-        resumed_attempt: call.meta.resumed_attempt.as_deref(),
-        version: origin.as_ref().map(|origin| &*origin.version),
-        is_recorded,
-    };
-    cx.log.request("stream-resumed", &line);
-    let unknown = || {
-        let detail = "the version that began the stream is not known or not in use";
-        Refusal::not_run(detail, UNKNOWN_ORIGIN_RETRY)
-    };
-    origin.map(Some).ok_or_else(unknown)
-}
-
 /// Finds where a stream began, asking other hosts if this one does not know.
-async fn find<P: Platform>(cx: &Cx<P>, stream: u64) -> Option<StreamOrigin> {
+pub async fn find<P: Platform>(cx: &Cx<P>, stream: u64) -> Option<StreamOrigin> {
     if let Some(origin) = cx.origins.get(stream) {
         return Some(origin);
     }
@@ -249,20 +201,3 @@
     }
     None
 }
-
-/// Returns the only origin that streams of the call's route can have, as far as
-/// this host can know; `None` if there are several.
-fn sole_origin<P: Platform>(cx: &Gateway<P>, call: &Call) -> Option<StreamOrigin> {
-    // A process that was started later has not seen the versions before.
-    let age = Moment::now().since(cx.started);
-    let has_seen_all = cx.cfg.place.first_start || age >= VERSION_MEMORY;
-    if !has_seen_all || !cx.is_current() || call.route.targets.len() > 1 {
-        return None;
-    }
-    let pool = cx.pools.get(&call.service)?;
-    let version = pool.lock().sole_version(Moment::now()).cloned()?;
-    Some(StreamOrigin {
-        service: Arc::clone(&call.service),
-        version,
-    })
-}
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -69,9 +69,6 @@
 /// Added to the cost of an unreachable endpoint, in calls. Even an ejected
 /// endpoint is chosen before it.
 const UNREACHABLE_COST: f64 = 1e6;
-/// Time for which a version of which no endpoint is listed any more is
-/// remembered: callers may hold parts of its streams until their deadlines.
-pub const VERSION_MEMORY: Duration = Duration::from_secs(60);
 /// Costs that differ by less than this count as equal.
 const TIE_MS: f64 = 0.5;
 
@@ -265,8 +262,6 @@
     curve: LoadCurve,
     /// Mean number of other hosts' requests per endpoint, by data centre.
     mean_load: HashMap<Box<str>, f64>,
-    /// When each version was last listed.
-    versions: HashMap<Arc<str>, Moment>,
     /// Endpoints that have given notice of their shutdown.
     departures: Departures,
     /// This host's own paths to the endpoints.
@@ -288,7 +283,6 @@
             members: BTreeMap::new(),
             curve: LoadCurve::new(INITIAL_CALL_MS, DEFAULT_LOAD_GROWTH),
             mean_load: HashMap::new(),
-            versions: HashMap::new(),
             departures: Departures::default(),
             path: ServicePath::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -298,7 +292,6 @@
     /// Replaces the list of endpoints. Estimates are kept for endpoints that
     /// have not restarted.
     pub fn replace(&mut self, endpoints: impl Iterator<Item = Arc<Endpoint>>, now: Moment) {
-        self.record_versions(now);
         let mut kept = BTreeMap::new();
         for endpoint in endpoints {
             let unchanged = self
@@ -312,33 +305,6 @@
             kept.insert(member.endpoint.id.clone(), member);
         }
         self.members = kept;
-        self.record_versions(now);
-    }
-
-    /// Records that the versions of all members are listed.
-    fn record_versions(&mut self, now: Moment) {
-        self.versions
-            .retain(|_, listed| now.since(*listed) < VERSION_MEMORY);
-        for member in self.members.values() {
-            let version = Arc::clone(&member.endpoint.version);
-            self.versions.insert(version, now);
-        }
-    }
-
-    /// Returns the only version that was listed within [`VERSION_MEMORY`];
-    /// `None` if there were others.
-    pub fn sole_version(&self, now: Moment) -> Option<&Arc<str>> {
-        let is_listed = |version: &Arc<str>| {
-            let mut members = self.members.values();
-            members.any(|member| member.endpoint.version == *version)
-        };
-        let mut recent = self
-            .versions
-            .iter()
-            .filter(|(version, listed)| now.since(**listed) < VERSION_MEMORY || is_listed(version))
-            .map(|(version, _)| version);
-        let sole = recent.next()?;
-        recent.next().is_none().then_some(sole)
     }
 
     /// Chooses the endpoint with the least cost and counts a request there.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -237,6 +237,7 @@
         transfers: Transfers::default(),
         freshness: Freshness::default(),
         endpoint_list: Mutex::default(),
+        list_proved_at: async_lock::Mutex::default(),
         pools: Pools::default(),
         roster: Mutex::new(roster),
         rates: Rates::new(now),
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -24,6 +24,7 @@
 use crate::platform::kinds;
 use crate::platform::registry;
 use crate::platform::routes;
+use crate::protection::listed_versions::SharedVersions;
 use crate::units::Moment;
 
 /// Delays after a change, so that further changes arrive in one batch and save
@@ -94,20 +95,30 @@
 }
 
 /// Applies another host's endpoints if they are of a later store version.
+/// `versions` are those that it knows of; `None` from a host that does not.
 pub fn apply_endpoints<P: Platform>(
     cx: &Gateway<P>,
     upto: Version,
     endpoints: Vec<SharedEndpoint>,
+    versions: Option<&SharedVersions>,
     from: &str,
 ) {
     let count = endpoints.len();
+    let now = Moment::now();
     {
         let mut listed = cx.endpoint_list.lock();
         if listed.upto >= Some(upto) {
             return;
         }
-        listed.directory.import(endpoints, Moment::now());
-        listed.upto = Some(upto);
+        listed.record_versions(now);
+        let seen = listed.seen;
+        match versions {
+            Some(told) => listed.versions.import(told, seen, now),
+            None => listed.versions.lose_coverage(),
+        }
+        listed.directory.import(endpoints, now);
+        listed.advance(upto);
+        listed.record_versions(now);
     }
     cx.refresh_pools();
     log_endpoints(cx, upto, count, from, Vec::new());
@@ -171,8 +182,14 @@
     /// Applies changes to the present state.
     fn apply_changes<P: Platform>(cx: &Cx<P>, changes: Changes);
 
-    /// Records that the store has no changes beyond the present state.
-    fn confirm<P: Platform>(_cx: &Gateway<P>) {}
+    /// Records that the store has no changes beyond the present state up to a
+    /// store version.
+    fn confirm<P: Platform>(_cx: &Gateway<P>, _upto: Version) {}
+
+    /// Store version up to which the objects are known from other hosts.
+    fn known_version<P: Platform>(_cx: &Gateway<P>) -> Option<Version> {
+        None
+    }
 }
 
 /// The operators' configuration, a single object.
@@ -181,8 +198,8 @@
 
 impl OperatorsConfiguration {
     /// Applies the configuration if it is among the objects.
-    fn apply<P: Platform>(cx: &Cx<P>, objects: &[Object]) {
-        for object in objects.iter().filter(|o| o.name == kinds::CURRENT) {
+    fn apply<P: Platform>(cx: &Cx<P>, changes: &Changes) {
+        for object in changes.objects.iter().filter(|o| o.name == kinds::CURRENT) {
             match std::str::from_utf8(&object.value) {
                 Ok(text) => {
                     // An invalid one is logged there.
@@ -191,7 +208,7 @@
                 Err(e) => log::error!("configuration from the store is not valid UTF-8: {e}"),
             }
         }
-        Self::confirm(cx);
+        Self::confirm(cx, changes.upto);
     }
 }
 
@@ -206,14 +223,14 @@
     }
 
     fn apply_list<P: Platform>(cx: &Cx<P>, listed: Changes) {
-        Self::apply(cx, &listed.objects);
+        Self::apply(cx, &listed);
     }
 
     fn apply_changes<P: Platform>(cx: &Cx<P>, changes: Changes) {
-        Self::apply(cx, &changes.objects);
+        Self::apply(cx, &changes);
     }
 
-    fn confirm<P: Platform>(cx: &Gateway<P>) {
+    fn confirm<P: Platform>(cx: &Gateway<P>, _upto: Version) {
         let version = cx.in_force.load().table.version;
         cx.freshness.confirm(version, Moment::now());
     }
@@ -234,13 +251,22 @@
     fn apply_list<P: Platform>(cx: &Cx<P>, listed: Changes) {
         let endpoints: Vec<Endpoint> = listed.objects.iter().filter_map(decode).collect();
         let count = endpoints.len();
+        let now = Moment::now();
         {
             let mut own = cx.endpoint_list.lock();
             if own.upto > Some(listed.upto) {
                 return;
             }
-            own.directory.replace(endpoints, Moment::now());
-            own.upto = Some(listed.upto);
+            own.record_versions(now);
+            if own.upto.is_none() && cx.cfg.place.first_start {
+                own.versions.begin_new_deployment(listed.upto);
+            } else if own.seen < Some(listed.upto) {
+                // What came and went since the last update is not known.
+                own.versions.begin(listed.upto, now);
+            }
+            own.directory.replace(endpoints, now);
+            own.advance(listed.upto);
+            own.record_versions(now);
         }
         cx.refresh_pools();
         log_endpoints(cx, listed.upto, count, FROM_STORE, Vec::new());
@@ -251,6 +277,15 @@
         let mut names = Vec::new();
         let count = {
             let mut own = cx.endpoint_list.lock();
+            if own.upto >= Some(changes.upto) {
+                // Another host has already sent these changes.
+                return;
+            }
+            own.record_versions(now);
+            for endpoint in changes.superseded.iter().filter_map(decode) {
+                own.versions
+                    .record(&endpoint.service, &endpoint.version, now);
+            }
             for object in &changes.objects {
                 names.push(object.name.clone());
                 match decode(object) {
@@ -261,13 +296,23 @@
             for name in &changes.removed {
                 own.directory.remove(name, now);
             }
-            own.upto = own.upto.max(Some(changes.upto));
+            own.advance(changes.upto);
+            own.record_versions(now);
             own.directory.len()
         };
         names.extend(changes.removed);
         cx.refresh_pools();
         log_endpoints(cx, changes.upto, count, FROM_STORE, names);
     }
+
+    fn confirm<P: Platform>(cx: &Gateway<P>, upto: Version) {
+        let mut own = cx.endpoint_list.lock();
+        own.seen = own.seen.max(Some(upto));
+    }
+
+    fn known_version<P: Platform>(cx: &Gateway<P>) -> Option<Version> {
+        cx.endpoint_list.lock().seen
+    }
 }
 
 fn decode(object: &Object) -> Option<Endpoint> {
--- a/src/protection/mod.rs
+++ b/src/protection/mod.rs
@@ -4,5 +4,6 @@
 pub mod fingerprint;
 pub mod helpers;
 pub mod limit_bucket;
+pub mod listed_versions;
 pub mod paths;
 pub mod suspects;
--- a/tests/gateway/versions_side_by_side.rs
+++ b/tests/gateway/versions_side_by_side.rs
@@ -11,13 +11,15 @@
 use chicoryarch::gateway::origins::StreamOrigin;
 use chicoryarch::gateway::placing::Criteria;
 use chicoryarch::gateway::placing::Pool;
-use chicoryarch::gateway::placing::VERSION_MEMORY;
 use chicoryarch::gateway::roster::HostEntry;
 use chicoryarch::gateway::roster::KeeperCount;
 use chicoryarch::gateway::roster::Roster;
 use chicoryarch::ids::DataCentre;
 use chicoryarch::ids::HostId;
 use chicoryarch::ids::Incarnation;
+use chicoryarch::ids::Version;
+use chicoryarch::protection::listed_versions::ListedVersions;
+use chicoryarch::protection::listed_versions::VERSION_MEMORY;
 
 use super::support::at;
 use super::support::endpoint;
@@ -65,15 +67,100 @@
 // A version counts until no caller can hold a part of its streams any more.
 #[test]
 fn a_version_is_remembered_after_its_last_engine() {
-    let mut pool = Pool::with_seed(1);
-    assert_eq!(pool.sole_version(at(0)), None);
-    list(&mut pool, &[("a", "v1")], 0);
-    assert_eq!(pool.sole_version(at(0)).map(|v| &**v), Some("v1"));
-    list(&mut pool, &[("a", "v1"), ("b", "v2")], 10);
-    list(&mut pool, &[("b", "v2")], 20);
-    assert_eq!(pool.sole_version(at(30)), None);
-    let later = 30 + u64::try_from(VERSION_MEMORY.as_millis()).expect("a short time");
-    assert_eq!(pool.sole_version(at(later)).map(|v| &**v), Some("v2"));
+    let mut listed = new_deployment();
+    assert_eq!(sole(&listed, 0), None);
+    record(&mut listed, &["v1"], 0);
+    assert_eq!(sole(&listed, 0).as_deref(), Some("v1"));
+    record(&mut listed, &["v1", "v2"], 10);
+    record(&mut listed, &["v2"], 20);
+    assert_eq!(sole(&listed, 30), None);
+    record(&mut listed, &["v2"], MEMORY_MS + 30);
+    assert_eq!(sole(&listed, MEMORY_MS + 30).as_deref(), Some("v2"));
+}
+
+const MEMORY_MS: u64 = 60_000;
+/// Moments of these tests are later than the clock's origin.
+const START_MS: u64 = 1_000_000;
+
+fn new_deployment() -> ListedVersions {
+    let mut listed = ListedVersions::default();
+    listed.begin_new_deployment(Version(1));
+    listed
+}
+
+/// Records the versions that a host finds listed.
+fn record(listed: &mut ListedVersions, versions: &[&str], ms: u64) {
+    listed.forget(at(START_MS + ms));
+    for version in versions {
+        listed.record(&"s".into(), &(*version).into(), at(START_MS + ms));
+    }
+}
+
+fn sole(listed: &ListedVersions, ms: u64) -> Option<String> {
+    let version = listed.sole("s", at(START_MS + ms));
+    version.map(ToString::to_string)
+}
+
+// Guards against a host that takes the only version in its first list for the
+// only one that there was.
+#[test]
+fn a_list_after_a_gap_shows_no_sole_version() {
+    assert_eq!(VERSION_MEMORY.as_millis(), u128::from(MEMORY_MS));
+    let mut listed = new_deployment();
+    record(&mut listed, &["v1"], 0);
+    listed.begin(Version(9), at(START_MS + 10));
+    record(&mut listed, &["v1"], 10);
+    assert_eq!(sole(&listed, 20), None);
+    assert_eq!(sole(&listed, MEMORY_MS), None);
+    record(&mut listed, &["v1"], MEMORY_MS);
+    assert_eq!(sole(&listed, MEMORY_MS + 10).as_deref(), Some("v1"));
+}
+
+// Guards against refusing all streams after a host has started although another
+// one can tell it which versions there were.
+#[test]
+fn a_host_that_has_started_learns_versions_from_another() {
+    let mut other = new_deployment();
+    record(&mut other, &["v1"], 0);
+    let told = other.export(Version(20), at(START_MS)).expect("a history");
+    let mut listed = ListedVersions::default();
+    listed.begin(Version(12), at(START_MS));
+    listed.import(&told, Some(Version(15)), at(START_MS));
+    assert_eq!(sole(&listed, 0).as_deref(), Some("v1"));
+    // One that lags behind this host's first list leaves a gap.
+    let told = other.export(Version(11), at(START_MS)).expect("a history");
+    let mut listed = ListedVersions::default();
+    listed.begin(Version(12), at(START_MS));
+    listed.import(&told, Some(Version(15)), at(START_MS));
+    record(&mut listed, &["v1"], 0);
+    assert_eq!(sole(&listed, 0), None);
+}
+
+// Guards against a host that was out of step and takes over the list of one that
+// has started meanwhile, or of one that has seen another version leave.
+#[test]
+fn a_host_that_was_out_of_step_takes_over_what_another_has_seen() {
+    let mut started = ListedVersions::default();
+    started.begin(Version(30), at(START_MS));
+    record(&mut started, &["v1"], 0);
+    let told = started
+        .export(Version(31), at(START_MS))
+        .expect("a history");
+    let mut listed = new_deployment();
+    record(&mut listed, &["v1"], 0);
+    listed.import(&told, Some(Version(15)), at(START_MS));
+    assert_eq!(sole(&listed, 0), None);
+
+    let mut followed = new_deployment();
+    record(&mut followed, &["v1", "v2"], 0);
+    let told = followed
+        .export(Version(31), at(START_MS + 10))
+        .expect("a history");
+    let mut listed = new_deployment();
+    record(&mut listed, &["v1"], 10);
+    listed.import(&told, Some(Version(15)), at(START_MS + 10));
+    assert_eq!(sole(&listed, 10), None);
+    assert!(listed.is_complete(at(START_MS + 10)));
 }
 
 #[test]
--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -6,6 +6,7 @@
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use chicoryarch_standins::fleet::endpoint::Run;
+use chicoryarch_standins::fleet::proxy::Mode;
 use rustix::process::Signal;
 use serde_json::Value;
 use serde_json::json;
@@ -261,3 +262,102 @@
     assert!(ran(&engine, "last"));
     assert_eq!(run_count(&others), 0);
 }
+
+/// Starts gateways that know each other.
+fn start_hosts(fleet: &Fleet, names: &[&str]) -> Vec<Gateway> {
+    let hosts: Vec<_> = names.iter().map(|name| fleet.gateway(name)).collect();
+    std::thread::sleep(LIST_CHANGE * 3);
+    hosts
+}
+
+/// Begins streams `r1` and `r2` at engines of another version that have just
+/// joined. Their host ends, and with it what is known of them.
+fn begin_at_others(fleet: &Fleet, old: &EndpointStandin, host: &mut Gateway) {
+    old.set_behaviour(FULL);
+    for other in start_others(fleet) {
+        other.set_behaviour(BREAKING);
+    }
+    for id in ["r1", "r2"] {
+        wait_until("a stream begins", || {
+            let answer = fleet.call(host, "/turns/", &[("request-id", id)]);
+            answer.status == 200
+        });
+    }
+    host.kill();
+    old.set_behaviour(ENGINE);
+}
+
+// A host that had stood still while engines of another version joined sent the
+// rest of a stream of theirs to an engine of the version that it knew.
+#[test]
+fn a_host_that_stood_still_does_not_take_its_list_for_fresh() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let mut began = fleet.gateway("g1");
+    let path = fleet.link(fleet.store.addr());
+    let frozen = fleet.start_gateway("g2", path.address(), &[]);
+    frozen.wait_ready(&fleet);
+    std::thread::sleep(LIST_CHANGE * 3);
+    // Its news come after the callers.
+    path.set(Mode::Delay(LIST_CHANGE / 5));
+    std::thread::sleep(LIST_CHANGE);
+    frozen.signal(Signal::STOP);
+    begin_at_others(&fleet, &engine, &mut began);
+    frozen.signal(Signal::CONT);
+    assert_eq!(resume_stream(&fleet, &frozen, "a1", "r1"), 503);
+    assert!(!ran(&engine, "a1"));
+}
+
+// The same at a host whose connections to the store carry nothing any more, as
+// long as it has not noticed.
+#[test]
+fn a_host_that_the_store_is_silent_to_does_not_take_its_list_for_fresh() {
+    let fleet = Fleet::new();
+    let engine = fleet.endpoint("e1", "engine", ENGINE);
+    let mut began = fleet.gateway("g1");
+    let path = fleet.link(fleet.store.addr());
+    let cut = fleet.start_gateway("g2", path.address(), &[]);
+    cut.wait_ready(&fleet);
+    std::thread::sleep(LIST_CHANGE * 3);
+    path.set(Mode::Stall);
+    // Apart from the other host too, which would tell it.
+    cut.signal(Signal::STOP);
+    begin_at_others(&fleet, &engine, &mut began);
+    cut.signal(Signal::CONT);
+    assert_eq!(resume_stream(&fleet, &cut, "a1", "r1"), 503);
+    assert!(!ran(&engine, "a1"));
+}
+
+// Guards against refusing streams whose version can be told from the list, at
+// hosts that follow the store and at those that follow other hosts.
+#[test]
+fn a_stream_of_the_only_version_goes_on_although_its_host_is_gone() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let hosts = start_hosts(&fleet, &["g1", "g2", "g3", "g4", "g5"]);
+    for (n, host) in hosts.iter().enumerate() {
+        let status = resume_stream(&fleet, host, &format!("again-{n}"), &format!("gone-{n}"));
+        assert_eq!(status, 200, "host {n}");
+    }
+    start_others(&fleet);
+    for (n, host) in hosts.iter().enumerate() {
+        let status = resume_stream(&fleet, host, &format!("late-{n}"), &format!("lost-{n}"));
+        assert_eq!(status, 503, "host {n}");
+    }
+}
+
+// Guards against refusing such streams at a host that has just started beside
+// hosts that know which versions there were.
+#[test]
+fn a_host_that_has_started_learns_from_others_which_versions_there_were() {
+    let fleet = Fleet::new();
+    fleet.endpoint("e1", "engine", ENGINE);
+    let running = fleet.gateway("g1");
+    let seeds = [running.addresses.peers];
+    let addresses = fleet.free_addresses();
+    let started = fleet.start_gateway_at("g2", addresses, fleet.store.addr(), &seeds, false);
+    started.wait_ready(&fleet);
+    wait_until("a stream goes on", || {
+        resume_stream(&fleet, &started, "again", "gone") == 200
+    });
+}
