Bear numbers out of range in what others send

Cause: the client added the announced time to the clock, which panics if the sum overflows, and a panic in a task ends the process. Looked for elsewhere: the sum of the two loads that an engine reports wrapped around, and so did sums of callers' token counts in a program's account, where a turn of nearly 2^64 tokens could be reserved. Announced idle times now count up to an hour, and the sums saturate. Limits, deadlines, ages and event ids were sound.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -31,6 +31,10 @@
 /// request does not cross the server's close.
 const IDLE_SHARE: f64 = 0.6;
 
+/// Longest idle limit that a server's announcement sets. A server may announce
+/// more than the clock can add.
+const MAX_IDLE_LIMIT: Duration = Duration::from_secs(3600);
+
 /// Error of a request that got no response head.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
@@ -251,7 +255,7 @@
                 connections.push(IdleConnection {
                     sender,
                     idle_since: now,
-                    expires: now + allowed_idle.mul_f64(IDLE_SHARE),
+                    expires: now + allowed_idle.min(MAX_IDLE_LIMIT).mul_f64(IDLE_SHARE),
                 });
             }
         });
--- a/crates/standins/src/fleet/endpoint.rs
+++ b/crates/standins/src/fleet/endpoint.rs
@@ -38,6 +38,22 @@
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Requests a second that an endpoint in need takes from all callers together.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Numbers that a faulty endpoint sends.
+const ODD_NUMBERS: [&str; 10] = [
+    "18446744073709551615",
+    "9223372036854775807",
+    "4294967295,4294967295,4294967295",
+    "1e308",
+    "-1",
+    "99999999999999999999999999",
+    "NaN",
+    "inf",
+    "0,0,0",
+    // As a limit, it leaves no room for further calls.
+    "5e-324",
+];
 /// Text in a request's body that ends the endpoint once it begins to run it.
 pub const DEADLY: &str = "deadly";
 /// Text in a request's body that ends the endpoint after the first event of its
@@ -72,6 +88,8 @@
     pub mismatched_answers: u32,
     /// Number of upcoming requests that run and are answered with 500.
     pub failed_requests: u32,
+    /// Whether answers carry numbers out of range, another at each answer.
+    pub odd_numbers: bool,
     /// Whether answers announce that the endpoint is shutting down.
     pub is_leaving: bool,
     /// Text by which all answers announce a limit of the requests a second;
@@ -90,6 +108,7 @@
         refused_requests: 0,
         mismatched_answers: 0,
         failed_requests: 0,
+        odd_numbers: false,
         is_leaving: false,
         limit: None,
     };
@@ -267,6 +286,20 @@
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert(SERVER_LEAVING, value);
         }
+        if behaviour.odd_numbers {
+            let before = self.state.lock().answers.saturating_sub(1);
+            let before = usize::try_from(before).unwrap_or_default();
+            let number = ODD_NUMBERS[before % ODD_NUMBERS.len()];
+            for (name, before) in [
+                (KEEP_ALIVE, "timeout="),
+                (SERVER_LOAD, ""),
+                (SERVER_LIMIT, ""),
+            ] {
+                let value = format!("{before}{number}");
+                let value = HeaderValue::from_str(&value).expect("visible characters");
+                response.headers_mut().insert(name, value);
+            }
+        }
         if let Some(limit) = behaviour.limit {
             let value = HeaderValue::from_static(limit);
             response.headers_mut().insert(SERVER_LIMIT, value);
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -96,7 +96,7 @@
     };
     let tokens = (left / divisor).max(request.wanted);
     let record = Record {
-        granted: granted + tokens,
+        granted: granted.saturating_add(tokens),
         at_ms: now_ms,
     };
     Some(Grant { tokens, record })
@@ -163,12 +163,12 @@
     /// Whether the balance is large enough for other hosts to retain unused
     /// tokens between turns.
     pub const fn is_ample(&self, turn: u64) -> bool {
-        self.available >= turn * RETENTION_TURNS
+        self.available >= turn.saturating_mul(RETENTION_TURNS)
     }
 
     /// Adds granted or returned tokens.
     pub fn deposit(&mut self, tokens: u64) {
-        self.available += tokens;
+        self.available = self.available.saturating_add(tokens);
     }
 }
 
@@ -183,7 +183,7 @@
 impl Account {
     /// Reserves the maximum of a turn; `false` if too few tokens are available.
     pub fn reserve(&mut self, turn: u64) -> bool {
-        let fits = self.spent + self.reserved + turn <= self.granted;
+        let fits = turn <= self.remaining();
         if fits {
             self.reserved += turn;
         }
@@ -192,14 +192,14 @@
 
     /// Adds tokens drawn from the program's balance.
     pub fn add(&mut self, tokens: u64) {
-        self.granted += tokens;
+        self.granted = self.granted.saturating_add(tokens);
     }
 
     /// Reserves the remaining tokens; `None` if they are too few to start the
     /// turn.
     pub fn reserve_remaining(&mut self, turn: u64) -> Option<u64> {
         let remaining = self.remaining();
-        if remaining * MIN_START_DIVISOR < turn {
+        if remaining.saturating_mul(MIN_START_DIVISOR) < turn {
             return None;
         }
         self.reserved += remaining;
@@ -209,7 +209,7 @@
     /// Ends a reservation, of which `sent` tokens were sent to the caller.
     pub fn settle(&mut self, reserved: u64, sent: u64) {
         self.reserved = self.reserved.saturating_sub(reserved);
-        self.spent += sent;
+        self.spent = self.spent.saturating_add(sent);
     }
 
     /// Returns the number of tokens that are missing for a turn.
@@ -229,6 +229,7 @@
     }
 
     const fn remaining(&self) -> u64 {
-        self.granted.saturating_sub(self.spent + self.reserved)
+        let used = self.spent.saturating_add(self.reserved);
+        self.granted.saturating_sub(used)
     }
 }
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -380,7 +380,8 @@
     /// Records the load that an endpoint reported.
     pub fn record_load(&mut self, id: &str, load: ReportedLoad, now: Moment) {
         if let Some(member) = self.members.get_mut(id) {
-            member.other_requests = (load.running + load.waiting).saturating_sub(member.running);
+            let all = load.running.saturating_add(load.waiting);
+            member.other_requests = all.saturating_sub(member.running);
             member.reported_at = Some(now);
             let data_centre = member.endpoint.data_centre.clone();
             let mean_load = self.mean_load.entry(data_centre).or_default();
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -75,10 +75,11 @@
     /// Counts tokens sent to the caller; `false` if they would exceed the
     /// reservation, in which case they must not be sent.
     pub const fn record_sent(&mut self, tokens: u64) -> bool {
-        if self.sent + tokens > self.reserved {
+        let sent = self.sent.saturating_add(tokens);
+        if sent > self.reserved {
             return false;
         }
-        self.sent += tokens;
+        self.sent = sent;
         true
     }
 }
