Skip odd parts of what other programs wrote, and nothing else

Cause: a page of the store's list, or the answer to a watch, was parsed as one JSON text, which one byte in one string fails. Such bytes are now replaced, so that they spoil the string they stand in. On the same paths: names are encoded in URLs; a page without a readable object fails the list in place of ending it; entries that cannot be called (an id that is no header value, no port, no slots) are ignored, in another host's copy too; an unreadable start time reads as 0 also if it is nested or too large; an answer that cannot be read no longer counts as an outage of the store; and a part of another host's message that cannot be read is skipped alone. Deep nesting ended no host before either.

--- a/crates/standins/src/fleet/objects.rs
+++ b/crates/standins/src/fleet/objects.rs
@@ -48,7 +48,7 @@
 /// Kind of the endpoints' entries.
 const ENDPOINTS: &str = "servers";
 /// Body of an answer without an object.
-const NO_OBJECT: &str = "null";
+const NO_OBJECT: &[u8] = b"null";
 
 #[derive(Clone, Debug)]
 struct Stored {
@@ -57,12 +57,22 @@
     revision: u64,
     create_revision: u64,
     /// The object in JSON.
-    text: Arc<str>,
+    text: Arc<[u8]>,
 }
 
 impl Stored {
     fn encode(&mut self, name: &str) {
-        self.text = object_json(name, self).to_string().into();
+        self.text = object_json(name, self).to_string().into_bytes().into();
+    }
+
+    /// Encodes the object with a spec that need not be valid JSON.
+    fn encode_raw(&mut self, name: &str, spec: &[u8]) {
+        self.encode(name);
+        let text = object_json(name, self).to_string();
+        let (head, tail) = text.split_once("\"spec\":null").expect("a spec");
+        self.text = [head.as_bytes(), b"\"spec\":", spec, tail.as_bytes()]
+            .concat()
+            .into();
     }
 }
 
@@ -76,7 +86,7 @@
 /// A state of an object in JSON, which may be large and is encoded only once.
 #[derive(Clone, Debug)]
 struct Event {
-    object: Arc<str>,
+    object: Arc<[u8]>,
     deleted: bool,
 }
 
@@ -157,6 +167,19 @@
         self.state.lock().put(kind, name, spec);
     }
 
+    /// Creates or replaces an object whose spec is sent as it is, valid JSON or
+    /// not.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8]) {
+        let mut state = self.state.lock();
+        state.put(kind, name, Value::Null);
+        let id = (kind.to_owned(), name.to_owned());
+        let stored = state.objects.get_mut(&id).expect("it has just been put");
+        stored.encode_raw(name, spec);
+        let object = Arc::clone(&stored.text);
+        let change = state.history.last_mut().expect("it has just been put");
+        change.event.object = object;
+    }
+
     /// Removes an object, without faults or conditions.
     pub fn delete(&self, kind: &str, name: &str) {
         self.state.lock().delete(kind, name);
@@ -204,7 +227,7 @@
 }
 
 impl State {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Arc<str> {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Arc<[u8]> {
         self.revision += 1;
         let revision = self.revision;
         let id = (kind.to_owned(), name.to_owned());
@@ -213,7 +236,7 @@
             status: Value::Null,
             revision,
             create_revision: revision,
-            text: Arc::default(),
+            text: Arc::new([]),
         });
         stored.spec = spec;
         stored.revision = revision;
@@ -233,7 +256,7 @@
         true
     }
 
-    fn record_change(&mut self, kind: &str, object: Arc<str>, deleted: bool) {
+    fn record_change(&mut self, kind: &str, object: Arc<[u8]>, deleted: bool) {
         self.history.push(Change {
             revision: self.revision,
             kind: kind.to_owned(),
@@ -251,19 +274,21 @@
         of_kind.next().map_or(self.compacted, |c| c.revision)
     }
 
-    fn list(&self, kind: &str, after: Option<&str>) -> String {
+    fn list(&self, kind: &str, after: Option<&str>) -> Vec<u8> {
         let of_kind = self
             .objects
             .iter()
             .filter(|((k, name), _)| k == kind && after.is_none_or(|after| name.as_str() > after));
-        let mut items: Vec<&str> = of_kind.map(|(_, stored)| &*stored.text).collect();
+        let mut items: Vec<&[u8]> = of_kind.map(|(_, stored)| &*stored.text).collect();
         let page_size = self.faults.page_size;
         let truncated = page_size > 0 && items.len() > page_size;
         if truncated {
             items.truncate(page_size);
         }
-        let (items, revision) = (items.join(","), self.revision_of(kind));
-        format!(r#"{{"items":[{items}],"truncated":{truncated},"store_revision":{revision}}}"#)
+        let revision = self.revision_of(kind);
+        let tail = format!(r#"],"truncated":{truncated},"store_revision":{revision}}}"#);
+        let items = items.join(&b","[..]);
+        [&br#"{"items":["#[..], &items, tail.as_bytes()].concat()
     }
 
     fn events(&self, kind: &str, since: u64) -> Vec<Event> {
@@ -275,11 +300,11 @@
     }
 
     /// Executes a write and returns the status and body of its answer.
-    fn write(&mut self, call: &Call, body: &Value) -> (StatusCode, Arc<str>) {
+    fn write(&mut self, call: &Call, body: &Value) -> (StatusCode, Arc<[u8]>) {
         let name = match (&call.name, body["metadata"]["name"].as_str()) {
             (Some(name), _) => name.clone(),
             (None, Some(name)) => name.to_owned(),
-            (None, None) => return (StatusCode::BAD_REQUEST, NO_OBJECT.into()),
+            (None, None) => return (StatusCode::BAD_REQUEST, Arc::from(NO_OBJECT)),
         };
         let id = (call.kind.clone(), name.clone());
         let existing = self.objects.get(&id).cloned();
@@ -291,13 +316,13 @@
                 let created = self.put(&call.kind, &name, body["spec"].clone());
                 (StatusCode::OK, created)
             }
-            (_, None) => (StatusCode::NOT_FOUND, NO_OBJECT.into()),
+            (_, None) => (StatusCode::NOT_FOUND, Arc::from(NO_OBJECT)),
             (_, Some(stored)) if expected.is_some_and(|e| e != stored.revision) => {
                 conflict(&stored)
             }
             (&Method::DELETE, Some(_)) => {
                 self.delete(&call.kind, &name);
-                (StatusCode::OK, NO_OBJECT.into())
+                (StatusCode::OK, Arc::from(NO_OBJECT))
             }
             (_, Some(_)) if call.is_status => {
                 let stored = self
@@ -392,22 +417,25 @@
         if is_lost {
             futures_lite::future::pending::<()>().await;
         }
-        json_response(status, &*answer)
+        json_response(status, &answer[..])
     }
 }
 
 impl Api {
-    fn replace(&self, text: String) -> String {
+    fn replace(&self, text: Vec<u8>) -> Vec<u8> {
         let replaced = self.replaced.iter();
-        replaced.fold(text, |text, (from, to)| text.replace(from, to))
+        replaced.fold(text, |text, (from, to)| {
+            let text = String::from_utf8(text).expect("views are of valid objects");
+            text.replace(from, to).into_bytes()
+        })
     }
 
-    async fn read(&self, call: &Call) -> (StatusCode, String) {
+    async fn read(&self, call: &Call) -> (StatusCode, Vec<u8>) {
         if let Some(name) = &call.name {
             let id = (call.kind.clone(), name.clone());
             let state = self.state.lock();
             return match state.objects.get(&id) {
-                Some(stored) => (StatusCode::OK, stored.text.to_string()),
+                Some(stored) => (StatusCode::OK, stored.text.to_vec()),
                 None => (StatusCode::NOT_FOUND, NO_OBJECT.to_owned()),
             };
         }
@@ -431,11 +459,13 @@
             };
             if !events.is_empty() || waited >= call.wait {
                 let event = |Event { object, deleted }: &Event| {
-                    format!(r#"{{"object":{object},"deleted":{deleted}}}"#)
+                    let tail = format!(r#","deleted":{deleted}}}"#);
+                    [&br#"{"object":"#[..], object, tail.as_bytes()].concat()
                 };
-                let events: Vec<String> = events.iter().map(event).collect();
-                let events = events.join(",");
-                let answer = format!(r#"{{"events":[{events}],"store_revision":{revision}}}"#);
+                let events: Vec<Vec<u8>> = events.iter().map(event).collect();
+                let tail = format!(r#"],"store_revision":{revision}}}"#);
+                let events = events.join(&b","[..]);
+                let answer = [&br#"{"events":["#[..], &events, tail.as_bytes()].concat();
                 return (StatusCode::OK, answer);
             }
             Timer::after(WATCH_POLL).await;
@@ -444,7 +474,7 @@
     }
 }
 
-fn json_response(status: StatusCode, json: impl Into<String>) -> Response<Body> {
+fn json_response(status: StatusCode, json: impl Into<Vec<u8>>) -> Response<Body> {
     let mut response = Response::new(Body::from(json.into()));
     *response.status_mut() = status;
     response
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -227,7 +227,7 @@
         // A small object: a large one may not arrive over a link that is full.
         let own = cx.cfg.place.host.as_str();
         match cx.store.read(roster::KIND, own).await {
-            Ok(_entry) => {
+            Ok(_) | Err(PlatformError::Malformed { .. }) => {
                 mark_store_reachable(&cx);
                 if !cx.store_contact.end_probe() {
                     return;
@@ -300,8 +300,11 @@
             why: &why,
         };
         self.cx.log.request("store-call-failed", &line);
-        mark_store_lost(&self.cx, error);
-        check_store(&self.cx);
+        // A store whose answer cannot be read has answered.
+        if !matches!(error, PlatformError::Malformed { .. }) {
+            mark_store_lost(&self.cx, error);
+            check_store(&self.cx);
+        }
     }
 
     fn on_success(&self) {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -48,6 +48,15 @@
     pub started_ms: u64,
 }
 
+impl Endpoint {
+    /// Whether calls can be sent to it: its id goes into a header, and its
+    /// address has a port.
+    pub fn is_usable(&self) -> bool {
+        let is_id = !self.id.is_empty() && self.id.bytes().all(|byte| byte.is_ascii_graphic());
+        is_id && self.address.port() != 0 && self.slots > 0
+    }
+}
+
 /// An endpoint as sent from one host to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SharedEndpoint {
@@ -118,7 +127,8 @@
     }
 
     /// Replaces all entries by those of another host. An entry that the other
-    /// host keeps only for its grace period is skipped if it was removed here.
+    /// host keeps only for its grace period is skipped if it was removed here,
+    /// and so is one that cannot be used.
     pub fn import(&mut self, shared: Vec<SharedEndpoint>, now: Moment) {
         let before = std::mem::take(&mut self.entries);
         for SharedEndpoint {
@@ -127,7 +137,8 @@
         } in shared
         {
             let is_removed_here = !before.is_empty() && !before.contains_key(&endpoint.id);
-            if gone_in_ms.is_some() && is_removed_here {
+            let is_skipped = gone_in_ms.is_some() && is_removed_here;
+            if is_skipped || !endpoint.is_usable() {
                 continue;
             }
             let entry = DirectoryEntry {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_with::serde_as;
 
 use super::contact;
 use super::context::Cx;
@@ -47,6 +48,7 @@
 use crate::protection::listed_versions::SharedVersions;
 use crate::protection::suspects::Crash;
 use crate::units::Moment;
+use crate::utils::readable_parts::ReadableParts;
 
 /// Exchanges versions and newer state between two hosts.
 pub const EXCHANGE_METHOD: &str = "gateway.exchange";
@@ -82,7 +84,9 @@
 /// Interval between two checks for rate buckets that run low.
 const REPLENISH_PERIOD: Duration = Duration::from_millis(200);
 
-/// Versions of the state that a host has.
+/// Versions of the state that a host has. Parts of a list that cannot be read
+/// are skipped, here and in the reply.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HostVersions {
     /// Host that the versions belong to.
@@ -113,9 +117,11 @@
     pub spent: Vec<u64>,
     /// Limits that endpoints have recently announced.
     #[serde(default)]
+    #[serde_as(as = "ReadableParts")]
     pub limits: Vec<SharedLimit>,
     /// Endpoints that have ended under requests.
     #[serde(default)]
+    #[serde_as(as = "ReadableParts")]
     pub crashes: Vec<Crash>,
     /// Services that it is cut off from.
     #[serde(default)]
@@ -123,6 +129,7 @@
 }
 
 /// Reply to an exchange: the state that is newer at the replying host.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ExchangeReply {
     /// Versions at the replying host.
@@ -131,12 +138,16 @@
     /// it is not newer.
     pub configuration: Option<Arc<str>>,
     /// Endpoints; `None` if they are not newer.
+    #[serde(default)]
+    #[serde_as(as = "Option<ReadableParts>")]
     pub endpoints: Option<Vec<SharedEndpoint>>,
     /// Versions that endpoints were listed with, beside endpoints or for a host
     /// that needs them.
     #[serde(default)]
     pub versions: Option<SharedVersions>,
     /// Hosts; `None` if they are not newer.
+    #[serde(default)]
+    #[serde_as(as = "Option<ReadableParts>")]
     pub hosts: Option<Vec<(HostId, HostEntry)>>,
 }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Deserializer;
+use serde_json::value::RawValue;
 
 use crate::gateway::directory::Endpoint;
 use crate::gateway::directory::EndpointState;
@@ -29,11 +30,12 @@
 /// Reads a whole number; any other JSON value, which another writer may have
 /// stored, reads as 0.
 fn number_or_zero<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    let value = serde_json::Value::deserialize(deserializer)?;
-    Ok(value.as_u64().unwrap_or_default())
+    let value = Box::<RawValue>::deserialize(deserializer)?;
+    Ok(value.get().parse().unwrap_or_default())
 }
 
-/// Decodes an entry; `None` if it is malformed or has an unknown state.
+/// Decodes an entry; `None` if it is malformed, has an unknown state or cannot
+/// be called.
 pub fn decode(id: &str, value: &[u8]) -> Option<Endpoint> {
     let entry: Entry = serde_json::from_slice(value).ok()?;
     let state = match entry.state.as_str() {
@@ -41,7 +43,7 @@
         "draining" => EndpointState::Draining,
         _ => return None,
     };
-    Some(Endpoint {
+    let endpoint = Endpoint {
         id: id.into(),
         service: entry.service.into(),
         address: entry.address,
@@ -51,5 +53,6 @@
         state,
         cold_ms: entry.cold_remaining_ms,
         started_ms: entry.born,
-    })
+    };
+    endpoint.is_usable().then_some(endpoint)
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,12 +32,9 @@
 use crate::connection::platform::settle::Write;
 use crate::ids::Version;
 
-mod objects;
+pub mod objects;
 mod write;
 
-use objects::Page;
-use objects::WatchAnswer;
-
 /// Maximum size of an answer in bytes. A page of a list holds about 1 MB, and a
 /// single object can add as much again.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -164,31 +161,24 @@
         loop {
             let target = match after.as_str() {
                 "" => format!("/v1/objects/{kind}"),
-                name => format!("/v1/objects/{kind}?after={name}"),
+                name => format!("/v1/objects/{kind}?after={}", objects::url_encoded(name)),
             };
             let answer = self
                 .send(CallKind::List, Method::GET, &target, None, limits)
                 .await?;
-            let page: Page = objects::parse(kind, "", &answer.body)?;
-            // A watch from the first page's revision reports all later changes,
+            let page = objects::decode_page(kind, &after, &answer.body)?;
+            // A watch from the first page's version reports all later changes,
             // including those that happen while the other pages are read.
             if changes.upto == Version(0) {
-                changes.upto = Version(page.store_revision);
-            }
-            let objects = page
-                .items
-                .iter()
-                .filter_map(|item| objects::parse_object(item.get()));
-            let mut last = None;
-            for object in objects {
-                last = Some(object.name.clone());
-                if object.name.starts_with(prefix) {
-                    changes.objects.push(object);
-                }
+                changes.upto = page.version;
             }
-            match last {
-                Some(name) if page.truncated => after = name,
-                _ => return Ok(changes),
+            let wanted = page.objects.into_iter();
+            changes
+                .objects
+                .extend(wanted.filter(|object| object.name.starts_with(prefix)));
+            match page.next {
+                Some(name) => after = name,
+                None => return Ok(changes),
             }
         }
     }
@@ -205,16 +195,7 @@
         if answer.status == StatusCode::GONE {
             return Err(PlatformError::HistoryLost);
         }
-        let watched: WatchAnswer = objects::parse(kind, "", &answer.body)?;
-        let mut changes = Changes::up_to(Version(watched.store_revision));
-        for event in watched.events {
-            match objects::parse_object(event.object.get()) {
-                Some(object) if event.deleted => changes.remove(object.name),
-                Some(object) => changes.put(object),
-                None => log::warn!("skipping malformed watch event of kind {kind}"),
-            }
-        }
-        Ok(changes)
+        objects::decode_changes(kind, &answer.body)
     }
 }
 
--- a/src/platform/store/objects.rs
+++ b/src/platform/store/objects.rs
@@ -1,8 +1,15 @@
 //! JSON format of the store's objects and answers.
+//!
+//! Other programs write to the store too. An object that they left is skipped,
+//! whatever it holds, and keeps no other from being read.
+
+use std::borrow::Cow;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
+use crate::connection::platform::Changes;
 use crate::connection::platform::Object;
 use crate::connection::platform::PlatformError;
 use crate::connection::platform::Result;
@@ -23,26 +30,77 @@
 }
 
 #[derive(Deserialize)]
-pub(super) struct Page {
-    pub(super) items: Vec<Box<RawValue>>,
+struct PageAnswer {
+    items: Vec<Box<RawValue>>,
     /// Whether objects with names after the last item's are left out.
     #[serde(default)]
-    pub(super) truncated: bool,
+    truncated: bool,
     /// Revision of the store when it built this page.
-    pub(super) store_revision: u64,
+    store_revision: u64,
 }
 
 #[derive(Deserialize)]
-pub(super) struct WatchEvent {
-    pub(super) object: Box<RawValue>,
+struct WatchEvent {
+    object: Box<RawValue>,
     #[serde(default)]
-    pub(super) deleted: bool,
+    deleted: bool,
 }
 
 #[derive(Deserialize)]
-pub(super) struct WatchAnswer {
-    pub(super) events: Vec<WatchEvent>,
-    pub(super) store_revision: u64,
+struct WatchAnswer {
+    events: Vec<WatchEvent>,
+    store_revision: u64,
+}
+
+/// Part of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Page {
+    /// Objects that could be read.
+    pub objects: Vec<Object>,
+    /// Name after which the list goes on; `None` at its end.
+    pub next: Option<String>,
+    /// Version of the store when it built the page.
+    pub version: Version,
+}
+
+/// Decodes a page of a list; `after` is the name that was asked for.
+///
+/// # Errors
+///
+/// Returns [`PlatformError::Malformed`] if the answer is no page, or if it does
+/// not show where the list goes on.
+pub fn decode_page(kind: &str, after: &str, body: &[u8]) -> Result<Page> {
+    let answer: PageAnswer = parse(kind, body)?;
+    let objects = answer.items.iter().map(|item| parse_object(item.get()));
+    let objects: Vec<Object> = objects.flatten().collect();
+    let next = match (answer.truncated, objects.last()) {
+        (false, _) => None,
+        (true, Some(last)) if last.name != after => Some(last.name.clone()),
+        (true, _) => return Err(malformed(kind, after, &"no object to go on from")),
+    };
+    Ok(Page {
+        objects,
+        next,
+        version: Version(answer.store_revision),
+    })
+}
+
+/// Decodes the answer to a watch.
+///
+/// # Errors
+///
+/// Returns [`PlatformError::Malformed`] if it is none.
+pub fn decode_changes(kind: &str, body: &[u8]) -> Result<Changes> {
+    let answer: WatchAnswer = parse(kind, body)?;
+    let mut changes = Changes::up_to(Version(answer.store_revision));
+    for event in answer.events {
+        match parse_object(event.object.get()) {
+            Some(object) if event.deleted => changes.remove(object.name),
+            Some(object) => changes.put(object),
+            None => log::debug!("skipping malformed watch event of kind {kind}"),
+        }
+    }
+    Ok(changes)
 }
 
 /// Parses the object in the answer to a read, write or conflict, which is the
@@ -52,16 +110,15 @@
     struct Wrapped {
         object: Box<RawValue>,
     }
-    let text = std::str::from_utf8(body).ok()?;
-    parse_object(text).or_else(|| {
-        let wrapped: Wrapped = serde_json::from_str(text).ok()?;
+    let text = String::from_utf8_lossy(body);
+    parse_object(&text).or_else(|| {
+        let wrapped: Wrapped = serde_json::from_str(&text).ok()?;
         parse_object(wrapped.object.get())
     })
 }
 
-/// Parses an object; `None` if it does not have the expected fields, since other
-/// programs write to the store too.
-pub(super) fn parse_object(text: &str) -> Option<Object> {
+/// Parses an object; `None` if it does not have the expected fields.
+fn parse_object(text: &str) -> Option<Object> {
     let stored: StoredObject = serde_json::from_str(text).ok()?;
     Some(Object {
         name: stored.metadata.name,
@@ -74,8 +131,40 @@
     parse_answer(body).ok_or_else(|| malformed(kind, name, &"not an object of the store"))
 }
 
-pub(super) fn parse<'a, T: Deserialize<'a>>(kind: &str, name: &str, body: &'a [u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|e| malformed(kind, name, &e))
+/// Parses an answer. Bytes that JSON does not allow can only be part of a string
+/// that another program wrote; they are replaced, since they would fail the
+/// whole answer.
+fn parse<T: DeserializeOwned>(kind: &str, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).or_else(|_| {
+        let text = replace_invalid(body);
+        serde_json::from_str(&text).map_err(|e| malformed(kind, "", &e))
+    })
+}
+
+fn replace_invalid(body: &[u8]) -> Cow<'_, str> {
+    let text = String::from_utf8_lossy(body);
+    match text.contains(is_control) {
+        true => Cow::Owned(text.replace(is_control, " ")),
+        false => text,
+    }
+}
+
+const fn is_control(c: char) -> bool {
+    c.is_ascii_control()
+}
+
+/// Returns a name as part of a URL.
+pub(super) fn url_encoded(name: &str) -> String {
+    let mut encoded = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
 }
 
 pub(super) fn malformed(kind: &str, name: &str, detail: &impl ToString) -> PlatformError {
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -13,6 +13,7 @@
 mod large_configuration;
 mod leaving;
 mod limits;
+mod odd_entries;
 mod odd_numbers;
 mod shutdown;
 mod store;
