Let the next home of a limit make a part of its tokens

Cause: a host that got no reply from the limit's home within 60 ms drew from the next home, which filled a bucket of its own at the full rate at once. The first was only slow and replied to others, so two hosts handed out one limit. Each asking host decided alone who the home is. Now a home makes a third of the tokens for each one before it in the order that all hosts share, until it has itself found that one silent for three seconds; all homes together then make at most half as many again as the limit. It probes the hosts in whose place it stands, with a longer time limit than a draw has.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -241,6 +241,8 @@
     pub spent: SpentPrograms,
     /// Tokens for endpoints with limits that this host is the home of.
     pub limit_buckets: Mutex<LimitBuckets>,
+    /// Hosts in whose place this one has handed out tokens, which are probed.
+    pub stood_in_for: Mutex<HashSet<Peer>>,
     /// Hosts that may forward calls while this one is cut off.
     pub helpers: Arc<Mutex<Helpers>>,
     /// Number of other hosts' calls that this host is forwarding.
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -1,6 +1,7 @@
 //! Registration of this host in the platform's store, and removal of hosts that
 //! no longer respond.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -12,6 +13,7 @@
 use super::roster;
 use super::roster::Founders;
 use super::roster::HostEntry;
+use super::roster::Peer;
 use crate::connection::platform;
 use crate::connection::platform::Expect;
 use crate::connection::platform::Platform;
@@ -180,8 +182,9 @@
 pub async fn maintain_hosts<P: Platform>(cx: Cx<P>) {
     loop {
         Timer::after(MAINTENANCE_PERIOD).await;
-        let unresponsive = cx.roster.lock().unresponsive_hosts();
-        for peer in unresponsive {
+        let mut probed: HashSet<Peer> = std::mem::take(&mut *cx.stood_in_for.lock());
+        probed.extend(cx.roster.lock().unresponsive_hosts());
+        for peer in probed {
             exchange::exchange_with_host(&cx, &peer).await;
         }
         let expired = cx
--- a/src/gateway/limit_draws.rs
+++ b/src/gateway/limit_draws.rs
@@ -3,6 +3,10 @@
 //! Each such request needs a token. The tokens of one endpoint are made at one
 //! host, its home: a host of the endpoint's data centre, so that a host which
 //! can reach the endpoint can mostly reach the home too.
+//!
+//! A host that gets no reply in time asks the next home. The first may only be
+//! slow, and reply to others, so the next one makes a part of the tokens until
+//! it has found the first silent for some time.
 
 use std::time::Duration;
 
@@ -29,6 +33,14 @@
 /// Number of homes that are tried: one that does not reply is replaced by the
 /// next.
 const MAX_HOMES: usize = 2;
+/// Time for which a home must not have responded to the next one until that
+/// makes all tokens. It is longer than the interval at which silent hosts are
+/// probed, with a longer time limit than that of a draw.
+const HOME_GONE_AFTER: Duration = Duration::from_secs(3);
+/// Part of the tokens that a home makes for each one before it. All homes
+/// together then make at most half as many again as the limit allows, which is
+/// what endpoints bear.
+const NEXT_HOME_SHARE: f64 = 1.0 / 3.0;
 /// Time for which an endpoint is not used after no home has replied.
 const NO_HOME_WAIT: Duration = Duration::from_millis(100);
 
@@ -121,7 +133,21 @@
     limit: KnownLimit,
     is_first_turn: bool,
 ) -> Draw {
-    let share = cx.roster.lock().responsive_share();
+    let key = super::hash_of(&endpoint.id);
+    let data_centre = {
+        let listed = cx.endpoint_list.lock();
+        let endpoint = listed.directory.get(&endpoint.id);
+        endpoint.map_or_else(Box::default, |endpoint| endpoint.data_centre.clone())
+    };
+    let share = {
+        let roster = cx.roster.lock();
+        let before = roster.homes_before(key, &data_centre, HOME_GONE_AFTER, Moment::now());
+        let count = i32::try_from(before.len()).unwrap_or(i32::MAX);
+        let share = roster.responsive_share() * NEXT_HOME_SHARE.powi(count);
+        drop(roster);
+        cx.stood_in_for.lock().extend(before);
+        share
+    };
     let mut buckets = cx.limit_buckets.lock();
     buckets.draw(endpoint, limit, share, is_first_turn, Moment::now())
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -93,7 +93,7 @@
 }
 
 /// Another host, to which calls can be sent.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Peer {
     /// Host name.
     pub host: HostId,
@@ -305,6 +305,33 @@
         }
     }
 
+    /// Returns the listed hosts that are home of a key near a data centre before
+    /// this one, without those that have not responded to it for `gone_after`.
+    pub fn homes_before(
+        &self,
+        key: u64,
+        data_centre: &str,
+        gone_after: Duration,
+        now: Moment,
+    ) -> Vec<Peer> {
+        let order = |state: &HostState| {
+            let is_near = state.entry.data_centre.as_str() == data_centre;
+            (is_near, mix(state.hash ^ key))
+        };
+        let Some(own) = self.hosts.get(&self.own).map(order) else {
+            return Vec::new();
+        };
+        let is_gone = |state: &HostState| {
+            let since = state.unresponsive_since;
+            since.is_some_and(|since| now.since(since) >= gone_after)
+        };
+        let before = self.hosts.iter();
+        before
+            .filter(|(_, state)| order(state) > own && !is_gone(state))
+            .map(|(host, state)| state.peer(host))
+            .collect()
+    }
+
     /// Returns the part of the listed hosts that respond, this one included; 1
     /// if none is listed. What the hosts share divides by it while they are
     /// cut off from each other: each side counts its own.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -248,6 +248,7 @@
         spent: SpentPrograms::default(),
         limit_buckets: Mutex::default(),
         helpers: Arc::default(),
+        stood_in_for: Mutex::default(),
         forwarded: Arc::default(),
         suspects: Mutex::default(),
         origins: Origins::default(),
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -8,10 +8,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryarch::gateway::roster::Home;
+use chicoryarch::gateway::roster::HostEntry;
+use chicoryarch::gateway::roster::Roster;
+use chicoryarch::ids::HostId;
+use chicoryarch::ids::Incarnation;
+use chicoryarch::units::Moment;
 use chicoryarch_standins::fleet::EndpointStandin;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
 use http::StatusCode;
 use parking_lot::Mutex;
+use rustix::process::Signal;
+use sha2::Digest;
+use sha2::Sha256;
 
 use super::fleet::Fleet;
 use super::fleet::Gateway;
@@ -226,6 +235,89 @@
     assert_within(&limited, 6.0, start + NOTICE);
 }
 
+/// Number of hosts of the test below.
+const HOSTS: usize = 6;
+
+/// Index of the host that hands out the limit of endpoint `id`.
+fn home_of(id: &str, hosts: usize) -> usize {
+    let host = |n: usize| -> HostId { format!("g{n}").parse().expect("a name") };
+    // A host that is no candidate itself.
+    let mut roster = Roster::new("none".parse().expect("a name"));
+    for n in 0..hosts {
+        let entry = HostEntry {
+            peers: "127.0.0.1:1".parse().expect("an address"),
+            data_centre: "a".parse().expect("a name"),
+            incarnation: Incarnation(1),
+            is_founder: true,
+        };
+        roster.put(host(n), entry);
+    }
+    let digest = Sha256::digest(id);
+    let key = u64::from_be_bytes(digest[..8].try_into().expect("eight bytes"));
+    match roster.home_near(key, "a", Moment::default()) {
+        Home::Other(peer) => (0..hosts)
+            .find(|n| host(*n) == peer.host)
+            .expect("one of them"),
+        Home::Own => unreachable!("it is not listed"),
+    }
+}
+
+/// Lets a gateway run for a fifth of each tenth of a second.
+fn slow_down(gateway: &Gateway, duration: Duration) {
+    let end = Instant::now() + duration;
+    while Instant::now() < end {
+        gateway.signal(Signal::STOP);
+        std::thread::sleep(Duration::from_millis(80));
+        gateway.signal(Signal::CONT);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+// Guards against two hosts that hand out one endpoint's limit: the first one is
+// slow to reply, and those that do not wait for it ask the next.
+#[test]
+fn a_limit_holds_while_its_home_is_slow() {
+    let fleet = Fleet::new();
+    let limited = Behaviour {
+        limit: Some("12.0"),
+        ..Behaviour::SOUND
+    };
+    let endpoint = fleet.endpoint("e1", "plain", limited);
+    let mut gateways = Vec::from(gateways::<HOSTS>(&fleet));
+    let slow = gateways.remove(home_of("e1", HOSTS));
+    let start = Instant::now();
+    press(&fleet, &gateways, "/safe/", || {
+        std::thread::sleep(NOTICE);
+        for _ in 0..2 {
+            slow_down(&slow, WINDOW);
+            std::thread::sleep(NOTICE);
+        }
+    });
+    assert_within(&endpoint, 12.0, start + NOTICE);
+}
+
+// Guards against a limit that is used to a part only once its home has gone.
+#[test]
+fn a_limit_is_used_again_after_its_home_has_gone() {
+    let fleet = Fleet::new();
+    let limited = Behaviour {
+        limit: Some("12.0"),
+        ..Behaviour::SOUND
+    };
+    let endpoint = fleet.endpoint("e1", "plain", limited);
+    let mut gateways = Vec::from(gateways::<HOSTS>(&fleet));
+    drop(gateways.remove(home_of("e1", HOSTS)));
+    press(&fleet, &gateways, "/safe/", || {
+        std::thread::sleep(WINDOW * 2);
+        let from = Instant::now();
+        std::thread::sleep(WINDOW);
+        let arrivals = endpoint.arrivals();
+        let used = arrivals.iter().filter(|at| **at >= from).count();
+        // A host in six is missing, and its part of the limit.
+        assert!(used >= 30, "{used} of 48");
+    });
+}
+
 // Guards against limits below one a second that are rounded up at each host.
 #[test]
 fn a_limit_below_one_a_second_holds() {
