Divide the extra turn among data centres without the allowance

A turn's maximum is several times what turns mostly generate, and an isolated host begins a turn with a third of it. The turn is therefore divided into up to three equal parts, one for each of the first data centres by rendezvous hash that does not hold the program's allowance. The list of founders names their data centres for that; from a list of an earlier release, one founder holds the whole turn as before. Each part still has one process that may issue it.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -18,6 +18,7 @@
 use super::lines::LineLocations;
 use super::roster::Founders;
 use super::roster::Peer;
+use crate::ids::DataCentre;
 use crate::ids::HostId;
 use crate::units::Moment;
 
@@ -93,17 +94,22 @@
         self.founders.get().filter(|_| is_founder)
     }
 
-    /// Returns the host that may issue the extra turn of the program with this
-    /// key; `None` if it is not known.
-    pub(super) fn extra_turn_host(&self, key: u64) -> Option<HostId> {
-        self.founders.get()?.extra_turn_host(key).cloned()
+    /// Returns the host of a data centre that may issue a part of the extra turn
+    /// of the program with this key; `None` if there is none or it is not known.
+    pub(super) fn extra_turn_host(&self, key: u64, data_centre: &DataCentre) -> Option<HostId> {
+        let founders = self.founders.get()?;
+        let mut holders = founders.extra_turn_hosts(key).into_iter();
+        holders
+            .find(|host| founders.data_centres.get(host) == Some(data_centre))
+            .cloned()
     }
 
-    /// Whether this process, and no other, may issue the extra turn of the
-    /// program with this key.
-    pub(super) fn holds_extra_turn(&self, own: &HostId, key: u64) -> bool {
-        let founders = self.issued_by();
-        founders.is_some_and(|founders| founders.extra_turn_host(key) == Some(own))
+    /// Number of equal parts of the extra turn of the program with this key, of
+    /// which this process, and no other, may issue one; `None` if it may not.
+    pub(super) fn extra_turn_parts(&self, own: &HostId, key: u64) -> Option<u64> {
+        let holders = self.issued_by()?.extra_turn_hosts(key);
+        let parts = u64::try_from(holders.len()).ok()?;
+        holders.contains(&own).then_some(parts)
     }
 
     pub(super) fn with_account<T>(
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -199,7 +199,7 @@
     /// turn.
     pub fn reserve_remaining(&mut self, turn: u64) -> Option<u64> {
         let remaining = self.remaining();
-        if remaining.saturating_mul(MIN_START_DIVISOR) < turn {
+        if remaining < turn / MIN_START_DIVISOR || remaining == 0 {
             return None;
         }
         self.reserved += remaining;
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -3,10 +3,10 @@
 //!
 //! The guarantee on budgets allows a program one turn beyond its budget. Any
 //! number of data centres may be isolated at once, and none can see what the
-//! others issue, so only one process may issue that turn: the one that rendezvous
-//! hashing over the founders names, as with allowances. Whatever happens to that
-//! process, no other takes its place. It serves its own data centre, and others
-//! as far as they reach it.
+//! others issue, so the turn is divided in advance: rendezvous hashing over the
+//! founders names a few processes, as with allowances, each of which may issue
+//! an equal part. Whatever happens to such a process, no other takes its place.
+//! Turns seldom generate their maximum, so a part is enough for one or two.
 //!
 //! After the partition the tokens are drawn from the program's balance, and the
 //! turn may be issued again. Until that succeeds, it counts as issued. Hosts also
@@ -71,9 +71,9 @@
 pub struct ExtraTurns(Mutex<HashMap<String, ExtraTurn>>);
 
 impl ExtraTurns {
-    /// Issues up to `wanted` tokens, but to each program at most the maximum of
-    /// one turn in total. Returns 0 if too few are left.
-    pub fn draw(&self, program: &str, budget: u64, turn: u64, wanted: u64) -> u64 {
+    /// Issues up to `wanted` tokens, but to each program at most one of `parts`
+    /// equal parts of a turn's maximum in total. Returns 0 if too few are left.
+    pub fn draw(&self, program: &str, budget: u64, turn: u64, wanted: u64, parts: u64) -> u64 {
         let mut turns = self.0.lock();
         // None is forgotten to make room, since it would be issued again.
         if turns.len() >= MAX_EXTRA_TURNS && !turns.contains_key(program) {
@@ -85,9 +85,9 @@
             tokens: 0,
             is_final: false,
         });
-        let left = issued.turn.min(turn).saturating_sub(issued.tokens);
-        let tokens = wanted.min(left);
-        if tokens.saturating_mul(MIN_GRANT_DIVISOR) < wanted.min(turn) {
+        let part = issued.turn.min(turn) / parts.max(1);
+        let tokens = wanted.min(part.saturating_sub(issued.tokens));
+        if tokens < wanted.min(turn) / MIN_GRANT_DIVISOR || tokens == 0 {
             return 0;
         }
         issued.tokens += tokens;
@@ -176,41 +176,42 @@
         return 0;
     }
     let key = super::hash_of(&req.program);
-    let Some(host) = cx.accounts.extra_turn_host(key) else {
+    let place = &cx.cfg.place;
+    let Some(host) = cx.accounts.extra_turn_host(key, &place.data_centre) else {
         return 0;
     };
-    if host == cx.cfg.place.host {
+    if host == place.host {
         return draw_here(cx, req);
     }
-    let local = &cx.cfg.place.data_centre;
-    let holder = {
-        let roster = cx.roster.lock();
-        roster
-            .peer(&host)
-            .filter(|_| !roster.is_remote(&host, local))
-    };
-    let Some(holder) = holder else {
+    let Some(holder) = cx.roster.lock().peer(&host) else {
         return 0;
     };
     let reply = exchange::call_peer::<_, _, u64>(cx, &holder, EXTRA_TURN_METHOD, req).await;
     reply.unwrap_or(0)
 }
 
-/// Issues tokens if this process, and no other, may issue the program's extra
-/// turn.
+/// Issues tokens if this process, and no other, may issue a part of the
+/// program's extra turn.
 pub fn draw_here<P: Platform>(cx: &Gateway<P>, req: &DrawRequest) -> u64 {
     let key = super::hash_of(&req.program);
-    let may_issue = cx.accounts.holds_extra_turn(&cx.cfg.place.host, key);
-    if !may_issue || cx.spent.contains(&req.program) {
+    let Some(parts) = cx.accounts.extra_turn_parts(&cx.cfg.place.host, key) else {
+        return 0;
+    };
+    if cx.spent.contains(&req.program) {
         return 0;
     }
-    let tokens = cx
-        .extra_turns
-        .draw(&req.program, req.budget, req.turn, req.wanted);
+    let DrawRequest {
+        program,
+        budget,
+        turn,
+        wanted,
+        ..
+    } = req;
+    let tokens = cx.extra_turns.draw(program, *budget, *turn, *wanted, parts);
     let line = ExtraTurnLine {
-        program: &req.program,
-        budget: req.budget,
-        wanted: req.wanted,
+        program,
+        budget: *budget,
+        wanted: *wanted,
         tokens,
     };
     cx.log.request("extra-turn", &line);
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -46,8 +46,15 @@
 pub struct Founders {
     /// Host names.
     pub hosts: Vec<HostId>,
+    /// Their data centres; empty in a list of an earlier release.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub data_centres: BTreeMap<HostId, DataCentre>,
 }
 
+/// Maximum number of hosts that issue a program's extra turn. A part of the turn
+/// must be enough to begin one.
+const MAX_EXTRA_PARTS: usize = 3;
+
 impl Founders {
     /// Returns the host whose first process alone may issue the allowance of the
     /// program with this key.
@@ -55,13 +62,29 @@
         rendezvous_host(self.hosts.iter(), key)
     }
 
-    /// Returns the host whose first process alone may issue the program's extra
-    /// turn. It is another than for the allowance, since that serves a partition
-    /// better.
-    pub fn extra_turn_host(&self, key: u64) -> Option<&HostId> {
-        let first = self.allowance_host(key)?;
-        let others = self.hosts.iter().filter(|host| *host != first);
-        rendezvous_host(others, key).or(Some(first))
+    /// Returns the hosts whose first processes alone may issue the program's
+    /// extra turn, an equal part each: one in each of a few data centres without
+    /// the allowance, since any of them may be isolated.
+    pub fn extra_turn_hosts(&self, key: u64) -> Vec<&HostId> {
+        let Some(first) = self.allowance_host(key) else {
+            return Vec::new();
+        };
+        let mut ranked: Vec<&HostId> = self.hosts.iter().collect();
+        ranked.sort_by_key(|host| std::cmp::Reverse(mix(super::hash_of(host.as_str()) ^ key)));
+        let mut served = vec![self.data_centres.get(first)];
+        let mut holders = Vec::new();
+        for host in ranked.into_iter().filter(|host| *host != first) {
+            let data_centre = self.data_centres.get(host);
+            if data_centre.is_some() && !served.contains(&data_centre) {
+                served.push(data_centre);
+                holders.push(host);
+            }
+        }
+        holders.truncate(MAX_EXTRA_PARTS);
+        if holders.is_empty() {
+            holders.push(first);
+        }
+        holders
     }
 }
 
@@ -412,8 +435,12 @@
             .hosts
             .iter()
             .filter(|(_, state)| state.entry.is_founder);
+        let data_centres: BTreeMap<_, _> = founders
+            .map(|(host, state)| (host.clone(), state.entry.data_centre.clone()))
+            .collect();
         Founders {
-            hosts: founders.map(|(host, _)| host.clone()).collect(),
+            hosts: data_centres.keys().cloned().collect(),
+            data_centres,
         }
     }
 
--- a/tests/gateway/cut_off_data_centre.rs
+++ b/tests/gateway/cut_off_data_centre.rs
@@ -25,17 +25,17 @@
 #[test]
 fn a_program_gets_at_most_one_turn_in_total() {
     let grants = ExtraTurns::default();
-    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), TURN);
-    assert_eq!(grants.draw("p", BUDGET, TURN, 40), 0);
-    assert_eq!(grants.draw("q", BUDGET, TURN, 60), 60);
-    assert_eq!(grants.draw("q", BUDGET, TURN, TURN), 75);
-    assert_eq!(grants.draw("q", BUDGET, TURN, 1), 0);
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN, 1), TURN);
+    assert_eq!(grants.draw("p", BUDGET, TURN, 40, 1), 0);
+    assert_eq!(grants.draw("q", BUDGET, TURN, 60, 1), 60);
+    assert_eq!(grants.draw("q", BUDGET, TURN, TURN, 1), 75);
+    assert_eq!(grants.draw("q", BUDGET, TURN, 1, 1), 0);
 }
 
 #[test]
 fn issued_tokens_are_drawn_once_after_a_partition() {
     let grants = ExtraTurns::default();
-    grants.draw("p", BUDGET, TURN, 100);
+    grants.draw("p", BUDGET, TURN, 100, 1);
     let drawn = grants.unsettled();
     assert_eq!(drawn.len(), 1);
     assert_eq!((drawn[0].wanted, drawn[0].budget), (100, BUDGET));
@@ -48,12 +48,12 @@
 #[test]
 fn a_turn_that_the_budget_does_not_cover_is_not_issued_again() {
     let grants = ExtraTurns::default();
-    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), TURN);
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN, 1), TURN);
     assert_eq!(grants.unsettled().len(), 1);
-    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), 0);
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN, 1), 0);
     grants.record_spent("p");
     assert!(grants.unsettled().is_empty());
-    assert_eq!(grants.draw("p", BUDGET, TURN, TURN), 0);
+    assert_eq!(grants.draw("p", BUDGET, TURN, TURN, 1), 0);
 }
 
 #[test]
@@ -86,7 +86,7 @@
         let grants = ExtraTurns::default();
         let mut issued = 0;
         for _ in 0..20 {
-            issued += grants.draw("p", BUDGET, TURN, rng.random_range(1..=TURN));
+            issued += grants.draw("p", BUDGET, TURN, rng.random_range(1..=TURN), 1);
             prop_assert!(issued <= TURN);
         }
     }
@@ -132,11 +132,17 @@
 }
 
 impl Hosts {
-    fn new(founders: usize) -> Self {
+    fn new(founders: usize, data_centres: usize) -> Self {
         let names: Vec<HostId> = (0..founders).map(Self::name).collect();
+        let data_centre = |n: usize| format!("zone-{}", n % data_centres);
+        let data_centres = names.iter().enumerate().map(|(n, host)| {
+            let data_centre = data_centre(n).parse().expect("a name");
+            (host.clone(), data_centre)
+        });
         Self {
             founders: Founders {
                 hosts: names.clone(),
+                data_centres: data_centres.collect(),
             },
             processes: names
                 .iter()
@@ -165,9 +171,10 @@
     /// What the host issues of the program's extra turn when asked.
     fn draw(&self, host: usize, key: u64, wanted: u64) -> u64 {
         let Process { is_founder, turns } = &self.processes[host];
-        let holder = self.founders.extra_turn_host(key);
-        match *is_founder && holder == Some(&self.names[host]) {
-            true => turns.draw("p", BUDGET, TURN, wanted),
+        let holders = self.founders.extra_turn_hosts(key);
+        let parts = u64::try_from(holders.len()).expect("few");
+        match *is_founder && holders.contains(&&self.names[host]) {
+            true => turns.draw("p", BUDGET, TURN, wanted, parts),
             false => 0,
         }
     }
@@ -179,7 +186,7 @@
     #[test]
     fn all_hosts_together_issue_at_most_one_turn(seed in any::<u64>()) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut hosts = Hosts::new(rng.random_range(1..9));
+        let mut hosts = Hosts::new(rng.random_range(1..9), rng.random_range(1..6));
         let key = rng.random();
         let mut issued = 0;
         for _ in 0..60 {
@@ -206,16 +213,49 @@
     }
 }
 
-// Guards against a partition in which one host holds both the allowance and the
-// extra turn, and the other side nothing.
+// Guards against a partition in which one data centre holds both the allowance
+// and the extra turn, and the others nothing.
 #[test]
-fn the_extra_turn_belongs_to_another_host_than_the_allowance() {
-    let hosts = Hosts::new(6);
+fn the_extra_turn_is_divided_among_data_centres_without_the_allowance() {
+    for (data_centres, parts) in [(1, 1), (2, 1), (3, 2), (4, 3), (19, 3)] {
+        let hosts = Hosts::new(2 * data_centres, data_centres);
+        let place = |host: &HostId| hosts.founders.data_centres[host].clone();
+        for key in 0..100 {
+            let holders = hosts.founders.extra_turn_hosts(key);
+            let mut places: Vec<_> = holders.iter().map(|host| place(host)).collect();
+            assert_eq!(places.len(), parts);
+            places.sort_unstable();
+            places.dedup();
+            assert_eq!(places.len(), parts);
+            let allowance = hosts.founders.allowance_host(key).expect("a host");
+            assert_eq!(places.contains(&place(allowance)), data_centres == 1);
+        }
+    }
+}
+
+// Guards against a list of founders by an earlier release, which does not name
+// their data centres.
+#[test]
+fn without_data_centres_one_founder_holds_the_extra_turn() {
+    let stored = r#"{"hosts":["host-1","host-2","host-3"]}"#;
+    let founders: Founders = serde_json::from_str(stored).expect("a list");
     for key in 0..100 {
-        let extra = hosts.founders.extra_turn_host(key);
-        assert!(extra.is_some());
-        assert_ne!(extra, hosts.founders.allowance_host(key));
+        assert_eq!(founders.extra_turn_hosts(key).len(), 1);
+    }
+}
+
+// Guards against parts that are too small to begin a turn with.
+#[test]
+fn a_part_of_an_extra_turn_begins_a_turn() {
+    for turn in [1, 2, 3, 50, 100, 134, 135, 136] {
+        for parts in 1..=3 {
+            let grants = ExtraTurns::default();
+            let tokens = grants.draw("p", BUDGET, turn, turn, parts);
+            assert_eq!(tokens, turn / parts);
+            let mut account = Account::default();
+            account.add(tokens);
+            let begins = account.reserve_remaining(turn).is_some();
+            assert_eq!(begins, tokens > 0, "{turn} in {parts}");
+        }
     }
-    let alone = Hosts::new(1);
-    assert_eq!(alone.founders.extra_turn_host(7), Some(&alone.names[0]));
 }
--- a/tests/gateway_processes/cut_off_data_centres.rs
+++ b/tests/gateway_processes/cut_off_data_centres.rs
@@ -17,9 +17,9 @@
 /// Hosts that are cut off; the third stays in touch with the store.
 const CUT_OFF: [usize; 2] = [0, 1];
 const IN_TOUCH: usize = 2;
-/// Tokens of a turn: five events of ten.
-const TURN: u64 = 50;
-/// A multiple of the turn, and half of it too, so that no turn is given a part.
+const TOKENS_PER_EVENT: u64 = 10;
+/// Tokens of a turn: five events.
+const TURN: u64 = 5 * TOKENS_PER_EVENT;
 const BUDGET: u64 = 400;
 const ENGINE: Behaviour = Behaviour {
     events: 5,
@@ -138,7 +138,8 @@
         };
         let answers = (0..MAX_TURNS).map(turn);
         let served = answers.take_while(|answer| answer.status == StatusCode::OK);
-        served.map(|_| TURN).sum()
+        let events: usize = served.map(|answer| answer.events()).sum();
+        TOKENS_PER_EVENT * u64::try_from(events).expect("few events")
     }
 
     /// Runs turns of all programs at all hosts; the tokens of each program.
--- a/tests/gateway_processes/fleet.rs
+++ b/tests/gateway_processes/fleet.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use chicoryarch_net::Body;
 use chicoryarch_net::Client;
 use chicoryarch_net::Spawner;
@@ -26,6 +27,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use rustix::fs::CWD;
 use rustix::fs::Mode;
@@ -325,12 +327,23 @@
             .client
             .send_fresh(to.addresses.callers, req, HANG_GUARD);
         let response = async_io::block_on(sent).expect("an answer");
-        let (head, body) = response.into_parts();
-        let body = async_io::block_on(Body::collect(body, 1 << 20)).ok();
+        let (head, mut body) = response.into_parts();
+        let mut received = BytesMut::new();
+        let is_whole = async_io::block_on(async {
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else {
+                    return false;
+                };
+                received.extend(frame.into_data().ok());
+            }
+            true
+        });
+        let received = received.freeze();
         Answer {
             status: head.status,
             headers: head.headers,
-            body,
+            body: is_whole.then(|| received.clone()),
+            received,
         }
     }
 }
@@ -340,6 +353,16 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Option<Bytes>,
+    /// The body as far as it arrived.
+    pub(crate) received: Bytes,
+}
+
+impl Answer {
+    /// Number of events of a stream that arrived.
+    pub(crate) fn events(&self) -> usize {
+        let pairs = self.received.windows(2);
+        pairs.filter(|bytes| *bytes == b"\n\n").count()
+    }
 }
 
 /// Listen addresses of a gateway.
