Send calls that may run once on connections that have named every answer

Cause: a refusal of work names no request, so its late copy was taken for the answer to the next request on the connection. Only a connection that has carried an answer without a name can bring a copy of one. The client now keeps that in mind, and calls that may not be repeated use other connections or new ones, also when they are forwarded for another host. Ruled out: answers that name their request are told apart as before.

Evidence: a_late_refusal_is_not_taken_for_the_answer_to_the_next_call fails before ("r1 was refused and has run") and passes.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -12,6 +12,7 @@
 use async_net::TcpStream;
 use futures_lite::future;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::header;
@@ -35,6 +36,10 @@
 /// more than the clock can add.
 const MAX_IDLE_LIMIT: Duration = Duration::from_secs(3600);
 
+/// Most idle connections kept for each address of which some response has not
+/// named its request.
+const MAX_IDLE_UNIDENTIFIED: usize = 4;
+
 /// Error of a request that got no response head.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
@@ -78,6 +83,8 @@
     /// Time without acknowledgements after which a connection fails; `None` for
     /// no detection.
     pub silence_limit: Option<Duration>,
+    /// Header by which a response names its request; `None` if responses do not.
+    pub id_header: Option<HeaderName>,
 }
 
 impl Default for ClientConfig {
@@ -88,6 +95,26 @@
             idle_limit: Duration::from_secs(60),
             max_buf_size: 64 * 1024,
             silence_limit: None,
+            id_header: None,
+        }
+    }
+}
+
+/// Which idle connections a request may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Reuse {
+    /// Longest time for which the connection was idle.
+    pub max_idle: Duration,
+    /// Whether all responses on it must have named their requests. A late copy
+    /// of one that did not would be taken for the response to this request.
+    pub only_identified: bool,
+}
+
+impl Default for Reuse {
+    fn default() -> Self {
+        Self {
+            max_idle: Duration::MAX,
+            only_identified: false,
         }
     }
 }
@@ -98,6 +125,8 @@
     sender: SendRequest<Body>,
     idle_since: Instant,
     expires: Instant,
+    /// Whether all responses on it have named their requests.
+    is_identified: bool,
 }
 
 type IdleConnections = HashMap<SocketAddr, Vec<IdleConnection>>;
@@ -139,23 +168,23 @@
         req: Request<Body>,
         timeout: Duration,
     ) -> Result<Response<Incoming>> {
-        with_timeout(timeout, self.exchange(to, req, Duration::MAX)).await
+        with_timeout(timeout, self.exchange(to, req, Reuse::default())).await
     }
 
-    /// Sends like [`Client::send`], on a connection that was idle for at most
-    /// `max_idle` or on a new one.
+    /// Sends like [`Client::send`], on an idle connection that `reuse` allows or
+    /// on a new one.
     ///
     /// # Errors
     ///
     /// Returns the same errors as [`Client::send`].
-    pub async fn send_recent(
+    pub async fn send_reusing(
         &self,
         to: SocketAddr,
         req: Request<Body>,
         timeout: Duration,
-        max_idle: Duration,
+        reuse: Reuse,
     ) -> Result<Response<Incoming>> {
-        with_timeout(timeout, self.exchange(to, req, max_idle)).await
+        with_timeout(timeout, self.exchange(to, req, reuse)).await
     }
 
     /// Sends like [`Client::send`], always on a new connection.
@@ -181,11 +210,13 @@
         &self,
         to: SocketAddr,
         mut req: Request<Body>,
-        max_idle: Duration,
+        reuse: Reuse,
     ) -> Result<Response<Incoming>> {
-        while let Some(mut sender) = self.take_idle(to, max_idle) {
+        while let Some((mut sender, is_identified)) = self.take_idle(to, reuse) {
             match sender.try_send_request(req).await {
-                Ok(response) => return Ok(self.return_to_pool(to, sender, response)),
+                Ok(response) => {
+                    return Ok(self.return_to_pool(to, sender, is_identified, response));
+                }
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(ClientError::Lost(failure.into_error())),
@@ -202,7 +233,7 @@
     ) -> Result<Response<Incoming>> {
         let mut sender = self.connect(to).await?;
         match sender.try_send_request(req).await {
-            Ok(response) => Ok(self.return_to_pool(to, sender, response)),
+            Ok(response) => Ok(self.return_to_pool(to, sender, true, response)),
             Err(mut failure) => match failure.take_message() {
                 Some(_) => Err(ClientError::NotSent(failure.into_error())),
                 None => Err(ClientError::Lost(failure.into_error())),
@@ -210,36 +241,48 @@
         }
     }
 
-    fn take_idle(&self, to: SocketAddr, max_idle: Duration) -> Option<SendRequest<Body>> {
+    /// Takes the connection that was idle for the shortest time; also returns
+    /// whether all its responses have named their requests.
+    fn take_idle(&self, to: SocketAddr, reuse: Reuse) -> Option<(SendRequest<Body>, bool)> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&to)?;
         let now = Instant::now();
-        while let Some(idle) = connections.pop() {
-            if now.duration_since(idle.idle_since) > max_idle {
-                // The connections below it have been idle for longer.
-                connections.push(idle);
-                return None;
-            }
-            let IdleConnection {
-                sender, expires, ..
-            } = idle;
-            if now < expires && sender.is_ready() && !sender.is_closed() {
-                return Some(sender);
-            }
-        }
-        None
+        let is_usable = |idle: &IdleConnection| {
+            now < idle.expires && idle.sender.is_ready() && !idle.sender.is_closed()
+        };
+        connections.retain(is_usable);
+        let is_allowed = |idle: &IdleConnection| {
+            let is_recent = now.duration_since(idle.idle_since) <= reuse.max_idle;
+            is_recent && (idle.is_identified || !reuse.only_identified)
+        };
+        let last = connections.iter().rposition(is_allowed)?;
+        let IdleConnection {
+            sender,
+            is_identified,
+            ..
+        } = connections.remove(last);
+        Some((sender, is_identified))
     }
 
     /// Puts the connection into the pool once the response has been read,
-    /// unless the server closes it or the pool is full.
+    /// unless the server closes it or the pool is full. `was_identified` is
+    /// whether all responses before have named their requests.
     fn return_to_pool(
         &self,
         to: SocketAddr,
         mut sender: SendRequest<Body>,
+        was_identified: bool,
         response: Response<Incoming>,
     ) -> Response<Incoming> {
         let idle = Arc::clone(&self.idle);
-        let max_idle = self.cfg.max_idle;
+        let id_header = self.cfg.id_header.as_ref();
+        let is_named = id_header.is_none_or(|name| response.headers().contains_key(name));
+        let is_identified = was_identified && is_named;
+        let max_idle = match is_identified {
+            true => self.cfg.max_idle,
+            // Few requests may use it.
+            false => self.cfg.max_idle.min(MAX_IDLE_UNIDENTIFIED),
+        };
         let allowed_idle = announced_idle(response.headers()).unwrap_or(self.cfg.idle_limit);
         if is_closing(response.headers()) {
             return response;
@@ -250,12 +293,16 @@
             }
             let mut idle = idle.lock();
             let connections = idle.entry(to).or_default();
-            if connections.len() < max_idle {
+            let alike = connections
+                .iter()
+                .filter(|idle| is_identified || !idle.is_identified);
+            if alike.count() < max_idle {
                 let now = Instant::now();
                 connections.push(IdleConnection {
                     sender,
                     idle_since: now,
                     expires: now + allowed_idle.min(MAX_IDLE_LIMIT).mul_f64(IDLE_SHARE),
+                    is_identified,
                 });
             }
         });
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use chicoryarch_net::buffered::BufferedBody;
 use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::client::ClientError;
+use chicoryarch_net::client::Reuse;
 use futures_lite::future;
 use http::Method;
 use http::Request;
@@ -360,6 +361,16 @@
         })
     }
 
+    /// Which connections to the endpoint may be used.
+    fn reuse(&self) -> Reuse {
+        Reuse {
+            max_idle: self.max_idle().unwrap_or(Duration::MAX),
+            // A refusal names no request, and a late copy of one looks like an
+            // answer to the next.
+            only_identified: !self.call.route.kind.is_repeatable(),
+        }
+    }
+
     /// Maximum idle time of the connection that is used; `None` for any.
     fn max_idle(&self) -> Option<Duration> {
         // A call that may not be repeated would be lost on a connection that
@@ -395,8 +406,8 @@
     let time_left = Moment::now().until(attempt.deadline);
     placement.way = Way::Own(PathWait::begin(Arc::clone(&placement.pool)));
     let sent = async {
-        let max_idle = attempt.max_idle().unwrap_or(Duration::MAX);
-        Some(cx.client.send_recent(to, req, time_left, max_idle).await)
+        let sent = cx.client.send_reusing(to, req, time_left, attempt.reuse());
+        Some(sent.await)
     };
     let path_lost = async {
         // The answer to a call that may not be repeated may still arrive.
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -9,6 +9,7 @@
 
 use chicoryarch_net::Body;
 use chicoryarch_net::client::ClientError;
+use chicoryarch_net::client::Reuse;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -128,10 +129,12 @@
         };
         let open = OpenHop::new(&cx.helpers, &peer.host);
         cx.metrics.hops.inc();
-        let max_idle = attempt.max_idle.unwrap_or(Duration::MAX);
-        let sent = cx
-            .client
-            .send_recent(peer.address, req, time_left, max_idle);
+        // Other hosts answer each request once.
+        let reuse = Reuse {
+            max_idle: attempt.max_idle.unwrap_or(Duration::MAX),
+            ..Reuse::default()
+        };
+        let sent = cx.client.send_reusing(peer.address, req, time_left, reuse);
         let mut response = match sent.await {
             Ok(response) => response,
             Err(e) => {
--- a/src/gateway/hop_port.rs
+++ b/src/gateway/hop_port.rs
@@ -12,6 +12,7 @@
 use chicoryarch_net::buffered::BufferedBody;
 use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::client::ClientError;
+use chicoryarch_net::client::Reuse;
 use futures_lite::future;
 use http::Request;
 use http::Response;
@@ -128,10 +129,13 @@
     }
     let req = adapt(req, now.since(received));
     let wait = PathWait::begin(pool);
-    let max_idle = hop.max_idle.unwrap_or(Duration::MAX);
+    let reuse = Reuse {
+        max_idle: hop.max_idle.unwrap_or(Duration::MAX),
+        only_identified: !hop.is_repeatable,
+    };
     let sent = async {
         let to = endpoint.address;
-        let sent = cx.client.send_recent(to, req, time_left, max_idle);
+        let sent = cx.client.send_reusing(to, req, time_left, reuse);
         Ok(sent.await)
     };
     let path_lost = async {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -73,6 +73,7 @@
 use crate::connection::peer_port;
 use crate::connection::platform::Platform;
 use crate::platform::ObjectStore;
+use crate::platform::endpoints;
 use crate::platform::ingress::READY_PATH;
 use crate::platform::kinds;
 use crate::platform::settings;
@@ -211,6 +212,7 @@
         connect_timeout: cfg.connect_timeout,
         max_idle: MAX_IDLE_PER_ENDPOINT,
         silence_limit,
+        id_header: Some(endpoints::ID_HEADER),
         ..ClientConfig::default()
     };
     let control_client = ClientConfig {
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -28,6 +28,9 @@
 pub(super) const TENANT: HeaderName = HeaderName::from_static("tenant");
 /// 0 to 9; 0 is the most urgent.
 pub(super) const REQUEST_URGENCY: HeaderName = HeaderName::from_static("request-urgency");
+/// Header by which an endpoint's answer names its request. Refusals of work do
+/// not bear it.
+pub const ID_HEADER: HeaderName = REQUEST_ID;
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Digest of the answer, computed by the endpoint.
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -11,6 +11,7 @@
 mod fake_host;
 mod fleet;
 mod large_configuration;
+mod late_refusals;
 mod leaving;
 mod limits;
 mod odd_entries;
