Divide the allowance, too, among data centres

Some nine in ten of the refused programs had begun in the cut, so tokens set aside for programs under way would not have helped.

Half of a budget is issued without the store, so far by the program's first home alone. That host now holds half of it, and the first founder of each of up to three other data centres an equal part of the rest, which it issues while its data centre is isolated. In touch, a home collects these parts before it asks the store for a grant. Each part still has one process that may issue it. The list of founders names data centres only if all founders divide their tokens, so that a first start together with hosts of earlier releases keeps to one holder. While isolated, hosts also keep unused tokens that they would otherwise send to a home out of reach.

The model of all hosts and the process test of two cuts pass.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -12,11 +12,13 @@
 
 use parking_lot::Mutex;
 
+use super::budget;
 use super::budget::Account;
 use super::budget::Balance;
 use super::context::Gateway;
 use super::lines::LineLocations;
 use super::roster::Founders;
+use super::roster::PartHolders;
 use super::roster::Peer;
 use crate::ids::DataCentre;
 use crate::ids::HostId;
@@ -41,6 +43,8 @@
     pub(super) drawn_from: Option<Peer>,
     /// Whether unused tokens stay here for the program's next turn.
     pub(super) retains_unspent: bool,
+    /// Whether the parts of the allowance at other hosts have been asked for.
+    pub(super) has_collected: bool,
     /// Held while a grant for the balance is written to the store.
     pub(super) grant_lock: Arc<async_lock::Mutex<()>>,
     /// Held while tokens are drawn, so that one draw serves all waiting turns.
@@ -94,22 +98,31 @@
         self.founders.get().filter(|_| is_founder)
     }
 
+    /// Returns the hosts that hold parts of the tokens of the program with this
+    /// key; none if they are not known.
+    pub(super) fn holders(&self, key: u64) -> PartHolders {
+        let founders = self.founders.get();
+        founders.map_or_else(PartHolders::default, |founders| founders.holders(key))
+    }
+
     /// Returns the host of a data centre that may issue a part of the extra turn
-    /// of the program with this key; `None` if there is none or it is not known.
+    /// of the program with this key.
     pub(super) fn extra_turn_host(&self, key: u64, data_centre: &DataCentre) -> Option<HostId> {
         let founders = self.founders.get()?;
-        let mut holders = founders.extra_turn_hosts(key).into_iter();
-        holders
-            .find(|host| founders.data_centres.get(host) == Some(data_centre))
-            .cloned()
+        let PartHolders { home, remote } = founders.holders(key);
+        if remote.is_empty() {
+            return home;
+        }
+        let mut remote = remote.into_iter();
+        remote.find(|host| founders.data_centres.get(host) == Some(data_centre))
     }
 
-    /// Number of equal parts of the extra turn of the program with this key, of
-    /// which this process, and no other, may issue one; `None` if it may not.
-    pub(super) fn extra_turn_parts(&self, own: &HostId, key: u64) -> Option<u64> {
-        let holders = self.issued_by()?.extra_turn_hosts(key);
-        let parts = u64::try_from(holders.len()).ok()?;
-        holders.contains(&own).then_some(parts)
+    /// Returns the hosts that hold parts of a program's tokens if this process
+    /// may issue its part.
+    pub(super) fn own_part(&self, own: &HostId, key: u64) -> Option<PartHolders> {
+        let holders = self.issued_by()?.holders(key);
+        let is_holder = holders.home.as_ref() == Some(own) || holders.remote.contains(own);
+        is_holder.then_some(holders)
     }
 
     pub(super) fn with_account<T>(
@@ -150,15 +163,19 @@
         })
     }
 
-    /// Whether this process, and no other, may issue the program's allowance.
-    fn has_allowance(&self, own: &HostId, program: &str) -> bool {
+    /// Part of the program's allowance that this process, and no other, issues as
+    /// its first home.
+    fn home_allowance(&self, own: &HostId, program: &str, budget: u64) -> u64 {
         let key = super::hash_of(program);
-        let founders = self.issued_by();
-        if founders.and_then(|founders| founders.allowance_host(key)) != Some(own) {
-            return false;
-        }
+        let part = self.own_part(own, key);
+        let Some(holders) = part.filter(|holders| holders.home.as_ref() == Some(own)) else {
+            return 0;
+        };
         let evicted = self.evicted.lock();
-        evicted.len() < MAX_EVICTED && !evicted.contains(&key)
+        match evicted.len() < MAX_EVICTED && !evicted.contains(&key) {
+            true => budget::home_allowance(budget, holders.remote_count()),
+            false => 0,
+        }
     }
 }
 
@@ -172,8 +189,8 @@
         budget: u64,
     ) -> &mut Balance {
         self.balance.get_or_insert_with(|| {
-            let has_allowance = cx.accounts.has_allowance(&cx.cfg.place.host, program);
-            Balance::open(budget, has_allowance)
+            let own = &cx.cfg.place.host;
+            Balance::open(budget, cx.accounts.home_allowance(own, program, budget))
         })
     }
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -4,11 +4,11 @@
 //! Each program has a home host, which keeps its balance; the hosts that serve
 //! its turns draw tokens from there. A balance opens with an allowance that
 //! needs no record. Every token beyond the allowance is granted by a record in
-//! the platform's store, which is changed by conditional writes only. At most
-//! one process can issue a program's allowance, and every record counts the
-//! allowance as spent, so allowance and grants never exceed the budget, even if
-//! hosts crash, restart or are partitioned. Tokens that are drawn and then lost
-//! in transit stay spent.
+//! the platform's store, which is changed by conditional writes only. The
+//! allowance is divided among a few processes, each of which alone can issue its
+//! part, and every record counts the whole allowance as spent, so allowance and
+//! grants never exceed the budget, even if hosts crash, restart or are
+//! partitioned. Tokens that are drawn and then lost in transit stay spent.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,9 +18,12 @@
 /// Object kind of the budget records; each program has one object.
 pub const KIND: &str = "chicoryarch-budgets";
 
-/// Divisor of the budget that gives the allowance, which the first home host
-/// issues without a record. Programs that end by themselves seldom use more.
+/// Divisor of the budget that gives the allowance, which is issued without a
+/// record. Programs that end by themselves seldom use more.
 const ALLOWANCE_DIVISOR: u64 = 2;
+/// Divisor of the allowance that gives what other data centres than the first
+/// home's hold of it together.
+const REMOTE_ALLOWANCE_DIVISOR: u64 = 2;
 /// Divisor of the remaining budget that gives the size of a large grant.
 const LARGE_GRANT_DIVISOR: u64 = 2;
 /// Divisor of the remaining budget that gives the size of a small grant.
@@ -57,6 +60,21 @@
     budget / ALLOWANCE_DIVISOR
 }
 
+/// Returns the part of the allowance that each of `holders` hosts in other data
+/// centres issues.
+pub const fn remote_allowance(budget: u64, holders: u64) -> u64 {
+    match holders {
+        0 => 0,
+        _ => allowance(budget) / REMOTE_ALLOWANCE_DIVISOR / holders,
+    }
+}
+
+/// Returns the part of the allowance that the first home host issues beside
+/// `holders` hosts in other data centres.
+pub const fn home_allowance(budget: u64, holders: u64) -> u64 {
+    allowance(budget) - remote_allowance(budget, holders) * holders
+}
+
 /// How much of the remaining budget a grant takes, if that is more than the
 /// tokens requested.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,10 +130,9 @@
 }
 
 impl Balance {
-    /// Opens a balance, which holds the allowance if `has_allowance` is set. At
-    /// most one process may set it for a program.
-    pub fn open(budget: u64, has_allowance: bool) -> Self {
-        let available = if has_allowance { allowance(budget) } else { 0 };
+    /// Opens a balance with the part of the allowance that this process, and no
+    /// other, may issue.
+    pub const fn open(budget: u64, available: u64) -> Self {
         Self {
             budget,
             available,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -25,7 +25,7 @@
 use super::directory::Endpoint;
 use super::following::FollowState;
 use super::freshness::Freshness;
-use super::isolation::ExtraTurns;
+use super::isolation::HeldParts;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
 use super::origins::Origins;
@@ -235,8 +235,8 @@
     pub rates: Rates,
     /// Token budgets of programs.
     pub accounts: Accounts,
-    /// Turns beyond their budgets that this process has issued to programs.
-    pub extra_turns: ExtraTurns,
+    /// Parts of programs' tokens that this process holds outside of balances.
+    pub held_parts: HeldParts,
     /// Programs that have spent their budget.
     pub spent: SpentPrograms,
     /// Tokens for endpoints with limits that this host is the home of.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
 use super::draw_messages::PutBackRequest;
 use super::home_balance;
 use super::isolation;
+use super::isolation::CollectRequest;
 use super::lines;
 use super::lines::LineReport;
 use super::origins;
@@ -56,9 +57,10 @@
 pub const DRAW_METHOD: &str = "gateway.draw";
 /// Returns unspent tokens to a program's balance.
 pub const PUT_BACK_METHOD: &str = "gateway.put_back";
-/// Draws tokens of a program's extra turn from the only host that may issue it.
-/// Hosts of earlier releases do not know the method: each data centre of theirs
-/// issues such a turn.
+/// Collects a host's part of a program's allowance.
+pub const COLLECT_METHOD: &str = "gateway.collect_allowance";
+/// Draws tokens of the parts that only the asked host may issue. Hosts of earlier
+/// releases do not know the method: each data centre of theirs issues a turn.
 pub const EXTRA_TURN_METHOD: &str = "gateway.extra_turn";
 /// Name that hosts of earlier releases use for it.
 const DRAW_ISOLATED_METHOD: &str = "gateway.draw_isolated";
@@ -188,6 +190,10 @@
         let req: DrawRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(home_balance::draw_here(&cx, &req).await)
     })?;
+    module.register_method(COLLECT_METHOD, |params, cx, _| {
+        let req: CollectRequest = params.one()?;
+        Ok::<_, ErrorObjectOwned>(isolation::give_allowance(cx, &req))
+    })?;
     for method in [EXTRA_TURN_METHOD, DRAW_ISOLATED_METHOD] {
         module.register_method(method, |params, cx, _| {
             let req: DrawRequest = params.one()?;
--- a/src/gateway/home_balance.rs
+++ b/src/gateway/home_balance.rs
@@ -25,6 +25,7 @@
 use super::draw_messages::PutBackRequest;
 use super::exchange;
 use super::exchange::HAND_OVER_METHOD;
+use super::isolation;
 use super::reservation::put_back;
 use super::roster::Home;
 use super::roster::Peer;
@@ -123,6 +124,19 @@
         .accounts
         .with_account(program, |a| Arc::clone(&a.grant_lock));
     let _grant_guard = grant_lock.lock().await;
+    if draw_from_balance(cx, program, req).is_ok() {
+        return Ok(());
+    }
+    let has_collected = cx
+        .accounts
+        .with_account(program, |a| std::mem::replace(&mut a.has_collected, true));
+    if !has_collected {
+        let tokens = isolation::collect_allowance(cx, program, req.budget).await;
+        cx.accounts.with_account(program, |account| {
+            let balance = account.open_balance(cx, program, req.budget);
+            balance.deposit(tokens);
+        });
+    }
     for _ in 0..MAX_WRITE_CONFLICTS {
         match draw_from_balance(cx, program, req) {
             Ok(()) => return Ok(()),
@@ -230,6 +244,10 @@
 
 /// Returns tokens that no turn used recently to their balances.
 async fn return_idle<P: Platform>(cx: &Cx<P>) {
+    if cx.is_isolated() {
+        // They would be lost on the way.
+        return;
+    }
     let now = Moment::now();
     let mut returned = Vec::new();
     cx.accounts.for_each(|program, account| {
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -90,6 +90,7 @@
         data_centre: cx.cfg.place.data_centre.clone(),
         incarnation: Incarnation(unix_ms()),
         is_founder: is_first_start,
+        divides_tokens: true,
     };
     // Assuming that a host has no entry at its first start saves a read.
     let mut is_new = is_first_start;
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -3,27 +3,33 @@
 //!
 //! The guarantee on budgets allows a program one turn beyond its budget. Any
 //! number of data centres may be isolated at once, and none can see what the
-//! others issue, so the turn is divided in advance: rendezvous hashing over the
-//! founders names a few processes, as with allowances, each of which may issue
-//! an equal part. Whatever happens to such a process, no other takes its place.
-//! Turns seldom generate their maximum, so a part is enough for one or two.
+//! others issue, so what they may issue is divided in advance: rendezvous hashing
+//! over the founders names a few processes, one in a data centre, each of which
+//! holds an equal part of the extra turn, and a part of the program's allowance.
+//! Whatever happens to such a process, no other takes its place. Turns seldom
+//! generate their maximum, so the parts are enough for a few.
 //!
-//! After the partition the tokens are drawn from the program's balance, and the
-//! turn may be issued again. Until that succeeds, it counts as issued. Hosts also
-//! share which programs have spent their budget, so that these get no tokens
-//! here.
+//! In touch, a home collects the parts of the allowance before it needs a grant.
+//! After a partition the tokens of the extra turn are drawn from the program's
+//! balance, and may be issued again. Until that succeeds, they count as issued.
+//! Hosts also share which programs have spent their budget, so that these get no
+//! tokens here.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use parking_lot::Mutex;
+use serde::Deserialize;
 use serde::Serialize;
 
+use super::budget;
 use super::context::Cx;
 use super::context::Gateway;
 use super::draw_messages::DrawRequest;
 use super::exchange;
+use super::exchange::COLLECT_METHOD;
 use super::exchange::EXTRA_TURN_METHOD;
 use super::refusal::Outcome;
 use super::reservation;
@@ -41,12 +47,15 @@
 /// Divisor of the requested tokens, or of the turn's maximum if that is less,
 /// that gives the smallest number of tokens issued.
 const MIN_GRANT_DIVISOR: u64 = 3;
-/// Maximum number of extra turns that are remembered, to bound the memory. At
-/// that number no more are issued.
-const MAX_EXTRA_TURNS: usize = 1 << 16;
+/// Maximum number of programs of which issued parts are remembered. At that
+/// number no more are issued.
+const MAX_PROGRAMS: usize = 1 << 16;
+/// Time after its last use at which a program is over: far longer than its budget
+/// record is kept.
+const PROGRAM_RETENTION: Duration = Duration::from_secs(3600);
 
 #[derive(Serialize)]
-struct ExtraTurnLine<'a> {
+struct IsolatedDrawLine<'a> {
     program: &'a str,
     budget: u64,
     /// Tokens that the turn is short of.
@@ -54,71 +63,119 @@
     tokens: u64,
 }
 
-/// Tokens issued to one program beyond its budget.
+/// Tokens that this process issued of its parts of one program's tokens.
 #[derive(Clone, Debug)]
-struct ExtraTurn {
+struct IssuedParts {
     budget: u64,
-    /// Maximum output of the turn in tokens.
+    /// Maximum output of a turn in tokens.
     turn: u64,
-    /// Tokens that have not been drawn from the program's balance since.
-    tokens: u64,
+    /// Tokens issued of the allowance.
+    allowance: u64,
+    /// Tokens issued of the extra turn that have not been drawn from the program's
+    /// balance since.
+    extra: u64,
     /// Whether the balance cannot cover them any more.
     is_final: bool,
+    last_used: Moment,
+}
+
+/// A program's tokens of which a process holds a part.
+#[derive(Clone, Copy, Debug)]
+pub struct Part {
+    /// Budget of the program in tokens.
+    pub budget: u64,
+    /// Hosts that hold an equal part of the allowance; 0 if this one holds none
+    /// beside a balance.
+    pub allowance_holders: u64,
+    /// Hosts that hold an equal part of the extra turn.
+    pub extra_parts: u64,
 }
 
-/// Extra turns that this process has issued.
+/// Parts of programs' tokens that this process holds outside of balances.
 #[derive(Debug, Default)]
-pub struct ExtraTurns(Mutex<HashMap<String, ExtraTurn>>);
-
-impl ExtraTurns {
-    /// Issues up to `wanted` tokens, but to each program at most one of `parts`
-    /// equal parts of a turn's maximum in total. Returns 0 if too few are left.
-    pub fn draw(&self, program: &str, budget: u64, turn: u64, wanted: u64, parts: u64) -> u64 {
-        let mut turns = self.0.lock();
-        // None is forgotten to make room, since it would be issued again.
-        if turns.len() >= MAX_EXTRA_TURNS && !turns.contains_key(program) {
+pub struct HeldParts(Mutex<HashMap<String, IssuedParts>>);
+
+impl HeldParts {
+    /// Issues up to `wanted` tokens of a turn with at most `turn` tokens, first of
+    /// the allowance, then of the extra turn. Returns 0 if too few are left.
+    pub fn draw(&self, program: &str, part: &Part, turn: u64, wanted: u64, now: Moment) -> u64 {
+        let mut issued = self.0.lock();
+        let Some(issued) = Self::entry(&mut issued, program, part.budget, turn, now) else {
+            return 0;
+        };
+        let allowance = wanted.min(issued.allowance_left(part));
+        let extra_part = issued.turn.min(turn) / part.extra_parts.max(1);
+        let extra = (wanted - allowance).min(extra_part.saturating_sub(issued.extra));
+        let tokens = allowance + extra;
+        if tokens < wanted.min(turn) / MIN_GRANT_DIVISOR || tokens == 0 {
+            return 0;
+        }
+        issued.allowance += allowance;
+        issued.extra += extra;
+        tokens
+    }
+
+    /// Issues what is left of the allowance, for the program's balance.
+    pub fn take_allowance(&self, program: &str, part: &Part, now: Moment) -> u64 {
+        let mut issued = self.0.lock();
+        let Some(issued) = Self::entry(&mut issued, program, part.budget, u64::MAX, now) else {
             return 0;
+        };
+        let left = issued.allowance_left(part);
+        issued.allowance += left;
+        left
+    }
+
+    /// Returns a program's entry; `None` if there is no room for another. None is
+    /// dropped before its program is over, since it would be issued again.
+    fn entry<'a>(
+        issued: &'a mut HashMap<String, IssuedParts>,
+        program: &str,
+        budget: u64,
+        turn: u64,
+        now: Moment,
+    ) -> Option<&'a mut IssuedParts> {
+        if issued.len() >= MAX_PROGRAMS && !issued.contains_key(program) {
+            issued.retain(|_, issued| now.since(issued.last_used) < PROGRAM_RETENTION);
+            if issued.len() >= MAX_PROGRAMS {
+                return None;
+            }
         }
-        let issued = turns.entry(program.to_owned()).or_insert(ExtraTurn {
+        let entry = issued.entry(program.to_owned()).or_insert(IssuedParts {
             budget,
             turn,
-            tokens: 0,
+            allowance: 0,
+            extra: 0,
             is_final: false,
+            last_used: now,
         });
-        let part = issued.turn.min(turn) / parts.max(1);
-        let tokens = wanted.min(part.saturating_sub(issued.tokens));
-        if tokens < wanted.min(turn) / MIN_GRANT_DIVISOR || tokens == 0 {
-            return 0;
-        }
-        issued.tokens += tokens;
-        tokens
+        entry.budget = entry.budget.min(budget);
+        entry.turn = entry.turn.min(turn);
+        entry.last_used = now;
+        Some(entry)
     }
 
-    /// Returns requests that draw the issued tokens from the programs' balances.
+    /// Returns requests that draw issued extra tokens from the programs' balances.
     pub fn unsettled(&self) -> Vec<DrawRequest> {
-        let turns = self.0.lock();
-        let open = turns
+        let issued = self.0.lock();
+        let open = issued
             .iter()
-            .filter(|(_, issued)| issued.tokens > 0 && !issued.is_final);
-        let draw = |(program, issued): (&String, &ExtraTurn)| DrawRequest {
+            .filter(|(_, issued)| issued.extra > 0 && !issued.is_final);
+        let draw = |(program, issued): (&String, &IssuedParts)| DrawRequest {
             program: program.clone(),
             budget: issued.budget,
-            wanted: issued.tokens,
-            turn: issued.tokens,
+            wanted: issued.extra,
+            turn: issued.extra,
             may_wait: false,
             session: 0,
         };
         open.map(draw).collect()
     }
 
-    /// Records that issued tokens have been drawn from the program's balance.
+    /// Records that extra tokens have been drawn from the program's balance.
     pub fn record_drawn(&self, program: &str, tokens: u64) {
-        let mut turns = self.0.lock();
-        if let Some(issued) = turns.get_mut(program) {
-            issued.tokens = issued.tokens.saturating_sub(tokens);
-            if issued.tokens == 0 {
-                turns.remove(program);
-            }
+        if let Some(issued) = self.0.lock().get_mut(program) {
+            issued.extra = issued.extra.saturating_sub(tokens);
         }
     }
 
@@ -130,6 +187,13 @@
     }
 }
 
+impl IssuedParts {
+    fn allowance_left(&self, part: &Part) -> u64 {
+        let part = budget::remote_allowance(self.budget, part.allowance_holders);
+        part.saturating_sub(self.allowance)
+    }
+}
+
 /// Hashes of programs whose budget is spent.
 #[derive(Debug, Default)]
 pub struct SpentPrograms(Mutex<HashMap<u64, Moment>>);
@@ -190,11 +254,12 @@
     reply.unwrap_or(0)
 }
 
-/// Issues tokens if this process, and no other, may issue a part of the
-/// program's extra turn.
+/// Issues tokens of the parts that this process, and no other, may issue.
 pub fn draw_here<P: Platform>(cx: &Gateway<P>, req: &DrawRequest) -> u64 {
     let key = super::hash_of(&req.program);
-    let Some(parts) = cx.accounts.extra_turn_parts(&cx.cfg.place.host, key) else {
+    let own = &cx.cfg.place.host;
+    let holders = cx.accounts.own_part(own, key);
+    let Some(holders) = holders.filter(|holders| holders.holds_extra(own)) else {
         return 0;
     };
     if cx.spent.contains(&req.program) {
@@ -207,14 +272,78 @@
         wanted,
         ..
     } = req;
-    let tokens = cx.extra_turns.draw(program, *budget, *turn, *wanted, parts);
-    let line = ExtraTurnLine {
+    let part = Part {
+        budget: *budget,
+        allowance_holders: holders.remote_count(),
+        extra_parts: holders.extra_parts(),
+    };
+    let tokens = cx
+        .held_parts
+        .draw(program, &part, *turn, *wanted, Moment::now());
+    let line = IsolatedDrawLine {
         program,
         budget: *budget,
         wanted: *wanted,
         tokens,
     };
-    cx.log.request("extra-turn", &line);
+    cx.log.request("isolated-draw", &line);
+    tokens
+}
+
+/// Asks a host for its part of a program's allowance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CollectRequest {
+    /// Program id.
+    pub program: String,
+    /// Budget of the program in tokens.
+    pub budget: u64,
+}
+
+/// Issues what is left of the part of the allowance that this process, and no
+/// other, may issue.
+pub fn give_allowance<P: Platform>(cx: &Gateway<P>, req: &CollectRequest) -> u64 {
+    let key = super::hash_of(&req.program);
+    let own = &cx.cfg.place.host;
+    let holders = cx.accounts.own_part(own, key);
+    let Some(holders) = holders.filter(|holders| holders.remote.contains(own)) else {
+        return 0;
+    };
+    let part = Part {
+        budget: req.budget,
+        allowance_holders: holders.remote_count(),
+        extra_parts: holders.extra_parts(),
+    };
+    cx.held_parts
+        .take_allowance(&req.program, &part, Moment::now())
+}
+
+/// Collects the parts of a program's allowance at other hosts, which are then
+/// issued here. What is lost on the way stays spent.
+pub async fn collect_allowance<P: Platform>(cx: &Cx<P>, program: &str, budget: u64) -> u64 {
+    let key = super::hash_of(program);
+    let req = CollectRequest {
+        program: program.to_owned(),
+        budget,
+    };
+    let holders = cx.accounts.holders(key).remote;
+    let mut tokens = 0;
+    let mut calls = Vec::new();
+    for host in holders {
+        if host == cx.cfg.place.host {
+            tokens += give_allowance(cx, &req);
+            continue;
+        }
+        let Some(peer) = cx.roster.lock().responsive_peer(&host, Moment::now()) else {
+            continue;
+        };
+        let (cx, req) = (Arc::clone(cx), req.clone());
+        calls.push(cx.spawner.clone().spawn(async move {
+            exchange::call_peer::<_, _, u64>(&cx, &peer, COLLECT_METHOD, &req).await
+        }));
+    }
+    for call in calls {
+        tokens += call.await.unwrap_or(0);
+    }
     tokens
 }
 
@@ -230,13 +359,13 @@
 }
 
 async fn settle<P: Platform>(cx: &Cx<P>) {
-    for req in cx.extra_turns.unsettled() {
+    for req in cx.held_parts.unsettled() {
         match reservation::draw(cx, &req).await {
             // The drawn tokens stay unused, since the program has already had
             // them.
-            Ok(_) => cx.extra_turns.record_drawn(&req.program, req.wanted),
+            Ok(_) => cx.held_parts.record_drawn(&req.program, req.wanted),
             Err(refusal) if refusal.outcome == Outcome::BudgetSpent => {
-                cx.extra_turns.record_spent(&req.program);
+                cx.held_parts.record_spent(&req.program);
             }
             Err(refusal) => {
                 log::debug!(
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -49,7 +49,9 @@
         let Self { reserved, sent, .. } = *self;
         let returned = self.cx.accounts.with_account(&self.program, |account| {
             account.account.settle(reserved, sent);
-            if account.retains_unspent && account.drawn_from.is_some() {
+            // Tokens sent to a home that cannot be reached are lost.
+            let is_kept = account.retains_unspent || self.cx.is_isolated();
+            if is_kept && account.drawn_from.is_some() {
                 return None;
             }
             account.return_unspent()
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -33,6 +33,10 @@
     /// Whether this is the first process of the host since the system was set
     /// up.
     pub is_founder: bool,
+    /// Whether it divides the tokens that founders hold; hosts of earlier releases
+    /// do not.
+    #[serde(default)]
+    pub divides_tokens: bool,
 }
 
 /// Object kind of the list of founders.
@@ -46,45 +50,70 @@
 pub struct Founders {
     /// Host names.
     pub hosts: Vec<HostId>,
-    /// Their data centres; empty in a list of an earlier release.
+    /// Their data centres; empty if some of them are of an earlier release, which
+    /// does not divide tokens among them.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub data_centres: BTreeMap<HostId, DataCentre>,
 }
 
-/// Maximum number of hosts that issue a program's extra turn. A part of the turn
-/// must be enough to begin one.
-const MAX_EXTRA_PARTS: usize = 3;
+/// Maximum number of hosts that hold parts of a program's tokens beside its first
+/// home. A part of the extra turn must be enough to begin one.
+const MAX_PARTS: usize = 3;
+
+/// Hosts whose first processes may issue a program's tokens without a record.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartHolders {
+    /// Holder of the allowance, except for the parts of `remote`.
+    pub home: Option<HostId>,
+    /// Hosts of other data centres, one each, that hold equal parts of the
+    /// allowance and of the extra turn. If there are none, the home holds all.
+    pub remote: Vec<HostId>,
+}
 
-impl Founders {
-    /// Returns the host whose first process alone may issue the allowance of the
-    /// program with this key.
-    pub fn allowance_host(&self, key: u64) -> Option<&HostId> {
-        rendezvous_host(self.hosts.iter(), key)
+impl PartHolders {
+    /// Number of equal parts of the extra turn.
+    pub fn extra_parts(&self) -> u64 {
+        self.remote_count().max(1)
     }
 
-    /// Returns the hosts whose first processes alone may issue the program's
-    /// extra turn, an equal part each: one in each of a few data centres without
-    /// the allowance, since any of them may be isolated.
-    pub fn extra_turn_hosts(&self, key: u64) -> Vec<&HostId> {
-        let Some(first) = self.allowance_host(key) else {
-            return Vec::new();
-        };
+    /// Number of hosts in other data centres.
+    pub fn remote_count(&self) -> u64 {
+        u64::try_from(self.remote.len()).unwrap_or(u64::MAX)
+    }
+
+    /// Whether a host may issue a part of the extra turn.
+    pub fn holds_extra(&self, host: &HostId) -> bool {
+        match self.remote.is_empty() {
+            true => self.home.as_ref() == Some(host),
+            false => self.remote.contains(host),
+        }
+    }
+}
+
+impl Founders {
+    /// Returns the hosts that hold parts of the tokens of the program with this
+    /// key: the first by rendezvous hash, and the first of each of a few other
+    /// data centres, since any of them may be isolated.
+    pub fn holders(&self, key: u64) -> PartHolders {
         let mut ranked: Vec<&HostId> = self.hosts.iter().collect();
         ranked.sort_by_key(|host| std::cmp::Reverse(mix(super::hash_of(host.as_str()) ^ key)));
-        let mut served = vec![self.data_centres.get(first)];
-        let mut holders = Vec::new();
-        for host in ranked.into_iter().filter(|host| *host != first) {
+        let Some(home) = ranked.first() else {
+            return PartHolders::default();
+        };
+        let mut served = vec![self.data_centres.get(home)];
+        let mut remote = Vec::new();
+        for host in &ranked {
             let data_centre = self.data_centres.get(host);
-            if data_centre.is_some() && !served.contains(&data_centre) {
+            let is_new = data_centre.is_some() && !served.contains(&data_centre);
+            if is_new && remote.len() < MAX_PARTS {
                 served.push(data_centre);
-                holders.push(host);
+                remote.push(HostId::clone(host));
             }
         }
-        holders.truncate(MAX_EXTRA_PARTS);
-        if holders.is_empty() {
-            holders.push(first);
+        PartHolders {
+            home: Some(HostId::clone(home)),
+            remote,
         }
-        holders
     }
 }
 
@@ -124,15 +153,6 @@
     pub address: SocketAddr,
 }
 
-/// Returns the host with the highest rendezvous hash for a key. All hosts that
-/// have the same list get the same result.
-pub fn rendezvous_host<'a>(
-    hosts: impl Iterator<Item = &'a HostId>,
-    key: u64,
-) -> Option<&'a HostId> {
-    hosts.max_by_key(|host| mix(super::hash_of(host.as_str()) ^ key))
-}
-
 /// Mixes the bits of a number, as the finalizer of SplitMix64 does.
 const fn mix(mut bits: u64) -> u64 {
     bits ^= bits >> 30;
@@ -435,12 +455,18 @@
             .hosts
             .iter()
             .filter(|(_, state)| state.entry.is_founder);
-        let data_centres: BTreeMap<_, _> = founders
-            .map(|(host, state)| (host.clone(), state.entry.data_centre.clone()))
-            .collect();
+        let founders: Vec<_> = founders.collect();
+        let all_divide = founders.iter().all(|(_, state)| state.entry.divides_tokens);
+        let data_centres = founders
+            .iter()
+            .filter(|_| all_divide)
+            .map(|(host, state)| (HostId::clone(host), state.entry.data_centre.clone()));
         Founders {
-            hosts: data_centres.keys().cloned().collect(),
-            data_centres,
+            data_centres: data_centres.collect(),
+            hosts: founders
+                .iter()
+                .map(|(host, _)| HostId::clone(host))
+                .collect(),
         }
     }
 
@@ -558,6 +584,12 @@
         Some(state.peer(host))
     }
 
+    /// Returns a host by name, if it responds.
+    pub fn responsive_peer(&self, host: &HostId, now: Moment) -> Option<Peer> {
+        let state = self.hosts.get(host);
+        Some(state.filter(|state| state.is_responsive(now))?.peer(host))
+    }
+
     /// Returns a host by name.
     pub fn peer(&self, host: &HostId) -> Option<Peer> {
         Some(self.hosts.get(host)?.peer(host))
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -47,7 +47,7 @@
 use super::hop_port;
 use super::hosts;
 use super::isolation;
-use super::isolation::ExtraTurns;
+use super::isolation::HeldParts;
 use super::isolation::SpentPrograms;
 use super::limit_draws;
 use super::metrics::GatewayMetrics;
@@ -246,7 +246,7 @@
         accounts: Accounts::default(),
         request_memory: BodyMemory::new(body_bytes),
         answer_memory: BodyMemory::new(body_bytes),
-        extra_turns: ExtraTurns::default(),
+        held_parts: HeldParts::default(),
         spent: SpentPrograms::default(),
         limit_buckets: Mutex::default(),
         helpers: Arc::default(),
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -405,7 +405,7 @@
         (vec((number, 0..5_usize), 1..20), any::<bool>()),
         |(steps, has)| {
             let mut account = Account::default();
-            let mut balance = Balance::open(420, has);
+            let mut balance = Balance::open(420, if has { 210 } else { 0 });
             let (mut granted, mut reserved) = (0_u128, 0_u128);
             for (number, step) in steps {
                 match step {
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -129,12 +129,12 @@
     }
 
     fn draw(&mut self, home: usize, wanted: u64, is_store_reachable: bool) -> bool {
-        let has_allowance = self.founder == Some(home);
+        let allowance = self.allowance(home);
         let budget = self.budget;
         let balance = self
             .balances
             .entry(home)
-            .or_insert_with(|| Balance::open(budget, has_allowance));
+            .or_insert_with(|| Balance::open(budget, allowance));
         let Err(missing) = balance.draw(wanted) else {
             return true;
         };
@@ -163,17 +163,25 @@
         balance.draw(wanted).is_ok()
     }
 
+    /// Tokens that a host may issue without a record.
+    fn allowance(&self, host: usize) -> u64 {
+        match self.founder == Some(host) {
+            true => budget::allowance(self.budget),
+            false => 0,
+        }
+    }
+
     /// Hands the program's balance over from one host to another.
     fn hand_over(&mut self, from: usize, to: usize) {
         let Some(tokens) = self.balances.get_mut(&from).map(Balance::take_all) else {
             return;
         };
         if self.rng.random_bool(0.9) {
-            let has_allowance = self.founder == Some(to);
+            let allowance = self.allowance(to);
             let budget = self.budget;
             let balance = self.balances.entry(to);
             balance
-                .or_insert_with(|| Balance::open(budget, has_allowance))
+                .or_insert_with(|| Balance::open(budget, allowance))
                 .deposit(tokens);
         }
     }
--- a/tests/gateway/membership_random.rs
+++ b/tests/gateway/membership_random.rs
@@ -90,6 +90,7 @@
             data_centre: format!("dc-{index}").parse().expect("a name"),
             incarnation: Incarnation(started),
             is_founder: false,
+            divides_tokens: true,
         };
         let mut roster = Roster::new(host.clone());
         let added = (host.clone(), entry.clone());
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chicoryarch::gateway::quota::Share;
-use chicoryarch::gateway::roster;
+use chicoryarch::gateway::roster::Founders;
 use chicoryarch::gateway::roster::Home;
 use chicoryarch::gateway::roster::HostEntry;
 use chicoryarch::gateway::roster::Roster;
@@ -34,6 +34,7 @@
         data_centre: "a".parse().expect("a name"),
         incarnation: Incarnation(incarnation),
         is_founder: true,
+        divides_tokens: true,
     }
 }
 
@@ -110,13 +111,16 @@
 #[test]
 fn all_hosts_agree_on_the_home() {
     for key in 0..50 {
-        let hosts: Vec<HostId> = (0..6).map(host).collect();
-        let expected = roster::rendezvous_host(hosts.iter(), key).expect("there are hosts");
+        let founders = Founders {
+            hosts: (0..6).map(host).collect(),
+            ..Founders::default()
+        };
+        let expected = founders.holders(key).home.expect("there are hosts");
         for own in 0..6 {
             let home = roster(own, 6).home(key, at(0));
             match home {
-                Home::Own => assert_eq!(host(own), *expected),
-                Home::Other(peer) => assert_eq!(peer.host, *expected),
+                Home::Own => assert_eq!(host(own), expected),
+                Home::Other(peer) => assert_eq!(peer.host, expected),
             }
         }
     }
--- a/tests/gateway/versions_side_by_side.rs
+++ b/tests/gateway/versions_side_by_side.rs
@@ -200,6 +200,7 @@
             data_centre: data_centre(n),
             incarnation: Incarnation(1),
             is_founder: true,
+            divides_tokens: true,
         };
         roster.put(name(n), entry);
     }
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -249,6 +249,7 @@
             data_centre: "a".parse().expect("a name"),
             incarnation: Incarnation(1),
             is_founder: true,
+            divides_tokens: true,
         };
         roster.put(host(n), entry);
     }
