Collect the parts of an allowance also while the store is out of reach

Programs were refused turns in an outage of the store although other hosts held parts of their allowance: since it is divided, a home holds half as much, and it refused before it had asked for the rest. Found by reading. A home without the store now collects, too, unless its data centre is isolated, and asks again for parts whose holder did not answer. The process tests of budgets, outages and cuts pass.

--- a/src/gateway/home_balance.rs
+++ b/src/gateway/home_balance.rs
@@ -70,8 +70,8 @@
     let Err(missing) = draw_from_balance(cx, &program, req) else {
         return drawn_reply(cx, &program, req, is_new);
     };
-    if !cx.store_contact.is_up() {
-        return DrawReply::Unavailable("the store does not answer this host".to_owned());
+    if !cx.store_contact.is_up() && !may_collect(cx, &program) {
+        return store_lost();
     }
     if !req.may_wait {
         return DrawReply::Granting;
@@ -82,6 +82,16 @@
     }
 }
 
+fn store_lost() -> DrawReply {
+    DrawReply::Unavailable("the store does not answer this host".to_owned())
+}
+
+/// Whether other hosts may hold parts of the program's allowance within reach.
+fn may_collect<P: Platform>(cx: &Gateway<P>, program: &Arc<str>) -> bool {
+    let has_collected = cx.accounts.with_account(program, |a| a.has_collected);
+    !has_collected && !cx.is_isolated()
+}
+
 fn drawn_reply<P>(
     cx: &Gateway<P>,
     program: &Arc<str>,
@@ -127,15 +137,19 @@
     if draw_from_balance(cx, program, req).is_ok() {
         return Ok(());
     }
-    let has_collected = cx
-        .accounts
-        .with_account(program, |a| std::mem::replace(&mut a.has_collected, true));
-    if !has_collected {
-        let tokens = isolation::collect_allowance(cx, program, req.budget).await;
+    if may_collect(cx, program) {
+        let collected = isolation::collect_allowance(cx, program, req.budget).await;
         cx.accounts.with_account(program, |account| {
+            account.has_collected = collected.is_complete;
             let balance = account.open_balance(cx, program, req.budget);
-            balance.deposit(tokens);
+            balance.deposit(collected.tokens);
         });
+        if draw_from_balance(cx, program, req).is_ok() {
+            return Ok(());
+        }
+    }
+    if !cx.store_contact.is_up() {
+        return Err(store_lost());
     }
     for _ in 0..MAX_WRITE_CONFLICTS {
         match draw_from_balance(cx, program, req) {
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -317,23 +317,36 @@
         .take_allowance(&req.program, &part, Moment::now())
 }
 
+/// Parts of a program's allowance that other hosts have given.
+#[derive(Clone, Copy, Debug)]
+pub struct Collected {
+    /// Tokens that now belong to the balance at this host.
+    pub tokens: u64,
+    /// Whether all hosts that hold a part have answered.
+    pub is_complete: bool,
+}
+
 /// Collects the parts of a program's allowance at other hosts, which are then
 /// issued here. What is lost on the way stays spent.
-pub async fn collect_allowance<P: Platform>(cx: &Cx<P>, program: &str, budget: u64) -> u64 {
+pub async fn collect_allowance<P: Platform>(cx: &Cx<P>, program: &str, budget: u64) -> Collected {
     let key = super::hash_of(program);
     let req = CollectRequest {
         program: program.to_owned(),
         budget,
     };
     let holders = cx.accounts.holders(key).remote;
-    let mut tokens = 0;
+    let mut collected = Collected {
+        tokens: 0,
+        is_complete: true,
+    };
     let mut calls = Vec::new();
     for host in holders {
         if host == cx.cfg.place.host {
-            tokens += give_allowance(cx, &req);
+            collected.tokens += give_allowance(cx, &req);
             continue;
         }
         let Some(peer) = cx.roster.lock().responsive_peer(&host, Moment::now()) else {
+            collected.is_complete = false;
             continue;
         };
         let (cx, req) = (Arc::clone(cx), req.clone());
@@ -342,9 +355,11 @@
         }));
     }
     for call in calls {
-        tokens += call.await.unwrap_or(0);
+        let given = call.await;
+        collected.is_complete &= given.is_some();
+        collected.tokens += given.unwrap_or(0);
     }
-    tokens
+    collected
 }
 
 /// Draws the tokens of extra turns from the programs' balances after each
