Forward no call to an endpoint that has announced its shutdown

The host now answers that nothing was sent, and the other one chooses again. no_call_is_forwarded_to_an_endpoint_that_is_leaving fails before (one call) and passes.

--- a/src/gateway/hop_port.rs
+++ b/src/gateway/hop_port.rs
@@ -116,8 +116,15 @@
     }
     let pool = cx.pools.get(&endpoint.service);
     let pool = pool.ok_or(HopOutcome::UnknownEndpoint)?;
-    if pool.lock().path.is_cut_off() {
-        return Err(HopOutcome::NoPath);
+    {
+        let pool = pool.lock();
+        if pool.path.is_cut_off() {
+            return Err(HopOutcome::NoPath);
+        }
+        // The other host may not have heard of its notice.
+        if pool.has_left(endpoint) {
+            return Err(HopOutcome::NotSent);
+        }
     }
     let open = OpenCall::begin(cx).ok_or(HopOutcome::Busy)?;
     let deadline = received + hop.time_left;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -502,6 +502,11 @@
         member.limit.record(notice, answered_at).is_some()
     }
 
+    /// Whether an endpoint has given notice of its shutdown.
+    pub fn has_left(&self, endpoint: &Endpoint) -> bool {
+        self.departures.has_left(endpoint)
+    }
+
     /// Whether an endpoint is shutting down, as it or the list has announced.
     /// Some are removed from the list when they begin to.
     pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
--- a/tests/gateway_processes/cut_off_hosts.rs
+++ b/tests/gateway_processes/cut_off_hosts.rs
@@ -724,3 +724,25 @@
     let ran = answers.iter().filter(|status| **status == StatusCode::OK);
     assert_eq!(deployment.runs_of("none") - before, ran.count());
 }
+
+// Guards against forwarding calls to an endpoint that has announced its shutdown
+// to the host that forwards, but not to the one that chose it.
+#[test]
+fn no_call_is_forwarded_to_an_endpoint_that_is_leaving() {
+    let deployment = Deployment::new(Behaviour::SOUND, ENGINE);
+    let [cut_off, other] = deployment.hosts::<2>();
+    cut_and_wait(&deployment, &cut_off, Cut::Silent);
+    let leaving = &deployment.plain[0];
+    leaving.set_behaviour(Behaviour {
+        is_leaving: true,
+        ..Behaviour::SOUND
+    });
+    let ran = leaving.runs().len();
+    wait_until("the endpoint has told the other host", || {
+        deployment.served(&other, "/safe/", 1);
+        leaving.runs().len() > ran
+    });
+    let before = leaving.runs().len();
+    assert_eq!(deployment.served(&cut_off, "/once/", 24), 24);
+    assert_eq!(leaving.runs().len(), before);
+}
