Count the engines that have run a stream when it is resumed

The relay now keeps the engines that have run the call, in the attempts before the stream, too, and once as many have run it as may, only the one that broke it is asked, unless it is gone. a_broken_stream_runs_on_as_many_engines_as_its_route_allows fails before (the first of ten streams) and passes. Progress::None is now Nothing.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -45,6 +45,8 @@
     pub failed_endpoint: &'a str,
     /// Endpoints that have ended or cannot be reached.
     pub gone: &'a [Box<str>],
+    /// Number of endpoints that have run the call and may still run it.
+    pub runs: usize,
 }
 
 /// Endpoints among which one is chosen.
@@ -89,9 +91,9 @@
 
 /// Chooses an endpoint that resumes a broken stream.
 ///
-/// If the route allows only one endpoint per request, this is the endpoint
-/// that broke the stream, unless it is gone or no longer listed. Waits a short
-/// time for its limit.
+/// If as many endpoints have run the call as the route allows, this is the
+/// endpoint that broke the stream, unless it is gone or no longer listed. Waits
+/// a short time for its limit.
 pub async fn place_resume<P: Platform>(
     cx: &Gateway<P>,
     call: &Call,
@@ -100,7 +102,8 @@
     let failed = target.failed_endpoint;
     let is_listed = cx.pools.get(&call.service)?.lock().contains(failed);
     let is_gone = target.gone.iter().any(|id| **id == *failed);
-    let only = (is_listed && !is_gone && call.route.max_runs < 2).then_some(failed);
+    let max_runs = usize::try_from(call.route.max_runs).unwrap_or(usize::MAX);
+    let only = (is_listed && !is_gone && target.runs >= max_runs).then_some(failed);
     let choice = Choice {
         version: target.version,
         excluded: target.gone,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -142,7 +142,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
     /// Nothing of the answer had arrived, or nothing but its head.
-    None,
+    Nothing,
     /// The endpoint had made events of a stream.
     Events,
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -88,8 +88,12 @@
     }
 
     fn ids(&self) -> Vec<Box<str>> {
+        self.refused.iter().cloned().chain(self.ran_ids()).collect()
+    }
+
+    fn ran_ids(&self) -> Vec<Box<str>> {
         let ran = self.ran.iter().map(|endpoint| endpoint.id.clone());
-        self.refused.iter().cloned().chain(ran).collect()
+        ran.collect()
     }
 }
 
@@ -117,10 +121,16 @@
                     ReceivedAnswer::Complete(response) => return Ok(response),
                     ReceivedAnswer::Stream(open) => {
                         lines::report(cx, &call, &open.placement.endpoint().id);
-                        return Ok(relay::start(cx, call, open, reservation));
+                        return Ok(relay::start(
+                            cx,
+                            call,
+                            open,
+                            attempts.ran_ids(),
+                            reservation,
+                        ));
                     }
                     ReceivedAnswer::Broken { why, endpoint } => {
-                        crashes::record_lost(cx, &call, &endpoint, Progress::None).await;
+                        crashes::record_lost(cx, &call, &endpoint, Progress::Nothing).await;
                         attempts.ran.push(endpoint);
                         why
                     }
@@ -153,7 +163,7 @@
                 placement.end(evidence);
                 attempts.is_lost_on_way = evidence == AttemptEnd::Abandoned;
                 if !attempts.is_lost_on_way {
-                    crashes::record_lost(cx, &call, &endpoint, Progress::None).await;
+                    crashes::record_lost(cx, &call, &endpoint, Progress::Nothing).await;
                 }
                 attempts.ran.push(endpoint);
                 why
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 //! Only complete events are sent to the caller, so that a stream that breaks
 //! at the engine can resume after the last event within the same answer.
 
+use std::collections::HashSet;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,11 +94,12 @@
 }
 
 /// Starts to relay a stream in the background and returns the answer for the
-/// caller.
+/// caller. `ran` names the endpoints that may have run the call before.
 pub fn start<P: Platform>(
     cx: &Cx<P>,
     call: Arc<Call>,
     open: OpenStream,
+    ran: Vec<Box<str>>,
     reservation: Option<Reservation<P>>,
 ) -> Response<Body> {
     let (tx, body) = Body::channel(MAX_QUEUED_CHUNKS);
@@ -118,6 +120,7 @@
         events: 0,
         engine_events: 0,
         resumes: 0,
+        ran: ran.into_iter().collect(),
         time_to_first_event: None,
     };
     cx.spawner.detach(relay.run(tx, open));
@@ -173,6 +176,8 @@
     /// Events of the engine that makes the stream now.
     engine_events: u64,
     resumes: u32,
+    /// Endpoints that may have run the call.
+    ran: HashSet<Box<str>>,
     time_to_first_event: Option<Duration>,
 }
 
@@ -184,6 +189,7 @@
             ..
         } = open;
         loop {
+            self.ran.insert(placement.endpoint().id.clone());
             let end = self.forward_events(&tx, body, &placement).await;
             match end {
                 StreamEnd::Complete => {
@@ -358,7 +364,7 @@
     /// Records that an engine broke the stream, in case its process has ended.
     async fn record_lost(&self, engine: &Arc<Endpoint>, is_path_lost: bool) {
         if self.engine_events == 0 {
-            crashes::record_lost(&self.cx, &self.call, engine, Progress::None).await;
+            crashes::record_lost(&self.cx, &self.call, engine, Progress::Nothing).await;
         } else if is_path_lost {
             // Whether the engine has ended takes long to find out, and the stream
             // need not wait for it.
@@ -393,6 +399,7 @@
                 version: self.version.as_deref(),
                 failed_endpoint,
                 gone: &gone,
+                runs: self.ran.iter().filter(|id| !gone.contains(*id)).count(),
             };
             let mut placement = choice::place_resume(&self.cx, &self.call, &target).await?;
             let after = self.last_event.or(self.call.meta.resume_after);
@@ -423,9 +430,11 @@
                     self.resumes += 1;
                     self.log(&placement, "not-resumed", &why);
                     let endpoint = Arc::clone(placement.endpoint());
+                    self.ran.insert(endpoint.id.clone());
                     placement.end(evidence);
                     if evidence == AttemptEnd::Failed {
-                        crashes::record_lost(&self.cx, &self.call, &endpoint, Progress::None).await;
+                        crashes::record_lost(&self.cx, &self.call, &endpoint, Progress::Nothing)
+                            .await;
                     }
                 }
                 AttemptResult::Answered(response) => {
--- a/tests/gateway_processes/streams.rs
+++ b/tests/gateway_processes/streams.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use chicoryarch_standins::fleet::endpoint::Behaviour;
+use serde_json::json;
 
 use super::fleet::Fleet;
+use super::fleet::configuration;
 
 const ENGINE: Behaviour = Behaviour {
     events: 5,
@@ -57,3 +59,30 @@
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body, None);
 }
+
+// Guards against a stream that is resumed at more engines than the route allows,
+// since those that have run it were not counted.
+#[test]
+fn a_broken_stream_runs_on_as_many_engines_as_its_route_allows() {
+    let fleet = Fleet::new();
+    let mut changed = configuration(2);
+    changed["routes"][3]["max_attempts"] = json!(2);
+    fleet.store.put("config", "main", changed);
+    let breaking = Behaviour {
+        broken_streams: 1000,
+        events: 50,
+        pause: Duration::from_millis(2),
+        ..Behaviour::SOUND
+    };
+    let ids = ["e1", "e2", "e3", "e4"];
+    let engines = ids.map(|id| fleet.endpoint(id, "engine", breaking));
+    let gateway = fleet.gateway("g1");
+    for n in 0..10 {
+        let id = format!("r{n}");
+        fleet.call(&gateway, "/turns/", &[("request-id", &id)]);
+        let ran = engines
+            .iter()
+            .filter(|engine| engine.runs().iter().any(|run| run.id == id));
+        assert!(ran.count() <= 2, "{id}");
+    }
+}
