Pass parts of extra turns on at planned restarts

A process that stops as planned now ends the issue, draws what it issued from the balances and, if nothing is outstanding, marks its host's entry; the next process takes the parts over by the conditional write of its own entry. After a kill they are gone, since nobody knows what was issued.

A home now asks for the parts of an allowance at most every two seconds, and only the home does: before, each host that stood in for it in an outage asked. What a process holds has a file of its own, held_parts, and holders of parts are named so, since "holder" stands for those of rates.

Evidence: parts_of_extra_turns_outlast_planned_restarts_only (served after a planned restart, refused after a kill), the model of hosts that restart, and the tests of budgets and cuts pass.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -16,6 +16,7 @@
 use super::budget::Account;
 use super::budget::Balance;
 use super::context::Gateway;
+use super::held_parts::Part;
 use super::lines::LineLocations;
 use super::roster::Founders;
 use super::roster::PartHolders;
@@ -43,8 +44,10 @@
     pub(super) drawn_from: Option<Peer>,
     /// Whether unused tokens stay here for the program's next turn.
     pub(super) retains_unspent: bool,
-    /// Whether the parts of the allowance at other hosts have been asked for.
-    pub(super) has_collected: bool,
+    /// When the parts of the allowance at other hosts were last asked for.
+    pub(super) collected_at: Option<Moment>,
+    /// Whether all of their holders have answered.
+    pub(super) has_collected_all: bool,
     /// Held while a grant for the balance is written to the store.
     pub(super) grant_lock: Arc<async_lock::Mutex<()>>,
     /// Held while tokens are drawn, so that one draw serves all waiting turns.
@@ -64,6 +67,8 @@
     founders: OnceLock<Founders>,
     /// Whether this is the first process of one of them.
     is_founder: AtomicBool,
+    /// Whether the process before has passed its parts of extra turns on.
+    has_inherited: AtomicBool,
     /// Hashes of the programs whose balance was evicted here. Their allowance
     /// may be spent, so it is not issued again.
     evicted: Mutex<HashSet<u64>>,
@@ -78,6 +83,7 @@
             hasher: RandomState::new(),
             founders: OnceLock::new(),
             is_founder: AtomicBool::new(false),
+            has_inherited: AtomicBool::new(false),
             evicted: Mutex::default(),
             is_closed: AtomicBool::new(false),
         }
@@ -93,23 +99,24 @@
         self.is_founder.store(is_founder, Ordering::Release);
     }
 
-    fn issued_by(&self) -> Option<&Founders> {
+    /// Returns the founders if this is the first process of one of them.
+    fn own_founders(&self) -> Option<&Founders> {
         let is_founder = self.is_founder.load(Ordering::Acquire);
         self.founders.get().filter(|_| is_founder)
     }
 
     /// Returns the hosts that hold parts of the tokens of the program with this
     /// key; none if they are not known.
-    pub(super) fn holders(&self, key: u64) -> PartHolders {
+    pub(super) fn part_holders(&self, key: u64) -> PartHolders {
         let founders = self.founders.get();
-        founders.map_or_else(PartHolders::default, |founders| founders.holders(key))
+        founders.map_or_else(PartHolders::default, |founders| founders.part_holders(key))
     }
 
     /// Returns the host of a data centre that may issue a part of the extra turn
     /// of the program with this key.
     pub(super) fn extra_turn_host(&self, key: u64, data_centre: &DataCentre) -> Option<HostId> {
         let founders = self.founders.get()?;
-        let PartHolders { home, remote } = founders.holders(key);
+        let PartHolders { home, remote } = founders.part_holders(key);
         if remote.is_empty() {
             return home;
         }
@@ -117,10 +124,39 @@
         remote.find(|host| founders.data_centres.get(host) == Some(data_centre))
     }
 
+    /// Records that the process before has passed its parts of extra turns on.
+    pub(super) fn inherit_extra_turns(&self) {
+        self.has_inherited.store(true, Ordering::Release);
+    }
+
+    /// Whether this process, and no other of its host, may issue parts of extra
+    /// turns.
+    pub(super) fn may_issue_extra(&self) -> bool {
+        self.is_founder.load(Ordering::Acquire) || self.has_inherited.load(Ordering::Acquire)
+    }
+
+    /// Returns the part of a program's tokens that this process may issue beside
+    /// balances. What it inherited is a part of the extra turn alone: the process
+    /// before may have issued its part of the allowance.
+    pub(super) fn held_part(&self, own: &HostId, key: u64, budget: u64) -> Option<Part> {
+        let holders = self.part_holders(key);
+        let may_issue = self.may_issue_extra() && holders.holds_extra(own);
+        let is_founder = self.is_founder.load(Ordering::Acquire);
+        may_issue.then(|| Part {
+            budget,
+            allowance_holders: if is_founder {
+                holders.remote_count()
+            } else {
+                0
+            },
+            extra_parts: holders.extra_parts(),
+        })
+    }
+
     /// Returns the hosts that hold parts of a program's tokens if this process
-    /// may issue its part.
-    pub(super) fn own_part(&self, own: &HostId, key: u64) -> Option<PartHolders> {
-        let holders = self.issued_by()?.holders(key);
+    /// may issue its part of the allowance.
+    fn own_part(&self, own: &HostId, key: u64) -> Option<PartHolders> {
+        let holders = self.own_founders()?.part_holders(key);
         let is_holder = holders.home.as_ref() == Some(own) || holders.remote.contains(own);
         is_holder.then_some(holders)
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -25,7 +25,7 @@
 use super::directory::Endpoint;
 use super::following::FollowState;
 use super::freshness::Freshness;
-use super::isolation::HeldParts;
+use super::held_parts::HeldParts;
 use super::isolation::SpentPrograms;
 use super::metrics::GatewayMetrics;
 use super::origins::Origins;
--- a/src/gateway/home_balance.rs
+++ b/src/gateway/home_balance.rs
@@ -43,6 +43,9 @@
 const MAX_WRITE_CONFLICTS: usize = 8;
 /// Time that unused tokens stay at a host for the program's next turn.
 const UNSPENT_RETENTION: Duration = Duration::from_secs(3);
+/// Time after which hosts that did not give their part of an allowance are asked
+/// again.
+const COLLECT_PERIOD: Duration = Duration::from_secs(2);
 /// Interval between two returns of idle tokens.
 const RETURN_PERIOD: Duration = Duration::from_millis(500);
 
@@ -86,10 +89,17 @@
     DrawReply::Unavailable("the store does not answer this host".to_owned())
 }
 
-/// Whether other hosts may hold parts of the program's allowance within reach.
+/// Whether this host, as the program's home, should ask other hosts for parts of
+/// its allowance.
 fn may_collect<P: Platform>(cx: &Gateway<P>, program: &Arc<str>) -> bool {
-    let has_collected = cx.accounts.with_account(program, |a| a.has_collected);
-    !has_collected && !cx.is_isolated()
+    let now = Moment::now();
+    let is_due = cx.accounts.with_account(program, |account| {
+        let last = account.collected_at;
+        let is_over = last.is_none_or(|at| now.since(at) >= COLLECT_PERIOD);
+        !account.has_collected_all && is_over
+    });
+    let home = || cx.roster.lock().home(super::hash_of(program), now);
+    is_due && !cx.is_isolated() && home() == Home::Own
 }
 
 fn drawn_reply<P>(
@@ -138,9 +148,12 @@
         return Ok(());
     }
     if may_collect(cx, program) {
+        cx.accounts.with_account(program, |account| {
+            account.collected_at = Some(Moment::now());
+        });
         let collected = isolation::collect_allowance(cx, program, req.budget).await;
         cx.accounts.with_account(program, |account| {
-            account.has_collected = collected.is_complete;
+            account.has_collected_all = collected.is_complete;
             let balance = account.open_balance(cx, program, req.budget);
             balance.deposit(collected.tokens);
         });
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -91,6 +91,7 @@
         incarnation: Incarnation(unix_ms()),
         is_founder: is_first_start,
         divides_tokens: true,
+        passes_on: false,
     };
     // Assuming that a host has no entry at its first start saves a read.
     let mut is_new = is_first_start;
@@ -162,6 +163,10 @@
             return false;
         }
     };
+    // This write has taken the parts over, so that no other process can.
+    if before.as_ref().is_some_and(|(_, before)| before.passes_on) {
+        cx.accounts.inherit_extra_turns();
+    }
     let now = Moment::now();
     // A host that others do not expect gives them time to reduce their shares.
     let is_expected = cx.cfg.place.first_start || before.is_some();
@@ -178,6 +183,25 @@
     true
 }
 
+/// Passes this process's parts of extra turns on to the host's next one.
+pub async fn pass_on<P: Platform>(cx: &Gateway<P>) {
+    let name = cx.cfg.place.host.as_str();
+    let Ok(Some((version, entry))) =
+        platform::read_value::<HostEntry>(&cx.store, roster::KIND, name).await
+    else {
+        return;
+    };
+    let entry = HostEntry {
+        passes_on: true,
+        ..entry
+    };
+    let expect = Expect::At(version);
+    let written = platform::write_value(&cx.store, roster::KIND, name, expect, &entry).await;
+    if !matches!(written, Ok(Written::Done(_))) {
+        log::debug!("the parts of extra turns are not passed on");
+    }
+}
+
 /// Probes unresponsive hosts, and removes the entries of those that do not
 /// return.
 pub async fn maintain_hosts<P: Platform>(cx: Cx<P>) {
--- a/src/gateway/isolation.rs
+++ b/src/gateway/isolation.rs
@@ -24,7 +24,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::budget;
 use super::context::Cx;
 use super::context::Gateway;
 use super::draw_messages::DrawRequest;
@@ -44,16 +43,6 @@
 const SPENT_RETENTION: Duration = Duration::from_secs(300);
 /// Maximum number of spent budgets in one report, the newest first.
 const MAX_REPORTED: usize = 64;
-/// Divisor of the requested tokens, or of the turn's maximum if that is less,
-/// that gives the smallest number of tokens issued.
-const MIN_GRANT_DIVISOR: u64 = 3;
-/// Maximum number of programs of which issued parts are remembered. At that
-/// number no more are issued.
-const MAX_PROGRAMS: usize = 1 << 16;
-/// Time after its last use at which a program is over: far longer than its budget
-/// record is kept.
-const PROGRAM_RETENTION: Duration = Duration::from_secs(3600);
-
 #[derive(Serialize)]
 struct IsolatedDrawLine<'a> {
     program: &'a str,
@@ -63,137 +52,6 @@
     tokens: u64,
 }
 
-/// Tokens that this process issued of its parts of one program's tokens.
-#[derive(Clone, Debug)]
-struct IssuedParts {
-    budget: u64,
-    /// Maximum output of a turn in tokens.
-    turn: u64,
-    /// Tokens issued of the allowance.
-    allowance: u64,
-    /// Tokens issued of the extra turn that have not been drawn from the program's
-    /// balance since.
-    extra: u64,
-    /// Whether the balance cannot cover them any more.
-    is_final: bool,
-    last_used: Moment,
-}
-
-/// A program's tokens of which a process holds a part.
-#[derive(Clone, Copy, Debug)]
-pub struct Part {
-    /// Budget of the program in tokens.
-    pub budget: u64,
-    /// Hosts that hold an equal part of the allowance; 0 if this one holds none
-    /// beside a balance.
-    pub allowance_holders: u64,
-    /// Hosts that hold an equal part of the extra turn.
-    pub extra_parts: u64,
-}
-
-/// Parts of programs' tokens that this process holds outside of balances.
-#[derive(Debug, Default)]
-pub struct HeldParts(Mutex<HashMap<String, IssuedParts>>);
-
-impl HeldParts {
-    /// Issues up to `wanted` tokens of a turn with at most `turn` tokens, first of
-    /// the allowance, then of the extra turn. Returns 0 if too few are left.
-    pub fn draw(&self, program: &str, part: &Part, turn: u64, wanted: u64, now: Moment) -> u64 {
-        let mut issued = self.0.lock();
-        let Some(issued) = Self::entry(&mut issued, program, part.budget, turn, now) else {
-            return 0;
-        };
-        let allowance = wanted.min(issued.allowance_left(part));
-        let extra_part = issued.turn.min(turn) / part.extra_parts.max(1);
-        let extra = (wanted - allowance).min(extra_part.saturating_sub(issued.extra));
-        let tokens = allowance + extra;
-        if tokens < wanted.min(turn) / MIN_GRANT_DIVISOR || tokens == 0 {
-            return 0;
-        }
-        issued.allowance += allowance;
-        issued.extra += extra;
-        tokens
-    }
-
-    /// Issues what is left of the allowance, for the program's balance.
-    pub fn take_allowance(&self, program: &str, part: &Part, now: Moment) -> u64 {
-        let mut issued = self.0.lock();
-        let Some(issued) = Self::entry(&mut issued, program, part.budget, u64::MAX, now) else {
-            return 0;
-        };
-        let left = issued.allowance_left(part);
-        issued.allowance += left;
-        left
-    }
-
-    /// Returns a program's entry; `None` if there is no room for another. None is
-    /// dropped before its program is over, since it would be issued again.
-    fn entry<'a>(
-        issued: &'a mut HashMap<String, IssuedParts>,
-        program: &str,
-        budget: u64,
-        turn: u64,
-        now: Moment,
-    ) -> Option<&'a mut IssuedParts> {
-        if issued.len() >= MAX_PROGRAMS && !issued.contains_key(program) {
-            issued.retain(|_, issued| now.since(issued.last_used) < PROGRAM_RETENTION);
-            if issued.len() >= MAX_PROGRAMS {
-                return None;
-            }
-        }
-        let entry = issued.entry(program.to_owned()).or_insert(IssuedParts {
-            budget,
-            turn,
-            allowance: 0,
-            extra: 0,
-            is_final: false,
-            last_used: now,
-        });
-        entry.budget = entry.budget.min(budget);
-        entry.turn = entry.turn.min(turn);
-        entry.last_used = now;
-        Some(entry)
-    }
-
-    /// Returns requests that draw issued extra tokens from the programs' balances.
-    pub fn unsettled(&self) -> Vec<DrawRequest> {
-        let issued = self.0.lock();
-        let open = issued
-            .iter()
-            .filter(|(_, issued)| issued.extra > 0 && !issued.is_final);
-        let draw = |(program, issued): (&String, &IssuedParts)| DrawRequest {
-            program: program.clone(),
-            budget: issued.budget,
-            wanted: issued.extra,
-            turn: issued.extra,
-            may_wait: false,
-            session: 0,
-        };
-        open.map(draw).collect()
-    }
-
-    /// Records that extra tokens have been drawn from the program's balance.
-    pub fn record_drawn(&self, program: &str, tokens: u64) {
-        if let Some(issued) = self.0.lock().get_mut(program) {
-            issued.extra = issued.extra.saturating_sub(tokens);
-        }
-    }
-
-    /// Records that the program's balance does not cover the issued tokens.
-    pub fn record_spent(&self, program: &str) {
-        if let Some(issued) = self.0.lock().get_mut(program) {
-            issued.is_final = true;
-        }
-    }
-}
-
-impl IssuedParts {
-    fn allowance_left(&self, part: &Part) -> u64 {
-        let part = budget::remote_allowance(self.budget, part.allowance_holders);
-        part.saturating_sub(self.allowance)
-    }
-}
-
 /// Hashes of programs whose budget is spent.
 #[derive(Debug, Default)]
 pub struct SpentPrograms(Mutex<HashMap<u64, Moment>>);
@@ -258,8 +116,7 @@
 pub fn draw_here<P: Platform>(cx: &Gateway<P>, req: &DrawRequest) -> u64 {
     let key = super::hash_of(&req.program);
     let own = &cx.cfg.place.host;
-    let holders = cx.accounts.own_part(own, key);
-    let Some(holders) = holders.filter(|holders| holders.holds_extra(own)) else {
+    let Some(part) = cx.accounts.held_part(own, key, req.budget) else {
         return 0;
     };
     if cx.spent.contains(&req.program) {
@@ -272,11 +129,6 @@
         wanted,
         ..
     } = req;
-    let part = Part {
-        budget: *budget,
-        allowance_holders: holders.remote_count(),
-        extra_parts: holders.extra_parts(),
-    };
     let tokens = cx
         .held_parts
         .draw(program, &part, *turn, *wanted, Moment::now());
@@ -304,15 +156,9 @@
 pub fn give_allowance<P: Platform>(cx: &Gateway<P>, req: &CollectRequest) -> u64 {
     let key = super::hash_of(&req.program);
     let own = &cx.cfg.place.host;
-    let holders = cx.accounts.own_part(own, key);
-    let Some(holders) = holders.filter(|holders| holders.remote.contains(own)) else {
+    let Some(part) = cx.accounts.held_part(own, key, req.budget) else {
         return 0;
     };
-    let part = Part {
-        budget: req.budget,
-        allowance_holders: holders.remote_count(),
-        extra_parts: holders.extra_parts(),
-    };
     cx.held_parts
         .take_allowance(&req.program, &part, Moment::now())
 }
@@ -334,7 +180,7 @@
         program: program.to_owned(),
         budget,
     };
-    let holders = cx.accounts.holders(key).remote;
+    let holders = cx.accounts.part_holders(key).remote;
     let mut collected = Collected {
         tokens: 0,
         is_complete: true,
@@ -373,6 +219,13 @@
     }
 }
 
+/// Ends the issue of tokens at shutdown. Returns whether the next process of this
+/// host may issue its parts of extra turns.
+pub async fn close<P: Platform>(cx: &Cx<P>) -> bool {
+    settle(cx).await;
+    cx.accounts.may_issue_extra() && cx.held_parts.close()
+}
+
 async fn settle<P: Platform>(cx: &Cx<P>) {
     for req in cx.held_parts.unsettled() {
         match reservation::draw(cx, &req).await {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod follow;
 pub mod following;
 pub mod freshness;
+pub mod held_parts;
 pub mod home_balance;
 pub mod hop;
 pub mod hop_port;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -37,6 +37,10 @@
     /// do not.
     #[serde(default)]
     pub divides_tokens: bool,
+    /// Whether the process has ended and passed its parts of extra turns on to the
+    /// host's next one.
+    #[serde(default)]
+    pub passes_on: bool,
 }
 
 /// Object kind of the list of founders.
@@ -94,7 +98,7 @@
     /// Returns the hosts that hold parts of the tokens of the program with this
     /// key: the first by rendezvous hash, and the first of each of a few other
     /// data centres, since any of them may be isolated.
-    pub fn holders(&self, key: u64) -> PartHolders {
+    pub fn part_holders(&self, key: u64) -> PartHolders {
         let mut ranked: Vec<&HostId> = self.hosts.iter().collect();
         ranked.sort_by_key(|host| std::cmp::Reverse(mix(super::hash_of(host.as_str()) ^ key)));
         let Some(home) = ranked.first() else {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -43,11 +43,11 @@
 use super::exchange;
 use super::follow;
 use super::freshness::Freshness;
+use super::held_parts::HeldParts;
 use super::home_balance;
 use super::hop_port;
 use super::hosts;
 use super::isolation;
-use super::isolation::HeldParts;
 use super::isolation::SpentPrograms;
 use super::limit_draws;
 use super::metrics::GatewayMetrics;
@@ -331,6 +331,9 @@
     cx.drain_limit.end();
     wait_closed(cx, control, deadline + LAST_ANSWERS).await;
     origins::hand_over(cx).await;
+    if isolation::close(cx).await {
+        hosts::pass_on(cx).await;
+    }
     home_balance::close(cx).await;
     let requests = control.requests();
     cx.log.state("stopped", &DrainLine { requests });
--- a/tests/gateway/cut_off_data_centre.rs
+++ b/tests/gateway/cut_off_data_centre.rs
@@ -6,8 +6,8 @@
 use chicoryarch::gateway::budget;
 use chicoryarch::gateway::budget::Account;
 use chicoryarch::gateway::directory::Endpoint;
-use chicoryarch::gateway::isolation::HeldParts;
-use chicoryarch::gateway::isolation::Part;
+use chicoryarch::gateway::held_parts::HeldParts;
+use chicoryarch::gateway::held_parts::Part;
 use chicoryarch::gateway::isolation::SpentPrograms;
 use chicoryarch::gateway::placing::Criteria;
 use chicoryarch::gateway::placing::Pool;
@@ -182,7 +182,7 @@
 
     /// The part that a host may issue.
     fn part(&self, host: usize, key: u64) -> Option<Part> {
-        let holders = self.founders.holders(key);
+        let holders = self.founders.part_holders(key);
         let may_issue = self.processes[host].is_founder && holders.holds_extra(&self.names[host]);
         may_issue.then(|| Part {
             budget: BUDGET,
@@ -195,7 +195,7 @@
 /// Whether the tokens that hosts issued without a record, beside the part of the
 /// first home, fit the guarantee.
 fn is_within(hosts: &Hosts, key: u64, issued: u64) -> bool {
-    let remote = hosts.founders.holders(key).remote_count();
+    let remote = hosts.founders.part_holders(key).remote_count();
     let home = budget::home_allowance(BUDGET, remote);
     home + issued <= budget::allowance(BUDGET) + TURN
 }
@@ -249,7 +249,7 @@
     for (data_centres, remote) in [(1, 0), (2, 1), (3, 2), (4, 3), (19, 3)] {
         let hosts = Hosts::new(2 * data_centres, data_centres);
         for key in 0..100 {
-            let holders = hosts.founders.holders(key);
+            let holders = hosts.founders.part_holders(key);
             assert_eq!(holders.remote.len(), remote);
             let all = holders.remote.iter().chain(&holders.home);
             let mut places: Vec<_> = all
@@ -269,7 +269,7 @@
     let stored = r#"{"hosts":["host-1","host-2","host-3"]}"#;
     let founders: Founders = serde_json::from_str(stored).expect("a list");
     for key in 0..100 {
-        let holders = founders.holders(key);
+        let holders = founders.part_holders(key);
         assert!(holders.remote.is_empty());
         assert!(holders.holds_extra(&holders.home.clone().expect("a host")));
     }
--- a/tests/gateway/membership_random.rs
+++ b/tests/gateway/membership_random.rs
@@ -91,6 +91,7 @@
             incarnation: Incarnation(started),
             is_founder: false,
             divides_tokens: true,
+            passes_on: false,
         };
         let mut roster = Roster::new(host.clone());
         let added = (host.clone(), entry.clone());
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -35,6 +35,7 @@
         incarnation: Incarnation(incarnation),
         is_founder: true,
         divides_tokens: true,
+        passes_on: false,
     }
 }
 
@@ -115,7 +116,7 @@
             hosts: (0..6).map(host).collect(),
             ..Founders::default()
         };
-        let expected = founders.holders(key).home.expect("there are hosts");
+        let expected = founders.part_holders(key).home.expect("there are hosts");
         for own in 0..6 {
             let home = roster(own, 6).home(key, at(0));
             match home {
--- a/tests/gateway/versions_side_by_side.rs
+++ b/tests/gateway/versions_side_by_side.rs
@@ -201,6 +201,7 @@
             incarnation: Incarnation(1),
             is_founder: true,
             divides_tokens: true,
+            passes_on: false,
         };
         roster.put(name(n), entry);
     }
--- a/tests/gateway_processes/cut_off_data_centres.rs
+++ b/tests/gateway_processes/cut_off_data_centres.rs
@@ -5,8 +5,10 @@
 
 use chicoryarch_standins::fleet::Proxy;
 use chicoryarch_standins::fleet::endpoint::Behaviour;
+use chicoryarch_standins::fleet::objects::StoreFaults;
 use chicoryarch_standins::fleet::proxy::Cut;
 use http::StatusCode;
+use rustix::process::Signal;
 
 use super::fleet::Addresses;
 use super::fleet::Fleet;
@@ -183,3 +185,46 @@
     world.cut_off();
     add(&mut sums, &world.round("again"));
 }
+
+/// Whether a restarted host serves a program that begins while it is isolated.
+fn serves_after(restart: impl FnOnce(&mut Gateway)) -> bool {
+    let fleet = Fleet::new();
+    let short = Behaviour {
+        events: 2,
+        ..ENGINE
+    };
+    fleet.endpoint("e1", "engine", short);
+    let mut host = fleet.gateway("g1");
+    wait_until("the founders are agreed", || {
+        fleet.store.spec("chicoryarch-founders", "first").is_some()
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    restart(&mut host);
+    let store = fleet.store.addr();
+    let host = fleet.start_gateway_at("g1", host.addresses, store, &[], false);
+    host.wait_ready(&fleet);
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.store.set_faults(StoreFaults {
+        is_unavailable: true,
+        ..StoreFaults::default()
+    });
+    std::thread::sleep(NOTICED);
+    let headers = [
+        ("request-id", "r"),
+        ("program-id", "new"),
+        ("token-usage", "100,50"),
+        ("token-budget", "400"),
+    ];
+    fleet.call(&host, "/turns/", &headers).status == StatusCode::OK
+}
+
+// Guards against data centres that serve no program in a cut once their hosts
+// have been restarted as planned, and against a second issue after a kill.
+#[test]
+fn parts_of_extra_turns_outlast_planned_restarts_only() {
+    assert!(serves_after(|host| {
+        host.signal(Signal::TERM);
+        assert!(host.wait());
+    }));
+    assert!(!serves_after(Gateway::kill));
+}
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -250,6 +250,7 @@
             incarnation: Incarnation(1),
             is_founder: true,
             divides_tokens: true,
+            passes_on: false,
         };
         roster.put(host(n), entry);
     }
