--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod contact;
 mod cut_off_data_centre;
 mod directory;
+mod earlier_release;
 mod engines_leaving;
 mod engines_replaced;
 mod event_stream;
