--- a/src/load/deployment.rs
+++ b/src/load/deployment.rs
@@ -96,7 +96,7 @@
         let mut endpoints = model_endpoints(12, 4);
         endpoints.extend(plain_endpoints(24, 4, &[1]));
         Self {
-            name: "notovka",
+            name: "scores",
             data_centres: 4,
             distance: Duration::from_micros(500),
             hosts: 8,
@@ -116,7 +116,7 @@
         let mut endpoints = model_endpoints(8, 3);
         endpoints.extend(plain_endpoints(28, 3, &[1, 2]));
         Self {
-            name: "huerta-sur",
+            name: "labels",
             data_centres: 3,
             distance: Duration::from_micros(1_500),
             hosts: 6,
