Name the frames of a segment in a directory that no text reaches

Cause: after a torn or damaged frame, the recovery of a turn log looked for the next frame at every byte behind it, and so within the text of the torn one. Format and checksum of a frame are public, so that a caller can write whole frames into a prompt.

Change: a segment begins with a directory of fixed size, whose entries have fixed places and hold numbers only. A frame is read where the one before it ends, or where an entry names one. Entries are written with the same sync as their frames. Segments of earlier releases are read in sequence up to the first bytes that are no frame, which count as damage. An earlier release takes a disk of this one for a new one, since it finds no file `since`. The line after a torn one in the audit trail is whole.

Ruled out: another mark or checksum in the frame, which can be imitated as well; frames between hosts, which are read in sequence within a body of known length; keys, which keep customer and id apart.

The tests of damage now use segments with a directory, with the same assertions; what they asked of a plain segment, to find frames behind damage, was the fault itself.

--- a/src/archive/mod.rs
+++ b/src/archive/mod.rs
@@ -63,6 +63,7 @@
 use crate::protection::homes::Regions;
 
 pub mod counters;
+pub mod directory;
 pub mod holders;
 pub mod index;
 pub mod maintenance;
@@ -558,10 +559,11 @@
         true => Since::At(now_ms),
         false => new_since,
     };
-    if since != Some(wanted) {
-        if wanted != Since::FirstStart {
-            segments::request_refill(folder)?;
-        }
+    let is_new = since != Some(wanted);
+    if is_new && wanted != Since::FirstStart {
+        segments::request_refill(folder)?;
+    }
+    if is_new || segments::is_readable_by_earlier(folder) {
         segments::write_since(folder, wanted)?;
     }
     Ok((index, segments, recovery, wanted))
--- a/src/archive/recovery.rs
+++ b/src/archive/recovery.rs
@@ -3,14 +3,20 @@
 
 use bytes::Bytes;
 
+use super::directory::DIRECTORY_BYTES;
+use super::directory::Directory;
 use crate::turns::record::Record;
 use crate::turns::record::RecordError;
 use crate::turns::record::RecordHead;
 
-/// Bytes of a frame before its head.
-const HEAD_OFFSET: usize = 13;
-/// Beginning of every head, by which a frame after damaged bytes is found.
-const HEAD_START: &[u8] = br#"{"id":""#;
+/// Layout of a segment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Layout {
+    /// Frames without a directory, as earlier releases wrote them.
+    Plain,
+    /// Frames after the directory of the segment with this number.
+    Directory(u64),
+}
 
 /// A valid frame of a segment.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,36 +40,50 @@
     pub end: usize,
     /// Number of bytes before `end` that belong to no whole frame.
     pub damaged: usize,
+    /// Places of the entries that name frames from `end` on. Their write was not
+    /// completed, or they are damaged.
+    pub unread: Vec<usize>,
 }
 
 /// Finds the valid frames of a segment. Bytes after the last whole one are a torn
 /// end: their write was not completed.
-pub fn scan(segment: &Bytes) -> Scan {
-    let mut found = Scan::default();
-    let mut offset = 0;
+///
+/// A frame is read only where the one before it ends, or where the directory names
+/// one: what lies within a frame may look like frames.
+pub fn scan(segment: &Bytes, layout: Layout) -> Scan {
+    let (mut offset, directory) = match layout {
+        Layout::Plain => (0, Directory::default()),
+        Layout::Directory(number) => {
+            let end = segment.len().min(DIRECTORY_BYTES);
+            (DIRECTORY_BYTES, Directory::read(number, &segment[..end]))
+        }
+    };
+    let mut found = Scan {
+        end: offset.min(segment.len()),
+        ..Scan::default()
+    };
     while offset < segment.len() {
-        let bytes = match frame_at(segment, offset) {
-            Ok(frame) => {
-                let bytes = frame.bytes;
-                found.frames.push(frame);
-                bytes
-            }
-            Err(RecordError::UnknownFormat { bytes, .. }) => {
-                found.skipped += 1;
-                bytes
-            }
-            Err(_) => match next_start(segment, offset + 1) {
-                Some(next) => {
-                    offset = next;
-                    continue;
-                }
-                None => break,
-            },
+        let (bytes, frame) = match frame_at(segment, offset) {
+            Ok(frame) => (frame.bytes, Some(frame)),
+            Err(RecordError::UnknownFormat { bytes, .. }) => (bytes, None),
+            Err(_) => (0, None),
         };
+        if bytes == 0 || !directory.allows(offset, bytes) {
+            match directory.next_start(offset) {
+                Some(next) => offset = next,
+                None => break,
+            }
+            continue;
+        }
+        match frame {
+            Some(frame) => found.frames.push(frame),
+            None => found.skipped += 1,
+        }
         found.damaged += offset - found.end;
         offset += bytes;
         found.end = offset;
     }
+    found.unread = directory.places_from(found.end);
     found
 }
 
@@ -77,11 +97,3 @@
         head: record.head,
     })
 }
-
-/// Returns the next offset at which a frame may start.
-fn next_start(segment: &Bytes, from: usize) -> Option<usize> {
-    let searched = segment.get(from + HEAD_OFFSET..)?;
-    let mut windows = searched.windows(HEAD_START.len());
-    let found = windows.position(|bytes| bytes == HEAD_START)?;
-    Some(from + found)
-}
--- a/src/archive/segments.rs
+++ b/src/archive/segments.rs
@@ -13,14 +13,24 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 
+use super::directory;
 use super::index::Index;
 use super::index::Position;
 use super::recovery;
+use super::recovery::Layout;
 
-/// Extension of a segment's file name, which is its number in hex.
-const EXTENSION: &str = "log";
+/// Extension of the file name of a segment with a directory. The name is its
+/// number in hex.
+const EXTENSION: &str = "seg";
+/// Extension of a segment that an earlier release wrote, without a directory.
+const PLAIN_EXTENSION: &str = "log";
+/// Number of the first segment with a directory. Those without have lower numbers.
+const FIRST_SEGMENT: u64 = 1 << 31;
 /// File that tells since when the disk has held all that was acknowledged.
-const SINCE_FILE: &str = "since";
+const SINCE_FILE: &str = "whole-since";
+/// The same of an earlier release, which cannot read the segments of this one. It
+/// takes a disk without the file for an empty one.
+const PLAIN_SINCE_FILE: &str = "since";
 /// Content of [`SINCE_FILE`] on a disk that dates from the first start of the
 /// deployment.
 const SINCE_FIRST_START: &str = "first-start";
@@ -29,8 +39,9 @@
 /// refilled from other hosts.
 const REFILL_FILE: &str = "refill";
 
-/// Since when a disk has held everything that its host has acknowledged.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Since when a disk has held everything that its host has acknowledged, the
+/// longest time first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Since {
     /// Since the first start of the deployment: nothing was acknowledged before.
     FirstStart,
@@ -61,8 +72,17 @@
 
 /// Reads since when a disk has held everything; `None` if it has no log.
 pub fn read_since(folder: &Path) -> Option<Since> {
-    let text = fs::read_to_string(folder.join(SINCE_FILE)).ok()?;
-    Since::parse(&text)
+    let read = |file: &str| {
+        let text = fs::read_to_string(folder.join(file)).ok()?;
+        Since::parse(&text)
+    };
+    let files = [SINCE_FILE, PLAIN_SINCE_FILE];
+    files.into_iter().filter_map(read).max()
+}
+
+/// Whether an earlier release would take the disk for one that holds everything.
+pub fn is_readable_by_earlier(folder: &Path) -> bool {
+    folder.join(PLAIN_SINCE_FILE).exists()
 }
 
 /// Writes since when the disk has held everything, and waits until it is on
@@ -83,6 +103,10 @@
     file.sync_all()?;
     fs::rename(&new, folder.join(SINCE_FILE))?;
     sync_folder(folder)?;
+    if is_readable_by_earlier(folder) {
+        fs::remove_file(folder.join(PLAIN_SINCE_FILE))?;
+        sync_folder(folder)?;
+    }
     // The folder itself may be new.
     folder.parent().map_or(Ok(()), sync_folder)
 }
@@ -167,22 +191,24 @@
         for number in numbers {
             let path = path_of(folder, number);
             let segment = Bytes::from(fs::read(&path)?);
-            let scan = recovery::scan(&segment);
+            let layout = layout_of(number);
+            let scan = recovery::scan(&segment, layout);
             recovery.records += scan.frames.len();
             recovery.skipped_records += scan.skipped;
             recovery.damaged_bytes += scan.damaged as u64;
             let torn = (segment.len() - scan.end) as u64;
-            if torn > 0 && Some(number) == last {
-                let file = fs::OpenOptions::new().write(true).open(&path)?;
-                file.set_len(scan.end as u64)?;
-                file.sync_all()?;
+            let is_ended = torn == 0 && scan.unread.is_empty();
+            // Without a directory, a torn end cannot be told from damage. A later
+            // segment begins only after this one was synced.
+            let is_torn = !is_ended && layout != Layout::Plain && Some(number) == last;
+            if is_torn {
+                cut_off(&path, scan.end as u64, &scan.unread)?;
                 recovery.torn_bytes += torn;
-            } else {
-                // A later segment begins only after this one was synced.
-                recovery.damaged_bytes += torn;
+            } else if !is_ended {
+                recovery.damaged_bytes += torn.max(1);
             }
             index.add_segment(number);
-            if scan.damaged > 0 || (torn > 0 && Some(number) != last) {
+            if scan.damaged > 0 || (!is_ended && !is_torn) {
                 index.set_damaged(number);
             }
             for frame in scan.frames {
@@ -214,7 +240,7 @@
             .lock()
             .last_key_value()
             .map(|(number, _)| *number);
-        let number = last.map_or(0, |last| last + 1);
+        let number = last.map_or(FIRST_SEGMENT, |last| FIRST_SEGMENT.max(last + 1));
         let file = fs::OpenOptions::new()
             .create_new(true)
             .read(true)
@@ -252,13 +278,36 @@
     }
 }
 
+/// Removes a torn end, and before it the entries of its frames: they would be
+/// missing once another segment follows.
+fn cut_off(path: &Path, end: u64, entries: &[usize]) -> io::Result<()> {
+    let file = fs::OpenOptions::new().write(true).open(path)?;
+    for place in entries {
+        let [from, to] = [*place, place + 1].map(directory::entry_offset);
+        file.write_all_at(&vec![0; to - from], from as u64)?;
+    }
+    file.sync_data()?;
+    file.set_len(end)?;
+    file.sync_all()
+}
+
+const fn layout_of(number: u64) -> Layout {
+    match number < FIRST_SEGMENT {
+        true => Layout::Plain,
+        false => Layout::Directory(number),
+    }
+}
+
 fn path_of(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("{number:016x}.{EXTENSION}"))
+    let extension = match layout_of(number) {
+        Layout::Plain => PLAIN_EXTENSION,
+        Layout::Directory(_) => EXTENSION,
+    };
+    folder.join(format!("{number:016x}.{extension}"))
 }
 
 fn number_of(path: &Path) -> Option<u64> {
-    if path.extension()? != EXTENSION {
-        return None;
-    }
-    u64::from_str_radix(path.file_stem()?.to_str()?, 16).ok()
+    let number = u64::from_str_radix(path.file_stem()?.to_str()?, 16).ok()?;
+    let own = path_of(path.parent()?, number);
+    (path == own).then_some(number)
 }
--- a/src/archive/writer.rs
+++ b/src/archive/writer.rs
@@ -18,6 +18,9 @@
 use chicoryarch_net::buffered::ReservedBytes;
 
 use super::Shared;
+use super::directory;
+use super::directory::DIRECTORY_BYTES;
+use super::directory::MAX_FRAMES;
 use super::index::Admission;
 use super::index::Position;
 use super::index::SparseSegment;
@@ -144,6 +147,7 @@
     number: u64,
     file: Arc<File>,
     bytes: u64,
+    frames: usize,
 }
 
 struct LogWriter {
@@ -248,16 +252,25 @@
     }
 
     fn write(&mut self, batch: &Batch) -> io::Result<()> {
-        if batch.bytes.is_empty() {
-            return Ok(());
+        for records in batch.records.chunks(MAX_FRAMES) {
+            self.write_chunk(&batch.bytes, records)?;
         }
-        let start = self.append(&batch.bytes)?;
+        Ok(())
+    }
+
+    /// Writes records that follow each other in a batch, and inserts them into the
+    /// index.
+    fn write_chunk(&mut self, bytes: &[u8], records: &[(Received, usize)]) -> io::Result<()> {
+        let from = records.first().map_or(0, |(_, offset)| *offset);
+        let lengths: Vec<usize> = records.iter().map(|(r, _)| r.frame.len()).collect();
+        let to = from + lengths.iter().sum::<usize>();
+        let start = self.append(&bytes[from..to], &lengths)?;
         let now_ms = unix_ms();
         let mut index = self.shared.index.lock();
-        for (received, offset) in &batch.records {
+        for (received, offset) in records {
             let at = Position {
                 segment: start.segment,
-                offset: start.offset + *offset as u64,
+                offset: start.offset + (offset - from) as u64,
                 bytes: received.frame.len() as u64,
             };
             index.insert(&received.record.head, at, now_ms);
@@ -266,23 +279,31 @@
         Ok(())
     }
 
-    /// Appends frames to the log and waits until they are on disk. Returns where
-    /// they are.
-    fn append(&mut self, frames: &[u8]) -> io::Result<Position> {
-        let is_filled = |current: &Current| current.bytes >= SEGMENT_BYTES;
+    /// Appends frames of these lengths to the log and waits until they are on disk.
+    /// Returns where they are.
+    fn append(&mut self, frames: &[u8], lengths: &[usize]) -> io::Result<Position> {
+        let is_filled = |current: &Current| {
+            current.bytes >= SEGMENT_BYTES || current.frames + lengths.len() > MAX_FRAMES
+        };
         let mut current = match self.current.take() {
             Some(current) if !is_filled(&current) => current,
             _ => self.begin_segment()?,
         };
         let started = Moment::now();
-        let written = current
-            .file
+        let (place, file) = (current.frames, &current.file);
+        let lengths = lengths.iter().copied();
+        let added = lengths.len();
+        let entries = directory::encode(current.number, place, current.bytes, lengths);
+        let entries_at = directory::entry_offset(place) as u64;
+        let written = file
             .write_all_at(frames, current.bytes)
-            .and_then(|()| current.file.sync_data());
+            .and_then(|()| file.write_all_at(&entries, entries_at))
+            .and_then(|()| file.sync_data());
         if let Err(e) = written {
             // What was written was not acknowledged. The segment is not written to
             // again, since the state of its pages is unknown after a failed sync.
-            let _failed = current.file.set_len(current.bytes);
+            let _failed = file.write_all_at(&vec![0; entries.len()], entries_at);
+            let _failed = file.set_len(current.bytes);
             return Err(e);
         }
         let at = Position {
@@ -291,6 +312,7 @@
             bytes: frames.len() as u64,
         };
         current.bytes += at.bytes;
+        current.frames += added;
         self.current = Some(current);
         let time = Moment::now().since(started);
         self.shared.counters.add_written(frames.len(), time);
@@ -303,7 +325,8 @@
         Ok(Current {
             number,
             file,
-            bytes: 0,
+            bytes: DIRECTORY_BYTES as u64,
+            frames: 0,
         })
     }
 
@@ -334,14 +357,15 @@
     }
 
     fn compact(&mut self, sparse: &SparseSegment) -> io::Result<()> {
-        let mut frames = Vec::new();
-        for (_, at) in &sparse.records {
-            frames.extend_from_slice(&self.segments.read(*at)?);
-        }
-        if !frames.is_empty() {
-            let mut to = self.append(&frames)?;
+        for records in sparse.records.chunks(MAX_FRAMES) {
+            let mut frames = Vec::new();
+            for (_, at) in records {
+                frames.extend_from_slice(&self.segments.read(*at)?);
+            }
+            let lengths: Vec<usize> = records.iter().map(|(_, at)| at.bytes as usize).collect();
+            let mut to = self.append(&frames, &lengths)?;
             let mut index = self.shared.index.lock();
-            for (key, from) in &sparse.records {
+            for (key, from) in records {
                 to.bytes = from.bytes;
                 index.relocate(key, *from, to);
                 to.offset += from.bytes;
--- a/src/gateway/archive.rs
+++ b/src/gateway/archive.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io;
 use std::io::Write;
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -112,13 +113,27 @@
         }
         let mut file = fs::OpenOptions::new()
             .create(true)
+            .read(true)
             .append(true)
             .open(&path)?;
+        if is_torn(&file)? {
+            file.write_all(b"\n")?;
+        }
         file.write_all(lines)?;
         file.sync_data()
     }
 }
 
+/// Whether the last line of a file was not written to its end.
+fn is_torn(file: &fs::File) -> io::Result<bool> {
+    let Some(last) = file.metadata()?.len().checked_sub(1) else {
+        return Ok(false);
+    };
+    let mut end = [0];
+    file.read_exact_at(&mut end, last)?;
+    Ok(end != *b"\n")
+}
+
 /// Runs the archive until the process receives a signal to stop.
 ///
 /// # Errors
--- a/tests/archive/main.rs
+++ b/tests/archive/main.rs
@@ -1,5 +1,6 @@
 //! Storage of kept turns on archive hosts.
 
+mod audit_trail;
 mod fleet;
 mod holders;
 mod liveness;
--- a/tests/archive/processes.rs
+++ b/tests/archive/processes.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use chicoryarch::archive::directory::DIRECTORY_BYTES;
 use chicoryarch::archive::server_api::PageQuery;
 use chicoryarch::configs::gateway::ArchiveConfig;
 use chicoryarch::turns::record::Record;
@@ -153,9 +154,9 @@
     let records = ["first", "second", "third"].map(|id| record(id, "", &holders, "text"));
     assert_eq!(fleet.store_turns(&archive, &records).status, StatusCode::OK);
     archive.kill();
-    let segment = archive.data.join("turns/0000000000000000.log");
+    let segment = archive.data.join("turns/0000000080000000.seg");
     let mut bytes = fs::read(&segment).expect("the first segment");
-    let middle = bytes.len() / 2;
+    let middle = usize::midpoint(DIRECTORY_BYTES, bytes.len());
     bytes[middle] ^= 1;
     fs::write(&segment, bytes).expect("it can be written");
     archive.start();
@@ -172,6 +173,75 @@
     }
 }
 
+/// Guards against text of a caller that is returned as a turn after two kills in
+/// mid-write, and against turns that are lost with the torn ends.
+#[test]
+fn text_of_torn_records_is_never_returned_as_a_turn() {
+    let fleet = Fleet::new();
+    let mut archive = fleet.archive("a-archive-1", "a");
+    fleet.wait_listed(&archive);
+    let holders = ["a-archive-1"];
+    let forged = record("forged", "", &holders, "text of another customer").to_frame();
+    let mut torn = record("torn", "", &holders, "");
+    torn.text = forged.repeat(3).into();
+    let torn = torn.to_frame();
+    let ids = ["first", "second", "third"];
+    for (n, id) in ids.iter().enumerate() {
+        let stored = fleet.store_turns(&archive, &[record(id, "", &holders, id)]);
+        assert_eq!(stored.status, StatusCode::OK);
+        archive.kill();
+        let folder = fs::read_dir(archive.data.join("turns")).expect("the log");
+        let files = folder.map(|entry| entry.expect("readable").path());
+        let segments = files.filter(|path| path.extension().is_some_and(|e| e == "seg"));
+        let last = segments.max().expect("a segment");
+        let mut file = fs::OpenOptions::new().append(true).open(last).expect("it");
+        file.write_all(&torn[..torn.len() - 1]).expect("it grows");
+        archive.start();
+        fleet.wait_listed(&archive);
+        for stored in &ids[..=n] {
+            assert_eq!(fleet.turn(&archive, stored).record().text, stored);
+        }
+        let absent = fleet.turn(&archive, "forged");
+        assert_eq!(absent.status, StatusCode::NOT_FOUND);
+        assert_eq!(absent.json(), json!({"whole_for_ms": ALWAYS_MS}));
+    }
+}
+
+/// Guards against turns that are lost when a host is upgraded from the release
+/// whose segments have no directory.
+#[test]
+fn the_disk_of_an_earlier_release_is_read() {
+    let fleet = Fleet::new();
+    let mut archive = fleet.archive("a-archive-1", "a");
+    fleet.wait_listed(&archive);
+    archive.kill();
+    let turns = archive.data.join("turns");
+    fs::remove_dir_all(&turns).expect("the log");
+    fs::create_dir(&turns).expect("the folder takes files");
+    fs::write(turns.join("since"), "first-start").expect("the folder takes files");
+    let holders = ["a-archive-1"];
+    let first = record("first", "", &holders, "one;");
+    let second = record("second", "first", &holders, "two;");
+    let third = record("third", "second", &holders, "three;");
+    for (file, record) in [(0, &first), (1, &second)] {
+        let path = turns.join(format!("{file:016x}.log"));
+        fs::write(path, record.to_frame()).expect("the folder takes files");
+    }
+    for is_first_start in [true, false] {
+        archive.start();
+        fleet.wait_listed(&archive);
+        if is_first_start {
+            let stored = fleet.store_turns(&archive, std::slice::from_ref(&third));
+            assert_eq!(stored.status, StatusCode::OK);
+        }
+        let text = fleet.turn(&archive, "third").record().text;
+        assert_eq!(text, "one;two;three;");
+        let absent = fleet.turn(&archive, "unknown").json();
+        assert_eq!(absent, json!({"whole_for_ms": ALWAYS_MS}));
+        archive.kill();
+    }
+}
+
 /// Guards against a full disk that drops live records, confirms records that are
 /// not on it, or is never used again.
 #[test]
