Derive the times of repair from the deployment's bound

Cause: a holder counted as lost after 10 s, and lost holders were looked for every 6 s, whatever the deployment's bounds. A transfer to a host that was lost as well waited for 8 s, and probes waited for each other.

Change: silence, interval of checks, time limits and pauses are parts of bounds.catch_up_s, counted from the last answer of the lost host. Probes and repair run apart. Records go out 1 MB at a time with a pause as long as each round, until three quarters of the time have passed. A repair ends when a silent host answers again. Lists of holders that no record has any more are not looked at again.

Ruled out: the refill of a lost disk, which begins at once and reads other hosts side by side.

--- a/src/archive/holders.rs
+++ b/src/archive/holders.rs
@@ -13,9 +13,6 @@
 use crate::ids::HostId;
 use crate::units::Moment;
 
-/// Silence after which an archive host counts as lost.
-pub const LOST_AFTER: Duration = Duration::from_secs(10);
-
 /// What is known of a listed archive host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedHost {
@@ -37,14 +34,25 @@
 }
 
 /// Contact with the other archive hosts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Contacts {
+    /// Silence after which a host counts as lost.
+    silence: Duration,
     hosts: BTreeMap<HostId, Contact>,
     /// Hosts that left the list after they had been emptied.
     emptied: BTreeSet<HostId>,
 }
 
 impl Contacts {
+    /// Creates the contact of a host that takes others for lost after `silence`.
+    pub const fn new(silence: Duration) -> Self {
+        Self {
+            silence,
+            hosts: BTreeMap::new(),
+            emptied: BTreeSet::new(),
+        }
+    }
+
     /// Takes over the list of the other archive hosts.
     pub fn set_listed(&mut self, listed: &ListedHosts, now: Moment) {
         let emptied = &mut self.emptied;
@@ -73,12 +81,17 @@
         }
     }
 
+    /// Listed hosts that have not answered for so long that they count as lost.
+    pub fn silent(&self, now: Moment) -> BTreeSet<HostId> {
+        self.silent_for(self.silence, now)
+    }
+
     /// Listed hosts that have not answered for `span`. There are none if fewer
     /// than half of the others have answered lately: this host is the one that is
     /// cut off then.
     pub fn silent_for(&self, span: Duration, now: Moment) -> BTreeSet<HostId> {
         let is_silent = |contact: &Contact, span: Duration| now.since(contact.answered) >= span;
-        let silent = self.hosts.values().filter(|c| is_silent(c, LOST_AFTER));
+        let silent = self.hosts.values().filter(|c| is_silent(c, self.silence));
         if silent.count() * 2 > self.hosts.len() {
             return BTreeSet::new();
         }
--- a/src/archive/index.rs
+++ b/src/archive/index.rs
@@ -403,6 +403,10 @@
                 self.records.remove(key);
             }
         }
+        self.remove_unused_lists();
+    }
+
+    fn remove_unused_lists(&mut self) {
         self.holders
             .retain(|holders| Arc::strong_count(holders) > 1);
     }
@@ -502,7 +506,8 @@
 
     /// Returns the distinct lists of holders, of which there are far fewer than
     /// records.
-    pub fn holder_lists(&self) -> Vec<Arc<[HostId]>> {
+    pub fn holder_lists(&mut self) -> Vec<Arc<[HostId]>> {
+        self.remove_unused_lists();
         self.holders.iter().map(Arc::clone).collect()
     }
 
--- a/src/archive/maintenance.rs
+++ b/src/archive/maintenance.rs
@@ -3,14 +3,13 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_io::Timer;
+use parking_lot::Mutex;
 use serde::Serialize;
 
 use super::Storage;
 use super::holders;
-use super::holders::LOST_AFTER;
 use super::transfer;
 use crate::connection::platform;
 use crate::connection::platform::Platform;
@@ -21,11 +20,6 @@
 use crate::lists::archives::Archives;
 use crate::units::Moment;
 
-/// Interval at which the other hosts are probed.
-const PROBE_PERIOD: Duration = Duration::from_secs(2);
-/// Interval at which the records of lost holders are looked for. Few are added,
-/// since no record is acknowledged for a lost holder.
-const REPLACE_PERIOD: Duration = Duration::from_secs(6);
 /// Multiple of the longest retention for which the entry of a silent host stays.
 const STALE_RETENTIONS: u32 = 2;
 
@@ -41,49 +35,62 @@
 
 /// Follows the other hosts until the process ends.
 pub async fn run(storage: Arc<Storage>) {
+    storage
+        .spawner
+        .detach(replace_lost_holders(Arc::clone(&storage)));
     let mut silent_before = BTreeSet::new();
-    let mut next_replacement = Moment::now() + REPLACE_PERIOD;
+    let probed = Arc::new(Mutex::new(BTreeSet::new()));
     loop {
-        Timer::after(PROBE_PERIOD).await;
+        Timer::after(storage.times.check_period()).await;
         if storage.shared.archives.upto().is_none() {
             continue;
         }
-        probe_all(&storage).await;
-        let now = Moment::now();
-        let silent = storage.contacts.lock().silent_for(LOST_AFTER, now);
+        start_probes(&storage, &probed);
+        let silent = storage.contacts.lock().silent(Moment::now());
         if silent != silent_before {
             let line = LostLine { silent: &silent };
             storage.log.state("archives-silent", &line);
             silent_before.clone_from(&silent);
         }
-        if now >= next_replacement && !storage.shared.is_draining() {
-            transfer::replace_lost(&storage, &silent).await;
-            next_replacement = Moment::now() + REPLACE_PERIOD;
-        }
         remove_stale(&storage, &silent).await;
     }
 }
 
-async fn probe_all(storage: &Arc<Storage>) {
+/// Replaces lost holders. This must not delay the probes.
+async fn replace_lost_holders(storage: Arc<Storage>) {
+    loop {
+        Timer::after(storage.times.check_period()).await;
+        let is_known = storage.shared.archives.upto().is_some();
+        if is_known && !storage.shared.is_draining() {
+            transfer::replace_lost(&storage).await;
+        }
+    }
+}
+
+/// Probes the other hosts, except those that were probed and have not answered yet.
+fn start_probes(storage: &Arc<Storage>, probed: &Arc<Mutex<BTreeSet<HostId>>>) {
     let others = storage.other_hosts();
     storage.contacts.lock().set_listed(&others, Moment::now());
-    let probes: Vec<_> = others
-        .into_keys()
-        .map(|host| {
-            let storage = Arc::clone(storage);
-            storage.spawner.clone().spawn(async move {
-                let Some(to) = storage.address_of(&host) else {
-                    return;
-                };
-                match storage.peers.probe(to).await {
-                    Ok(()) => storage.contacts.lock().set_answered(&host, Moment::now()),
-                    Err(e) => log::debug!("archive host {host} does not answer: {e}"),
-                }
-            })
-        })
-        .collect();
-    for probe in probes {
-        probe.await;
+    for host in others.into_keys() {
+        if !probed.lock().insert(host.clone()) {
+            continue;
+        }
+        let (storage, probed) = (Arc::clone(storage), Arc::clone(probed));
+        let spawner = storage.spawner.clone();
+        spawner.detach(async move {
+            probe(&storage, &host).await;
+            probed.lock().remove(&host);
+        });
+    }
+}
+
+async fn probe(storage: &Storage, host: &HostId) {
+    let Some(to) = storage.address_of(host) else {
+        return;
+    };
+    match storage.peers.probe(to, storage.times.probe_timeout()).await {
+        Ok(()) => storage.contacts.lock().set_answered(host, Moment::now()),
+        Err(e) => log::debug!("archive host {host} does not answer: {e}"),
     }
 }
 
--- a/src/archive/mod.rs
+++ b/src/archive/mod.rs
@@ -45,6 +45,7 @@
 use self::segments::Since;
 use self::server_api::IDLE_TIMEOUT;
 use self::server_api::TurnsHandler;
+use self::times::RepairTimes;
 use self::writer::SEGMENT_BYTES;
 use self::writer::Writer;
 use crate::configs::gateway::ArchiveConfig;
@@ -74,6 +75,7 @@
 pub mod registration;
 pub mod segments;
 pub mod server_api;
+pub mod times;
 pub mod transfer;
 pub mod writer;
 
@@ -231,6 +233,8 @@
     pub peers: Peers,
     /// Contact with the other archive hosts.
     pub contacts: Mutex<Contacts>,
+    /// Times of the repair of lost copies.
+    pub times: RepairTimes,
     /// The host's entry in the list of archive hosts.
     pub registration: Registration,
     /// Executor.
@@ -369,12 +373,14 @@
         let cx = &self.cx;
         let client = Client::new(cx.spawner.clone(), ClientConfig::default());
         let own = shared.place.host.clone();
+        let times = RepairTimes::new(cx.cfg.catch_up);
         let storage = Arc::new(Storage {
             writer: Writer::start(Arc::clone(&shared), segments.clone())?,
             reader: Reader::start(segments.clone())?,
             bulk_reader: Reader::start(segments)?,
             peers: Peers::new(own, client, shared.memory.clone()),
-            contacts: Mutex::default(),
+            contacts: Mutex::new(Contacts::new(times.silence())),
+            times,
             registration: Registration::new(Arc::clone(&shared), address),
             spawner: cx.spawner.clone(),
             store: cx.store.clone(),
--- a/src/archive/peers.rs
+++ b/src/archive/peers.rs
@@ -26,11 +26,9 @@
 use crate::ids::HostId;
 use crate::turns::TurnKey;
 
-/// Time for a call with records, of which a large one takes seconds on the
-/// slowest links.
-const CALL_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time for the answer to a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the answer to a call that reads records, of which a large one takes
+/// seconds on the slowest links.
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
@@ -105,7 +103,7 @@
     ///
     /// Returns [`PeerError`] without a complete answer.
     pub async fn page(&self, to: SocketAddr, skip: &[HostId], after: u64) -> Result<PageAnswer> {
-        self.page_within(to, skip, after, CALL_TIMEOUT).await
+        self.page_within(to, skip, after, READ_TIMEOUT).await
     }
 
     async fn page_within(
@@ -141,9 +139,9 @@
     /// # Errors
     ///
     /// Returns [`PeerError`] without an answer.
-    pub async fn probe(&self, to: SocketAddr) -> Result<()> {
+    pub async fn probe(&self, to: SocketAddr, timeout: Duration) -> Result<()> {
         // No record is that far in a log, so that the page is empty.
-        let answer = self.page_within(to, &[], u64::MAX, PROBE_TIMEOUT).await;
+        let answer = self.page_within(to, &[], u64::MAX, timeout).await;
         answer.map(drop)
     }
 
@@ -158,7 +156,7 @@
         key: &TurnKey,
     ) -> Result<Option<(Bytes, ReservedBytes)>> {
         let req = Request::get(format!("{TURNS_PATH}/{}", key.to_path()));
-        let answer = self.call(to, req, Body::empty(), CALL_TIMEOUT).await?;
+        let answer = self.call(to, req, Body::empty(), READ_TIMEOUT).await?;
         match answer.status {
             StatusCode::OK => Ok(Some((answer.body, answer.memory))),
             StatusCode::NOT_FOUND => Ok(None),
@@ -171,10 +169,15 @@
     /// # Errors
     ///
     /// Returns [`PeerError`] if they may not be.
-    pub async fn store(&self, to: SocketAddr, frames: Bytes) -> Result<SentAnswer> {
+    pub async fn store(
+        &self,
+        to: SocketAddr,
+        frames: Bytes,
+        timeout: Duration,
+    ) -> Result<SentAnswer> {
         let body = Body::from_bytes(frames);
         let answer = self
-            .call(to, Request::post(TURNS_PATH), body, CALL_TIMEOUT)
+            .call(to, Request::post(TURNS_PATH), body, timeout)
             .await?;
         match answer.status {
             StatusCode::OK => Ok(SentAnswer::Stored),
--- a/src/archive/transfer.rs
+++ b/src/archive/transfer.rs
@@ -34,6 +34,8 @@
 const MAX_REQUEST_BYTES: usize = 1 << 20;
 /// Delay before records that no host has taken are sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Size of the records of lost holders that are sent at a time, in bytes.
+const REPLACE_ROUND_BYTES: u64 = 1 << 20;
 
 /// Hosts to which records have been sent, by key.
 type Sent = HashMap<TurnKey, HostId>;
@@ -55,6 +57,7 @@
 struct ReplacedLine<'a> {
     lost: &'a BTreeSet<HostId>,
     records: usize,
+    spent_ms: u128,
 }
 
 /// Sends all live records of this host to others, and waits until they are
@@ -67,7 +70,8 @@
     while storage.shared.is_draining() {
         // Records that were being written when the host began to refuse them.
         storage.writer.store(Vec::new(), None).await;
-        let selection = select(storage, after, |key, _| !sent.contains_key(key));
+        let unsent = |key: &TurnKey, _: &Arc<[HostId]>| !sent.contains_key(key);
+        let selection = select(storage, after, ROUND_BYTES, unsent);
         if selection.items.is_empty() && selection.next.is_none() {
             if after == 0 {
                 break;
@@ -92,10 +96,12 @@
 
 /// Sends the records of which a holder is lost, and that this host is the first
 /// to replace, to other hosts.
-pub async fn replace_lost(storage: &Arc<Storage>, silent: &BTreeSet<HostId>) {
+pub async fn replace_lost(storage: &Arc<Storage>) {
+    let started = Moment::now();
     let own = storage.shared.place.host.clone();
     let contacts = storage.contacts.lock().clone();
-    let is_lost = |host: &HostId| *host != own && contacts.is_lost(host, silent);
+    let silent = contacts.silent(started);
+    let is_lost = |host: &HostId| *host != own && contacts.is_lost(host, &silent);
     let lists = storage.shared.index.lock().holder_lists();
     let affected: HashSet<Arc<[HostId]>> = lists
         .into_iter()
@@ -107,15 +113,28 @@
     let mut sent = Sent::new();
     let mut after = Some(0);
     while let Some(from) = after {
-        let selection = select(storage, from, |_, hosts| affected.contains(hosts));
+        let round = Moment::now();
+        let wanted = |_: &TurnKey, hosts: &Arc<[HostId]>| affected.contains(hosts);
+        let selection = select(storage, from, REPLACE_ROUND_BYTES, wanted);
         after = selection.next;
         // Those that no host takes are sent at the next call.
         send_all(storage, selection, &mut sent, is_lost).await;
+        if storage.contacts.lock().silent(Moment::now()) != silent {
+            // Lost hosts have come back, or there are more.
+            break;
+        }
+        let now = Moment::now();
+        let since_loss = storage.times.since_loss(started, now);
+        let pause = storage.times.pause(since_loss, now.since(round));
+        if after.is_some() && !pause.is_zero() {
+            Timer::after(pause).await;
+        }
     }
     if !sent.is_empty() {
         let line = ReplacedLine {
-            lost: silent,
+            lost: &silent,
             records: sent.len(),
+            spent_ms: Moment::now().since(started).as_millis(),
         };
         storage.log.state("turns-replaced", &line);
     }
@@ -124,10 +143,11 @@
 fn select(
     storage: &Storage,
     after: u64,
+    max_bytes: u64,
     is_wanted: impl Fn(&TurnKey, &Arc<[HostId]>) -> bool,
 ) -> Selection {
     let index = storage.shared.index.lock();
-    index.select(after, ROUND_BYTES, unix_ms(), is_wanted)
+    index.select(after, max_bytes, unix_ms(), is_wanted)
 }
 
 /// Sends records to hosts that do not hold them, in place of the holders that
@@ -138,7 +158,9 @@
     sent: &mut Sent,
     leaves: impl Fn(&HostId) -> bool,
 ) -> usize {
-    let mut failed = BTreeSet::new();
+    // Hosts that may be lost too would cost a time-out each.
+    let doubt = storage.times.doubt();
+    let mut failed = storage.contacts.lock().silent_for(doubt, Moment::now());
     let mut left = selection.items;
     let mut untaken = 0;
     loop {
@@ -293,7 +315,8 @@
     let Some(to) = storage.address_of(target) else {
         return false;
     };
-    let missing = match storage.peers.store(to, frames).await {
+    let timeout = storage.times.call_timeout(frames.len());
+    let missing = match storage.peers.store(to, frames, timeout).await {
         Ok(SentAnswer::Stored) => return true,
         Ok(SentAnswer::Missing(missing)) => missing,
         Err(e) => {
@@ -309,7 +332,9 @@
         let Ok(frame) = frame(storage, moved, target, false).await else {
             return false;
         };
-        if !matches!(storage.peers.store(to, frame).await, Ok(SentAnswer::Stored)) {
+        let timeout = storage.times.call_timeout(frame.len());
+        let stored = storage.peers.store(to, frame, timeout).await;
+        if !matches!(stored, Ok(SentAnswer::Stored)) {
             return false;
         }
     }
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -275,6 +275,9 @@
     pub address: Option<SocketAddr>,
     /// Losses that kept turns outlast; set by the platform.
     pub fault_tolerance: FaultTolerance,
+    /// Time from a loss within which the lost copies of turns are on other hosts;
+    /// set by the platform.
+    pub catch_up: Duration,
     /// Memory of the process, in bytes; set by the platform.
     pub memory_bytes: u64,
     /// Size of the disk, in bytes; set by the platform.
@@ -307,6 +310,7 @@
             folder: PathBuf::from("archive"),
             address: None,
             fault_tolerance: FaultTolerance::default(),
+            catch_up: Duration::from_secs(30),
             memory_bytes: 128 << 20,
             disk_bytes: 64 << 20,
             disk_share: 0.1,
@@ -328,6 +332,7 @@
     /// Returns the first setting that is out of range.
     pub fn check(&self) -> Result<()> {
         self.door.check()?;
+        require("catch_up", self.catch_up > Duration::ZERO, || "more than 0")?;
         let is_share = |share: f64| (0.0..=1.0).contains(&share);
         require("disk_share", is_share(self.disk_share), || "from 0 to 1")?;
         require("turns_share", is_share(self.turns_share), || "from 0 to 1")?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -23,8 +23,9 @@
 pub const DEFAULT_PATH: &str = "/etc/chicoryarch/settings.conf";
 
 /// Fields that the gateway or archive role reads.
-const KNOWN_FIELDS: [&str; 33] = [
+const KNOWN_FIELDS: [&str; 34] = [
     "bootstrap",
+    "bounds.catch_up_s",
     "bounds.cold_overshoot",
     "bounds.cold_slack",
     "bounds.drain_ms",
@@ -334,6 +335,7 @@
             folder: self.required("data_dir")?,
             address: self.first_free_port()?,
             fault_tolerance: self.fault_tolerance()?,
+            catch_up: self.seconds("bounds.catch_up_s", default.catch_up)?,
             memory_bytes: self
                 .optional::<u64>("limits.memory_mb")?
                 .map_or(default.memory_bytes, |mb| mb << 20),
--- a/tests/archive/holders.rs
+++ b/tests/archive/holders.rs
@@ -5,7 +5,6 @@
 
 use chicoryarch::archive::holders;
 use chicoryarch::archive::holders::Contacts;
-use chicoryarch::archive::holders::LOST_AFTER;
 use chicoryarch::archive::holders::ListedHost;
 use chicoryarch::archive::holders::ListedHosts;
 use chicoryarch::ids::HostId;
@@ -31,6 +30,9 @@
         .collect()
 }
 
+/// Silence after which a host counts as lost.
+const SILENCE: Duration = Duration::from_secs(10);
+
 fn at(seconds: u64) -> Moment {
     Moment::from_start(Duration::from_secs(seconds))
 }
@@ -38,27 +40,27 @@
 /// Guards against a host that is cut off and replaces all others.
 #[test]
 fn a_host_that_hears_of_less_than_half_of_the_others_takes_none_for_lost() {
-    let mut contacts = Contacts::default();
+    let mut contacts = Contacts::new(SILENCE);
     let others = listed(&["a", "b"]);
     contacts.set_listed(&others, at(100));
     for answering in ["a1", "a2", "b1"] {
         contacts.set_answered(&host(answering), at(109));
     }
-    assert_eq!(contacts.silent_for(LOST_AFTER, at(109)), BTreeSet::new());
-    let lost = contacts.silent_for(LOST_AFTER, at(110));
+    assert_eq!(contacts.silent_for(SILENCE, at(109)), BTreeSet::new());
+    let lost = contacts.silent_for(SILENCE, at(110));
     assert_eq!(lost, BTreeSet::from([host("b2")]));
     assert!(contacts.is_lost(&host("b2"), &lost));
     assert!(!contacts.is_lost(&host("b1"), &lost));
     assert!(contacts.is_lost(&host("c1"), &lost), "it is not listed");
     contacts.set_answered(&host("a1"), at(115));
-    assert_eq!(contacts.silent_for(LOST_AFTER, at(120)), BTreeSet::new());
+    assert_eq!(contacts.silent_for(SILENCE, at(120)), BTreeSet::new());
 }
 
 /// Guards against records that are replaced a second time after a host was
 /// emptied.
 #[test]
 fn an_emptied_host_is_not_lost() {
-    let mut contacts = Contacts::default();
+    let mut contacts = Contacts::new(SILENCE);
     let mut others = listed(&["a", "b"]);
     others.get_mut(&host("a1")).expect("listed").is_draining = true;
     contacts.set_listed(&others, at(1));
--- a/tests/archive/main.rs
+++ b/tests/archive/main.rs
@@ -8,3 +8,4 @@
 mod losses;
 mod processes;
 mod refill_plan;
+mod repair;
