Count copies of turns by what hosts say that they hold

Cause: hosts acted on the list of holders in a record, which says where it was to be stored. A host that was emptied told nobody but the taker of the new holder, so that the next retirement counted a copy that was there already. A host that took the place of one that did not answer was not named by the others, and the one that never had the record was.

Change: POST /turns/held asks a host which of many turns it has. A host asks before it is emptied, before lost copies are replaced, a while after a record was stored, and after another host was started again; the decisions are in copies.rs. A retirement ends when as many other hosts have each record as fault_tolerance asks for.

Ruled out: notices of the final list to all holders, of which each can be lost.

Tests: each_retirement_leaves_as_many_copies_as_before and a_holder_that_never_had_the_record_does_not_count failed on ("2 copies"). exactly_the_first_remaining_holder_replaces_a_lost_one is now exactly_the_first_holder_sends_missing_copies, for the decision that took its place. a_host_is_emptied_under_load_before_it_reports expected one copy, on the host that the false lists did not name; it now expects each record on as many hosts as must hold it. Hosts in these tests state their fault tolerance.

--- a/src/archive/holders.rs
+++ b/src/archive/holders.rs
@@ -155,10 +155,3 @@
     });
     takers.into_iter().map(|(host, _)| host.clone()).collect()
 }
-
-/// Whether `own` is the first remaining holder by name, which replaces the lost
-/// ones.
-pub fn replaces_lost(own: &HostId, holders: &[HostId], is_lost: impl Fn(&HostId) -> bool) -> bool {
-    let remaining = holders.iter().filter(|host| !is_lost(host));
-    holders.iter().any(&is_lost) && remaining.min() == Some(own)
-}
--- a/src/archive/index.rs
+++ b/src/archive/index.rs
@@ -2,6 +2,7 @@
 //! and how long they live. It does no I/O, and the time is an argument.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -138,6 +139,8 @@
     pub margin_ms: u64,
     /// Memory of the recent records, in bytes.
     pub recent_bytes: usize,
+    /// Time after which the holders of a new record are checked, in milliseconds.
+    pub check_delay_ms: u64,
 }
 
 /// Records that are held in memory, oldest first.
@@ -154,6 +157,8 @@
     records: HashMap<TurnKey, Entry>,
     segments: BTreeMap<u64, Segment>,
     recent: Recent,
+    /// Records whose holders are yet to be checked, by the time of the check.
+    unchecked: BTreeSet<(u64, TurnKey)>,
     /// Distinct lists of holders, which many records share.
     holders: HashSet<Arc<[HostId]>>,
     /// Distinct homes, which many records share.
@@ -168,6 +173,7 @@
             records: HashMap::new(),
             segments: BTreeMap::new(),
             recent: Recent::default(),
+            unchecked: BTreeSet::new(),
             holders: HashSet::new(),
             homes: HashSet::new(),
         }
@@ -269,9 +275,47 @@
         segment.bytes = segment.bytes.max(at.offset + at.bytes);
         segment.keys.insert(at.offset, key.clone());
         let expires_ms = before.map_or(expires_ms, |before| before.expires_ms.max(expires_ms));
+        self.unchecked
+            .insert((now_ms + self.limits.check_delay_ms, key.clone()));
         self.extend(Some(key), expires_ms);
     }
 
+    /// Returns up to `max` records whose holders are to be checked by now, and takes
+    /// them off the list of those.
+    pub fn take_unchecked(&mut self, now_ms: u64, max: usize) -> Vec<Item> {
+        let mut items = Vec::new();
+        while items.len() < max {
+            let Some((due_ms, key)) = self.unchecked.pop_first() else {
+                break;
+            };
+            if due_ms > now_ms {
+                self.unchecked.insert((due_ms, key));
+                break;
+            }
+            if let Some((key, entry)) = self.records.get_key_value(&key)
+                && entry.own_expires_ms > now_ms
+            {
+                items.extend(self.item(key, entry, now_ms));
+            }
+        }
+        items
+    }
+
+    /// Checks the holders of a record at this time.
+    pub fn check_later(&mut self, key: &TurnKey, due_ms: u64) {
+        if let Some((key, _)) = self.records.get_key_value(key) {
+            self.unchecked.insert((due_ms, key.clone()));
+        }
+    }
+
+    /// Checks the holders of all records that name a host at this time.
+    pub fn check_all_of(&mut self, host: &HostId, due_ms: u64) {
+        let records = self.records.iter();
+        let named = records.filter(|(_, entry)| entry.holders.contains(host));
+        self.unchecked
+            .extend(named.map(|(key, _)| (due_ms, key.clone())));
+    }
+
     /// Holds a record in memory, in place of the oldest ones that are held.
     pub fn remember(&mut self, record: Arc<Record>) {
         let size = record.text.len() + record.head.id.len();
@@ -475,27 +519,31 @@
             if entry.own_expires_ms <= now_ms || !is_wanted(key, &entry.holders) {
                 continue;
             }
-            let Some(chain) = self.chain(key, now_ms) else {
+            let Some(item) = self.item(key, entry, now_ms) else {
                 continue;
             };
-            let size = bytes_of(&chain);
+            let size = bytes_of(&item.chain);
             if bytes > 0 && bytes + size > max_bytes {
                 selection.next = Some(entry.at.cursor());
                 return selection;
             }
             bytes += size;
-            selection.items.push(Item {
-                key: key.clone(),
-                previous: entry.previous.clone(),
-                root: self.root(key),
-                holders: Arc::clone(&entry.holders),
-                homes: entry.homes.clone(),
-                chain,
-            });
+            selection.items.push(item);
         }
         selection
     }
 
+    fn item(&self, key: &TurnKey, entry: &Entry, now_ms: u64) -> Option<Item> {
+        Some(Item {
+            key: key.clone(),
+            previous: entry.previous.clone(),
+            root: self.root(key),
+            holders: Arc::clone(&entry.holders),
+            homes: entry.homes.clone(),
+            chain: self.chain(key, now_ms)?,
+        })
+    }
+
     fn root(&self, key: &TurnKey) -> TurnKey {
         let mut root = key;
         while let Some(previous) = self.records.get(root).and_then(|e| e.previous.as_ref()) {
@@ -511,8 +559,8 @@
         self.holders.iter().map(Arc::clone).collect()
     }
 
-    /// Replaces the list of a record's holders. It is not written to the log:
-    /// after a restart, the record is sent to the new holder again.
+    /// Replaces the list of a record's holders. It is not written to the log: after
+    /// a restart, the holders are checked again.
     pub fn set_holders(&mut self, key: &TurnKey, holders: &[HostId]) {
         let holders = self.share_holders(holders);
         if let Some(entry) = self.records.get_mut(key) {
--- a/src/archive/maintenance.rs
+++ b/src/archive/maintenance.rs
@@ -1,6 +1,7 @@
-//! Follows the other archive hosts: replaces lost holders, and removes the
-//! entries of hosts that are gone.
+//! Follows the other archive hosts: repairs records that too few of them have, and
+//! removes the entries of hosts that are gone.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -15,9 +16,11 @@
 use crate::connection::platform::Platform;
 use crate::connection::platform::Written;
 use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::lists::ListKind;
 use crate::lists::archives::ArchiveEntry;
 use crate::lists::archives::Archives;
+use crate::process::events::unix_ms;
 use crate::units::Moment;
 
 /// Multiple of the longest retention for which the entry of a silent host stays.
@@ -35,9 +38,7 @@
 
 /// Follows the other hosts until the process ends.
 pub async fn run(storage: Arc<Storage>) {
-    storage
-        .spawner
-        .detach(replace_lost_holders(Arc::clone(&storage)));
+    storage.spawner.detach(repair(Arc::clone(&storage)));
     let mut silent_before = BTreeSet::new();
     let probed = Arc::new(Mutex::new(BTreeSet::new()));
     loop {
@@ -56,15 +57,51 @@
     }
 }
 
-/// Replaces lost holders. This must not delay the probes.
-async fn replace_lost_holders(storage: Arc<Storage>) {
+/// Repairs records that too few hosts have. This must not delay the probes.
+async fn repair(storage: Arc<Storage>) {
+    let mut waiting = 0;
+    let mut pause = storage.times.check_period();
+    let mut known_before = None;
+    let mut incarnations = BTreeMap::new();
     loop {
-        Timer::after(storage.times.check_period()).await;
-        let is_known = storage.shared.archives.upto().is_some();
-        if is_known && !storage.shared.is_draining() {
-            transfer::replace_lost(&storage).await;
+        Timer::after(pause).await;
+        if storage.shared.archives.upto().is_none() || storage.shared.is_draining() {
+            continue;
+        }
+        check_restarted(&storage, &mut incarnations);
+        let silent = storage.contacts.lock().silent(Moment::now());
+        let known = Some((storage.hosts(), silent));
+        // Records that no host can take are not looked at all the time.
+        let is_idle = waiting > 0 && known == known_before;
+        let last_waiting = std::mem::replace(&mut waiting, transfer::repair(&storage).await);
+        known_before = known;
+        pause = match is_idle && waiting >= last_waiting {
+            true => (pause * 2).min(storage.times.check_delay()),
+            false => storage.times.check_period(),
+        };
+    }
+}
+
+/// Checks the records of hosts that were started again, after the time in which they
+/// refill a disk that they have lost.
+fn check_restarted(storage: &Storage, incarnations: &mut BTreeMap<HostId, Incarnation>) {
+    let due_ms = unix_ms() + storage.times.refill_ms();
+    let entries = storage.shared.archives.entries();
+    let mut known = BTreeMap::new();
+    for (name, entry) in entries.iter() {
+        let Ok(host) = name.parse::<HostId>() else {
+            continue;
+        };
+        let before = incarnations.get(&host);
+        if before.is_some_and(|before| *before != entry.incarnation)
+            && host != storage.shared.place.host
+        {
+            let mut index = storage.shared.index.lock();
+            index.check_all_of(&host, due_ms);
         }
+        known.insert(host, entry.incarnation);
     }
+    *incarnations = known;
 }
 
 /// Probes the other hosts, except those that were probed and have not answered yet.
--- a/src/archive/mod.rs
+++ b/src/archive/mod.rs
@@ -62,7 +62,9 @@
 use crate::process::events::EventLog;
 use crate::process::events::unix_ms;
 use crate::protection::homes::Regions;
+use crate::turns::placement::Demand;
 
+pub mod copies;
 pub mod counters;
 pub mod directory;
 pub mod holders;
@@ -115,6 +117,8 @@
     pub body_bytes: usize,
     /// Memory of recent records, in bytes.
     pub recent_bytes: usize,
+    /// Time after which the holders of a new record are checked, in milliseconds.
+    pub check_delay_ms: u64,
 }
 
 impl LogLimits {
@@ -122,11 +126,13 @@
     pub fn new(cfg: &ArchiveConfig) -> Self {
         let memory = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         let index_bytes = cfg.memory_bytes / INDEX_MEMORY_DIVISOR;
+        let delay = RepairTimes::new(cfg.catch_up).check_delay();
         Self {
             log_bytes: cfg.turns_bytes(),
             records: memory(index_bytes / INDEX_RECORD_BYTES),
             body_bytes: memory(cfg.memory_bytes / BODY_MEMORY_DIVISOR),
             recent_bytes: memory(cfg.memory_bytes / RECENT_MEMORY_DIVISOR),
+            check_delay_ms: u64::try_from(delay.as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -235,6 +241,8 @@
     pub contacts: Mutex<Contacts>,
     /// Times of the repair of lost copies.
     pub times: RepairTimes,
+    /// Number of hosts that must have a record.
+    pub demand: Demand,
     /// The host's entry in the list of archive hosts.
     pub registration: Registration,
     /// Executor.
@@ -258,6 +266,18 @@
         hosts
     }
 
+    /// Returns the listed archive hosts and this one.
+    pub fn hosts_with_own(&self) -> ListedHosts {
+        let mut hosts = self.hosts();
+        let place = &self.shared.place;
+        let own = ListedHost {
+            data_centre: place.data_centre.clone(),
+            is_draining: self.shared.is_draining(),
+        };
+        hosts.insert(place.host.clone(), own);
+        hosts
+    }
+
     /// Returns the listed archive hosts, including this one if it is listed.
     pub fn hosts(&self) -> ListedHosts {
         let entries = self.shared.archives.entries();
@@ -381,6 +401,7 @@
             peers: Peers::new(own, client, shared.memory.clone()),
             contacts: Mutex::new(Contacts::new(times.silence())),
             times,
+            demand: Demand::from(cx.cfg.fault_tolerance),
             registration: Registration::new(Arc::clone(&shared), address),
             spawner: cx.spawner.clone(),
             store: cx.store.clone(),
@@ -559,6 +580,7 @@
     let mut index = Index::new(IndexLimits {
         margin_ms: CLOCK_MARGIN_MS,
         recent_bytes: limits.recent_bytes,
+        check_delay_ms: limits.check_delay_ms,
     });
     let (segments, recovery) = Segments::open(folder, &mut index, now_ms)?;
     let wanted = match recovery.is_incomplete() {
--- a/src/archive/peers.rs
+++ b/src/archive/peers.rs
@@ -1,5 +1,6 @@
 //! Calls to other archive hosts.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 use http::StatusCode;
 use http::header;
 
+use super::server_api::HELD_PATH;
+use super::server_api::HeldQuestion;
+use super::server_api::HeldTurns;
 use super::server_api::MAX_BODY_BYTES;
 use super::server_api::MissingTurns;
 use super::server_api::NEXT_HEADER;
@@ -72,6 +76,15 @@
     Missing(Vec<TurnKey>),
 }
 
+/// Answer to the question which turns a host has.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Held {
+    /// Whether it has each.
+    Known(Vec<bool>),
+    /// The host is of a release that does not know the question.
+    Unsupported,
+}
+
 struct Answer {
     status: StatusCode,
     headers: HeaderMap,
@@ -188,6 +201,31 @@
         }
     }
 
+    /// Asks which turns a host has.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] without an answer.
+    pub async fn held(&self, to: SocketAddr, turns: &[TurnKey], timeout: Duration) -> Result<Held> {
+        let question = HeldQuestion {
+            turns: turns.into(),
+        };
+        let text = serde_json::to_vec(&question).expect("typed fields always encode as JSON");
+        let req = Request::post(format!("{TURNS_PATH}{HELD_PATH}"));
+        let answer = self.call(to, req, Body::from(text), timeout).await?;
+        let refused = PeerError::Refused(answer.status);
+        match answer.status {
+            StatusCode::OK => {
+                let parsed = serde_json::from_slice::<HeldTurns>(&answer.body);
+                let held: HashSet<usize> = parsed.map_err(|_| refused)?.held.into_iter().collect();
+                let known = (0..turns.len()).map(|n| held.contains(&n));
+                Ok(Held::Known(known.collect()))
+            }
+            StatusCode::METHOD_NOT_ALLOWED => Ok(Held::Unsupported),
+            _ => Err(refused),
+        }
+    }
+
     async fn call(
         &self,
         to: SocketAddr,
--- a/src/archive/server_api.rs
+++ b/src/archive/server_api.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use bytes::Bytes;
 use chicoryarch_net::Body;
 use chicoryarch_net::body::BodyError;
 use chicoryarch_net::buffered::BufferedBody;
+use chicoryarch_net::buffered::ReservedBytes;
 use chicoryarch_net::server;
 use chicoryarch_net::server::Handler;
 use futures_lite::future;
@@ -35,6 +37,10 @@
 
 /// Path of the calls.
 pub const TURNS_PATH: &str = "/turns";
+/// Path of the question which turns are stored, below [`TURNS_PATH`].
+pub const HELD_PATH: &str = "/held";
+/// Largest question, in bytes.
+const MAX_QUESTION_BYTES: usize = 1 << 20;
 /// Header with the cursor of the next page.
 pub const NEXT_HEADER: &str = "next";
 /// Header of a page, and of an answer about a turn without its text, that tells for
@@ -62,6 +68,20 @@
     pub missing: Vec<TurnKey>,
 }
 
+/// Question which of some turns are stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldQuestion {
+    /// Keys of the turns.
+    pub turns: Vec<TurnKey>,
+}
+
+/// Answer to a [`HeldQuestion`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldTurns {
+    /// Numbers of the turns that are stored, counted from 0 in the question.
+    pub held: Vec<usize>,
+}
+
 /// Answer if a turn is not stored.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AbsentTurn {
@@ -95,6 +115,7 @@
         };
         match (req.method(), rest) {
             (&Method::POST, "") => self.store(req).await,
+            (&Method::POST, HELD_PATH) => self.held(req).await,
             (&Method::GET, "") => self.page(req.uri().query().unwrap_or_default()).await,
             (&Method::HEAD, path) => self.has(path.strip_prefix('/').unwrap_or_default()),
             (&Method::GET, path) => self.read(path.strip_prefix('/').unwrap_or_default()).await,
@@ -103,9 +124,34 @@
     }
 
     async fn store(&self, req: Request<Incoming>) -> Response<Body> {
+        let (body, memory) = match self.receive(req, MAX_BODY_BYTES).await {
+            Ok(received) => received,
+            Err(status) => return empty(status),
+        };
+        // A skipped record would not be stored, so that the body is refused.
+        let Ok((records, 0)) = Received::decode_all(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        if self.0.shared.is_draining() {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match self.0.writer.store(records, Some(memory)).await {
+            Stored::Full => empty(StatusCode::SERVICE_UNAVAILABLE),
+            Stored::Except(missing) if missing.is_empty() => empty(StatusCode::OK),
+            Stored::Except(missing) => json(StatusCode::CONFLICT, &MissingTurns { missing }),
+        }
+    }
+
+    /// Receives the body of a request; otherwise returns the status to refuse it
+    /// with.
+    async fn receive(
+        &self,
+        req: Request<Incoming>,
+        max_bytes: usize,
+    ) -> Result<(Bytes, ReservedBytes), StatusCode> {
         let (head, body) = req.into_parts();
         let receiving = server::receive_body(&head.extensions);
-        let read = BufferedBody::read_contiguous(body, &self.0.shared.memory, MAX_BODY_BYTES);
+        let read = BufferedBody::read_contiguous(body, &self.0.shared.memory, max_bytes);
         let expire = async {
             Timer::after(BODY_TIMEOUT).await;
             Err(BodyError::TooSlow {
@@ -115,25 +161,29 @@
         };
         let received = future::or(read, expire).await;
         drop(receiving);
-        let (body, memory) = match received {
-            Ok(read) => read,
-            Err(BodyError::MemoryFull(_)) => return empty(StatusCode::SERVICE_UNAVAILABLE),
-            Err(BodyError::TooLarge(_)) => return empty(StatusCode::PAYLOAD_TOO_LARGE),
-            Err(BodyError::TooSlow { .. }) => return empty(StatusCode::REQUEST_TIMEOUT),
-            Err(_) => return empty(StatusCode::BAD_REQUEST),
+        received.map_err(|e| match e {
+            BodyError::MemoryFull(_) => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+            _ => StatusCode::BAD_REQUEST,
+        })
+    }
+
+    /// Tells which of some turns are stored.
+    async fn held(&self, req: Request<Incoming>) -> Response<Body> {
+        let (body, _memory) = match self.receive(req, MAX_QUESTION_BYTES).await {
+            Ok(received) => received,
+            Err(status) => return empty(status),
         };
-        // A skipped record would not be stored, so that the body is refused.
-        let Ok((records, 0)) = Received::decode_all(body) else {
+        let Ok(question) = serde_json::from_slice::<HeldQuestion>(&body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        if self.0.shared.is_draining() {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        match self.0.writer.store(records, Some(memory)).await {
-            Stored::Full => empty(StatusCode::SERVICE_UNAVAILABLE),
-            Stored::Except(missing) if missing.is_empty() => empty(StatusCode::OK),
-            Stored::Except(missing) => json(StatusCode::CONFLICT, &MissingTurns { missing }),
-        }
+        let now_ms = unix_ms();
+        let index = self.0.shared.index.lock();
+        let turns = question.turns.iter().enumerate();
+        let held = turns.filter(|(_, key)| index.is_live(key, now_ms));
+        let held = held.map(|(n, _)| n).collect();
+        json(StatusCode::OK, &HeldTurns { held })
     }
 
     /// Tells whether a turn is stored, without its text.
--- a/src/archive/times.rs
+++ b/src/archive/times.rs
@@ -30,6 +30,17 @@
         self.catch_up / 12
     }
 
+    /// Time after which the holders of a new record are checked, and those of a
+    /// record that needs further copies are checked again.
+    pub fn check_delay(self) -> Duration {
+        self.catch_up / 3
+    }
+
+    /// Time within which a host refills a disk that it has lost, in milliseconds.
+    pub fn refill_ms(self) -> u64 {
+        u64::try_from(self.catch_up.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Time for the answer to a probe.
     pub fn probe_timeout(self) -> Duration {
         self.catch_up / 6
--- a/tests/archive/fleet.rs
+++ b/tests/archive/fleet.rs
@@ -163,7 +163,8 @@
         self.archive_with(
             name,
             data_centre,
-            "limits.disk_mb=350\nlimits.memory_mb=130\n",
+            "limits.disk_mb=350\nlimits.memory_mb=130\nfault_tolerance.machines=2\n\
+             fault_tolerance.zones=1\n",
         )
     }
 
--- a/tests/archive/holders.rs
+++ b/tests/archive/holders.rs
@@ -10,12 +10,12 @@
 use chicoryarch::ids::HostId;
 use chicoryarch::units::Moment;
 
-fn host(name: &str) -> HostId {
+pub(crate) fn host(name: &str) -> HostId {
     name.parse().expect("a name")
 }
 
 /// Two hosts in each data centre, named after it.
-fn listed(data_centres: &[&str]) -> ListedHosts {
+pub(crate) fn listed(data_centres: &[&str]) -> ListedHosts {
     let hosts = data_centres
         .iter()
         .flat_map(|data_centre| [1, 2].map(|n| (format!("{data_centre}{n}"), *data_centre)));
@@ -72,21 +72,6 @@
     assert!(contacts.is_lost(&host("b1"), &silent));
 }
 
-/// Guards against a record that no host or several hosts replace.
-#[test]
-fn exactly_the_first_remaining_holder_replaces_a_lost_one() {
-    let hosts = ["b1", "a1", "c1"].map(host);
-    let replaces = |own: &str, lost: &[&str]| {
-        let is_lost = |host: &HostId| lost.contains(&host.as_str());
-        holders::replaces_lost(&host(own), &hosts, is_lost)
-    };
-    assert!(!replaces("a1", &[]));
-    assert!(replaces("a1", &["c1"]));
-    assert!(!replaces("b1", &["c1"]));
-    assert!(replaces("b1", &["a1"]));
-    assert!(replaces("c1", &["a1", "b1"]));
-}
-
 /// Guards against copies that are all in one data centre, and against a record
 /// that is sent to a host that holds it, drains or does not answer.
 #[test]
--- a/tests/archive/liveness.rs
+++ b/tests/archive/liveness.rs
@@ -16,6 +16,8 @@
 const MARGIN_MS: u64 = 5000;
 const RETENTION_MS: u64 = 60_000;
 const FRAME_BYTES: u64 = 100;
+/// Time after which the holders of a record are checked, in milliseconds.
+const CHECK_DELAY_MS: u64 = 2000;
 
 /// An index that is filled with records of a given end.
 struct World {
@@ -29,6 +31,7 @@
         let limits = IndexLimits {
             margin_ms: MARGIN_MS,
             recent_bytes: 0,
+            check_delay_ms: CHECK_DELAY_MS,
         };
         Self {
             index: Index::new(limits),
@@ -284,3 +287,32 @@
     );
     assert_eq!(lengths("d", &[]), [0; 0]);
 }
+
+/// Guards against records whose holders are never checked, or are checked while they
+/// are still being sent, again and again or after they have expired.
+#[test]
+fn the_holders_of_each_record_are_checked_once() {
+    let mut world = World::new();
+    world.store_for(0, "first", "", 1000, &["a", "b"]);
+    world.store_for(0, "second", "", 1500, &["a", "c"]);
+    let due = |world: &mut World, now_ms, max| {
+        let items = world.index.take_unchecked(now_ms, max);
+        let ids = items.iter().map(|item| item.key.id().to_owned());
+        ids.collect::<Vec<String>>()
+    };
+    let first_due = 1000 + CHECK_DELAY_MS;
+    assert_eq!(due(&mut world, first_due - 1, 10), [""; 0]);
+    assert_eq!(due(&mut world, first_due, 10), ["first"]);
+    // Both are due; the second one is returned later.
+    world.index.check_later(&key("first"), first_due);
+    assert_eq!(due(&mut world, first_due + 500, 1), ["first"]);
+    assert_eq!(due(&mut world, first_due + 500, 1), ["second"]);
+    assert_eq!(due(&mut world, u64::MAX, 10), [""; 0]);
+    world.index.check_all_of(&host("c"), 7000);
+    world.index.check_later(&key("unknown"), 7000);
+    assert_eq!(due(&mut world, 6999, 10), [""; 0]);
+    assert_eq!(due(&mut world, 7000, 10), ["second"]);
+    world.index.check_all_of(&host("a"), 8000);
+    let expired = 1500 + RETENTION_MS + MARGIN_MS;
+    assert_eq!(due(&mut world, expired, 10), [""; 0]);
+}
--- a/tests/archive/log_recovery.rs
+++ b/tests/archive/log_recovery.rs
@@ -107,6 +107,7 @@
     let mut index = Index::new(IndexLimits {
         margin_ms: 0,
         recent_bytes: 0,
+        check_delay_ms: 0,
     });
     let (_, recovery) = Segments::open(folder, &mut index, unix_ms()).expect("readable");
     (index.len(), recovery)
--- a/tests/archive/losses.rs
+++ b/tests/archive/losses.rs
@@ -158,17 +158,23 @@
             let status = fleet.store.status("retirements", HOSTS[0]);
             status.is_some_and(|status| status["state"] == "completed")
         });
-        // All records are on the only host that does not hold them.
-        assert!(has_all(&fleet, &archives[3], COUNT));
+        // The others do not hold what the records say; as many as must hold each get
+        // it.
+        for archive in &archives[1..] {
+            assert!(has_all(&fleet, archive, COUNT));
+        }
         is_done.store(true, Ordering::Release);
         load.join().expect("the load ends")
     });
     for id in &acknowledged {
-        let turn = fleet.turn(&archives[3], id);
-        assert_eq!(turn.status, StatusCode::OK, "{id}");
-        let holders = turn.record().head.holders;
-        let holders: Vec<&str> = holders.iter().map(|host| host.as_str()).collect();
-        assert_eq!(holders, [HOSTS[1], HOSTS[2], HOSTS[3]]);
+        for archive in &archives[1..] {
+            let turn = fleet.turn(archive, id);
+            assert_eq!(turn.status, StatusCode::OK, "{id}");
+            let mut holders = turn.record().head.holders;
+            holders.sort();
+            let holders: Vec<&str> = holders.iter().map(|host| host.as_str()).collect();
+            assert_eq!(holders, [HOSTS[1], HOSTS[2], HOSTS[3]]);
+        }
     }
     wait_until("the entry is removed", || fleet.entry(HOSTS[0]).is_none());
 }
--- a/tests/archive/main.rs
+++ b/tests/archive/main.rs
@@ -1,6 +1,7 @@
 //! Storage of kept turns on archive hosts.
 
 mod audit_trail;
+mod copies;
 mod fleet;
 mod holders;
 mod liveness;
--- a/tests/archive/repair.rs
+++ b/tests/archive/repair.rs
@@ -10,10 +10,12 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use serde_json::json;
 
 use crate::fleet::Archive;
 use crate::fleet::Fleet;
 use crate::fleet::record;
+use crate::fleet::wait_until;
 
 const HOSTS: [&str; 6] = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"];
 /// Hosts that hold a record, with two losses that it must outlast.
@@ -49,7 +51,7 @@
 }
 
 impl Deployment {
-    /// Starts hosts that hold records, each on the first of each data centre.
+    /// Starts two hosts in each of three data centres.
     fn start(catch_up_s: f64) -> Self {
         let settings = format!(
             "limits.disk_mb=350\nlimits.memory_mb=130\nfault_tolerance.machines=2\n\
@@ -61,23 +63,30 @@
         for archive in &archives {
             fleet.wait_listed(archive);
         }
-        let deployment = Self {
+        Self {
             fleet,
             archives,
             settings,
             catch_up: Duration::from_secs_f64(catch_up_s),
-        };
-        let holders = [HOSTS[0], HOSTS[2], HOSTS[4]];
+        }
+    }
+
+    /// Stores records on a host, which name these hosts as holders.
+    fn store(&self, to: usize, holders: [usize; 3]) {
+        let holders = holders.map(|n| HOSTS[n]);
         let text = "x".repeat(2000);
         let records: Vec<Record> = (0..RECORDS)
             .map(|n| record(&format!("turn-{n}"), "", &holders, &text))
             .collect();
-        for n in [0, 2, 4] {
-            let to = &deployment.archives[n];
-            let stored = deployment.fleet.store_turns(to, &records);
-            assert_eq!(stored.status, StatusCode::OK);
+        let stored = self.fleet.store_turns(&self.archives[to], &records);
+        assert_eq!(stored.status, StatusCode::OK);
+    }
+
+    /// Stores records on all hosts that they name.
+    fn store_at(&self, holders: [usize; 3]) {
+        for to in holders {
+            self.store(to, holders);
         }
-        deployment
     }
 
     /// Smallest number of running hosts that hold a record.
@@ -91,6 +100,17 @@
         (0..RECORDS).map(copies).min().expect("records")
     }
 
+    /// Empties a host, which is removed with its disk at once.
+    fn retire(&mut self, n: usize) {
+        let name = self.archives[n].name.clone();
+        self.fleet.store.put("retirements", &name, json!({}));
+        wait_until("the retirement is reported", || {
+            let status = self.fleet.store.status("retirements", &name);
+            status.is_some_and(|status| status["state"] == "completed")
+        });
+        self.archives[n].lose_disk();
+    }
+
     /// Removes a host with its disk. A new one at another address takes its place
     /// after a while. Returns when it was lost.
     fn replace(&mut self, lost: usize, new: &str, after: Duration) -> Instant {
@@ -113,6 +133,7 @@
 fn lost_copies_are_restored_within_the_bound() {
     for (catch_up_s, successor_after) in [(3.0, 0.0), (3.0, 2.5), (6.0, 1.0)] {
         let mut deployment = Deployment::start(catch_up_s);
+        deployment.store_at([0, 2, 4]);
         let after = Duration::from_secs_f64(successor_after);
         let lost = deployment.replace(0, "a-3", after);
         sleep_until(lost + deployment.catch_up);
@@ -126,6 +147,7 @@
 #[test]
 fn copies_are_restored_after_each_of_several_replacements() {
     let mut deployment = Deployment::start(3.0);
+    deployment.store_at([0, 2, 4]);
     for (lost, new) in [(0, "a-3"), (2, "b-3"), (4, "c-3")] {
         let lost = deployment.replace(lost, new, Duration::from_millis(300));
         sleep_until(lost + deployment.catch_up);
@@ -134,11 +156,46 @@
     }
 }
 
+/// Guards against a retirement that relies on a holder which never had the record, or
+/// on a taker which has it already.
+#[test]
+fn each_retirement_leaves_as_many_copies_as_before() {
+    let mut deployment = Deployment::start(3.0);
+    deployment.store_at([0, 2, 4]);
+    for n in [0, 2, 4] {
+        deployment.retire(n);
+        let copies = deployment.fewest_copies();
+        assert!(copies >= COPIES, "{copies} copies without {}", HOSTS[n]);
+    }
+}
+
+/// Guards against lists that name a host which did not answer when the record was
+/// stored, in place of the one that took it.
+#[test]
+fn a_holder_that_never_had_the_record_does_not_count() {
+    let mut deployment = Deployment::start(3.0);
+    for to in [0, 4] {
+        deployment.store(to, [0, 2, 4]);
+    }
+    deployment.store(3, [0, 4, 3]);
+    deployment.retire(0);
+    let copies = deployment.fewest_copies();
+    assert!(copies >= COPIES, "{copies} copies");
+    // The host that took it gets it back after the loss of its disk, though other
+    // lists did not name it.
+    deployment.archives[3].lose_disk();
+    deployment.archives[3].start();
+    std::thread::sleep(deployment.catch_up);
+    let copies = deployment.fewest_copies();
+    assert!(copies >= COPIES, "{copies} copies after a lost disk");
+}
+
 /// Guards against copies that are lost, or sent again and again, when hosts were only
 /// silent for a while.
 #[test]
 fn a_silent_host_that_comes_back_keeps_its_records() {
     let mut deployment = Deployment::start(3.0);
+    deployment.store_at([0, 2, 4]);
     let signal = |archive: &Archive, signal| {
         let id = i32::try_from(archive.id()).ok().and_then(Pid::from_raw);
         kill_process(id.expect("a process"), signal).expect("it runs");
