Wake a connection's task after a write that had to wait

Callers saw: an answer that is never ended, on an open connection on which nothing happens; the test answers_that_callers_do_not_read_do_not_exhaust_the_memory hung for that.

Cause: a write that succeeds takes back the registration for writability that an earlier one in the same poll had left, as the peer has read meanwhile. hyper's poll_loop then returns although more of the body is to be written, and nothing wakes the task.

Change: ConnectionIo wraps the streams of the server and of the client and wakes the task when a write succeeds after one that had to wait.

Ruled out: the gateway's own queues, which were empty in the hung process.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -21,10 +21,10 @@
 use hyper::client::conn::http1::SendRequest;
 use parking_lot::Mutex;
 use rustix::net::sockopt;
-use smol_hyper::rt::FuturesIo;
 
 use crate::Body;
 use crate::Spawner;
+use crate::connection_io::ConnectionIo;
 use crate::keepalive;
 
 /// Header in which a server announces how long it keeps an idle connection.
@@ -332,7 +332,7 @@
         }
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(self.cfg.max_buf_size)
-            .handshake(FuturesIo::new(stream))
+            .handshake(ConnectionIo::new(stream))
             .await
             .map_err(ClientError::NotSent)?;
         self.spawner.detach(async move {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod buffered;
 pub mod client;
+pub mod connection_io;
 pub mod connections;
 pub mod keepalive;
 pub mod pressure;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -23,11 +23,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt;
-use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
 use crate::Body;
 use crate::Spawner;
+use crate::connection_io::ConnectionIo;
 use crate::connections::Connection;
 use crate::connections::Connections;
 use crate::connections::Limit;
@@ -262,7 +262,7 @@
         .header_read_timeout(cfg.header_timeout)
         .max_headers(cfg.max_fields)
         .max_buf_size(cfg.max_buf_size);
-    let mut serving = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let mut serving = pin!(builder.serve_connection(ConnectionIo::new(stream), service));
     let ended = future::or(async { Some(serving.as_mut().await) }, async {
         control.wait_for_stop().await;
         None
