Count large events of streams in the memory

Cause: up to 256 KiB of an incomplete event of each stream, in a buffer of up to twice that, and complete events that a caller does not read, were not counted.

Change: events above 16 KiB reserve memory from a part of their own, until they are sent to the caller. A stream that finds none is broken off like one whose event is too large.

Ruled out: heads (limited by the parser), other bodies and the output of kept turns, which were counted.

--- a/crates/net/src/buffered.rs
+++ b/crates/net/src/buffered.rs
@@ -187,6 +187,14 @@
         Ok(())
     }
 
+    /// Keeps the memory reserved until the last clone of the bytes is dropped.
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(SharedBytes {
+            bytes,
+            _reserved: self,
+        })
+    }
+
     fn shrink(&mut self, bytes: usize) {
         let released = bytes.min(self.bytes);
         self.bytes -= released;
@@ -270,10 +278,7 @@
         B::Error: Into<BodyError>,
     {
         let (bytes, reserved) = Self::read_contiguous(body, memory, max_bytes).await?;
-        Ok(Bytes::from_owner(SharedBytes {
-            bytes,
-            _reserved: reserved,
-        }))
+        Ok(reserved.hold(bytes))
     }
 
     /// Creates a body from bytes in memory, for which `reserved` was reserved. It
--- a/src/door/limits.rs
+++ b/src/door/limits.rs
@@ -26,6 +26,8 @@
     pub memory: usize,
     /// Memory of request bodies, and of answers, in bytes.
     pub body_memory: usize,
+    /// Memory of large events of streams, in bytes.
+    pub event_memory: usize,
     /// Memory of messages of other hosts, in bytes.
     pub message_memory: usize,
     /// Memory of callers' connections, in bytes.
@@ -96,6 +98,7 @@
     DoorLimits {
         memory: host / 4 * 3,
         body_memory: host / 4,
+        event_memory: host / 8,
         message_memory: host / 8,
         caller_memory: host / 8 * 3,
         peer_memory: host / 4,
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -65,6 +65,8 @@
     pub request_memory: BodyMemory,
     /// Memory of buffered answers.
     pub answer_memory: BodyMemory,
+    /// Memory of large events of streams.
+    pub event_memory: BodyMemory,
     /// Memory of messages from other hosts.
     pub message_memory: BodyMemory,
 }
@@ -120,6 +122,7 @@
             cfg,
             request_memory: part(limits.body_memory, &callers),
             answer_memory: part(limits.body_memory, &callers),
+            event_memory: part(limits.event_memory, &callers),
             message_memory: part(limits.message_memory, &peers),
             ready: connections(limits.ready, BodyMemory::new(ready_memory)),
             callers,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -363,6 +363,8 @@
     pub request_memory: BodyMemory,
     /// Memory of endpoints' answers, until they are sent to the callers.
     pub answer_memory: BodyMemory,
+    /// Memory of large events of streams, until they are sent to the callers.
+    pub event_memory: BodyMemory,
     /// Set when the process has received a signal to stop.
     pub is_draining: AtomicBool,
     /// Ends the requests that are still open when a drain is out of time.
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -2,9 +2,15 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use chicoryarch_net::body::BodyError;
+use chicoryarch_net::buffered::BodyMemory;
+use chicoryarch_net::buffered::ReservedBytes;
 
 /// Maximum size of an event.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Bytes that a stream may buffer without a reservation, as part of the memory of its
+/// connections. Events of sound engines are smaller.
+const FREE_BYTES: usize = 16 << 10;
 
 /// One complete event with its closing blank line, or blank lines between
 /// events.
@@ -18,34 +24,74 @@
     pub is_blank: bool,
 }
 
-/// Error for an event that exceeds the size limit.
-#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
-#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
-pub struct TooLarge;
+/// Why received bytes cannot be buffered.
+#[derive(Debug, thiserror::Error)]
+pub enum FeedError {
+    /// An event exceeds the size limit.
+    #[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// A large event does not fit the memory for those of all streams.
+    #[error("a large event does not fit the memory: {0}")]
+    Memory(#[from] BodyError),
+}
+
+/// Result of buffering received bytes.
+pub type Result<T> = std::result::Result<T, FeedError>;
 
 /// Buffers received bytes and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     buf: BytesMut,
+    memory: BodyMemory,
+    /// Memory of the buffer, if it is large.
+    reserved: Option<ReservedBytes>,
 }
 
 impl Splitter {
+    /// Creates an empty buffer. Large events share `memory` with those of other
+    /// streams.
+    pub fn new(memory: &BodyMemory) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            memory: memory.clone(),
+            reserved: None,
+        }
+    }
+
     /// Appends received bytes.
     ///
     /// # Errors
     ///
-    /// Returns [`TooLarge`] if the buffered bytes exceed the maximum size.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
-        self.buf.extend_from_slice(bytes);
-        if self.buf.len() > MAX_EVENT_BYTES {
-            return Err(TooLarge);
+    /// Returns [`FeedError`] if the buffered bytes exceed the maximum size, or do not
+    /// fit the memory.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<()> {
+        let length = self.buf.len() + bytes.len();
+        if length > MAX_EVENT_BYTES {
+            return Err(FeedError::TooLarge);
+        }
+        if length > FREE_BYTES && length > self.buf.capacity() {
+            self.grow(length.next_power_of_two())?;
         }
+        self.buf.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Moves the buffered bytes into a larger buffer, whose memory is reserved.
+    fn grow(&mut self, capacity: usize) -> Result<()> {
+        let reserved = self.memory.reserve(capacity)?;
+        let mut buf = BytesMut::with_capacity(capacity);
+        buf.extend_from_slice(&self.buf);
+        self.buf = buf;
+        self.reserved = Some(reserved);
         Ok(())
     }
 
     /// Removes and returns the next event; `None` until it is complete.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.buf)?;
+        let Some(end) = event_end(&self.buf) else {
+            self.release();
+            return None;
+        };
         let bytes = self.buf.split_to(end).freeze();
         Some(Event {
             id: event_id(&bytes),
@@ -62,6 +108,15 @@
     /// Discards all buffered bytes.
     pub fn clear(&mut self) {
         self.buf.clear();
+        self.release();
+    }
+
+    /// Gives a large buffer back once little is left in it.
+    fn release(&mut self) {
+        if self.reserved.is_some() && self.buf.len() <= FREE_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+            self.reserved = None;
+        }
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -118,7 +118,7 @@
         cx: Arc::clone(cx),
         call,
         reservation,
-        splitter: Splitter::default(),
+        splitter: Splitter::new(&cx.event_memory),
         last_event: None,
         events: 0,
         engine_events: 0,
@@ -376,6 +376,7 @@
     /// a reason if the stream must end after these events.
     fn next_chunk(&mut self, version: &Arc<str>) -> (Bytes, Option<StreamEnd>) {
         let mut chunk = BytesMut::new();
+        let mut reserved = None;
         while chunk.len() < MAX_CHUNK_BYTES {
             let Some(event) = self.splitter.next_event() else {
                 break;
@@ -383,6 +384,14 @@
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
+            if event.bytes.len() > MAX_CHUNK_BYTES {
+                // Until it has been sent to the caller.
+                let length = chunk.len() + event.bytes.len();
+                match self.cx.event_memory.reserve(length) {
+                    Ok(memory) => reserved = Some(memory),
+                    Err(e) => return (chunk.freeze(), Some(StreamEnd::broken(e.to_string()))),
+                }
+            }
             if !event.is_blank && !self.record_event(event.id, version) {
                 return (chunk.freeze(), Some(StreamEnd::OverBudget));
             }
@@ -391,7 +400,12 @@
             }
             chunk.extend_from_slice(&event.bytes);
         }
-        (chunk.freeze(), None)
+        let chunk = chunk.freeze();
+        let chunk = match reserved {
+            Some(reserved) => reserved.hold(chunk),
+            None => chunk,
+        };
+        (chunk, None)
     }
 
     /// Adds an event to the output of a kept turn.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -291,6 +291,7 @@
         accounts: Accounts::default(),
         request_memory: door.request_memory.clone(),
         answer_memory: door.answer_memory.clone(),
+        event_memory: door.event_memory.clone(),
         held_parts: HeldParts::default(),
         spent: SpentPrograms::default(),
         limit_buckets: Mutex::default(),
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -411,7 +411,7 @@
             .iter()
             .map(|(n, name)| format!("{name}{n}\n"))
             .collect();
-        let mut splitter = Splitter::default();
+        let mut splitter = Splitter::new(&BodyMemory::new(1 << 20));
         for chunk in text.as_bytes().chunks(5) {
             if splitter.feed(chunk).is_err() {
                 break;
--- a/tests/gateway_processes/endless_answers.rs
+++ b/tests/gateway_processes/endless_answers.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryarch_standins::fleet::endpoint::Behaviour;
 use http::StatusCode;
 
 use super::fleet::Answer;
@@ -99,6 +100,12 @@
     }
 }
 
+/// Most of the largest event that is relayed, without its end.
+const INCOMPLETE_EVENT: &str = match std::str::from_utf8(&[b'x'; 250_000]) {
+    Ok(text) => text,
+    Err(_) => panic!("it is ASCII"),
+};
+
 /// Makes concurrent calls to an endpoint that floods, and checks time, memory
 /// and connections. Returns the answers.
 fn call_flooding(service: &str, path: &str, flood: Flood, limit: Duration) -> Vec<Answer> {
@@ -207,3 +214,47 @@
         }
     }
 }
+
+/// Memory of the gateway in the test of incomplete events.
+const SMALL_MEMORY_MB: u64 = 64;
+/// Streams whose incomplete events together exceed it.
+const STREAMS: usize = 120;
+/// Endpoints that send them.
+const FLOODING: usize = 16;
+
+/// Guards against a gateway that keeps the incomplete events of many streams until it
+/// exceeds its memory, and requests of other callers that end with it.
+#[test]
+fn incomplete_events_of_many_streams_do_not_exhaust_the_memory() {
+    let fleet = Fleet::new();
+    let flood = Flood {
+        start: STREAM_HEAD,
+        repeated: INCOMPLETE_EVENT,
+        pause: Duration::from_secs(1),
+    };
+    for n in 0..FLOODING {
+        let endpoint = FloodingEndpoint::start(flood);
+        fleet.list(&format!("e{n}"), "engine", endpoint.address, "ready");
+    }
+    let _sound = fleet.endpoint("sound", "plain", Behaviour::default());
+    let limits = format!("limits.memory_mb={SMALL_MEMORY_MB}\n");
+    let gateway = fleet.start_gateway_with_limits("g1", &limits);
+    gateway.wait_ready(&fleet);
+    let call = |n: usize| {
+        let mut caller = TcpStream::connect(gateway.addresses.callers).expect("a connection");
+        let request = format!(
+            "POST /turns/ HTTP/1.1\r\nhost: h\r\nrequest-id: r{n}\r\ncredential: key-1\r\n\
+             deadline-ms: 5000\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        // Fails if the gateway has no room for the caller.
+        let _closed = caller.write_all(request.as_bytes());
+        caller
+    };
+    let callers: Vec<TcpStream> = (0..STREAMS).map(call).collect();
+    thread::sleep(Duration::from_millis(700));
+    let answer = fleet.call(&gateway, "/safe/", &[("request-id", "ordinary")]);
+    assert_eq!(answer.status, StatusCode::OK);
+    drop(callers);
+    let peak = gateway.peak_memory_kib();
+    assert!(peak < SMALL_MEMORY_MB << 10, "{peak} KiB");
+}
