Refuse requests that come late in a drain and may outlast it

Cause: a request that had begun before the port was closed was taken whenever its body ended, whatever its deadline.

Change: after the time in which all requests are taken, a request is passed on only if its deadline lies before the end of the drain. Others are refused as not run.

Ruled out: new connections, which are refused 2.5 s after the signal; calls forwarded by other hosts, which are refused at once; requests without an answer at the end of the drain, which get 502.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -264,21 +265,52 @@
     }
 }
 
+/// Times of a drain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainTimes {
+    /// Until when all requests are taken.
+    pub taken_until: Moment,
+    /// When those that are still open are ended.
+    pub ends_at: Moment,
+}
+
+impl DrainTimes {
+    /// Whether a request with this deadline is taken. A late one must end before the
+    /// drain does.
+    pub fn admits(self, now: Moment, deadline: Moment) -> bool {
+        now <= self.taken_until || deadline <= self.ends_at
+    }
+}
+
 /// The time limit of a drain, for which requests wait.
 #[derive(Debug)]
 pub struct DrainLimit {
     tx: Sender<()>,
     rx: Receiver<()>,
+    times: OnceLock<DrainTimes>,
 }
 
 impl Default for DrainLimit {
     fn default() -> Self {
         let (tx, rx) = async_channel::bounded(1);
-        Self { tx, rx }
+        let times = OnceLock::new();
+        Self { tx, rx, times }
     }
 }
 
 impl DrainLimit {
+    /// Sets the times of the drain, which begins.
+    pub fn begin(&self, times: DrainTimes) {
+        // A second signal changes nothing.
+        let _first = self.times.set(times);
+    }
+
+    /// Whether a request with this deadline is taken.
+    pub fn admits(&self, now: Moment, deadline: Moment) -> bool {
+        let times = self.times.get();
+        times.is_none_or(|times| times.admits(now, deadline))
+    }
+
     /// Marks the time limit as reached.
     pub fn end(&self) {
         self.tx.close();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -56,6 +56,8 @@
 const MEMORY_RETRY: Duration = Duration::from_millis(500);
 /// Retry time sent to callers while kept turns cannot be found or stored.
 const TURNS_RETRY: Duration = Duration::from_millis(300);
+/// Retry time of a request that comes too late in a drain. Other hosts serve it.
+const DRAIN_RETRY: Duration = Duration::from_millis(50);
 /// Retry time sent to callers whose request may be in no region. Only another
 /// configuration can change that.
 const NO_REGION_RETRY: Duration = Duration::from_millis(800);
@@ -279,6 +281,10 @@
 }
 
 async fn run<P: Platform>(cx: &Cx<P>, call: Call) -> Result<Response<Body>> {
+    if !cx.drain_limit.admits(Moment::now(), call.deadline) {
+        let detail = "the host exits before the request may end";
+        return Err(Refusal::not_run(detail, cx.retry_elsewhere(DRAIN_RETRY)));
+    }
     crashes::refuse_barred(cx, &call)?;
     let call = match resumption::required_origin(cx, &call).await? {
         Some(origin) => Call {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -37,6 +37,7 @@
 use super::contact::StoreContact;
 use super::context::Cx;
 use super::context::DrainLimit;
+use super::context::DrainTimes;
 use super::context::Gateway;
 use super::context::InForce;
 use super::context::Pools;
@@ -389,7 +390,12 @@
     cx.is_draining.store(true, Ordering::Release);
     let requests = control.requests();
     cx.log.state("drain-started", &DrainLine { requests });
-    let deadline = Moment::now() + cx.cfg.grace.saturating_sub(cx.cfg.drain_margin);
+    let now = Moment::now();
+    let deadline = now + cx.cfg.grace.saturating_sub(cx.cfg.drain_margin);
+    cx.drain_limit.begin(DrainTimes {
+        taken_until: now + cx.cfg.drain_notice,
+        ends_at: deadline,
+    });
     Timer::after(cx.cfg.drain_notice).await;
     control.stop();
     wait_closed(cx, control, deadline).await;
--- a/tests/gateway_processes/shutdown.rs
+++ b/tests/gateway_processes/shutdown.rs
@@ -95,3 +95,58 @@
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}, {end:?}");
     assert!(gateway.wait());
 }
+
+// A request whose body arrived late in a drain was sent to an endpoint, and cut off
+// when the process exited; the answer of a stream was not even ended.
+#[test]
+fn a_request_that_comes_late_in_a_drain_is_not_begun() {
+    let fleet = Fleet::new();
+    let mut config = configuration(2);
+    for route in [0, 1, 3] {
+        config["routes"][route]["timeout_ms"] = json!(20_000);
+    }
+    fleet.store.put("config", "main", config);
+    let plain = fleet.endpoint("e1", "plain", SLOW);
+    let engine = fleet.endpoint("i1", "engine", SLOW);
+    let mut gateway = fleet.gateway("g1");
+    let connect = |id: &str, path: &str, deadline_ms: u64| {
+        let caller = TcpStream::connect(gateway.addresses.callers);
+        let mut caller = caller.expect("a connection");
+        let limit = Some(HANG_GUARD);
+        caller.set_read_timeout(limit).expect("a valid timeout");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nrequest-id: {id}\r\ncredential: key-1\r\n\
+             deadline-ms: {deadline_ms}\r\ncontent-length: 8\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).expect("it is read");
+        caller
+    };
+    let mut late = [
+        connect("once", "/once/", 15_000),
+        connect("safe", "/safe/", 15_000),
+        connect("turn", "/turns/", 15_000),
+    ];
+    let mut short = connect("short", "/once/", 6_000);
+    std::thread::sleep(Duration::from_millis(200));
+    gateway.signal(Signal::TERM);
+    // The bodies are complete after the time in which all requests are taken.
+    for _ in 0..8 {
+        for caller in late.iter_mut().chain([&mut short]) {
+            caller.write_all(b"x").expect("it is read");
+        }
+        std::thread::sleep(Duration::from_millis(450));
+    }
+    for (caller, id) in late.iter_mut().zip(["once", "safe", "turn"]) {
+        let mut answer = String::new();
+        let end = caller.read_to_string(&mut answer);
+        let is_refused = answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after");
+        assert!(is_refused, "{id}: {answer:?}, {end:?}");
+    }
+    assert!(engine.runs().is_empty());
+    // One that ends before the process exits is served.
+    let mut answer = String::new();
+    let end = short.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}, {end:?}");
+    assert_eq!(plain.runs().len(), 1);
+    assert!(gateway.wait());
+}
