Keep calls that may run once off connections with a refusal

A refusal that names its request left the connection in use; a caller that sends the request again keeps its id, so that the late copy was taken for the answer to the second call.

Change: a connection that has carried a refusal, named or not, is used by calls that may be repeated only.

Test: a_late_refusal_is_not_taken_for_the_answer_to_the_same_call_sent_again failed on ("r0 was refused and has run").

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -89,6 +89,10 @@
     pub receive_buffer: Option<usize>,
     /// Header by which a response names its request; `None` if responses do not.
     pub id_header: Option<HeaderName>,
+    /// Header of a response that refuses a request. The same request may be sent
+    /// again, so that its id does not tell a late copy of the refusal from the
+    /// response to it.
+    pub refusal_header: Option<HeaderName>,
 }
 
 impl Default for ClientConfig {
@@ -101,6 +105,7 @@
             silence_limit: None,
             receive_buffer: None,
             id_header: None,
+            refusal_header: None,
         }
     }
 }
@@ -110,8 +115,9 @@
 pub struct Reuse {
     /// Longest time for which the connection was idle.
     pub max_idle: Duration,
-    /// Whether all responses on it must have named their requests. A late copy
-    /// of one that did not would be taken for the response to this request.
+    /// Whether all responses on it must have named their requests, and none refused
+    /// its request. A late copy of another one could be taken for the response to
+    /// this request.
     pub only_identified: bool,
 }
 
@@ -130,7 +136,7 @@
     sender: SendRequest<Body>,
     idle_since: Instant,
     expires: Instant,
-    /// Whether all responses on it have named their requests.
+    /// Whether all responses on it have named their requests, and none was a refusal.
     is_identified: bool,
 }
 
@@ -280,9 +286,12 @@
         response: Response<Incoming>,
     ) -> Response<Incoming> {
         let idle = Arc::clone(&self.idle);
+        let headers = response.headers();
         let id_header = self.cfg.id_header.as_ref();
-        let is_named = id_header.is_none_or(|name| response.headers().contains_key(name));
-        let is_identified = was_identified && is_named;
+        let is_named = id_header.is_none_or(|name| headers.contains_key(name));
+        let refusal_header = self.cfg.refusal_header.as_ref();
+        let is_refusal = refusal_header.is_some_and(|name| headers.contains_key(name));
+        let is_identified = was_identified && is_named && !is_refusal;
         let max_idle = match is_identified {
             true => self.cfg.max_idle,
             // Few requests may use it.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -239,6 +239,7 @@
         silence_limit,
         receive_buffer: Some(ENDPOINT_RECEIVE_BUFFER),
         id_header: Some(endpoints::ID_HEADER),
+        refusal_header: Some(endpoints::NOT_EXECUTED),
         ..ClientConfig::default()
     };
     let control_client = ClientConfig {
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -31,7 +31,8 @@
 /// Header by which an endpoint's answer names its request. Refusals of work do
 /// not bear it.
 pub const ID_HEADER: HeaderName = REQUEST_ID;
-const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+/// Header of an answer by which an endpoint says that it has not run the request.
+pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Digest of the answer, computed by the endpoint.
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 /// Numbers of running requests, waiting requests and slots, comma-separated, and
--- a/tests/gateway_processes/late_refusals.rs
+++ b/tests/gateway_processes/late_refusals.rs
@@ -13,8 +13,12 @@
 
 use super::fleet::Fleet;
 
-const REFUSAL: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+/// Refusal that names no request.
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+/// Refusal that names its request.
+const NAMED_REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n\
+                             request-id: {id}\r\ncontent-length: 0\r\n\r\n";
 /// Time after which a refusal is sent once more.
 const LATE: Duration = Duration::from_millis(50);
 /// Time for which the endpoint works on a request.
@@ -44,14 +48,18 @@
 }
 
 /// Refuses the first request of a connection twice and runs the others.
-fn serve(mut stream: TcpStream, runs: &Runs) {
-    if read_request(&mut stream).is_none() || stream.write_all(REFUSAL).is_err() {
+fn serve(mut stream: TcpStream, runs: &Runs, refusal: &str) {
+    let Some(id) = read_request(&mut stream) else {
+        return;
+    };
+    let refusal = refusal.replace("{id}", &id);
+    if stream.write_all(refusal.as_bytes()).is_err() {
         return;
     }
     let mut late = stream.try_clone().expect("a connection");
     std::thread::spawn(move || {
         std::thread::sleep(LATE);
-        late.write_all(REFUSAL)
+        late.write_all(refusal.as_bytes())
     });
     while let Some(id) = read_request(&mut stream) {
         runs.lock().push(id.clone());
@@ -66,7 +74,7 @@
     }
 }
 
-fn start() -> (SocketAddr, Runs) {
+fn start(refusal: &'static str) -> (SocketAddr, Runs) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("its address");
     let runs = Runs::default();
@@ -74,7 +82,7 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let runs = Arc::clone(&shared);
-            std::thread::spawn(move || serve(stream, &runs));
+            std::thread::spawn(move || serve(stream, &runs, refusal));
         }
     });
     (address, runs)
@@ -86,7 +94,7 @@
 #[test]
 fn a_late_refusal_is_not_taken_for_the_answer_to_the_next_call() {
     let fleet = Fleet::new();
-    let (address, runs) = start();
+    let (address, runs) = start(REFUSAL);
     fleet.list("e1", "plain", address, "ready");
     let gateway = fleet.gateway("g1");
     for n in 0..8 {
@@ -98,3 +106,28 @@
         assert!(!(is_refused && has_run), "{id} was refused and has run");
     }
 }
+
+// A late copy of a refusal that names its request was taken for the answer to the same
+// request, which the caller had sent again: it ran, and its caller was told that it had
+// not.
+#[test]
+fn a_late_refusal_is_not_taken_for_the_answer_to_the_same_call_sent_again() {
+    let fleet = Fleet::new();
+    let (address, runs) = start(NAMED_REFUSAL);
+    fleet.list("e1", "plain", address, "ready");
+    let gateway = fleet.gateway("g1");
+    for n in 0..8 {
+        let id = format!("r{n}");
+        for _ in 0..3 {
+            let answer = fleet.call(&gateway, "/once/", &[("request-id", &id)]);
+            let has_run = runs.lock().contains(&id);
+            let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+            assert!(!(is_refused && has_run), "{id} was refused and has run");
+            if has_run {
+                break;
+            }
+        }
+        let count = runs.lock().iter().filter(|run| **run == id).count();
+        assert!(count <= 1, "{id} has run {count} times");
+    }
+}
