Refuse statuses that are no answer or promise too much

Cause: an answer was judged by its headers; the status was looked at for success only.

Change: the HTTP client takes a status outside 200 to 599 for no answer: the request may have run, and the connection is closed. The three promises are believed with Not-Executed only; the result is unknown otherwise. 421 says by itself that another endpoint has the address, and is believed as before.

Ruled out: 000 itself, which the parser of the HTTP client refuses.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +16,7 @@
 use http::HeaderName;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -37,6 +39,9 @@
 /// more than the clock can add.
 const MAX_IDLE_LIMIT: Duration = Duration::from_secs(3600);
 
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Most idle connections kept for each address of which some response has not
 /// named its request.
 const MAX_IDLE_UNIDENTIFIED: usize = 4;
@@ -53,6 +58,9 @@
     /// The connection closed before anything was written.
     #[error("connection closed before the request was sent: {0}")]
     NotSent(#[source] hyper::Error),
+    /// The status is none of a final response; the request may have been executed.
+    #[error("the response has the status {0}")]
+    InvalidStatus(StatusCode),
     /// No response head arrived within the timeout; the request may have been
     /// sent.
     #[error("no response within {0:?}")]
@@ -226,6 +234,7 @@
         while let Some((mut sender, is_identified)) = self.take_idle(to, reuse) {
             match sender.try_send_request(req).await {
                 Ok(response) => {
+                    let response = check_status(response)?;
                     return Ok(self.return_to_pool(to, sender, is_identified, response));
                 }
                 Err(mut failure) => match failure.take_message() {
@@ -244,7 +253,10 @@
     ) -> Result<Response<Incoming>> {
         let mut sender = self.connect(to).await?;
         match sender.try_send_request(req).await {
-            Ok(response) => Ok(self.return_to_pool(to, sender, true, response)),
+            Ok(response) => {
+                let response = check_status(response)?;
+                Ok(self.return_to_pool(to, sender, true, response))
+            }
             Err(mut failure) => match failure.take_message() {
                 Some(_) => Err(ClientError::NotSent(failure.into_error())),
                 None => Err(ClientError::Lost(failure.into_error())),
@@ -351,6 +363,14 @@
     }
 }
 
+/// Refuses a status that no final response has.
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>> {
+    match FINAL_STATUSES.contains(&response.status().as_u16()) {
+        true => Ok(response),
+        false => Err(ClientError::InvalidStatus(response.status())),
+    }
+}
+
 async fn with_timeout<T>(
     timeout: Duration,
     exchange: impl Future<Output = Result<T>>,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -603,6 +603,10 @@
         },
         Verdict::Mismatched => AttemptResult::unknown("the answer belongs to another request"),
         Verdict::Unsigned => AttemptResult::unknown("the answer lacks the endpoint's digest"),
+        Verdict::Unpromised => AttemptResult::unknown(format!(
+            "the endpoint answered {} and does not say that the call has not run",
+            head.status
+        )),
     }
 }
 
--- a/src/gateway/hop_port.rs
+++ b/src/gateway/hop_port.rs
@@ -171,7 +171,7 @@
         },
         Err(ClientError::NotSent(_)) => Err(HopOutcome::NotSent),
         Err(ClientError::Timeout(_)) => Err(HopOutcome::TimedOut),
-        Err(ClientError::Lost(_)) => Err(HopOutcome::Lost),
+        Err(ClientError::Lost(_) | ClientError::InvalidStatus(_)) => Err(HopOutcome::Lost),
     }
 }
 
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -33,6 +33,13 @@
 pub const ID_HEADER: HeaderName = REQUEST_ID;
 /// Header of an answer by which an endpoint says that it has not run the request.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+/// Statuses that tell callers that a request has not run and never will. 421 of an
+/// endpoint says so by itself: it is not the one that was called.
+const PROMISES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 /// Digest of the answer, computed by the endpoint.
 const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 /// Numbers of running requests, waiting requests and slots, comma-separated, and
@@ -136,6 +143,9 @@
     },
     /// A success without the endpoint's digest or without the request's id.
     Unsigned,
+    /// The status promises callers that the request has not run, although the endpoint
+    /// does not say so.
+    Unpromised,
 }
 
 /// Classifies the head of an answer to the request with the given id.
@@ -148,6 +158,9 @@
     if is_other_endpoint || head.headers.contains_key(NOT_EXECUTED) {
         return Verdict::NotRun { is_other_endpoint };
     }
+    if PROMISES.contains(&head.status) {
+        return Verdict::Unpromised;
+    }
     let is_signed = head.headers.contains_key(RESPONSE_SIGNATURE);
     if head.status.is_success() && (!is_signed || echoed.is_none()) {
         return Verdict::Unsigned;
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod odd_entries;
 mod odd_numbers;
+mod odd_statuses;
 mod short_capacity;
 mod shutdown;
 mod store;
