Retire and replace archive hosts in the soak of kept turns

The soak killed, cut off and wiped archive hosts. It now also empties them, which are then removed with their disks, and replaces some for good by hosts of other names and addresses. The hosts state a tolerance of two and a bound of 2 s for lost copies. A host that takes the place of a lost one counts as a lost disk until all turns from before have expired.

It also looks for the new name of the file that tells since when a disk is whole; without that, no disk was lost a second time.

--- a/tests/soak/kept.rs
+++ b/tests/soak/kept.rs
@@ -1,5 +1,5 @@
 //! Soak test of kept turns: callers continue turns at any host while archive hosts
-//! are killed, lose their disks and are cut off.
+//! are killed, lose their disks, are cut off, retired and replaced.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,6 +50,9 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Disks that may be lost at the same time: `fault_tolerance.machines`.
 const MAX_LOST_DISKS: usize = 2;
+/// Settings of the archive hosts.
+const LIMITS: &str = "limits.disk_mb=350\nlimits.memory_mb=130\nfault_tolerance.machines=2\n\
+                      fault_tolerance.zones=1\nbounds.catch_up_s=2\n";
 const ARCHIVES: [&str; 6] = [
     "a-archive-1",
     "a-archive-2",
@@ -193,6 +196,11 @@
     is_unreachable: bool,
     /// Whether its disk was lost and has not been refilled.
     is_lost: bool,
+    /// Until when it stands for one that was lost for good, whose turns have expired
+    /// by then.
+    successor_until: Instant,
+    /// Whether it is being emptied.
+    is_retiring: bool,
 }
 
 impl ArchiveHost {
@@ -212,8 +220,9 @@
             self.is_unreachable = false;
         }
         let log = self.process.data.join("turns");
+        let is_expired = self.successor_until <= now;
         // The second file is written before the first one.
-        if log.join("since").exists() && !log.join("refill").exists() {
+        if is_expired && log.join("whole-since").exists() && !log.join("refill").exists() {
             self.is_lost = false;
         }
     }
@@ -225,7 +234,9 @@
     engine: EndpointStandin,
     archives: Vec<ArchiveHost>,
     gateways: Vec<Gateway>,
-    _folder: TempDir,
+    folder: TempDir,
+    /// Number of hosts that have taken the place of others.
+    successors: usize,
 }
 
 impl Deployment {
@@ -244,15 +255,16 @@
             let view = fleet.store_view(&others.collect::<Vec<_>>());
             let store = Proxy::start(&fleet.spawner, view);
             let (name, to) = (ARCHIVES[n], store.address());
-            let limits = "limits.disk_mb=350\nlimits.memory_mb=130\n";
             ArchiveHost {
-                process: Archive::launch(folder.path(), name, &name[..1], addresses[n], to, limits),
+                process: Archive::launch(folder.path(), name, &name[..1], addresses[n], to, LIMITS),
                 front: fronts[n].clone(),
                 store,
                 starts_at: now,
                 heals_at: now,
                 is_unreachable: false,
                 is_lost: false,
+                successor_until: now,
+                is_retiring: false,
             }
         };
         let archives: Vec<ArchiveHost> = (0..ARCHIVES.len()).map(start).collect();
@@ -271,7 +283,8 @@
             engine,
             archives,
             gateways,
-            _folder: folder,
+            folder,
+            successors: 0,
         };
         for gateway in &deployment.gateways {
             gateway.wait_ready(&deployment.fleet);
@@ -326,12 +339,68 @@
         for archive in &mut self.archives {
             archive.heal_if_due(now);
         }
+        for n in 0..self.archives.len() {
+            if self.archives[n].is_retiring && self.is_emptied(n) {
+                self.archives[n].process.lose_disk();
+                self.start_successor(n);
+            }
+        }
+    }
+
+    fn is_emptied(&self, n: usize) -> bool {
+        let name = &self.archives[n].process.name;
+        let status = self.fleet.store.status("retirements", name);
+        status.is_some_and(|status| status["state"] == "completed")
+    }
+
+    /// Empties a host, which is then removed. At most one is emptied at a time.
+    fn retire(&mut self, n: usize) {
+        if !self.archives.iter().any(|archive| archive.is_retiring) {
+            let archive = &mut self.archives[n];
+            archive.is_retiring = true;
+            let name = archive.process.name.clone();
+            self.fleet.store.put("retirements", &name, json!({}));
+        }
+    }
+
+    /// Removes a host for good, unless as many disks are lost as may be.
+    fn replace(&mut self, n: usize) {
+        if self.archives[n].is_retiring {
+            return;
+        }
+        self.lose_disk(n, Instant::now());
+        let archive = &mut self.archives[n];
+        if archive.is_lost && !archive.process.data.exists() {
+            archive.successor_until = Instant::now() + RETENTION;
+            self.start_successor(n);
+        }
+    }
+
+    /// Starts a host of another name at another address, which is reached directly, in
+    /// place of one without a disk.
+    fn start_successor(&mut self, n: usize) {
+        self.successors += 1;
+        let address = self.fleet.free_address();
+        let archive = &mut self.archives[n];
+        let data_centre = archive.process.name[..1].to_owned();
+        let name = format!("{data_centre}-successor-{}", self.successors);
+        let store = archive.store.address();
+        archive.store.heal();
+        archive.process = Archive::launch(
+            self.folder.path(),
+            &name,
+            &data_centre,
+            address,
+            store,
+            LIMITS,
+        );
+        archive.is_retiring = false;
     }
 
     fn inject_one(&mut self, now: Instant) {
         let n = self.rng.random_range(0..self.archives.len());
         let until = now + Duration::from_millis(self.rng.random_range(50..MAX_FAULT_MS));
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..15) {
             0..3 => self.kill(n, until),
             3..6 => self.lose_disk(n, until),
             6..9 => self.cut_off(n, until),
@@ -343,6 +412,8 @@
                 self.lose_disk(hosts.index(1), now);
                 self.lose_disk(hosts.index(2), now);
             }
+            11..13 => self.retire(n),
+            13 => self.replace(n),
             // All lose their power.
             _ => (0..self.archives.len()).for_each(|n| self.kill(n, until)),
         }
