Keep a slow store from delaying probes of archive hosts

Entries of hosts that are gone were removed between two rounds of probes. A store that answers slowly delayed them, and with them the silence after which other hosts count as lost. They are removed by a task of their own.

The index is locked only to note the holders of records, not while these are decided.

Found by reading; no fault was seen. The tests of archive hosts pass.

--- a/src/archive/maintenance.rs
+++ b/src/archive/maintenance.rs
@@ -39,6 +39,7 @@
 /// Follows the other hosts until the process ends.
 pub async fn run(storage: Arc<Storage>) {
     storage.spawner.detach(repair(Arc::clone(&storage)));
+    storage.spawner.detach(remove_stale(Arc::clone(&storage)));
     let mut silent_before = BTreeSet::new();
     let probed = Arc::new(Mutex::new(BTreeSet::new()));
     loop {
@@ -51,17 +52,16 @@
         if silent != silent_before {
             let line = LostLine { silent: &silent };
             storage.log.state("archives-silent", &line);
-            silent_before.clone_from(&silent);
+            silent_before = silent;
         }
-        remove_stale(&storage, &silent).await;
     }
 }
 
 /// Repairs records that too few hosts have. This must not delay the probes.
 async fn repair(storage: Arc<Storage>) {
     let mut waiting = 0;
+    let mut known = None;
     let mut pause = storage.times.check_period();
-    let mut known_before = None;
     let mut incarnations = BTreeMap::new();
     loop {
         Timer::after(pause).await;
@@ -70,15 +70,15 @@
         }
         check_restarted(&storage, &mut incarnations);
         let silent = storage.contacts.lock().silent(Moment::now());
-        let known = Some((storage.hosts(), silent));
+        let now_known = Some((storage.hosts(), silent));
+        let now_waiting = transfer::repair(&storage).await;
         // Records that no host can take are not looked at all the time.
-        let is_idle = waiting > 0 && known == known_before;
-        let last_waiting = std::mem::replace(&mut waiting, transfer::repair(&storage).await);
-        known_before = known;
-        pause = match is_idle && waiting >= last_waiting {
+        let is_stuck = now_waiting > 0 && now_waiting >= waiting && now_known == known;
+        pause = match is_stuck {
             true => (pause * 2).min(storage.times.check_delay()),
             false => storage.times.check_period(),
         };
+        (waiting, known) = (now_waiting, now_known);
     }
 }
 
@@ -131,9 +131,21 @@
     }
 }
 
+/// Removes entries of hosts that are gone. The store may be slow, which must not delay
+/// the probes.
+async fn remove_stale(storage: Arc<Storage>) {
+    loop {
+        Timer::after(storage.times.check_period()).await;
+        if storage.shared.archives.upto().is_some() {
+            remove_stale_entries(&storage).await;
+        }
+    }
+}
+
 /// Removes the entries of hosts that have been silent for long and for which this
 /// host is the first among those that answer.
-async fn remove_stale(storage: &Storage, silent: &BTreeSet<HostId>) {
+async fn remove_stale_entries(storage: &Storage) {
+    let silent = storage.contacts.lock().silent(Moment::now());
     let limit = storage.longest_retention() * STALE_RETENTIONS;
     let stale = {
         let contacts = storage.contacts.lock();
--- a/src/archive/transfer.rs
+++ b/src/archive/transfer.rs
@@ -347,17 +347,16 @@
 
 /// Removes the records of which enough hosts have a copy, and notes their holders.
 fn set_settled(storage: &Storage, round: &Round, open: &mut Vec<Candidate>, outcome: &mut Outcome) {
+    let is_settled =
+        |candidate: &mut Candidate| round.next(storage, candidate, &[]) == Step::Enough;
+    let settled: Vec<Candidate> = open.extract_if(.., is_settled).collect();
+    let own = (!round.is_draining).then_some(&round.own);
     let mut index = storage.shared.index.lock();
-    open.retain(|candidate| {
-        if round.next(storage, candidate, &[]) != Step::Enough {
-            return true;
-        }
-        let own = (!round.is_draining).then_some(&round.own);
+    for candidate in settled {
         let holders: Vec<HostId> = own.into_iter().chain(&candidate.held).cloned().collect();
         index.set_holders(&candidate.item.key, &holders);
         outcome.settled.push(candidate.item.key.clone());
-        false
-    });
+    }
 }
 
 /// Asks hosts which of the records they have. Those that do not answer get none.
