review: add a case in which streams are joined from two versions

Cause: the version that an engine was listed with last counts, also after its connections have ended. Change: a script in which an engine restarts in place while the store is down.

--- a/review/common-3/stage.py
+++ b/review/common-3/stage.py
@@ -285,6 +285,8 @@
         self.history = []
         self.changed = asyncio.Condition()
         self.watches = {}
+        # While it is set, no call is answered.
+        self.silent = False
 
     async def listen(self):
         address = (self.stage.ip(200, 1), self.stage.ports[5])
@@ -339,6 +341,10 @@
                 body = await read_body(reader, fields)
                 method, target, _ = first.split(" ")
                 status, value = await self.handle(writer, method, target, body)
+                if self.silent:
+                    # A channel on which an answer is lost returns nothing further.
+                    await reader.read()
+                    return
                 data = json.dumps(value).encode()
                 writer.write(answer(status, [("Content-Type", "application/json")], data))
                 await writer.drain()
